--- /dev/null
+++ b/egretdale/__init__.py
@@ -0,0 +1,1 @@
+"""Routes language-model traffic with service levels and priorities."""
--- /dev/null
+++ b/egretdale/cmd/__init__.py
@@ -0,0 +1,1 @@
+"""Programs of the package."""
--- /dev/null
+++ b/egretdale/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Coordination layer: decisions taken by many hosts together."""
--- /dev/null
+++ b/egretdale/coordination/allocators.py
@@ -0,0 +1,283 @@
+"""The allocators that this host runs."""
+
+from __future__ import annotations
+
+import random
+
+import eventlet
+
+from egretdale.coordination.allocation import GroupAllocator
+from egretdale.coordination.backends import BackendDirectory
+from egretdale.coordination.mesh import Mesh, MeshListener
+from egretdale.coordination.ports import BackendClient
+from egretdale.coordination.replica import DocumentReplica
+from egretdale.errors import Unreachable
+from egretdale.state.backends import BackendView
+from egretdale.state.members import MemberStatus, MemberTable
+from egretdale.state.messages import Batch, GroupAsk, GroupReply
+from egretdale.util.clocks import Clock
+from egretdale.util.hashing import rank_by_rendezvous
+from egretdale.util.logs import get_logger
+
+logger = get_logger(__name__)
+
+_TICK_S = 0.05
+_REBUILD_S = 0.3
+_IDLE_S = 5.0
+_POLL_S = 1.0
+
+
+def find_owner(table: MemberTable, group: str) -> str:
+    """Find the host that allocates a group.
+
+    :param table: view of the entry hosts.
+    :param group: group key.
+    :return: name of the host.
+    """
+    hosts = [
+        member.update.host
+        for member in table.list_members()
+        if member.status == MemberStatus.ALIVE
+    ]
+    return rank_by_rendezvous(group, hosts or [table.own_host])[0]
+
+
+class Hosted:
+    """An allocator on this host and when it may start.
+
+    :ivar allocator: the allocator.
+    :ivar ready_at: monotonic seconds before which it grants nothing.
+    :ivar asked_at: monotonic seconds of the last message.
+    """
+
+    __slots__ = ('allocator', 'asked_at', 'ready_at')
+
+    def __init__(
+        self, allocator: GroupAllocator, ready_at: float, now: float
+    ) -> None:
+        """Wrap an allocator.
+
+        :param allocator: the allocator.
+        :param ready_at: monotonic seconds before which it grants nothing.
+        :param now: monotonic seconds.
+        """
+        self.allocator = allocator
+        self.ready_at = ready_at
+        self.asked_at = now
+
+
+class AllocatorBoard(MeshListener):
+    """Runs an allocator for each group that other hosts ask this host for.
+
+    A group may also be served locally with a share of every backend server
+    while its allocator cannot be reached.
+    """
+
+    __slots__ = (
+        '_backends',
+        '_client',
+        '_clock',
+        '_hosted',
+        '_local',
+        '_mesh',
+        '_random',
+        '_replica',
+        '_term',
+    )
+
+    name = 'allocators'
+
+    def __init__(
+        self,
+        mesh: Mesh,
+        replica: DocumentReplica,
+        backends: BackendDirectory,
+        client: BackendClient,
+        *,
+        clock: Clock,
+        source: random.Random,
+        term: int,
+    ) -> None:
+        """Create a board without allocators.
+
+        :param mesh: links to peers.
+        :param replica: documents in force.
+        :param backends: directory of backend servers.
+        :param client: calls to backend servers, for load reports.
+        :param clock: monotonic clock.
+        :param source: random source.
+        :param term: first term number, larger than any earlier one.
+        """
+        self._mesh = mesh
+        self._replica = replica
+        self._backends = backends
+        self._client = client
+        self._clock = clock
+        self._random = source
+        self._term = term
+        self._hosted: dict[str, Hosted] = {}
+        self._local: dict[str, Hosted] = {}
+
+    def handle(self, batch: Batch) -> Batch:
+        """Handle the messages of a batch to allocators on this host.
+
+        :param batch: a batch from a peer.
+        :return: the decisions for the sender that were made at once.
+        """
+        answer = Batch(self._mesh.table.own_host, 0)
+        for message in batch.asks:
+            hosted = self._open(message.group)
+            if hosted is None:
+                continue
+            hosted.asked_at = self._clock()
+            hosted.allocator.accept(batch.sender, message)
+            own = self._run(hosted, batch.sender)
+            if own is not None:
+                answer.replies.append(own)
+        return answer
+
+    def serve_locally(self, message: GroupAsk) -> GroupReply | None:
+        """Serve a group from this host's own share of it.
+
+        :param message: message of this host's entry side.
+        :return: the decisions.
+        """
+        own_host = self._mesh.table.own_host
+        hosted = self._local.get(message.group)
+        if hosted is None:
+            hosts = len(self._mesh.table.list_serving())
+            hosted = self._create(message.group, share=1 / max(1, hosts))
+            if hosted is None:
+                return None
+            hosted.ready_at = float(0)
+            self._local[message.group] = hosted
+            logger.info('fallback-started', group=message.group, hosts=hosts)
+        hosted.asked_at = self._clock()
+        hosted.allocator.accept(own_host, message)
+        hosted.allocator.dispatch()
+        return hosted.allocator.take_replies().get(own_host)
+
+    def list_allocators(self) -> list[GroupAllocator]:
+        """List the allocators of groups that this host serves."""
+        return [hosted.allocator for hosted in self._hosted.values()]
+
+    def refresh(self) -> None:
+        """Apply changed documents and lists of backend servers."""
+        for hosted in (*self._hosted.values(), *self._local.values()):
+            self._configure(hosted.allocator)
+
+    def run_ticks(self) -> None:
+        """Expire waiting requests and drop allocators without use."""
+        while True:
+            eventlet.sleep(_TICK_S)
+            self._drop_gone_hosts()
+            for group, hosted in list(self._hosted.items()):
+                hosted.allocator.expire()
+                self._run(hosted, None)
+                self._drop_idle(self._hosted, group, hosted)
+            for group, hosted in list(self._local.items()):
+                hosted.allocator.expire()
+                self._run(hosted, None)
+                self._drop_idle(self._local, group, hosted)
+
+    def run_polls(self) -> None:
+        """Read the load reports of the backend servers allocated here."""
+        while True:
+            for hosted in list(self._hosted.values()):
+                for view in list(hosted.allocator.pool.views.values()):
+                    eventlet.spawn_n(self._poll, view)
+            eventlet.sleep(_POLL_S)
+
+    def reset(self) -> None:
+        """Forget all allocators, after this process was paused."""
+        self._hosted.clear()
+        self._local.clear()
+
+    def _open(self, group: str) -> Hosted | None:
+        hosted = self._hosted.get(group)
+        if hosted is not None:
+            return hosted
+        hosted = self._create(group, share=1)
+        if hosted is None:
+            return None
+        self._hosted[group] = hosted
+        hosts = [
+            member.update.host for member in self._mesh.table.list_reachable()
+        ]
+        if not hosts:
+            hosted.ready_at = float(0)
+        hosted.allocator.announce([*hosts, self._mesh.table.own_host])
+        logger.info('allocator-started', group=group, term=self._term)
+        self._post(hosted.allocator.take_replies())
+        return hosted
+
+    def _create(self, group: str, share: float) -> Hosted | None:
+        service = group.rpartition('/')[0]
+        in_force = self._replica.find(service)
+        if in_force is None:
+            return None
+        allocator = GroupAllocator(
+            group,
+            in_force.document,
+            in_force.revision,
+            clock=self._clock,
+            source=self._random,
+            share=share,
+        )
+        self._term += 1
+        allocator.term = self._term
+        self._configure(allocator)
+        now = self._clock()
+        return Hosted(allocator, now + _REBUILD_S, now)
+
+    def _configure(self, allocator: GroupAllocator) -> None:
+        service, _, index = allocator.group.rpartition('/')
+        in_force = self._replica.find(service)
+        if in_force is not None:
+            allocator.apply_document(in_force.document, in_force.revision)
+        groups = allocator.document.groups
+        allocator.replace_backends(
+            self._backends.list_group(service, int(index), groups)
+        )
+
+    def _run(self, hosted: Hosted, asker: str | None) -> GroupReply | None:
+        if self._clock() >= hosted.ready_at:
+            hosted.allocator.dispatch()
+        replies = hosted.allocator.take_replies()
+        own = replies.pop(asker, None) if asker else None
+        self._post(replies)
+        return own
+
+    def _post(self, replies: dict[str, GroupReply]) -> None:
+        for host, reply in replies.items():
+            self._mesh.post_reply(host, reply)
+
+    def _drop_gone_hosts(self) -> None:
+        for member in self._mesh.table.list_members():
+            if member.status == MemberStatus.GONE:
+                for hosted in self._hosted.values():
+                    hosted.allocator.drop_host(member.update.host)
+
+    def _drop_idle(
+        self, board: dict[str, Hosted], group: str, hosted: Hosted
+    ) -> None:
+        idle_s = self._clock() - hosted.asked_at
+        if idle_s < _IDLE_S:
+            return
+        local = board is self._local
+        if local or find_owner(self._mesh.table, group) != self._own():
+            board.pop(group, None)
+            logger.info('allocator-dropped', group=group, local=local)
+
+    def _own(self) -> str:
+        return self._mesh.table.own_host
+
+    def _poll(self, view: BackendView) -> None:
+        outcome = self._client.read_load(view.address.address)
+        now = self._clock()
+        if isinstance(outcome, Unreachable):
+            view.note_unanswered_poll(now)
+        else:
+            view.accept_report(outcome, now)
+            if outcome.leaving:
+                self._backends.note_leaving(view.name)
--- /dev/null
+++ b/egretdale/coordination/mesh.py
@@ -0,0 +1,316 @@
+"""Links to the daemons of the other entry hosts."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import eventlet
+from eventlet.event import Event
+
+from egretdale.coordination.ports import Delivered, Network
+from egretdale.errors import Ambiguous, Unreachable
+from egretdale.state.members import MemberTable
+from egretdale.state.messages import Batch, GroupAsk, GroupReply
+from egretdale.util.buckets import TokenBucket
+from egretdale.util.clocks import Clock
+from egretdale.util.logs import get_logger
+
+logger = get_logger(__name__)
+
+_COALESCE_S = 0.02
+_BUDGET_BURST_S = 4.0
+_RETRY_S = 0.05
+
+#: Handles a batch from a peer and returns what there is to say at once.
+BatchHandler = Callable[[Batch], Batch]
+
+
+class MeshListener:
+    """Receives what the mesh learns; a base with no reaction.
+
+    :cvar name: name for log lines.
+    """
+
+    __slots__ = ()
+
+    name = 'listener'
+
+    def fill(self, host: str, batch: Batch) -> None:
+        """Add news to a batch that is about to leave.
+
+        :param host: receiving host.
+        :param batch: the batch.
+        """
+
+    def receive(self, batch: Batch) -> None:
+        """Take in a batch or an answer.
+
+        :param batch: the batch.
+        """
+
+    def note_reply(self, host: str) -> None:
+        """Note that a host has answered.
+
+        :param host: name of the host.
+        """
+
+    def note_failure(self, host: str) -> None:
+        """Note that a host could not be reached.
+
+        :param host: name of the host.
+        """
+
+
+class PeerLink:
+    """The task that sends to one peer.
+
+    :ivar host: name of the peer.
+    :ivar failing: whether the last delivery failed.
+    """
+
+    __slots__ = ('_asks', '_event', '_mesh', '_replies', 'failing', 'host')
+
+    def __init__(self, host: str, mesh: Mesh) -> None:
+        """Create an idle link.
+
+        :param host: name of the peer.
+        :param mesh: the mesh that owns it.
+        """
+        self.host = host
+        self.failing = False
+        self._mesh = mesh
+        self._event = Event()
+        self._asks: list[GroupAsk] = []
+        self._replies: list[GroupReply] = []
+
+    def post(self, ask: GroupAsk | None, reply: GroupReply | None) -> None:
+        """Queue messages; without any, an empty probe is sent.
+
+        :param ask: message to the peer as an allocator.
+        :param reply: message to the peer as an entry host.
+        """
+        if ask is not None:
+            self._asks.append(ask)
+        if reply is not None:
+            self._replies.append(reply)
+        if not self._event.ready():
+            self._event.send(None)
+
+    def run(self) -> None:
+        """Send batches until the peer has been forgotten."""
+        while self._mesh.knows(self.host):
+            self._event.wait()
+            self._mesh.wait_for_budget()
+            self._event = Event()
+            batch = self._mesh.create_batch(self.host)
+            batch.asks = self._asks
+            batch.replies = self._replies
+            self._asks = []
+            self._replies = []
+            self.failing = not self._mesh.send(self.host, batch)
+        self._mesh.drop_link(self)
+
+
+class Mesh:
+    """Sends batches to peers, one task for each.
+
+    :ivar table: view of the entry hosts.
+    :ivar sent_bytes: bytes sent to peers.
+    :ivar sent_batches: batches sent to peers.
+    """
+
+    __slots__ = (
+        '_budget',
+        '_handler',
+        '_links',
+        '_listeners',
+        '_network',
+        'sent_batches',
+        'sent_bytes',
+        'table',
+    )
+
+    def __init__(
+        self,
+        table: MemberTable,
+        network: Network,
+        clock: Clock,
+        bytes_per_s: float,
+    ) -> None:
+        """Create a mesh without links.
+
+        :param table: view of the entry hosts.
+        :param network: calls to peers.
+        :param clock: monotonic clock.
+        :param bytes_per_s: bytes a second above which messages coalesce.
+        """
+        self.table = table
+        self.sent_bytes = 0
+        self.sent_batches = 0
+        self._network = network
+        self._budget = TokenBucket(
+            bytes_per_s, bytes_per_s * _BUDGET_BURST_S, clock
+        )
+        self._links: dict[str, PeerLink] = {}
+        self._listeners: list[MeshListener] = []
+        self._handler: BatchHandler | None = None
+
+    def add_listener(self, listener: MeshListener) -> None:
+        """Register a receiver of batches.
+
+        :param listener: the receiver.
+        """
+        self._listeners.append(listener)
+
+    def attach_handler(self, handler: BatchHandler) -> None:
+        """Set the function that handles batches of peers.
+
+        :param handler: the function.
+        """
+        self._handler = handler
+
+    def post_ask(self, host: str, message: GroupAsk) -> None:
+        """Send a message to an allocator.
+
+        :param host: host of the allocator.
+        :param message: the message.
+        """
+        if host == self.table.own_host:
+            eventlet.spawn_n(self._deliver_locally, message, None)
+        else:
+            self._link(host).post(message, None)
+
+    def post_reply(self, host: str, message: GroupReply) -> None:
+        """Send a message to an entry host.
+
+        :param host: the entry host.
+        :param message: the message.
+        """
+        if host == self.table.own_host:
+            eventlet.spawn_n(self._deliver_locally, None, message)
+        else:
+            self._link(host).post(None, message)
+
+    def probe(self, host: str) -> None:
+        """Send a batch that holds only news.
+
+        :param host: name of the host.
+        """
+        self._link(host).post(None, None)
+
+    def drop_link(self, link: PeerLink) -> None:
+        """Forget a link whose peer has been forgotten.
+
+        :param link: the link.
+        """
+        self._links.pop(link.host, None)
+
+    def is_failing(self, host: str) -> bool:
+        """Tell whether the last delivery to a host failed.
+
+        :param host: name of the host.
+        """
+        link = self._links.get(host)
+        return link is not None and link.failing
+
+    def knows(self, host: str) -> bool:
+        """Tell whether a host is in the table.
+
+        :param host: name of the host.
+        """
+        return self.table.find(host) is not None
+
+    def wait_for_budget(self) -> None:
+        """Delay a batch a little when the byte budget is overdrawn."""
+        if self._budget.is_overdrawn():
+            eventlet.sleep(_COALESCE_S)
+
+    def create_batch(self, host: str) -> Batch:
+        """Create a batch with the news for a host.
+
+        :param host: receiving host.
+        :return: the batch.
+        """
+        own = self.table.find(self.table.own_host)
+        incarnation = own.update.incarnation if own else 0
+        batch = Batch(self.table.own_host, incarnation)
+        for listener in self._listeners:
+            listener.fill(host, batch)
+        return batch
+
+    def send(self, host: str, batch: Batch) -> bool:
+        """Send a batch, once more when the first try fails.
+
+        :param host: receiving host.
+        :param batch: the batch.
+        :return: whether the peer took it in.
+        """
+        if self._attempt(host, batch):
+            return True
+        eventlet.sleep(_RETRY_S)
+        if self._attempt(host, batch):
+            return True
+        for listener in self._listeners:
+            listener.note_failure(host)
+        return False
+
+    def handle(self, batch: Batch) -> Batch:
+        """Handle a batch that a peer sent.
+
+        :param batch: the batch.
+        :return: the answer.
+        """
+        for listener in self._listeners:
+            listener.note_reply(batch.sender)
+            listener.receive(batch)
+        answer = self.create_batch(batch.sender)
+        if self._handler is not None:
+            answer.replies = self._handler(batch).replies
+        return answer
+
+    def _attempt(self, host: str, batch: Batch) -> bool:
+        member = self.table.find(host)
+        if member is None:
+            return False
+        outcome = self._network.deliver(member.update.peer_address, batch)
+        match outcome:
+            case Delivered(answer=answer, sent_bytes=size):
+                self._budget.charge(size)
+                self.sent_bytes += size
+                self.sent_batches += 1
+                for listener in self._listeners:
+                    listener.note_reply(host)
+                    listener.receive(answer)
+                return True
+            case Unreachable() | Ambiguous():
+                logger.info(
+                    'peer-failed',
+                    host=host,
+                    cause=outcome.cause,
+                    detail=outcome.detail,
+                )
+        return False
+
+    def _deliver_locally(
+        self, ask: GroupAsk | None, reply: GroupReply | None
+    ) -> None:
+        own = self.table.own_host
+        batch = Batch(own, 0)
+        if ask is not None:
+            batch.asks.append(ask)
+        if reply is not None:
+            batch.replies.append(reply)
+        for listener in self._listeners:
+            listener.receive(batch)
+        if ask is not None and self._handler is not None:
+            answer = self._handler(batch)
+            for listener in self._listeners:
+                listener.receive(answer)
+
+    def _link(self, host: str) -> PeerLink:
+        link = self._links.get(host)
+        if link is None:
+            link = PeerLink(host, self)
+            self._links[host] = link
+            eventlet.spawn(link.run)
+        return link
--- /dev/null
+++ b/egretdale/coordination/node.py
@@ -0,0 +1,287 @@
+"""One entry host: its coordination parts and the tasks that drive them."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+import eventlet
+
+from egretdale.config import Settings
+from egretdale.coordination.allocators import AllocatorBoard
+from egretdale.coordination.backends import BackendDirectory
+from egretdale.coordination.claims import ClaimDesk, KeyIssuer
+from egretdale.coordination.membership import Membership
+from egretdale.coordination.mesh import Mesh
+from egretdale.coordination.ports import BackendClient, Network, Platform
+from egretdale.coordination.replica import DocumentReplica
+from egretdale.coordination.routing import ContinueBody, Router
+from egretdale.coordination.slots import SlotDesk
+from egretdale.coordination.submission import DocumentStore
+from egretdale.state.figures import Figures
+from egretdale.state.identity import RequestNumbers
+from egretdale.state.members import MemberTable
+from egretdale.state.messages import MemberUpdate
+from egretdale.state.outcomes import Ran, Reason, Refused
+from egretdale.util.clocks import Clock, WallClock, convert_to_ms
+from egretdale.util.logs import get_logger
+from egretdale.util.tasks import TaskGroup
+
+logger = get_logger(__name__)
+
+_CONFIRMATION_S = 1.5
+_WATCHDOG_PERIOD_S = 0.25
+_PAUSE_LIMIT_S = 1.5
+_ISOLATED_RETRY_S = 5.0
+_STARTING_RETRY_S = 1.0
+
+
+@dataclass(slots=True, frozen=True)
+class Surroundings:
+    """The world outside as a node sees it.
+
+    :ivar platform: object API.
+    :ivar network: calls to peers.
+    :ivar client: calls to backend servers.
+    :ivar clock: monotonic clock.
+    :ivar wall_clock: calendar clock.
+    :ivar source: random source.
+    :ivar continue_body: builds the body that goes on with a stream.
+    """
+
+    platform: Platform
+    network: Network
+    client: BackendClient
+    clock: Clock
+    wall_clock: WallClock
+    source: random.Random
+    continue_body: ContinueBody
+
+
+class Node:
+    """The coordination parts of one entry host.
+
+    :ivar settings: settings of the host.
+    :ivar surroundings: the world outside.
+    :ivar figures: metrics.
+    :ivar table: view of the entry hosts.
+    :ivar mesh: links to peers.
+    :ivar membership: membership of the entry hosts.
+    :ivar replica: documents in force.
+    :ivar documents: submission of documents.
+    :ivar backends: directory of backend servers.
+    :ivar board: allocators on this host.
+    :ivar desk: slots.
+    :ivar issuer: issuer of keys.
+    :ivar claims: claims on keys.
+    :ivar router: routing of requests.
+    :ivar numbers: request identities.
+    """
+
+    __slots__ = (
+        'backends',
+        'board',
+        'claims',
+        'desk',
+        'documents',
+        'figures',
+        'issuer',
+        'membership',
+        'mesh',
+        'numbers',
+        'replica',
+        'router',
+        'settings',
+        'surroundings',
+        'table',
+    )
+
+    def __init__(self, settings: Settings, surroundings: Surroundings) -> None:
+        """Build the parts of a host.
+
+        :param settings: settings of the host.
+        :param surroundings: the world outside.
+        """
+        self.settings = settings
+        self.surroundings = surroundings
+        self.figures = Figures()
+        incarnation = convert_to_ms(surroundings.wall_clock())
+        self.numbers = RequestNumbers(settings.host, incarnation)
+        self.table = MemberTable(settings.host)
+        self._build_membership(incarnation)
+        self._build_replicas()
+        self._build_slots(incarnation)
+        self._build_router(incarnation)
+
+    def start(self, tasks: TaskGroup) -> None:
+        """Start the tasks of the host.
+
+        :param tasks: group that they belong to.
+        """
+        tasks.start(self.membership.run_publishing)
+        tasks.start(self.membership.run_probes)
+        tasks.start(self.replica.run_watch)
+        tasks.start(self.replica.run_reread)
+        tasks.start(self.replica.run_fetch)
+        tasks.start(self.backends.run_watch)
+        tasks.start(self.backends.run_reread)
+        tasks.start(self.board.run_ticks)
+        tasks.start(self.board.run_polls)
+        tasks.start(self.desk.run_sync)
+        tasks.start(self.claims.run_settling)
+        tasks.start(self._run_watchdog)
+
+    def find_obstacle(self, service: str) -> Refused | None:
+        """Tell why this host may not take new work.
+
+        :param service: service name.
+        :return: a refusal, or ``None``.
+        """
+        if not self.replica.is_settled(_CONFIRMATION_S):
+            return Refused(
+                Reason.NO_DOCUMENT,
+                Ran.NO,
+                _STARTING_RETRY_S,
+                'this host has not confirmed its documents yet',
+            )
+        if self.is_isolated():
+            return Refused(
+                Reason.HOST_ISOLATED,
+                Ran.NO,
+                _ISOLATED_RETRY_S,
+                'this host reaches neither the platform nor other hosts',
+            )
+        return None
+
+    def is_isolated(self) -> bool:
+        """Tell whether this host has lost the platform and all peers."""
+        heard_at = self.membership.heard_from_peers_at()
+        if heard_at is None:
+            return False
+        newest = max(
+            heard_at,
+            self.backends.seen_at,
+            self.membership.platform_seen_at,
+            self.replica.in_sync_at or float(0),
+        )
+        silent_s = self.surroundings.clock() - newest
+        return silent_s > self.settings.isolation_s
+
+    def resume_after_pause(self) -> None:
+        """Drop what may be stale after this process was paused."""
+        wall_ms = convert_to_ms(self.surroundings.wall_clock())
+        incarnation = max(self.membership.own.incarnation + 1, wall_ms)
+        logger.warning('resumed-after-pause', incarnation=incarnation)
+        self.board.reset()
+        self.membership.rejoin(incarnation)
+
+    def _run_watchdog(self) -> None:
+        clock = self.surroundings.clock
+        while True:
+            before = clock()
+            eventlet.sleep(_WATCHDOG_PERIOD_S)
+            if clock() - before > _PAUSE_LIMIT_S:
+                self.resume_after_pause()
+
+    def _build_membership(self, incarnation: int) -> None:
+        settings = self.settings
+        outside = self.surroundings
+        own = MemberUpdate(
+            settings.host,
+            incarnation,
+            0,
+            0,
+            settings.data_centre,
+            settings.caller_address,
+            settings.peer_address,
+        )
+        self.mesh = Mesh(
+            self.table,
+            outside.network,
+            outside.clock,
+            settings.peer_bytes_per_s,
+        )
+        self.membership = Membership(
+            own,
+            self.mesh,
+            outside.platform,
+            clock=outside.clock,
+            source=outside.source,
+            period_s=settings.probe_period_s,
+            suspicion_s=settings.suspicion_s,
+        )
+        for seed in settings.seeds:
+            if seed.host != settings.host:
+                self.membership.learn(
+                    MemberUpdate(seed.host, 0, 0, 0, '', '', seed.peer_address)
+                )
+
+    def _build_replicas(self) -> None:
+        outside = self.surroundings
+        self.replica = DocumentReplica(
+            outside.platform,
+            outside.network,
+            self.table,
+            clock=outside.clock,
+            source=outside.source,
+            on_change=self._refresh,
+        )
+        self.documents = DocumentStore(outside.platform, outside.wall_clock)
+        self.backends = BackendDirectory(
+            outside.platform,
+            clock=outside.clock,
+            source=outside.source,
+            on_change=self._refresh,
+        )
+
+    def _build_slots(self, incarnation: int) -> None:
+        outside = self.surroundings
+        self.board = AllocatorBoard(
+            self.mesh,
+            self.replica,
+            self.backends,
+            outside.client,
+            clock=outside.clock,
+            source=outside.source,
+            term=incarnation,
+        )
+        self.desk = SlotDesk(
+            self.mesh,
+            self.board,
+            outside.client,
+            clock=outside.clock,
+            source=outside.source,
+        )
+        self.mesh.attach_handler(self.board.handle)
+        for listener in (
+            self.membership,
+            self.replica,
+            self.backends,
+            self.desk,
+        ):
+            self.mesh.add_listener(listener)
+
+    def _build_router(self, incarnation: int) -> None:
+        outside = self.surroundings
+        self.issuer = KeyIssuer(self.settings.host, incarnation, outside.clock)
+        self.claims = ClaimDesk(
+            self.issuer, self.table, outside.network, outside.platform
+        )
+        self.router = Router(
+            replica=self.replica,
+            backends=self.backends,
+            desk=self.desk,
+            claims=self.claims,
+            client=outside.client,
+            table=self.table,
+            figures=self.figures,
+            clock=outside.clock,
+            guard=self.find_obstacle,
+            continue_body=outside.continue_body,
+        )
+
+    def _refresh(self) -> None:
+        # The first documents arrive while the parts are being built.
+        board: AllocatorBoard | None = getattr(self, 'board', None)
+        if board is not None:
+            board.refresh()
--- /dev/null
+++ b/egretdale/coordination/pool.py
@@ -0,0 +1,381 @@
+"""The slots of one group of backend servers."""
+
+from __future__ import annotations
+
+from egretdale.state.backends import BackendAddress, BackendView, Held
+from egretdale.state.documents import ServiceDocument
+from egretdale.state.estimates import ClassEstimate
+from egretdale.state.messages import Ask, Done, Running
+from egretdale.state.order import Choice, Waiting
+from egretdale.state.prefixes import PrefixIndex
+from egretdale.util.clocks import Clock, convert_to_seconds
+
+_PREFILL_RATE = 4000.0
+_CACHED_SHARE = 0.25
+_LOAD_WEIGHT_S = 0.05
+_PAUSE_PROGRESS_LIMIT = 0.7
+_PAUSE_LIMIT_S = 10.0
+
+
+class SlotPool:
+    """Which backend server runs what, and where there is room.
+
+    :ivar views: backend servers by name.
+    :ivar held: slots in use by request identity.
+    :ivar estimates: estimates by class.
+    """
+
+    __slots__ = (
+        '_clock',
+        '_document',
+        '_paused_at',
+        '_prefixes',
+        '_share',
+        'estimates',
+        'held',
+        'views',
+    )
+
+    def __init__(
+        self, document: ServiceDocument, clock: Clock, share: float
+    ) -> None:
+        """Create a pool without backend servers.
+
+        :param document: document that the decisions follow.
+        :param clock: monotonic clock.
+        :param share: part of every backend server that may be used.
+        """
+        self.views: dict[str, BackendView] = {}
+        self.held: dict[str, Held] = {}
+        self.estimates: dict[str, ClassEstimate] = {}
+        self._clock = clock
+        self._share = share
+        self._prefixes = PrefixIndex()
+        self._paused_at: dict[str, float] = {}
+        self.apply_document(document)
+
+    def apply_document(self, document: ServiceDocument) -> None:
+        """Follow another revision of the document.
+
+        :param document: the document.
+        """
+        self._document = document
+        streams = document.kind == 'model'
+        self.estimates = {
+            entry.name: self.estimates.get(entry.name)
+            or ClassEstimate(entry, streams=streams)
+            for entry in document.classes
+        }
+        for view in self.views.values():
+            view.apply_maximum(self._compute_maximum())
+
+    def replace_backends(self, addresses: list[BackendAddress]) -> None:
+        """Replace the list of backend servers.
+
+        :param addresses: backend servers of the group.
+        """
+        listed = {address.name: address for address in addresses}
+        for gone in self.views.keys() - listed.keys():
+            self.views.pop(gone)
+        for name, address in listed.items():
+            view = self.views.get(name)
+            same = view and view.address.incarnation == address.incarnation
+            if view is None or not same:
+                self._prefixes.clear(name)
+                view = BackendView(address, self._compute_maximum())
+                self.views[name] = view
+            view.address = address
+
+    # Room
+
+    def find_backend(self, choice: Choice) -> BackendView | None:
+        """Find the best backend server with room for a request.
+
+        :param choice: the request.
+        :return: the backend server, or ``None``.
+        """
+        waiting = choice.waiting
+        if not choice.minimum_share:
+            slots = self.count_slots(waiting.tier)
+            if self.count_busy() >= slots:
+                return None
+        now = self._clock()
+        fitting = [
+            view
+            for view in self.views.values()
+            if self._has_room(view, waiting, now)
+        ]
+        avoided = waiting.ask.avoided
+        fresh = [view for view in fitting if view.name not in avoided]
+        candidates = fresh or fitting
+        suited = [view for view in candidates if _is_suited(view, waiting)]
+        return min(
+            suited or candidates,
+            key=lambda view: self._score(view, waiting, now),
+            default=None,
+        )
+
+    def count_slots(self, tier: int) -> float:
+        """Count the slots that a tier may use.
+
+        :param tier: the tier; lower ones leave more slots free.
+        :return: slots of all usable backend servers.
+        """
+        now = self._clock()
+        total = sum(
+            view.limit
+            for view in self.views.values()
+            if view.is_usable(now) or view.held
+        )
+        return total * (1 - self._document.headroom * tier)
+
+    def count_busy(self) -> int:
+        """Count the slots in use."""
+        return sum(view.count_running() for view in self.views.values())
+
+    def mean_remaining(self) -> float:
+        """Estimate how long the slots in use will be held on average.
+
+        :return: seconds.
+        """
+        if not self.held:
+            return float(0)
+        now = self._clock()
+        remaining = sum(
+            max(float(0), held.waiting.cost - (now - held.granted_at))
+            for held in self.held.values()
+        )
+        return remaining / len(self.held)
+
+    def has_usable(self) -> bool:
+        """Tell whether any backend server may get new work now."""
+        now = self._clock()
+        return any(view.is_usable(now) for view in self.views.values())
+
+    # Slots
+
+    def grant(self, choice: Choice, view: BackendView) -> Held:
+        """Give a slot to a request.
+
+        :param choice: the request.
+        :param view: backend server with room for it.
+        :return: the slot.
+        """
+        waiting = choice.waiting
+        now = self._clock()
+        held = Held(
+            waiting.ask,
+            waiting.host,
+            waiting,
+            now,
+            self._reserve_tokens(waiting.ask),
+            choice.minimum_share,
+            seen_at=now,
+        )
+        self._insert(held, view.name)
+        self._prefixes.note(view.name, waiting.ask.prefix, now)
+        return held
+
+    def adopt(self, waiting: Waiting, running: Running) -> None:
+        """Take in a slot that an entry host presents, or its progress.
+
+        :param waiting: the request as it would wait.
+        :param running: what the entry host says.
+        """
+        held = self.held.get(running.ask.request_id)
+        now = self._clock()
+        if held is None:
+            held = Held(
+                running.ask,
+                waiting.host,
+                waiting,
+                now - convert_to_seconds(running.running_ms),
+                self._reserve_tokens(running.ask),
+                tokens=running.tokens,
+                paused=running.paused,
+                seen_at=now,
+            )
+            self._insert(held, running.backend)
+            if running.paused:
+                self._paused_at[running.ask.request_id] = now
+        self._note_progress(held, running)
+
+    def release(self, request_id: str) -> Held | None:
+        """Free the slot of a request.
+
+        :param request_id: identity of the request.
+        :return: the slot, or ``None`` when it had none.
+        """
+        self._paused_at.pop(request_id, None)
+        for view in self.views.values():
+            view.held.pop(request_id, None)
+        return self.held.pop(request_id, None)
+
+    def finish(self, done: Done) -> None:
+        """Free a slot and learn from it.
+
+        :param done: what the entry host says.
+        """
+        view = self.views.get(done.backend)
+        if view is not None and done.failed:
+            view.note_failure(self._clock())
+        held = self.release(done.request_id)
+        if held is None or view is None or not done.whole:
+            return
+        view.note_success()
+        estimate = self.estimates.get(held.ask.class_name)
+        if estimate is None or held.request_was_paused:
+            return
+        self._learn(estimate, view, held, done)
+
+    # Pausing
+
+    def pause_for(self, waiting: Waiting) -> Held | None:
+        """Choose a stream of a lower tier and pause it.
+
+        :param waiting: the request that needs a slot.
+        :return: the paused slot; ``None`` when there is none to pause.
+        """
+        if not self._document.pauses or self._document.kind != 'model':
+            return None
+        now = self._clock()
+        victims = [
+            held
+            for view in self.views.values()
+            if view.is_usable(now) and _is_suited(view, waiting)
+            for held in view.held.values()
+            if self._may_pause(held, waiting)
+        ]
+        victim = max(victims, key=_rank_victim, default=None)
+        if victim is not None:
+            victim.paused = True
+            victim.request_was_paused = True
+            self._paused_at[victim.ask.request_id] = now
+        return victim
+
+    def resume_one(self, highest_waiting: int | None) -> Held | None:
+        """Choose a paused stream that may go on.
+
+        :param highest_waiting: highest tier that waits, ``None`` for none.
+        :return: the slot that is resumed, or ``None``.
+        """
+        now = self._clock()
+        for request_id, paused_at in self._paused_at.items():
+            held = self.held[request_id]
+            view = self.find_view(request_id)
+            overdue = now - paused_at > _PAUSE_LIMIT_S
+            has_room = view and view.count_running() + 1 <= view.limit
+            first = highest_waiting is None or highest_waiting >= held.tier
+            if overdue or (has_room and first):
+                held.paused = False
+                # A stream that was resumed late is not paused again.
+                held.minimum_share = held.minimum_share or overdue
+                self._paused_at.pop(request_id)
+                return held
+        return None
+
+    def _may_pause(self, held: Held, waiting: Waiting) -> bool:
+        if held.paused or held.minimum_share or held.tier <= waiting.tier:
+            return False
+        if held.first_token_s is None and not held.tokens:
+            return False
+        expected = max(1, held.reserved_tokens - held.ask.prompt_tokens)
+        return held.tokens / expected < _PAUSE_PROGRESS_LIMIT
+
+    # Figures
+
+    def _insert(self, held: Held, backend: str) -> None:
+        self.held[held.ask.request_id] = held
+        view = self.views.get(backend)
+        if view is not None:
+            view.held[held.ask.request_id] = held
+
+    def find_view(self, request_id: str) -> BackendView | None:
+        """Find the backend server that a request holds a slot of.
+
+        :param request_id: identity of the request.
+        :return: the backend server, or ``None``.
+        """
+        for view in self.views.values():
+            if request_id in view.held:
+                return view
+        return None
+
+    def _compute_maximum(self) -> int:
+        return max(1, int(self._document.backend_concurrency * self._share))
+
+    def _reserve_tokens(self, ask: Ask) -> int:
+        estimate = self.estimates[ask.class_name]
+        output = estimate.predict_output_tokens(ask.maximum_tokens)
+        return ask.prompt_tokens + output
+
+    def _has_room(
+        self, view: BackendView, waiting: Waiting, now: float
+    ) -> bool:
+        if not view.is_usable(now):
+            return False
+        if view.count_running() + 1 > view.limit:
+            return False
+        needed = self._reserve_tokens(waiting.ask)
+        return not view.held or view.count_free_tokens(now) >= needed
+
+    def _score(self, view: BackendView, waiting: Waiting, now: float) -> float:
+        ask = waiting.ask
+        prompt_tokens = float(ask.prompt_tokens)
+        if self._prefixes.is_held(view.name, ask.prefix, now):
+            prompt_tokens *= _CACHED_SHARE
+        prefill = (view.count_prefill_tokens() + prompt_tokens) / _PREFILL_RATE
+        load = view.count_running() / view.limit
+        return (prefill + load * _LOAD_WEIGHT_S) * view.first_factor
+
+    def _learn(
+        self,
+        estimate: ClassEstimate,
+        view: BackendView,
+        held: Held,
+        done: Done,
+    ) -> None:
+        first_token_s = convert_to_seconds(max(0, done.first_token_ms))
+        running_s = convert_to_seconds(done.running_ms)
+        prompt_tokens = held.ask.prompt_tokens
+        predicted_s = estimate.predict_first_token_s(prompt_tokens)
+        view.learn_first_token(first_token_s, predicted_s)
+        if done.tokens > 1:
+            streamed_s = running_s - first_token_s
+            self._learn_speed(view, streamed_s / (done.tokens - 1))
+        estimate.learn(prompt_tokens, done.tokens, first_token_s, running_s)
+
+    def _learn_speed(self, view: BackendView, token_s: float) -> None:
+        view.learn_token_time(token_s)
+        targets = [
+            held.waiting.request_class.between_tokens_ms
+            for held in view.held.values()
+        ]
+        if targets:
+            target_s = convert_to_seconds(min(targets))
+            view.adapt_limit(self._clock(), target_s)
+
+    def _note_progress(self, held: Held, running: Running) -> None:
+        now = self._clock()
+        if running.first_token_ms >= 0 and held.first_token_s is None:
+            held.first_token_s = convert_to_seconds(running.first_token_ms)
+        gained = running.tokens - held.tokens
+        if gained <= 0:
+            return
+        view = self.views.get(running.backend)
+        measurable = held.tokens and not held.request_was_paused
+        if view is not None and measurable:
+            self._learn_speed(view, (now - held.seen_at) / gained)
+        held.tokens = running.tokens
+        held.seen_at = now
+
+
+def _rank_victim(held: Held) -> tuple[int, float]:
+    return held.tier, held.granted_at
+
+
+def _is_suited(view: BackendView, waiting: Waiting) -> bool:
+    if view.token_s is None:
+        return True
+    target_ms = waiting.request_class.between_tokens_ms
+    return view.token_s <= convert_to_seconds(target_ms)
--- /dev/null
+++ b/egretdale/coordination/ports.py
@@ -0,0 +1,272 @@
+"""Interfaces to the world outside, which callers of the library provide."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from egretdale.errors import Ambiguous, Conflict, Missing, Unreachable
+from egretdale.state.backends import LoadReport
+from egretdale.state.messages import (
+    Batch,
+    ClaimAsk,
+    ClaimReply,
+    DocumentCopy,
+)
+
+
+@dataclass(slots=True, frozen=True)
+class StoredObject:
+    """An object of the platform.
+
+    :ivar name: name within its kind.
+    :ivar version: version, growing with every write.
+    :ivar body: stored bytes.
+    """
+
+    name: str
+    version: int
+    body: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Listing:
+    """All objects of a kind.
+
+    :ivar version: version of the whole listing.
+    :ivar entries: the objects.
+    """
+
+    version: int
+    entries: tuple[StoredObject, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class Written:
+    """A write that took effect.
+
+    :ivar version: new version of the object.
+    """
+
+    version: int
+
+
+class Platform(Protocol):
+    """The platform's object API."""
+
+    def read(
+        self, kind: str, name: str
+    ) -> StoredObject | Missing | Unreachable:
+        """Read one object.
+
+        :param kind: kind of the object.
+        :param name: name within the kind.
+        """
+
+    def list_objects(self, kind: str) -> Listing | Unreachable:
+        """List all objects of a kind.
+
+        :param kind: kind of the objects.
+        """
+
+    def watch(
+        self, kind: str, version: int, timeout_s: float
+    ) -> Listing | Unreachable:
+        """Wait until a listing is newer than a version.
+
+        :param kind: kind of the objects.
+        :param version: version that the caller has.
+        :param timeout_s: longest wait; the same version comes back then.
+        """
+
+    def write(
+        self, kind: str, name: str, body: bytes, expected: int
+    ) -> Written | Conflict | Unreachable | Ambiguous:
+        """Write an object if its version is the expected one.
+
+        :param kind: kind of the object.
+        :param name: name within the kind.
+        :param body: bytes to store.
+        :param expected: expected version, 0 when it must not exist.
+        """
+
+
+@dataclass(slots=True, frozen=True)
+class Delivered:
+    """A batch that a peer has taken in.
+
+    :ivar answer: what the peer had to say at once.
+    :ivar sent_bytes: bytes sent for it.
+    """
+
+    answer: Batch
+    sent_bytes: int
+
+
+class Network(Protocol):
+    """Calls to the daemons of other entry hosts."""
+
+    def deliver(
+        self, address: str, batch: Batch
+    ) -> Delivered | Unreachable | Ambiguous:
+        """Deliver a batch.
+
+        :param address: ``address:port`` of the peer.
+        :param batch: the batch.
+        """
+
+    def claim(
+        self, address: str, question: ClaimAsk
+    ) -> ClaimReply | Unreachable | Ambiguous:
+        """Ask the issuer of a key for its decision.
+
+        :param address: ``address:port`` of the peer.
+        :param question: the question.
+        """
+
+    def settle(
+        self, address: str, key: str, *, ran: bool
+    ) -> bool | Unreachable | Ambiguous:
+        """Tell the issuer of a key how its request ended.
+
+        :param address: ``address:port`` of the peer.
+        :param key: the key.
+        :param ran: whether a backend server may have run the request.
+        """
+
+    def fetch(
+        self, address: str, service: str
+    ) -> DocumentCopy | Unreachable | Ambiguous:
+        """Fetch a peer's copy of a document.
+
+        :param address: ``address:port`` of the peer.
+        :param service: service name.
+        """
+
+
+@dataclass(slots=True, frozen=True)
+class BackendCall:
+    """A request to a backend server.
+
+    :ivar stream_id: identity of the attempt at the backend server.
+    :ivar method: HTTP method.
+    :ivar path: path and query.
+    :ivar headers: header names and values.
+    :ivar body: request body.
+    :ivar priority: 0 is the highest.
+    :ivar fresh: whether a new connection must be used.
+    """
+
+    stream_id: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    priority: int
+    fresh: bool
+
+
+@dataclass(slots=True, frozen=True)
+class NotRun:
+    """The backend server certainly did not run the request.
+
+    :ivar detail: what was seen.
+    :ivar at_fault: whether the backend server should be avoided for a while.
+    """
+
+    detail: str
+    at_fault: bool = True
+
+
+@dataclass(slots=True, frozen=True)
+class MaybeRun:
+    """The backend server may have run the request, or part of it.
+
+    :ivar detail: what was seen.
+    """
+
+    detail: str
+
+
+@dataclass(slots=True, frozen=True)
+class EndOfStream:
+    """The response ended as its framing says it should."""
+
+
+class BackendStream(Protocol):
+    """A response that is being read.
+
+    :ivar status: HTTP status.
+    :ivar headers: header names and values.
+    """
+
+    status: int
+    headers: Sequence[tuple[str, str]]
+
+    def read(self) -> bytes | EndOfStream | MaybeRun:
+        """Read the next chunk of the body."""
+
+    def close(self) -> None:
+        """Drop the connection."""
+
+
+class BackendClient(Protocol):
+    """Calls to backend servers."""
+
+    def open(
+        self, address: str, call: BackendCall
+    ) -> BackendStream | NotRun | MaybeRun:
+        """Send a request and read the head of the response.
+
+        :param address: ``address:port`` of the backend server.
+        :param call: the request.
+        """
+
+    def continue_stream(
+        self, address: str, stream_id: str, after: int
+    ) -> BackendStream | NotRun | MaybeRun:
+        """Go on with a stream that lost its connection.
+
+        :param address: ``address:port`` of the engine.
+        :param stream_id: identity of the stream.
+        :param after: number of the last event that was received.
+        """
+
+    def cancel(self, address: str, stream_id: str) -> None:
+        """Cancel a stream whose caller has gone.
+
+        :param address: ``address:port`` of the engine.
+        :param stream_id: identity of the stream.
+        """
+
+    def pause(self, address: str, stream_id: str, *, paused: bool) -> bool:
+        """Pause or resume a stream.
+
+        :param address: ``address:port`` of the engine.
+        :param stream_id: identity of the stream.
+        :param paused: true to pause, false to resume.
+        :return: whether the engine did so.
+        """
+
+    def read_load(self, address: str) -> LoadReport | Unreachable:
+        """Read a load report.
+
+        :param address: ``address:port`` of the backend server.
+        """
+
+
+@dataclass(slots=True)
+class CacheNews:
+    """Cache events of an engine since a position.
+
+    :ivar position: position to ask from next time.
+    :ivar has_gap: whether events were lost.
+    :ivar stored: prefixes stored.
+    :ivar evicted: prefixes evicted.
+    """
+
+    position: int
+    has_gap: bool = False
+    stored: list[int] = field(default_factory=list)
+    evicted: list[int] = field(default_factory=list)
--- /dev/null
+++ b/egretdale/coordination/replica.py
@@ -0,0 +1,323 @@
+"""The replica of service documents that every daemon keeps."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import eventlet
+import msgspec
+from eventlet.event import Event
+
+from egretdale.coordination.mesh import MeshListener
+from egretdale.coordination.ports import (
+    Listing,
+    Network,
+    Platform,
+    StoredObject,
+)
+from egretdale.errors import Invalid
+from egretdale.state.documents import (
+    HistoryEntry,
+    ServiceDocument,
+    parse_document,
+)
+from egretdale.state.members import MemberTable
+from egretdale.state.messages import Batch, DocumentCopy, Revision
+from egretdale.util.clocks import Clock
+from egretdale.util.logs import get_logger
+
+logger = get_logger(__name__)
+
+DOCUMENT_KIND = 'documents'
+
+_WATCH_S = 20.0
+_REREAD_S = 10.0
+_RETRY_S = 0.5
+_NEWS_REPEATS = 8
+_FETCH_PEERS = 3
+_REREAD_SPREAD = (0.8, 1.2)
+
+
+class StoredDocument(msgspec.Struct, frozen=True):
+    """A document object in the platform.
+
+    :ivar source: text of the document.
+    :ivar nonce: identity of the submission.
+    :ivar author: who submitted it.
+    :ivar at_s: seconds since the Unix epoch.
+    :ivar history: earlier revisions, the newest last.
+    """
+
+    source: str
+    nonce: str
+    author: str
+    at_s: int
+    history: tuple[HistoryEntry, ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class InForce:
+    """A document that is in force on this host.
+
+    :ivar document: the document.
+    :ivar revision: its number.
+    :ivar source: its text.
+    """
+
+    document: ServiceDocument
+    revision: int
+    source: str
+
+
+class DocumentReplica(MeshListener):
+    """Holds the newest known revision of each document.
+
+    Revisions only go up. News of a higher revision comes by watch, by slow
+    rereading and from peers; its text comes from the platform or a peer.
+
+    :ivar in_sync_at: monotonic seconds of the last complete listing.
+    """
+
+    __slots__ = (
+        '_clock',
+        '_held',
+        '_listed_version',
+        '_network',
+        '_news',
+        '_on_change',
+        '_peers_heard',
+        '_platform',
+        '_random',
+        '_rotation',
+        '_settled',
+        '_started_at',
+        '_table',
+        '_wanted',
+        '_wanted_event',
+        'in_sync_at',
+    )
+
+    name = 'documents'
+
+    def __init__(
+        self,
+        platform: Platform,
+        network: Network,
+        table: MemberTable,
+        *,
+        clock: Clock,
+        source: random.Random,
+        on_change: Callable[[], None],
+    ) -> None:
+        """Create an empty replica.
+
+        :param platform: object API that stores the documents.
+        :param network: calls to peers.
+        :param table: view of the entry hosts.
+        :param clock: monotonic clock.
+        :param source: random source.
+        :param on_change: called after each change.
+        """
+        self.in_sync_at: float | None = None
+        self._platform = platform
+        self._network = network
+        self._table = table
+        self._clock = clock
+        self._random = source
+        self._on_change = on_change
+        self._held: dict[str, InForce] = {}
+        self._listed_version = 0
+        self._news: dict[str, int] = {}
+        self._rotation = 0
+        self._wanted: dict[str, int] = {}
+        self._wanted_event = Event()
+        self._peers_heard = False
+        self._settled = False
+        self._started_at = clock()
+
+    def find(self, service: str) -> InForce | None:
+        """Find the document in force for a service.
+
+        :param service: service name.
+        :return: the document, or ``None``.
+        """
+        return self._held.get(service)
+
+    def list_services(self) -> list[str]:
+        """List the services with a document."""
+        return sorted(self._held)
+
+    def list_revisions(self) -> list[Revision]:
+        """List the revisions in force."""
+        return [
+            Revision(service, held.revision)
+            for service, held in self._held.items()
+        ]
+
+    def is_settled(self, confirmation_s: float) -> bool:
+        """Tell whether this host may serve.
+
+        A fresh daemon waits for a listing or a peer's copy, and for a peer
+        to confirm that the listing was not an old one.
+
+        :param confirmation_s: longest wait for a peer in seconds.
+        :return: whether it may serve.
+        """
+        if not self._settled:
+            self._settled = self._check_settled(confirmation_s)
+        return self._settled
+
+    def accept(self, service: str, revision: int, source: str) -> bool:
+        """Put a revision in force if it is newer.
+
+        :param service: service name.
+        :param revision: revision number.
+        :param source: text of the document.
+        :return: whether it was newer and could be read.
+        """
+        held = self._held.get(service)
+        if held is not None and held.revision >= revision:
+            return False
+        document = parse_document(source.encode())
+        if isinstance(document, Invalid):
+            logger.warning(
+                'document-unreadable',
+                service=service,
+                revision=revision,
+                path=document.path,
+                problem=document.message,
+            )
+            return False
+        self._held[service] = InForce(document, revision, source)
+        self._news[service] = _NEWS_REPEATS
+        if self._wanted.get(service, 0) <= revision:
+            self._wanted.pop(service, None)
+        logger.info('document-in-force', service=service, revision=revision)
+        self._on_change()
+        return True
+
+    def copy(self, service: str) -> DocumentCopy:
+        """Return this host's copy for a peer.
+
+        :param service: service name.
+        :return: the copy; its revision is 0 when none is held.
+        """
+        held = self._held.get(service)
+        if held is None:
+            return DocumentCopy(service, 0, '')
+        return DocumentCopy(service, held.revision, held.source)
+
+    # Batches
+
+    def fill(self, host: str, batch: Batch) -> None:
+        """Add revisions to a batch: changed ones and one of the others.
+
+        :param host: receiving host.
+        :param batch: the batch.
+        """
+        chosen = list(self._news)
+        for service in chosen:
+            self._news[service] -= 1
+            if self._news[service] <= 0:
+                self._news.pop(service)
+        services = list(self._held)
+        if services:
+            self._rotation = (self._rotation + 1) % len(services)
+            if services[self._rotation] not in chosen:
+                chosen.append(services[self._rotation])
+        for service in chosen:
+            revision = self._held[service].revision
+            batch.revisions.append(Revision(service, revision))
+
+    def receive(self, batch: Batch) -> None:
+        """Note revisions that peers have.
+
+        :param batch: a batch from a peer.
+        """
+        if batch.sender != self._table.own_host:
+            self._peers_heard = True
+        for news in batch.revisions:
+            held = self._held.get(news.service_name)
+            known = held.revision if held else 0
+            if news.number > max(known, self._wanted.get(news.service_name, 0)):
+                self._wanted[news.service_name] = news.number
+                if not self._wanted_event.ready():
+                    self._wanted_event.send(None)
+
+    # Tasks
+
+    def run_watch(self) -> None:
+        """Follow the platform's documents."""
+        while True:
+            outcome = self._platform.watch(
+                DOCUMENT_KIND, self._listed_version, _WATCH_S
+            )
+            if isinstance(outcome, Listing):
+                self.apply_listing(outcome)
+            else:
+                eventlet.sleep(_RETRY_S * self._random.uniform(0.5, 2))
+
+    def run_reread(self) -> None:
+        """Read all documents at a slow period, as a watch may be silent."""
+        while True:
+            eventlet.sleep(_REREAD_S * self._random.uniform(*_REREAD_SPREAD))
+            outcome = self._platform.list_objects(DOCUMENT_KIND)
+            if isinstance(outcome, Listing):
+                self.apply_listing(outcome)
+
+    def run_fetch(self) -> None:
+        """Fetch revisions that peers have and this host has not."""
+        while True:
+            self._wanted_event.wait()
+            self._wanted_event = Event()
+            for service, revision in list(self._wanted.items()):
+                self._fetch(service, revision)
+            if self._wanted:
+                eventlet.sleep(_RETRY_S * self._random.uniform(0.5, 1))
+                if not self._wanted_event.ready():
+                    self._wanted_event.send(None)
+
+    def apply_listing(self, listing: Listing) -> None:
+        """Take in a listing of the platform.
+
+        :param listing: the listing; an old one changes nothing.
+        """
+        self.in_sync_at = self._clock()
+        self._listed_version = max(self._listed_version, listing.version)
+        for entry in listing.entries:
+            self._apply_object(entry)
+
+    def _check_settled(self, confirmation_s: float) -> bool:
+        if self._wanted:
+            return False
+        if self._peers_heard:
+            return self.in_sync_at is not None or bool(self._held)
+        if self.in_sync_at is None:
+            return False
+        return self._clock() - self._started_at >= confirmation_s
+
+    def _apply_object(self, entry: StoredObject) -> None:
+        try:
+            stored = msgspec.json.decode(entry.body, type=StoredDocument)
+        except msgspec.MsgspecError as malformed:
+            logger.warning(
+                'document-malformed', service=entry.name, error=str(malformed)
+            )
+            return
+        self.accept(entry.name, entry.version, stored.source)
+
+    def _fetch(self, service: str, revision: int) -> None:
+        outcome = self._platform.read(DOCUMENT_KIND, service)
+        if isinstance(outcome, StoredObject):
+            self._apply_object(outcome)
+        held = self._held.get(service)
+        if held is not None and held.revision >= revision:
+            return
+        peers = self._table.list_reachable()
+        self._random.shuffle(peers)
+        for peer in peers[:_FETCH_PEERS]:
+            copy = self._network.fetch(peer.update.peer_address, service)
+            if isinstance(copy, DocumentCopy) and copy.revision:
+                self.accept(service, copy.revision, copy.source)
--- /dev/null
+++ b/egretdale/coordination/slots.py
@@ -0,0 +1,418 @@
+"""The entry host's side of slot allocation."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, replace
+
+import eventlet
+from eventlet.event import Event
+
+from egretdale.coordination.allocators import AllocatorBoard, find_owner
+from egretdale.coordination.mesh import Mesh, MeshListener
+from egretdale.coordination.ports import BackendClient
+from egretdale.state.messages import (
+    Ask,
+    Batch,
+    Denial,
+    Done,
+    Grant,
+    GroupAsk,
+    GroupReply,
+    Running,
+)
+from egretdale.state.outcomes import Reason
+from egretdale.util.clocks import Clock, convert_to_ms
+from egretdale.util.logs import get_logger
+
+logger = get_logger(__name__)
+
+_SYNC_S = 1.0
+_PATIENCE_MARGIN_S = 1.0
+_FALLBACK_RETRY_MS = 2000
+_PAUSE_LIMIT_S = 20.0
+
+
+@dataclass(slots=True, eq=False)
+class Pending:
+    """A request of this host that waits for a slot.
+
+    :ivar ask: the request.
+    :ivar arrival: monotonic seconds of its arrival.
+    :ivar decision: event that carries a grant or a denial.
+    """
+
+    ask: Ask
+    arrival: float
+    decision: Event
+
+
+@dataclass(slots=True, eq=False)
+class Active:
+    """A request of this host that holds a slot.
+
+    :ivar ask: the request.
+    :ivar arrival: monotonic seconds of its arrival.
+    :ivar backend: backend server of the slot.
+    :ivar granted_at: monotonic seconds of the grant.
+    :ivar tokens: tokens delivered so far.
+    :ivar first_token_at: monotonic seconds of the first token, or ``None``.
+    :ivar address: ``address:port`` of the backend server once it is called.
+    :ivar stream_id: identity of the attempt once it is called.
+    :ivar paused_at: monotonic seconds since which the stream is paused.
+    """
+
+    ask: Ask
+    arrival: float
+    backend: str
+    granted_at: float
+    tokens: int = 0
+    first_token_at: float | None = None
+    address: str = ''
+    stream_id: str = ''
+    paused_at: float | None = None
+
+    def describe(self, now: float) -> Running:
+        """Describe the slot for an allocator.
+
+        :param now: monotonic seconds.
+        :return: the message.
+        """
+        first_token_ms = -1
+        if self.first_token_at is not None:
+            first_token_ms = convert_to_ms(
+                self.first_token_at - self.granted_at
+            )
+        return Running(
+            replace(self.ask, age_ms=convert_to_ms(now - self.arrival)),
+            self.backend,
+            self.tokens,
+            convert_to_ms(now - self.granted_at),
+            first_token_ms,
+            self.paused_at is not None,
+        )
+
+
+class SlotClient:
+    """Waits for slots of one group and gives them back.
+
+    :ivar group: group key.
+    :ivar load_permille: load of the group as last reported.
+    """
+
+    __slots__ = (
+        '_active',
+        '_backend_client',
+        '_board',
+        '_clock',
+        '_mesh',
+        '_owner',
+        '_pending',
+        '_term',
+        'group',
+        'load_permille',
+    )
+
+    def __init__(
+        self,
+        group: str,
+        mesh: Mesh,
+        board: AllocatorBoard,
+        backend_client: BackendClient,
+        clock: Clock,
+    ) -> None:
+        """Create a client without requests.
+
+        :param group: group key.
+        :param mesh: links to peers.
+        :param board: allocators of this host, for the fallback.
+        :param backend_client: calls to backend servers, for pausing.
+        :param clock: monotonic clock.
+        """
+        self.group = group
+        self.load_permille = 0
+        self._mesh = mesh
+        self._board = board
+        self._backend_client = backend_client
+        self._clock = clock
+        self._pending: dict[str, Pending] = {}
+        self._active: dict[str, Active] = {}
+        self._owner = ''
+        self._term = 0
+
+    def acquire(
+        self, ask: Ask, arrival: float, patience_s: float
+    ) -> Active | Denial:
+        """Wait for a slot.
+
+        :param ask: the request.
+        :param arrival: monotonic seconds of its arrival.
+        :param patience_s: longest wait in seconds since the arrival.
+        :return: the slot, or why there is none.
+        """
+        pending = Pending(ask, arrival, Event())
+        self._pending[ask.request_id] = pending
+        self._send(GroupAsk(self.group, asks=[self._describe(pending)]))
+        limit_s = arrival + patience_s + _PATIENCE_MARGIN_S - self._clock()
+        with eventlet.Timeout(max(limit_s, _PATIENCE_MARGIN_S), False):
+            return pending.decision.wait()
+        self._pending.pop(ask.request_id, None)
+        self._send(GroupAsk(self.group, withdrawn=[ask.request_id]))
+        return Denial(
+            ask.request_id, Reason.PATIENCE_EXCEEDED, _FALLBACK_RETRY_MS
+        )
+
+    def withdraw(self, request_id: str) -> None:
+        """Stop waiting for a slot.
+
+        :param request_id: identity of the request.
+        """
+        if self._pending.pop(request_id, None) is not None:
+            self._send(GroupAsk(self.group, withdrawn=[request_id]))
+
+    def adopt(self, ask: Ask, backend: str) -> Active:
+        """Take over a slot whose holder has gone.
+
+        :param ask: the request.
+        :param backend: backend server that runs it.
+        :return: the slot.
+        """
+        now = self._clock()
+        active = Active(ask, now, backend, now)
+        self._active[ask.request_id] = active
+        running = [active.describe(now)]
+        self._send(GroupAsk(self.group, running=running))
+        return active
+
+    def release(self, active: Active, *, whole: bool, failed: bool) -> None:
+        """Give a slot back.
+
+        :param active: the slot.
+        :param whole: whether the answer was completed.
+        :param failed: whether the backend server was at fault.
+        """
+        self._active.pop(active.ask.request_id, None)
+        running = active.describe(self._clock())
+        done = Done(
+            active.ask.request_id,
+            active.backend,
+            active.tokens,
+            running.first_token_ms,
+            running.running_ms,
+            whole,
+            failed,
+        )
+        self._send(GroupAsk(self.group, done=[done]))
+
+    def handle_reply(self, reply: GroupReply) -> None:
+        """Take in decisions of the allocator.
+
+        :param reply: the decisions.
+        """
+        self.load_permille = reply.load_permille
+        for grant in reply.grants:
+            self._accept_grant(grant)
+        for denial in reply.denials:
+            pending = self._pending.pop(denial.request_id, None)
+            if pending is not None:
+                pending.decision.send(denial)
+        if reply.term != self._term:
+            self._term = reply.term
+            self.present()
+        for pause in reply.pauses:
+            active = self._active.get(pause.request_id)
+            if active is not None:
+                eventlet.spawn_n(self._pause, active, paused=pause.paused)
+
+    def present(self) -> None:
+        """Send the whole state of this host to the allocator."""
+        self._send_full()
+
+    def check_owner(self) -> None:
+        """Present the state when the allocator has moved or failed."""
+        owner = self._choose_owner()
+        if owner != self._owner:
+            logger.info(
+                'allocator-chosen', group=self.group, owner=owner or 'local'
+            )
+            self._owner = owner
+            self._send_full()
+
+    def count(self) -> int:
+        """Count the requests that wait or hold slots."""
+        return len(self._pending) + len(self._active)
+
+    def clear(self) -> None:
+        """Drop all slots, after this process was paused."""
+        self._active.clear()
+        self._term = 0
+
+    def resume_overdue(self) -> None:
+        """Resume streams whose allocator has not resumed them in time."""
+        now = self._clock()
+        for active in self._active.values():
+            paused_at = active.paused_at
+            if paused_at is not None and now - paused_at > _PAUSE_LIMIT_S:
+                eventlet.spawn_n(self._pause, active, paused=False)
+
+    def _pause(self, active: Active, *, paused: bool) -> None:
+        if not active.stream_id:
+            return
+        done = self._backend_client.pause(
+            active.address, active.stream_id, paused=paused
+        )
+        if not paused:
+            active.paused_at = None
+        elif done:
+            active.paused_at = self._clock()
+
+    def _describe(self, pending: Pending) -> Ask:
+        age_s = self._clock() - pending.arrival
+        return replace(pending.ask, age_ms=convert_to_ms(age_s))
+
+    def _accept_grant(self, grant: Grant) -> None:
+        pending = self._pending.pop(grant.request_id, None)
+        if pending is None:
+            if grant.request_id not in self._active:
+                unused = Done(grant.request_id, grant.backend, whole=False)
+                self._send(GroupAsk(self.group, done=[unused]))
+            return
+        active = Active(
+            pending.ask, pending.arrival, grant.backend, self._clock()
+        )
+        self._active[grant.request_id] = active
+        pending.decision.send(active)
+
+    def _choose_owner(self) -> str:
+        owner = find_owner(self._mesh.table, self.group)
+        return '' if self._mesh.is_failing(owner) else owner
+
+    def _send(self, message: GroupAsk) -> None:
+        owner = self._choose_owner()
+        if owner != self._owner:
+            self._owner = owner
+            self._send_full()
+            return
+        self._send_to_owner(message)
+
+    def _send_full(self) -> None:
+        now = self._clock()
+        message = GroupAsk(
+            self.group,
+            full=True,
+            asks=[self._describe(entry) for entry in self._pending.values()],
+            running=[entry.describe(now) for entry in self._active.values()],
+        )
+        self._send_to_owner(message)
+
+    def _send_to_owner(self, message: GroupAsk) -> None:
+        if self._owner:
+            self._mesh.post_ask(self._owner, message)
+            return
+        reply = self._board.serve_locally(message)
+        if reply is not None:
+            eventlet.spawn_n(self.handle_reply, reply)
+
+
+class SlotDesk(MeshListener):
+    """The slot clients of all groups on this host."""
+
+    __slots__ = (
+        '_backend_client',
+        '_board',
+        '_clients',
+        '_clock',
+        '_mesh',
+        '_random',
+    )
+
+    name = 'slots'
+
+    def __init__(
+        self,
+        mesh: Mesh,
+        board: AllocatorBoard,
+        backend_client: BackendClient,
+        *,
+        clock: Clock,
+        source: random.Random,
+    ) -> None:
+        """Create a desk without clients.
+
+        :param mesh: links to peers.
+        :param board: allocators of this host, for the fallback.
+        :param backend_client: calls to backend servers, for pausing.
+        :param clock: monotonic clock.
+        :param source: random source.
+        """
+        self._mesh = mesh
+        self._board = board
+        self._backend_client = backend_client
+        self._clock = clock
+        self._random = source
+        self._clients: dict[str, SlotClient] = {}
+
+    def choose(self, service: str, groups: int) -> SlotClient:
+        """Choose a group of a service, the less loaded one of two.
+
+        :param service: service name.
+        :param groups: number of groups.
+        :return: its client.
+        """
+        indexes = range(groups)
+        if groups > 2:
+            indexes = self._random.sample(indexes, 2)
+        clients = [self.open(f'{service}/{index}') for index in indexes]
+        return min(clients, key=_read_load)
+
+    def open(self, group: str) -> SlotClient:
+        """Return the client of a group.
+
+        :param group: group key.
+        :return: the client.
+        """
+        client = self._clients.get(group)
+        if client is None:
+            client = SlotClient(
+                group,
+                self._mesh,
+                self._board,
+                self._backend_client,
+                self._clock,
+            )
+            self._clients[group] = client
+        return client
+
+    def receive(self, batch: Batch) -> None:
+        """Take in decisions of allocators.
+
+        :param batch: a batch from a peer.
+        """
+        for reply in batch.replies:
+            self.open(reply.group).handle_reply(reply)
+
+    def count(self) -> int:
+        """Count the requests that wait or hold slots."""
+        return sum(client.count() for client in self._clients.values())
+
+    def clear(self) -> None:
+        """Drop all slots, after this process was paused."""
+        for client in self._clients.values():
+            client.clear()
+
+    def run_sync(self) -> None:
+        """Present the state at a steady period, as messages may be lost."""
+        checks = 10
+        while True:
+            for _ in range(checks):
+                eventlet.sleep(_SYNC_S / checks)
+                for client in list(self._clients.values()):
+                    client.check_owner()
+            for client in list(self._clients.values()):
+                client.resume_overdue()
+                if client.count():
+                    client.present()
+
+
+def _read_load(client: SlotClient) -> int:
+    return client.load_permille
--- /dev/null
+++ b/egretdale/coordination/submission.py
@@ -0,0 +1,232 @@
+"""Submission of service documents."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import eventlet
+import msgspec
+
+from egretdale.coordination.ports import (
+    Platform,
+    StoredObject,
+    Written,
+)
+from egretdale.coordination.replica import (
+    DOCUMENT_KIND,
+    StoredDocument,
+)
+from egretdale.errors import (
+    Ambiguous,
+    Conflict,
+    Invalid,
+    Missing,
+    Unreachable,
+)
+from egretdale.state.documents import HistoryEntry, parse_document
+from egretdale.util.clocks import WallClock
+from egretdale.util.logs import get_logger
+
+logger = get_logger(__name__)
+
+_HISTORY_LENGTH = 32
+_SETTLE_ATTEMPTS = 4
+_SETTLE_PAUSE_S = 0.25
+
+
+@dataclass(slots=True, frozen=True)
+class Submission:
+    """A document that an operator wants in force.
+
+    :ivar service: service name.
+    :ivar source: text of the document.
+    :ivar base_revision: revision that the operator edited, 0 for none.
+    :ivar nonce: identity of the submission.
+    :ivar author: who submits it.
+    """
+
+    service: str
+    source: str
+    base_revision: int
+    nonce: str
+    author: str
+
+
+@dataclass(slots=True, frozen=True)
+class Accepted:
+    """The document was accepted.
+
+    :ivar revision: its number.
+    :ivar superseded: whether a later submission has replaced it already.
+    """
+
+    revision: int
+    superseded: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class Outdated:
+    """Another submission was accepted first.
+
+    :ivar revision: revision that is stored now.
+    :ivar author: who submitted it.
+    :ivar source: its text.
+    """
+
+    revision: int
+    author: str
+    source: str
+
+
+@dataclass(slots=True, frozen=True)
+class Undecided:
+    """The write may or may not have taken effect.
+
+    :ivar nonce: identity to ask for later.
+    :ivar detail: what was seen.
+    """
+
+    nonce: str
+    detail: str
+
+
+SubmissionOutcome = Accepted | Outdated | Undecided | Invalid | Unreachable
+
+
+class DocumentStore:
+    """Reads and submits documents in the platform."""
+
+    __slots__ = ('_platform', '_wall_clock')
+
+    def __init__(self, platform: Platform, wall_clock: WallClock) -> None:
+        """Create a store.
+
+        :param platform: object API that stores the documents.
+        :param wall_clock: calendar clock.
+        """
+        self._platform = platform
+        self._wall_clock = wall_clock
+
+    def submit(self, submission: Submission) -> SubmissionOutcome:
+        """Submit a document on condition of its base revision.
+
+        :param submission: the submission.
+        :return: what became of it.
+        """
+        document = parse_document(submission.source.encode())
+        if isinstance(document, Invalid):
+            return document
+        if document.service != submission.service:
+            return Invalid('$.service', f'must be {submission.service}')
+        current = self._platform.read(DOCUMENT_KIND, submission.service)
+        match current:
+            case Unreachable():
+                return current
+            case Missing():
+                if submission.base_revision:
+                    return Outdated(0, '', '')
+                return self._write(submission, ())
+            case StoredObject(version=version):
+                if version != submission.base_revision:
+                    return self._judge(submission, current)
+                stored = _decode(current)
+                previous = HistoryEntry(
+                    version, stored.nonce, stored.author, stored.at_s
+                )
+                history = (*stored.history, previous)
+                return self._write(submission, history[-_HISTORY_LENGTH:])
+
+    def settle(self, submission: Submission) -> SubmissionOutcome:
+        """Find out what became of an earlier submission.
+
+        :param submission: the submission; its source is not needed.
+        :return: its outcome as far as it can be known.
+        """
+        current = self._platform.read(DOCUMENT_KIND, submission.service)
+        match current:
+            case Unreachable():
+                return Undecided(submission.nonce, current.detail)
+            case Missing():
+                return Outdated(0, '', '')
+            case StoredObject():
+                return self._judge(submission, current)
+
+    def read_history(
+        self, service: str
+    ) -> tuple[HistoryEntry, ...] | Missing | Unreachable:
+        """Read the revisions of a document, the newest last.
+
+        :param service: service name.
+        :return: revisions with their authors.
+        """
+        current = self._platform.read(DOCUMENT_KIND, service)
+        if not isinstance(current, StoredObject):
+            return current
+        stored = _decode(current)
+        newest = HistoryEntry(
+            current.version, stored.nonce, stored.author, stored.at_s
+        )
+        return (*stored.history, newest)
+
+    def _write(
+        self, submission: Submission, history: tuple[HistoryEntry, ...]
+    ) -> SubmissionOutcome:
+        stored = StoredDocument(
+            submission.source,
+            submission.nonce,
+            submission.author,
+            int(self._wall_clock()),
+            history,
+        )
+        body = msgspec.json.encode(stored)
+        outcome: Written | Conflict | Unreachable | Ambiguous | None = None
+        was_ambiguous = False
+        for _ in range(_SETTLE_ATTEMPTS):
+            outcome = self._platform.write(
+                DOCUMENT_KIND,
+                submission.service,
+                body,
+                submission.base_revision,
+            )
+            match outcome:
+                case Written(version=version):
+                    logger.info(
+                        'document-accepted',
+                        service=submission.service,
+                        revision=version,
+                        author=submission.author,
+                    )
+                    return Accepted(version)
+                case Conflict():
+                    return self.settle(submission)
+                case Unreachable() if not was_ambiguous:
+                    return outcome
+                case _:
+                    was_ambiguous = True
+                    eventlet.sleep(_SETTLE_PAUSE_S)
+        return self._settle_ambiguous(submission)
+
+    def _settle_ambiguous(self, submission: Submission) -> SubmissionOutcome:
+        outcome = self.settle(submission)
+        unchanged = (
+            isinstance(outcome, Outdated)
+            and outcome.revision == submission.base_revision
+        )
+        if unchanged:
+            return Undecided(submission.nonce, 'the write may still arrive')
+        return outcome
+
+    def _judge(
+        self, submission: Submission, current: StoredObject
+    ) -> SubmissionOutcome:
+        stored = _decode(current)
+        if stored.nonce == submission.nonce:
+            return Accepted(current.version)
+        for entry in stored.history:
+            if entry.nonce == submission.nonce:
+                return Accepted(entry.revision, superseded=True)
+        return Outdated(current.version, stored.author, stored.source)
+
+
+def _decode(entry: StoredObject) -> StoredDocument:
+    return msgspec.json.decode(entry.body, type=StoredDocument)
--- /dev/null
+++ b/egretdale/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Protocol layer: typed messages on the wire."""
--- /dev/null
+++ b/egretdale/protocol/gen/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'Peer']
--- /dev/null
+++ b/egretdale/protocol/peer.thrift
@@ -0,0 +1,126 @@
+namespace py egretdale.protocol.gen
+
+struct Ask {
+  1: string request_id
+  2: string class_name
+  3: string organisation
+  4: i32 age_ms
+  5: i32 prompt_tokens
+  6: i32 maximum_tokens
+  7: i64 prefix
+  8: bool returning
+  9: list<string> avoided
+}
+
+struct Running {
+  1: Ask ask
+  2: string backend
+  3: i32 tokens
+  4: i32 running_ms
+  5: i32 first_token_ms
+  6: bool paused
+}
+
+struct Done {
+  1: string request_id
+  2: string backend
+  3: i32 tokens
+  4: i32 first_token_ms
+  5: i32 running_ms
+  6: bool whole
+  7: bool failed
+}
+
+struct Grant {
+  1: string request_id
+  2: string backend
+}
+
+struct Denial {
+  1: string request_id
+  2: string reason
+  3: i32 retry_after_ms
+  4: i32 wait_ms
+  5: i32 ahead
+}
+
+struct Pause {
+  1: string request_id
+  2: bool paused
+}
+
+struct GroupAsk {
+  1: string group
+  2: bool full
+  3: list<Ask> asks
+  4: list<Running> running
+  5: list<Done> done
+  6: list<string> withdrawn
+}
+
+struct GroupReply {
+  1: string group
+  2: i64 term
+  3: list<Grant> grants
+  4: list<Denial> denials
+  5: list<Pause> pauses
+  6: i32 load_permille
+}
+
+struct MemberUpdate {
+  1: string host
+  2: i64 incarnation
+  3: i32 counter
+  4: i32 status
+  5: string data_centre
+  6: string caller_address
+  7: string peer_address
+  8: i32 load
+}
+
+struct BackendUpdate {
+  1: string service_name
+  2: string name
+  3: i64 incarnation
+  4: bool leaving
+}
+
+struct Revision {
+  1: string service_name
+  2: i64 number
+}
+
+struct Batch {
+  1: string sender
+  2: i64 incarnation
+  3: list<GroupAsk> asks
+  4: list<GroupReply> replies
+  5: list<MemberUpdate> members
+  6: list<BackendUpdate> backends
+  7: list<Revision> revisions
+}
+
+struct ClaimAsk {
+  1: string key
+  2: string nonce
+  3: string host
+  4: i64 fingerprint
+}
+
+struct ClaimReply {
+  1: string verdict
+  2: string host
+}
+
+struct DocumentCopy {
+  1: string service_name
+  2: i64 revision
+  3: string source
+}
+
+service Peer {
+  Batch deliver(1: Batch batch)
+  ClaimReply claim(1: ClaimAsk question)
+  bool settle(1: string key, 2: bool ran)
+  DocumentCopy fetch(1: string service_name)
+}
--- /dev/null
+++ b/egretdale/protocol/wire.py
@@ -0,0 +1,81 @@
+"""Conversion between messages and their thrift counterparts."""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+from typing import Any
+
+from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
+from thrift.transport.TTransport import TMemoryBuffer
+
+from egretdale.protocol.gen import ttypes
+from egretdale.state import messages
+
+_MAXIMUM_CONTAINER = 65536
+
+
+def encode_structure(message: Any) -> Any:
+    """Convert a message, with all messages inside it.
+
+    :param message: an instance of a class of ``state.messages``.
+    :return: the thrift structure of the same name.
+    """
+    wire_class = getattr(ttypes, type(message).__name__)
+    structure = wire_class()
+    for name in _list_fields(type(message)):
+        setattr(structure, name, _convert_out(getattr(message, name)))
+    return structure
+
+
+def decode_structure(structure: Any) -> Any:
+    """Convert a thrift structure, with all structures inside it.
+
+    :param structure: an instance of a generated class.
+    :return: the message of the same name.
+    :raises ValueError: a field that has no default is missing.
+    """
+    message_class = getattr(messages, type(structure).__name__)
+    present = {}
+    for name in _list_fields(message_class):
+        field_value = getattr(structure, name)
+        if field_value is not None:
+            present[name] = _convert_in(field_value)
+    try:
+        return message_class(**present)
+    except TypeError as missing:
+        raise ValueError(str(missing)) from missing
+
+
+def create_protocol(buffer: TMemoryBuffer) -> TCompactProtocolAccelerated:
+    """Create the protocol that all daemons speak.
+
+    :param buffer: memory that is read or written.
+    :return: compact protocol with bounded containers.
+    """
+    return TCompactProtocolAccelerated(
+        buffer,
+        container_length_limit=_MAXIMUM_CONTAINER,
+        fallback=True,
+    )
+
+
+@functools.cache
+def _list_fields(message_class: type[Any]) -> tuple[str, ...]:
+    return tuple(field.name for field in dataclasses.fields(message_class))
+
+
+def _convert_out(field_value: Any) -> Any:
+    if dataclasses.is_dataclass(field_value):
+        return encode_structure(field_value)
+    if isinstance(field_value, list):
+        return [_convert_out(element) for element in field_value]
+    return field_value
+
+
+def _convert_in(field_value: Any) -> Any:
+    if isinstance(field_value, list):
+        return [_convert_in(element) for element in field_value]
+    if hasattr(field_value, 'thrift_spec'):
+        return decode_structure(field_value)
+    return field_value
--- /dev/null
+++ b/egretdale/state/__init__.py
@@ -0,0 +1,1 @@
+"""State layer: documents, queues, estimates and views."""
--- /dev/null
+++ b/egretdale/state/estimates.py
@@ -0,0 +1,124 @@
+"""Estimates of cost learned from finished requests."""
+
+from __future__ import annotations
+
+import statistics
+from collections import deque
+
+from egretdale.state.documents import RequestClass
+
+_SMOOTHING = 0.1
+_HISTORY = 256
+_QUANTILE_STEPS = 10
+_HIGH_DECILE = 8
+_MINIMUM_HISTORY = 10
+_INITIAL_PREFILL_RATE = 4000.0
+_INITIAL_TOKEN_S = 0.02
+_SCALE_RANGE = 4.0
+_MINIMUM_HOLD_S = 0.001
+
+
+def smooth(previous: float, sample: float, weight: float = _SMOOTHING) -> float:
+    """Move an exponentially weighted mean towards a sample.
+
+    :param previous: mean so far.
+    :param sample: new sample.
+    :param weight: weight of the sample, from 0 to 1.
+    :return: the new mean.
+    """
+    return previous + weight * (sample - previous)
+
+
+class ClassEstimate:
+    """What is known of the cost of a class.
+
+    :ivar first_token_s: mean seconds from grant to first token.
+    :ivar token_s: mean seconds between tokens.
+    :ivar prompt_tokens: mean prompt length.
+    """
+
+    __slots__ = (
+        '_lengths',
+        '_tokens',
+        'first_token_s',
+        'prompt_tokens',
+        'token_s',
+    )
+
+    def __init__(self, request_class: RequestClass, *, streams: bool) -> None:
+        """Start from the document's figures.
+
+        :param request_class: the class.
+        :param streams: whether backend servers of the service stream tokens.
+        """
+        self.token_s = _INITIAL_TOKEN_S if streams else float(0)
+        self.first_token_s: float | None = None
+        self.prompt_tokens = float(0)
+        self._tokens = float(request_class.expected_output_tokens)
+        self._lengths: deque[int] = deque(maxlen=_HISTORY)
+
+    def learn(
+        self,
+        prompt_tokens: int,
+        tokens: int,
+        first_token_s: float,
+        running_s: float,
+    ) -> None:
+        """Learn from a finished request.
+
+        :param prompt_tokens: length of its prompt.
+        :param tokens: length of its output.
+        :param first_token_s: seconds from grant to first token.
+        :param running_s: seconds that the slot was held.
+        """
+        if self.first_token_s is None:
+            self.first_token_s = first_token_s
+            self.prompt_tokens = float(prompt_tokens)
+        self.first_token_s = smooth(self.first_token_s, first_token_s)
+        self.prompt_tokens = smooth(self.prompt_tokens, prompt_tokens)
+        self._tokens = smooth(self._tokens, tokens)
+        self._lengths.append(tokens)
+        if tokens > 1:
+            sample = (running_s - first_token_s) / (tokens - 1)
+            self.token_s = smooth(self.token_s, max(float(0), sample))
+
+    def predict_first_token_s(self, prompt_tokens: int) -> float:
+        """Predict the time from grant to first token.
+
+        :param prompt_tokens: length of the prompt.
+        :return: seconds.
+        """
+        if self.first_token_s is None:
+            return prompt_tokens / _INITIAL_PREFILL_RATE
+        if self.prompt_tokens < 1:
+            return self.first_token_s
+        scale = prompt_tokens / self.prompt_tokens
+        clamped = max(1 / _SCALE_RANGE, min(_SCALE_RANGE, scale))
+        return self.first_token_s * clamped
+
+    def predict_hold_s(self, prompt_tokens: int, maximum_tokens: int) -> float:
+        """Predict how long a slot is held.
+
+        :param prompt_tokens: length of the prompt.
+        :param maximum_tokens: limit set by the caller, 0 for none.
+        :return: seconds.
+        """
+        tokens = self._tokens
+        if maximum_tokens:
+            tokens = min(tokens, float(maximum_tokens))
+        first_token_s = self.predict_first_token_s(prompt_tokens)
+        return max(_MINIMUM_HOLD_S, first_token_s + tokens * self.token_s)
+
+    def predict_output_tokens(self, maximum_tokens: int) -> int:
+        """Predict an output length that few requests exceed.
+
+        :param maximum_tokens: limit set by the caller, 0 for none.
+        :return: tokens.
+        """
+        tokens = self._tokens * 2
+        if len(self._lengths) >= _MINIMUM_HISTORY:
+            deciles = statistics.quantiles(self._lengths, n=_QUANTILE_STEPS)
+            tokens = deciles[_HIGH_DECILE]
+        if maximum_tokens:
+            tokens = min(tokens, float(maximum_tokens))
+        return max(1, round(tokens))
--- /dev/null
+++ b/egretdale/state/figures.py
@@ -0,0 +1,94 @@
+"""Counters and histograms of a daemon."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+_FIRST_TOKEN_BUCKETS = (
+    0.01,
+    0.03,
+    0.1,
+    0.3,
+    0.6,
+    1.2,
+    2.5,
+    5.0,
+    10.0,
+    30.0,
+    120.0,
+)
+
+
+class Figures:
+    """The metrics that a daemon publishes.
+
+    :ivar registry: registry that holds them all.
+    :ivar answered: whole answers by service and class.
+    :ivar attained: whole answers within the first-token target.
+    :ivar refused: refusals by service, class and reason.
+    :ivar goodput: tokens delivered in whole answers.
+    :ivar wasted: tokens generated and not delivered, by cause.
+    :ivar retries: further attempts by cause.
+    :ivar first_token: seconds to the first byte by service and class.
+    :ivar in_progress: requests in progress.
+    :ivar platform_calls: calls to the platform by kind of call and outcome.
+    :ivar peer_bytes: bytes sent to peers.
+    """
+
+    __slots__ = (
+        'answered',
+        'attained',
+        'first_token',
+        'goodput',
+        'in_progress',
+        'peer_bytes',
+        'platform_calls',
+        'refused',
+        'registry',
+        'retries',
+        'wasted',
+    )
+
+    def __init__(self) -> None:
+        """Create all metrics at zero."""
+        self.registry = CollectorRegistry()
+        by_class = ('service', 'request_class')
+        self.answered = self._count('answered', 'Whole answers', by_class)
+        self.attained = self._count(
+            'attained', 'Whole answers within the first-token target', by_class
+        )
+        self.refused = self._count(
+            'refused', 'Refused requests', (*by_class, 'reason', 'ran')
+        )
+        self.goodput = self._count(
+            'goodput_tokens', 'Tokens of whole answers', by_class
+        )
+        self.wasted = self._count(
+            'wasted_tokens',
+            'Tokens that reached no caller',
+            ('service', 'cause'),
+        )
+        self.retries = self._count(
+            'retries', 'Further attempts', ('service', 'cause')
+        )
+        self.platform_calls = self._count(
+            'platform_calls', 'Calls to the platform', ('call', 'outcome')
+        )
+        self.peer_bytes = self._count('peer_bytes', 'Bytes sent to peers', ())
+        self.first_token = Histogram(
+            'egretdale_first_token_seconds',
+            'Seconds from arrival to the first byte',
+            by_class,
+            buckets=_FIRST_TOKEN_BUCKETS,
+            registry=self.registry,
+        )
+        self.in_progress = Gauge(
+            'egretdale_requests_in_progress',
+            'Requests in progress',
+            registry=self.registry,
+        )
+
+    def _count(self, name: str, text: str, labels: tuple[str, ...]) -> Counter:
+        return Counter(
+            f'egretdale_{name}', text, labels, registry=self.registry
+        )
--- /dev/null
+++ b/egretdale/state/order.py
@@ -0,0 +1,361 @@
+"""The order in which waiting requests of a group get slots."""
+
+from __future__ import annotations
+
+import bisect
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from egretdale.state.documents import RequestClass, ServiceDocument
+from egretdale.state.messages import Ask
+
+
+@dataclass(slots=True, eq=False)
+class Waiting:
+    """A request that waits at the allocator.
+
+    :ivar ask: the request.
+    :ivar host: entry host that holds it.
+    :ivar request_class: class of the request.
+    :ivar weight: weight of its organisation.
+    :ivar arrival: monotonic seconds of its arrival at the entry host.
+    :ivar cost: expected slot-seconds.
+    """
+
+    ask: Ask
+    host: str
+    request_class: RequestClass
+    weight: float
+    arrival: float
+    cost: float
+
+    @property
+    def deadline(self) -> float:
+        """Monotonic seconds at which the first token is due."""
+        return self.arrival + self.request_class.first_token_ms / 1000
+
+    @property
+    def expiry(self) -> float:
+        """Monotonic seconds at which the request is given up."""
+        return self.arrival + self.request_class.patience_s
+
+    @property
+    def tier(self) -> int:
+        """Tier of the class."""
+        return self.request_class.tier
+
+
+@dataclass(slots=True, frozen=True)
+class Choice:
+    """The request that gets the next slot.
+
+    :ivar waiting: the request.
+    :ivar minimum_share: whether the minimum share of its class chose it.
+    """
+
+    waiting: Waiting
+    minimum_share: bool
+
+
+class OrganisationQueue:
+    """Waiting requests of one organisation within a class.
+
+    :ivar weight: weight of the organisation.
+    :ivar cost: expected slot-seconds of all requests.
+    :ivar tag: start tag of the first request in virtual slot-seconds.
+    """
+
+    __slots__ = ('_entries', 'cost', 'tag', 'weight')
+
+    def __init__(self, weight: float, tag: float) -> None:
+        """Create an empty queue.
+
+        :param weight: weight of the organisation.
+        :param tag: virtual time of the class.
+        """
+        self.weight = weight
+        self.tag = tag
+        self.cost = float(0)
+        self._entries: list[Waiting] = []
+
+    def __len__(self) -> int:
+        """Count the waiting requests."""
+        return len(self._entries)
+
+    def __iter__(self) -> Iterator[Waiting]:
+        """Iterate in order of deadline."""
+        return iter(self._entries)
+
+    def add(self, waiting: Waiting) -> None:
+        """Insert a request by its deadline.
+
+        :param waiting: the request.
+        """
+        bisect.insort(self._entries, waiting, key=_read_deadline)
+        self.cost += waiting.cost
+
+    def remove(self, waiting: Waiting) -> None:
+        """Remove a request.
+
+        :param waiting: the request.
+        """
+        self._entries.remove(waiting)
+        self.cost -= waiting.cost
+
+    def peek(self) -> Waiting:
+        """Return the request with the earliest deadline."""
+        return self._entries[0]
+
+
+def _read_deadline(waiting: Waiting) -> float:
+    return waiting.deadline
+
+
+class ClassQueue:
+    """Waiting requests of one class, fair among organisations.
+
+    :ivar request_class: the class.
+    :ivar cost: expected slot-seconds of all requests.
+    :ivar count: number of requests.
+    :ivar credit: slot-seconds that the minimum share still owes the class.
+    """
+
+    __slots__ = (
+        '_organisations',
+        '_virtual_time',
+        'cost',
+        'count',
+        'credit',
+        'request_class',
+    )
+
+    def __init__(self, request_class: RequestClass) -> None:
+        """Create an empty queue.
+
+        :param request_class: the class.
+        """
+        self.request_class = request_class
+        self.cost = float(0)
+        self.count = 0
+        self.credit = float(0)
+        self._virtual_time = float(0)
+        self._organisations: dict[str, OrganisationQueue] = {}
+
+    def add(self, waiting: Waiting) -> None:
+        """Insert a request.
+
+        :param waiting: the request.
+        """
+        name = waiting.ask.organisation
+        queue = self._organisations.get(name)
+        if queue is None:
+            queue = OrganisationQueue(waiting.weight, self._virtual_time)
+            self._organisations[name] = queue
+        if not len(queue):
+            queue.tag = max(queue.tag, self._virtual_time)
+        queue.add(waiting)
+        self.count += 1
+        self.cost += waiting.cost
+
+    def remove(self, waiting: Waiting) -> None:
+        """Remove a request that is no longer wanted.
+
+        :param waiting: the request.
+        """
+        self._organisations[waiting.ask.organisation].remove(waiting)
+        self.count -= 1
+        self.cost -= waiting.cost
+
+    def take(self, waiting: Waiting) -> None:
+        """Remove a request that gets a slot and charge its organisation.
+
+        :param waiting: the request.
+        """
+        queue = self._organisations[waiting.ask.organisation]
+        self._virtual_time = max(self._virtual_time, queue.tag)
+        queue.tag += waiting.cost / waiting.weight
+        self.remove(waiting)
+
+    def peek(self) -> Waiting | None:
+        """Return the request that is next within the class."""
+        active = [queue for queue in self._organisations.values() if len(queue)]
+        if not active:
+            return None
+        return min(active, key=_rank_queue).peek()
+
+    def measure_ahead(self, organisation: str, own: float) -> float:
+        """Measure the work served before a new request of an organisation.
+
+        :param organisation: the organisation.
+        :param own: expected slot-seconds of the new request.
+        :return: slot-seconds under fair sharing.
+        """
+        queue = self._organisations.get(organisation)
+        own_cost = queue.cost if queue else float(0)
+        weight = queue.weight if queue else float(1)
+        level = (own_cost + own) / weight
+        ahead = own_cost
+        for name, other in self._organisations.items():
+            if name != organisation:
+                ahead += min(other.cost, level * other.weight)
+        return ahead
+
+    def list_waiting(self) -> list[Waiting]:
+        """List the requests, those of one organisation together."""
+        return [
+            waiting
+            for queue in self._organisations.values()
+            for waiting in queue
+        ]
+
+
+def _rank_queue(queue: OrganisationQueue) -> tuple[float, float]:
+    return queue.tag, queue.peek().deadline
+
+
+class WaitingOrder:
+    """All waiting requests of a group.
+
+    Tiers go first, then earliest deadlines, then fair shares among
+    organisations. Each class earns credit from every dispatch while it
+    waits; a class whose credit covers its next request goes before all.
+    """
+
+    __slots__ = ('_by_id', '_queues')
+
+    def __init__(self, document: ServiceDocument) -> None:
+        """Create an empty order.
+
+        :param document: document with the classes.
+        """
+        self._queues = {
+            entry.name: ClassQueue(entry) for entry in document.classes
+        }
+        self._by_id: dict[str, Waiting] = {}
+
+    def __len__(self) -> int:
+        """Count the waiting requests."""
+        return len(self._by_id)
+
+    def __contains__(self, request_id: str) -> bool:
+        """Tell whether a request waits.
+
+        :param request_id: identity of the request.
+        """
+        return request_id in self._by_id
+
+    def add(self, waiting: Waiting) -> None:
+        """Insert a request.
+
+        :param waiting: the request; its class must be in the document.
+        """
+        self._by_id[waiting.ask.request_id] = waiting
+        self._queues[waiting.request_class.name].add(waiting)
+
+    def remove(self, request_id: str) -> Waiting | None:
+        """Remove a request that is no longer wanted.
+
+        :param request_id: identity of the request.
+        :return: the request, or ``None`` when it does not wait.
+        """
+        waiting = self._by_id.pop(request_id, None)
+        if waiting is not None:
+            self._queues[waiting.request_class.name].remove(waiting)
+        return waiting
+
+    def take(self, choice: Choice) -> None:
+        """Remove a request that gets a slot and settle the credits.
+
+        :param choice: the choice made by :meth:`list_candidates`.
+        """
+        waiting = choice.waiting
+        self._by_id.pop(waiting.ask.request_id)
+        for queue in self._queues.values():
+            if queue.count:
+                share = queue.request_class.minimum_share
+                queue.credit += share * waiting.cost
+        own = self._queues[waiting.request_class.name]
+        own.take(waiting)
+        own.credit = max(float(0), own.credit - waiting.cost)
+
+    def list_candidates(self) -> list[Choice]:
+        """List the requests that may get the next slot.
+
+        :return: a request that its minimum share chose, if any, then the
+            request that is first in order.
+        """
+        candidates = []
+        owed = self._choose_owed()
+        if owed is not None:
+            candidates.append(owed)
+        heads = [queue.peek() for queue in self._queues.values()]
+        waiting = [head for head in heads if head is not None]
+        if waiting:
+            first = min(waiting, key=_rank_head)
+            candidates.append(Choice(first, minimum_share=False))
+        return candidates
+
+    def measure_ahead(self, waiting: Waiting) -> float:
+        """Measure the work that is served before a request.
+
+        Work of lower tiers does not count.
+
+        :param waiting: a request that has not been added.
+        :return: slot-seconds.
+        """
+        ahead = float(0)
+        for queue in self._queues.values():
+            own_class = queue.request_class.name == waiting.request_class.name
+            if own_class:
+                organisation = waiting.ask.organisation
+                ahead += queue.measure_ahead(organisation, waiting.cost)
+            elif _goes_before(queue, waiting):
+                ahead += queue.cost
+        return ahead
+
+    def count_ahead(self, waiting: Waiting) -> int:
+        """Count waiting requests of the same and higher tiers.
+
+        :param waiting: a request.
+        :return: number of requests.
+        """
+        return sum(
+            queue.count
+            for queue in self._queues.values()
+            if queue.request_class.tier <= waiting.tier
+        )
+
+    def list_waiting(self) -> list[Waiting]:
+        """List all requests in no particular order."""
+        return list(self._by_id.values())
+
+    def highest_tier(self) -> int | None:
+        """Return the highest tier that waits, ``None`` when none does."""
+        tiers = [
+            queue.request_class.tier
+            for queue in self._queues.values()
+            if queue.count
+        ]
+        return min(tiers, default=None)
+
+    def _choose_owed(self) -> Choice | None:
+        for queue in self._queues.values():
+            if queue.count and queue.credit > 0:
+                head = queue.peek()
+                if head is not None and queue.credit >= head.cost:
+                    return Choice(head, minimum_share=True)
+        return None
+
+
+def _rank_head(waiting: Waiting) -> tuple[int, float]:
+    return waiting.tier, waiting.deadline
+
+
+def _goes_before(queue: ClassQueue, waiting: Waiting) -> bool:
+    if not queue.count:
+        return False
+    tier = queue.request_class.tier
+    if tier != waiting.tier:
+        return tier < waiting.tier
+    head = queue.peek()
+    return head is not None and head.deadline <= waiting.deadline
--- /dev/null
+++ b/egretdale/state/prefixes.py
@@ -0,0 +1,63 @@
+"""Which backend servers probably hold which prompt prefixes."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+_LIFETIME_S = 300.0
+_ENTRIES_PER_BACKEND = 2048
+
+
+class PrefixIndex:
+    """Remembers prefixes by backend server.
+
+    Knowledge comes from grants and from cache events; both may be wrong,
+    so it is only ever a preference.
+    """
+
+    __slots__ = ('_by_backend',)
+
+    def __init__(self) -> None:
+        """Create an empty index."""
+        self._by_backend: dict[str, OrderedDict[int, float]] = {}
+
+    def note(self, backend: str, prefix: int, now: float) -> None:
+        """Remember that a backend server has seen a prefix.
+
+        :param backend: name of the backend server.
+        :param prefix: hash of the prefix, 0 for none.
+        :param now: monotonic seconds.
+        """
+        if not prefix:
+            return
+        known = self._by_backend.setdefault(backend, OrderedDict())
+        known[prefix] = now
+        known.move_to_end(prefix)
+        if len(known) > _ENTRIES_PER_BACKEND:
+            known.popitem(last=False)
+
+    def evict(self, backend: str, prefix: int) -> None:
+        """Forget a prefix that a cache event reports as evicted.
+
+        :param backend: name of the backend server.
+        :param prefix: hash of the prefix.
+        """
+        self._by_backend.get(backend, OrderedDict()).pop(prefix, None)
+
+    def clear(self, backend: str) -> None:
+        """Forget all prefixes after a gap in events or a restart.
+
+        :param backend: name of the backend server.
+        """
+        self._by_backend.pop(backend, None)
+
+    def is_held(self, backend: str, prefix: int, now: float) -> bool:
+        """Tell whether a backend server probably holds a prefix.
+
+        :param backend: name of the backend server.
+        :param prefix: hash of the prefix, 0 for none.
+        :param now: monotonic seconds.
+        :return: whether it does.
+        """
+        noted = self._by_backend.get(backend, OrderedDict()).get(prefix)
+        return noted is not None and now - noted < _LIFETIME_S
--- /dev/null
+++ b/egretdale/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Transport layer: HTTP and thrift connections."""
--- /dev/null
+++ b/egretdale/transport/backends.py
@@ -0,0 +1,224 @@
+"""Client of backend servers."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import eventlet
+import msgspec
+import urllib3
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+)
+
+from egretdale.coordination.ports import (
+    BackendCall,
+    EndOfStream,
+    MaybeRun,
+    NotRun,
+)
+from egretdale.errors import Cause, Unreachable
+from egretdale.state.backends import LoadReport
+
+_CONNECTIONS = 256
+_POOLS = 64
+_CONNECT_S = 1.0
+_LOAD_TIMEOUT_S = 0.5
+_CONTROL_TIMEOUT_S = 1.0
+_CHUNK_BYTES = 65536
+_OK = 200
+_HOP_HEADERS = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'transfer-encoding',
+        'content-length',
+        'server',
+        'date',
+    )
+)
+
+
+class HttpBackendStream:
+    """A response that is being read.
+
+    :ivar status: HTTP status.
+    :ivar headers: headers without those of the connection.
+    """
+
+    __slots__ = ('_missing', '_progress_s', '_response', 'headers', 'status')
+
+    def __init__(
+        self, response: urllib3.BaseHTTPResponse, progress_s: float
+    ) -> None:
+        """Wrap a response whose head has been read.
+
+        :param response: the response.
+        :param progress_s: longest silence in seconds.
+        """
+        self.status = response.status
+        self.headers: Sequence[tuple[str, str]] = [
+            (name, text)
+            for name, text in response.headers.items()
+            if name.lower() not in _HOP_HEADERS
+        ]
+        self._response = response
+        self._progress_s = progress_s
+        length = response.headers.get('content-length', '')
+        self._missing = int(length) if length.isdigit() else None
+
+    def read(self) -> bytes | EndOfStream | MaybeRun:
+        """Read the next chunk of the body.
+
+        :return: bytes, the end, or what broke.
+        """
+        try:
+            with eventlet.Timeout(self._progress_s):
+                chunk = self._response.read1(_CHUNK_BYTES)
+        except eventlet.Timeout:
+            return MaybeRun(f'silent for {self._progress_s} s')
+        except (HTTPError, OSError, ValueError) as broken:
+            return MaybeRun(f'connection broke: {broken}')
+        if chunk:
+            if self._missing is not None:
+                self._missing -= len(chunk)
+            return chunk
+        if self._missing:
+            return MaybeRun(f'{self._missing} bytes are missing')
+        self._response.release_conn()
+        return EndOfStream()
+
+    def close(self) -> None:
+        """Drop the connection."""
+        self._response.close()
+
+
+class HttpBackendClient:
+    """Calls to backend servers over HTTP."""
+
+    __slots__ = ('_first_byte_s', '_fresh_pool', '_pool', '_progress_s')
+
+    def __init__(self, first_byte_s: float, progress_s: float) -> None:
+        """Create a client.
+
+        :param first_byte_s: longest wait for the first byte in seconds.
+        :param progress_s: longest silence of a stream in seconds.
+        """
+        self._first_byte_s = first_byte_s
+        self._progress_s = progress_s
+        self._pool = urllib3.PoolManager(
+            num_pools=_POOLS, maxsize=_CONNECTIONS, retries=False
+        )
+        # Requests of this pool close their connections.
+        self._fresh_pool = urllib3.PoolManager(
+            num_pools=_POOLS, maxsize=1, retries=False
+        )
+
+    def open(
+        self, address: str, call: BackendCall
+    ) -> HttpBackendStream | NotRun | MaybeRun:
+        """Send a request and read the head of the response.
+
+        :param address: ``address:port`` of the backend server.
+        :param call: the request.
+        :return: the response, or what is known of the request.
+        """
+        headers = dict(call.headers)
+        headers['Egret-Stream-Id'] = call.stream_id
+        headers['Egret-Priority'] = str(call.priority)
+        if call.fresh:
+            # A kept connection may have been closed by the other side, and
+            # the request must not be sent again.
+            headers['Connection'] = 'close'
+            return self._start(self._fresh_pool, address, call, headers)
+        return self._start(self._pool, address, call, headers)
+
+    def continue_stream(
+        self, address: str, stream_id: str, after: int
+    ) -> HttpBackendStream | NotRun | MaybeRun:
+        """Go on with a stream that lost its connection.
+
+        :param address: ``address:port`` of the engine.
+        :param stream_id: identity of the stream.
+        :param after: number of the last event that was received.
+        :return: the response, or why there is none.
+        """
+        path = f'/v1/streams/{stream_id}?after={after}'
+        call = BackendCall(stream_id, 'GET', path, (), b'', 0, fresh=True)
+        headers = {'Connection': 'close'}
+        stream = self._start(self._fresh_pool, address, call, headers)
+        if isinstance(stream, HttpBackendStream) and stream.status != _OK:
+            stream.close()
+            return NotRun(f'the engine answered {stream.status}')
+        return stream
+
+    def cancel(self, address: str, stream_id: str) -> None:
+        """Cancel a stream whose caller has gone.
+
+        :param address: ``address:port`` of the engine.
+        :param stream_id: identity of the stream.
+        """
+        self._control(address, stream_id, 'cancel')
+
+    def pause(self, address: str, stream_id: str, *, paused: bool) -> bool:
+        """Pause or resume a stream.
+
+        :param address: ``address:port`` of the engine.
+        :param stream_id: identity of the stream.
+        :param paused: true to pause, false to resume.
+        :return: whether the engine did so.
+        """
+        action = 'pause' if paused else 'resume'
+        return self._control(address, stream_id, action)
+
+    def read_load(self, address: str) -> LoadReport | Unreachable:
+        """Read a load report.
+
+        :param address: ``address:port`` of the backend server.
+        :return: the report, or why there is none.
+        """
+        try:
+            response = self._pool.request(
+                'GET', f'http://{address}/load', timeout=_LOAD_TIMEOUT_S
+            )
+            return msgspec.json.decode(response.data, type=LoadReport)
+        except HTTPError as failed:
+            return Unreachable(Cause.BROKEN, str(failed))
+        except msgspec.MsgspecError as malformed:
+            return Unreachable(Cause.MALFORMED, str(malformed))
+
+    def _start(
+        self,
+        pool: urllib3.PoolManager,
+        address: str,
+        call: BackendCall,
+        headers: dict[str, str],
+    ) -> HttpBackendStream | NotRun | MaybeRun:
+        timeout = urllib3.Timeout(connect=_CONNECT_S, read=self._first_byte_s)
+        try:
+            response = pool.request(
+                call.method,
+                f'http://{address}{call.path}',
+                body=call.body or None,
+                headers=headers,
+                timeout=timeout,
+                preload_content=False,
+                redirect=False,
+            )
+        except (NewConnectionError, ConnectTimeoutError) as refused:
+            return NotRun(f'no connection: {refused}')
+        except HTTPError as broken:
+            return MaybeRun(f'no response: {broken}')
+        return HttpBackendStream(response, self._progress_s)
+
+    def _control(self, address: str, stream_id: str, action: str) -> bool:
+        url = f'http://{address}/v1/streams/{stream_id}/{action}'
+        try:
+            response = self._pool.request(
+                'POST', url, timeout=_CONTROL_TIMEOUT_S
+            )
+        except HTTPError:
+            return False
+        return response.status == _OK
--- /dev/null
+++ b/egretdale/transport/frames.py
@@ -0,0 +1,60 @@
+"""Frames on a byte stream: a length of four bytes, then the payload."""
+
+from __future__ import annotations
+
+import struct
+
+from eventlet.green import socket
+
+MAXIMUM_FRAME_BYTES = 4 * 1024 * 1024
+
+_LENGTH = struct.Struct('!I')
+
+
+class FrameError(Exception):
+    """The connection ended or broke the framing."""
+
+
+def send_frame(connection: socket.socket, payload: bytes) -> int:
+    """Send one frame.
+
+    :param connection: connected socket.
+    :param payload: bytes of the frame.
+    :return: bytes sent.
+    """
+    frame = _LENGTH.pack(len(payload)) + payload
+    connection.sendall(frame)
+    return len(frame)
+
+
+def receive_frame(connection: socket.socket) -> bytes | None:
+    """Receive one frame.
+
+    :param connection: connected socket.
+    :return: its payload; ``None`` when the connection ended between frames.
+    :raises FrameError: the frame is cut short or too long.
+    """
+    header = _receive_exactly(connection, _LENGTH.size)
+    if not header:
+        return None
+    if len(header) < _LENGTH.size:
+        raise FrameError('cut short')
+    length = int.from_bytes(header, 'big')
+    if length > MAXIMUM_FRAME_BYTES:
+        raise FrameError(f'frame of {length} bytes')
+    payload = _receive_exactly(connection, length)
+    if len(payload) < length:
+        raise FrameError('cut short')
+    return payload
+
+
+def _receive_exactly(connection: socket.socket, length: int) -> bytes:
+    chunks = []
+    missing = length
+    while missing:
+        chunk = connection.recv(missing)
+        if not chunk:
+            break
+        chunks.append(chunk)
+        missing -= len(chunk)
+    return b''.join(chunks)
--- /dev/null
+++ b/egretdale/transport/platform.py
@@ -0,0 +1,260 @@
+"""Client of the platform's object API."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+import urllib3
+from urllib3.exceptions import HTTPError, NewConnectionError, TimeoutError
+
+from egretdale.coordination.ports import Listing, StoredObject, Written
+from egretdale.errors import (
+    Ambiguous,
+    Cause,
+    Conflict,
+    Missing,
+    Unreachable,
+)
+from egretdale.util.buckets import TokenBucket
+from egretdale.util.clocks import Clock
+from egretdale.util.logs import get_logger
+
+logger = get_logger(__name__)
+
+_CONNECTIONS = 16
+_BREAKER_FAILURES = 5
+_BREAKER_OPEN_S = 1.0
+_BURST_S = 2.0
+_OK = 200
+_CREATED = 201
+_NOT_FOUND = 404
+_PRECONDITION_FAILED = 412
+_SERVER_ERROR = 500
+
+
+class ObjectBody(msgspec.Struct, frozen=True):
+    """An object in a response of the platform.
+
+    :ivar name: name within its kind.
+    :ivar version: version of the object.
+    :ivar body: stored text.
+    """
+
+    name: str
+    version: int
+    body: str
+
+
+class ListingBody(msgspec.Struct, frozen=True):
+    """A listing in a response of the platform.
+
+    :ivar version: version of the whole listing.
+    :ivar objects: the objects.
+    """
+
+    version: int
+    objects: tuple[ObjectBody, ...]
+
+
+_object_decoder: Any = msgspec.json.Decoder(ObjectBody)
+_listing_decoder: Any = msgspec.json.Decoder(ListingBody)
+
+
+class PlatformClient:
+    """Calls the platform within a rate, with a breaker.
+
+    A connection that failed is never used again, so a silent one costs one
+    call.
+    """
+
+    __slots__ = (
+        '_base',
+        '_bucket',
+        '_clock',
+        '_count',
+        '_failures',
+        '_open_until',
+        '_pool',
+        '_timeout_s',
+    )
+
+    def __init__(
+        self,
+        base_url: str,
+        *,
+        timeout_s: float,
+        calls_per_s: float,
+        clock: Clock,
+        count: Callable[[str, str], None],
+    ) -> None:
+        """Create a client.
+
+        :param base_url: base URL of the object API.
+        :param timeout_s: longest wait for a response in seconds.
+        :param calls_per_s: calls that may be made each second.
+        :param clock: monotonic clock.
+        :param count: called with the kind of each call and its outcome.
+        """
+        self._base = f'{base_url.rstrip("/")}/v1/objects'
+        self._timeout_s = timeout_s
+        self._bucket = TokenBucket(calls_per_s, calls_per_s * _BURST_S, clock)
+        self._clock = clock
+        self._count = count
+        self._failures = 0
+        self._open_until = float('-inf')
+        self._pool = urllib3.PoolManager(
+            maxsize=_CONNECTIONS, retries=False, num_pools=2
+        )
+
+    def read(
+        self, kind: str, name: str
+    ) -> StoredObject | Missing | Unreachable:
+        """Read one object.
+
+        :param kind: kind of the object.
+        :param name: name within the kind.
+        :return: the object, or why there is none.
+        """
+        response = self._call('read', 'GET', f'{kind}/{name}')
+        if isinstance(response, Unreachable | Ambiguous):
+            return Unreachable(response.cause, response.detail)
+        if response.status == _NOT_FOUND:
+            return Missing(name)
+        decoded = _decode(response, _object_decoder)
+        if isinstance(decoded, Unreachable):
+            return decoded
+        return _to_stored(decoded)
+
+    def list_objects(self, kind: str) -> Listing | Unreachable:
+        """List all objects of a kind.
+
+        :param kind: kind of the objects.
+        :return: the listing, or why there is none.
+        """
+        return self._list('list', kind, self._timeout_s)
+
+    def watch(
+        self, kind: str, version: int, timeout_s: float
+    ) -> Listing | Unreachable:
+        """Wait until a listing is newer than a version.
+
+        :param kind: kind of the objects.
+        :param version: version that the caller has.
+        :param timeout_s: longest wait in seconds.
+        :return: the listing, or why there is none.
+        """
+        path = f'{kind}?watch={version}&timeout_s={timeout_s}'
+        return self._list('watch', path, timeout_s + self._timeout_s)
+
+    def write(
+        self, kind: str, name: str, body: bytes, expected: int
+    ) -> Written | Conflict | Unreachable | Ambiguous:
+        """Write an object if its version is the expected one.
+
+        :param kind: kind of the object.
+        :param name: name within the kind.
+        :param body: bytes to store, in UTF-8.
+        :param expected: expected version, 0 when it must not exist.
+        :return: the new version, or what is known of the write.
+        """
+        condition = {'If-Match': str(expected)}
+        if not expected:
+            condition = {'If-None-Match': '*'}
+        response = self._call('write', 'PUT', f'{kind}/{name}', body, condition)
+        if isinstance(response, Unreachable | Ambiguous):
+            return response
+        if response.status == _PRECONDITION_FAILED:
+            return Conflict(0)
+        if response.status not in {_OK, _CREATED}:
+            return Ambiguous(Cause.STATUS, str(response.status))
+        decoded = _decode(response, _object_decoder)
+        if isinstance(decoded, Unreachable):
+            return Ambiguous(decoded.cause, decoded.detail)
+        return Written(decoded.version)
+
+    def _list(
+        self, call: str, path: str, timeout_s: float
+    ) -> Listing | Unreachable:
+        response = self._call(call, 'GET', path, timeout_s=timeout_s)
+        if isinstance(response, Unreachable | Ambiguous):
+            return Unreachable(response.cause, response.detail)
+        decoded = _decode(response, _listing_decoder)
+        if isinstance(decoded, Unreachable):
+            return decoded
+        entries = tuple(_to_stored(entry) for entry in decoded.objects)
+        return Listing(decoded.version, entries)
+
+    def _call(
+        self,
+        call: str,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+        timeout_s: float | None = None,
+    ) -> urllib3.BaseHTTPResponse | Unreachable | Ambiguous:
+        if self._clock() < self._open_until:
+            self._count(call, 'breaker')
+            return Unreachable(Cause.BREAKER)
+        if not self._bucket.take():
+            self._count(call, 'throttled')
+            return Unreachable(Cause.THROTTLED)
+        outcome = self._request(
+            method, path, body, headers, timeout_s or self._timeout_s
+        )
+        failed = isinstance(outcome, Unreachable | Ambiguous)
+        self._count(call, outcome.cause if failed else 'ok')
+        self._note(failed=failed)
+        return outcome
+
+    def _request(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        headers: dict[str, str] | None,
+        timeout_s: float,
+    ) -> urllib3.BaseHTTPResponse | Unreachable | Ambiguous:
+        timeout = urllib3.Timeout(connect=self._timeout_s, read=timeout_s)
+        try:
+            response = self._pool.request(
+                method,
+                f'{self._base}/{path}',
+                body=body,
+                headers=headers,
+                timeout=timeout,
+            )
+        except NewConnectionError as refused:
+            return Unreachable(Cause.REFUSED, str(refused))
+        except TimeoutError as slow:
+            return Ambiguous(Cause.SLOW, str(slow))
+        except HTTPError as broken:
+            return Ambiguous(Cause.BROKEN, str(broken))
+        if response.status >= _SERVER_ERROR:
+            return Ambiguous(Cause.STATUS, str(response.status))
+        return response
+
+    def _note(self, *, failed: bool) -> None:
+        if not failed:
+            self._failures = 0
+            return
+        self._failures += 1
+        if self._failures >= _BREAKER_FAILURES:
+            self._open_until = self._clock() + _BREAKER_OPEN_S
+            self._failures = _BREAKER_FAILURES - 1
+            logger.warning('platform-breaker-open', open_s=_BREAKER_OPEN_S)
+
+
+def _decode(response: urllib3.BaseHTTPResponse, decoder: Any) -> Any:
+    if response.status != _OK:
+        return Unreachable(Cause.STATUS, str(response.status))
+    try:
+        return decoder.decode(response.data)
+    except msgspec.MsgspecError as malformed:
+        return Unreachable(Cause.MALFORMED, str(malformed))
+
+
+def _to_stored(entry: ObjectBody) -> StoredObject:
+    return StoredObject(entry.name, entry.version, entry.body.encode())
--- /dev/null
+++ b/egretdale/util/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers shared by every layer."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems, with load and experiment tools."""
--- /dev/null
+++ b/standins/models/store.py
@@ -0,0 +1,131 @@
+"""The platform's object store with versions and conditional writes."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, frozen=True)
+class StoreEntry:
+    """A stored object.
+
+    :ivar name: name within its kind.
+    :ivar version: version of the last write.
+    :ivar text: stored text.
+    """
+
+    name: str
+    version: int
+    text: str
+
+
+@dataclass(slots=True, frozen=True)
+class Snapshot:
+    """A listing at one time.
+
+    :ivar version: version of the kind.
+    :ivar entries: the objects.
+    """
+
+    version: int
+    entries: tuple[StoreEntry, ...]
+
+
+class ObjectStore:
+    """Objects by kind and name; versions grow over the whole store.
+
+    :ivar calls: number of calls by kind of call.
+    """
+
+    __slots__ = ('_frozen', '_kind_versions', '_kinds', '_version', 'calls')
+
+    def __init__(self, first_version: int = 0) -> None:
+        """Create an empty store.
+
+        :param first_version: version before the first write.
+        """
+        self._kinds: dict[str, dict[str, StoreEntry]] = defaultdict(dict)
+        self._kind_versions: dict[str, int] = defaultdict(int)
+        self._version = first_version
+        self._frozen: dict[str, Snapshot] | None = None
+        self.calls: Counter[str] = Counter()
+
+    def read(self, kind: str, name: str) -> StoreEntry | None:
+        """Read an object.
+
+        :param kind: kind of the object.
+        :param name: name within the kind.
+        :return: the object, or ``None``.
+        """
+        self.calls['read'] += 1
+        return self._kinds[kind].get(name)
+
+    def snapshot(self, kind: str) -> Snapshot:
+        """List a kind, as it was when listings were frozen.
+
+        :param kind: kind of the objects.
+        :return: the listing.
+        """
+        if self._frozen is not None:
+            return self._frozen.get(kind, Snapshot(0, ()))
+        entries = tuple(self._kinds[kind].values())
+        return Snapshot(self._kind_versions[kind], entries)
+
+    def write(
+        self, kind: str, name: str, text: str, expected: int
+    ) -> StoreEntry | None:
+        """Write an object if its version is the expected one.
+
+        :param kind: kind of the object.
+        :param name: name within the kind.
+        :param text: text to store.
+        :param expected: expected version, 0 when it must not exist.
+        :return: the object, or ``None`` when the version differs.
+        """
+        self.calls['write'] += 1
+        current = self._kinds[kind].get(name)
+        version = current.version if current else 0
+        if version != expected:
+            return None
+        return self.put(kind, name, text)
+
+    def put(self, kind: str, name: str, text: str) -> StoreEntry:
+        """Write an object whatever its version.
+
+        :param kind: kind of the object.
+        :param name: name within the kind.
+        :param text: text to store.
+        :return: the object.
+        """
+        self._version += 1
+        entry = StoreEntry(name, self._version, text)
+        self._kinds[kind][name] = entry
+        self._kind_versions[kind] = self._version
+        return entry
+
+    def delete(self, kind: str, name: str, expected: int) -> bool:
+        """Delete an object if its version is the expected one.
+
+        :param kind: kind of the object.
+        :param name: name within the kind.
+        :param expected: expected version, 0 for any.
+        :return: whether it was deleted.
+        """
+        self.calls['delete'] += 1
+        current = self._kinds[kind].get(name)
+        if current is None or expected not in {0, current.version}:
+            return False
+        self._version += 1
+        self._kinds[kind].pop(name)
+        self._kind_versions[kind] = self._version
+        return True
+
+    def freeze_listings(self, *, frozen: bool) -> None:
+        """Make listings show an old state, or the present one again.
+
+        :param frozen: whether listings stay as they are now.
+        """
+        self._frozen = None
+        if frozen:
+            self._frozen = {kind: self.snapshot(kind) for kind in self._kinds}
--- /dev/null
+++ b/standins/virtual/__init__.py
@@ -0,0 +1,1 @@
+"""In-memory surroundings on virtual time."""
--- /dev/null
+++ b/standins/web.py
@@ -0,0 +1,98 @@
+"""Small helpers for the HTTP programs of this package."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import eventlet
+from eventlet import wsgi
+from eventlet.green import socket
+
+#: WSGI environment.
+Environ = dict[str, Any]
+
+#: The WSGI callable that starts a response.
+StartResponse = Callable[..., Any]
+
+#: A WSGI application.
+Application = Callable[[Environ, StartResponse], Iterable[bytes]]
+
+
+class _DiscardedLog:
+    """Swallows the access log."""
+
+    def write(self, line: str) -> None:
+        """Ignore a line.
+
+        :param line: access log line.
+        """
+
+
+def listen(address: str) -> socket.socket:
+    """Listen on an address, with small packets sent at once.
+
+    :param address: ``address:port``.
+    :return: listening socket.
+    """
+    host, _, port = address.rpartition(':')
+    listener = eventlet.listen((host, int(port)), backlog=512)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return listener
+
+
+def serve(listener: socket.socket, application: Application) -> None:
+    """Serve an application until the process ends.
+
+    :param listener: listening socket.
+    :param application: WSGI application.
+    """
+    wsgi.server(
+        listener,
+        application,
+        log=_DiscardedLog(),
+        max_size=8192,
+        debug=False,
+    )
+
+
+def read_json(environ: Environ) -> dict[str, Any]:
+    """Read a JSON body.
+
+    :param environ: WSGI environment.
+    :return: its fields; empty when there is no body.
+    """
+    body = environ['wsgi.input'].read()
+    return json.loads(body) if body else {}
+
+
+def respond(
+    start_response: StartResponse,
+    status: str,
+    fields: Any,
+    headers: tuple[tuple[str, str], ...] = (),
+) -> list[bytes]:
+    """Send a JSON body.
+
+    :param start_response: WSGI callable.
+    :param status: status line.
+    :param fields: body to encode.
+    :param headers: further headers.
+    :return: the chunks.
+    """
+    body = json.dumps(fields).encode()
+    start_response(
+        status,
+        [
+            ('Content-Type', 'application/json'),
+            ('Content-Length', str(len(body))),
+            *headers,
+        ],
+    )
+    return [body]
+
+
+def hang() -> None:
+    """Never answer, as a connection that went silent."""
+    eventlet.sleep(3600)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package, run by unittest."""
--- /dev/null
+++ b/tests/functions.py
@@ -0,0 +1,34 @@
+"""Loads plain test functions as unittest cases."""
+
+from __future__ import annotations
+
+import sys
+import unittest
+from collections.abc import Callable
+
+
+def create_loader(module_name: str) -> Callable[..., unittest.TestSuite]:
+    """Create the ``load_tests`` hook of a module.
+
+    :param module_name: the module's ``__name__``.
+    :return: hook that wraps every ``test_`` function.
+    """
+
+    def load_tests(
+        loader: unittest.TestLoader,
+        standard: unittest.TestSuite,
+        pattern: str | None,
+    ) -> unittest.TestSuite:
+        module = sys.modules[module_name]
+        suite = unittest.TestSuite()
+        suite.addTests(standard)
+        for name in sorted(vars(module)):
+            step = getattr(module, name)
+            if name.startswith('test_') and callable(step):
+                identity = f'{module_name}.{name}'
+                suite.addTest(
+                    unittest.FunctionTestCase(step, description=identity)
+                )
+        return suite
+
+    return load_tests
