Replay traces on virtual time and estimate waits with higher tiers in mind

Cause: no figure existed for the policy. Ruled out: lost messages (no request stayed without an outcome once callers of a killed host were modelled) and engine model error (all policies share it).

--- a/egretdale/config.py
+++ b/egretdale/config.py
@@ -72,7 +72,7 @@
     platform_timeout_s: _Seconds = 2.0
     platform_calls_per_s: _Rate = 50.0
     isolation_s: _Seconds = 6.0
-    first_byte_timeout_s: _Seconds = 30.0
+    first_byte_timeout_s: _Seconds = 120.0
     progress_timeout_s: _Seconds = 3.0
     maximum_body_bytes: Annotated[int, msgspec.Meta(ge=1024)] = 4 * 1024 * 1024
     body_timeout_s: _Seconds = 10.0
--- a/egretdale/coordination/allocation.py
+++ b/egretdale/coordination/allocation.py
@@ -6,6 +6,7 @@
 
 from egretdale.coordination.pool import SlotPool
 from egretdale.state.backends import BackendAddress, BackendView, Held
+from egretdale.state.demand import DemandBook
 from egretdale.state.documents import ServiceDocument
 from egretdale.state.messages import (
     Ask,
@@ -44,6 +45,7 @@
 
     __slots__ = (
         '_clock',
+        '_demand',
         '_order',
         '_promises',
         '_replies',
@@ -81,6 +83,7 @@
         self._clock = clock
         self._order = WaitingOrder(document)
         self._promises = PromiseBook(source)
+        self._demand = DemandBook(clock())
         self._replies: dict[str, GroupReply] = {}
 
     def count_waiting(self) -> int:
@@ -198,7 +201,11 @@
             return float(0)
         if slots < 1:
             return waiting.request_class.patience_s * 2
-        return (ahead + self.pool.mean_remaining()) / slots
+        # Higher tiers go on arriving while the request waits.
+        above = self._demand.read_above(waiting.tier, self._clock())
+        least = slots * waiting.request_class.minimum_share
+        rate = max(slots - above, least)
+        return (ahead + self.pool.mean_remaining()) / rate
 
     # Requests
 
@@ -216,6 +223,7 @@
             self._deny(waiting, Reason.TARGET_UNREACHABLE, wait_s)
             return
         self._order.add(waiting)
+        self._demand.add(waiting.tier, waiting.cost, self._clock())
 
     def _create_waiting(
         self, host: str, ask: Ask, arrival: float
@@ -226,7 +234,15 @@
         weight = self.document.weigh_organisation(ask.organisation)
         estimate = self.pool.estimates[ask.class_name]
         cost = estimate.predict_hold_s(ask.prompt_tokens, ask.maximum_tokens)
-        return Waiting(ask, host, request_class, weight or 1, arrival, cost)
+        return Waiting(
+            ask,
+            host,
+            request_class,
+            weight or 1,
+            arrival,
+            cost,
+            estimate.predict_first_token_s(ask.prompt_tokens),
+        )
 
     def _adopt(self, host: str, running: Running) -> None:
         arrival = self._clock() - convert_to_seconds(running.ask.age_ms)
--- a/egretdale/coordination/allocators.py
+++ b/egretdale/coordination/allocators.py
@@ -71,6 +71,8 @@
 
     A group may also be served locally with a share of every backend server
     while its allocator cannot be reached.
+
+    :ivar allocator_class: class of the allocators.
     """
 
     __slots__ = (
@@ -83,6 +85,7 @@
         '_random',
         '_replica',
         '_term',
+        'allocator_class',
     )
 
     name = 'allocators'
@@ -115,6 +118,7 @@
         self._clock = clock
         self._random = source
         self._term = term
+        self.allocator_class: type[GroupAllocator] = GroupAllocator
         self._hosted: dict[str, Hosted] = {}
         self._local: dict[str, Hosted] = {}
 
@@ -216,7 +220,7 @@
         in_force = self._replica.find(service)
         if in_force is None:
             return None
-        allocator = GroupAllocator(
+        allocator = self.allocator_class(
             group,
             in_force.document,
             in_force.revision,
--- a/egretdale/coordination/node.py
+++ b/egretdale/coordination/node.py
@@ -9,13 +9,14 @@
 
 from egretdale.config import Settings
 from egretdale.coordination.allocators import AllocatorBoard
+from egretdale.coordination.attempts import AttemptDesk, ContinueBody
 from egretdale.coordination.backends import BackendDirectory
 from egretdale.coordination.claims import ClaimDesk, KeyIssuer
 from egretdale.coordination.membership import Membership
 from egretdale.coordination.mesh import Mesh
 from egretdale.coordination.ports import BackendClient, Network, Platform
 from egretdale.coordination.replica import DocumentReplica
-from egretdale.coordination.routing import ContinueBody, Router
+from egretdale.coordination.routing import Router
 from egretdale.coordination.slots import SlotDesk
 from egretdale.coordination.submission import DocumentStore
 from egretdale.state.figures import Figures
@@ -267,17 +268,23 @@
         self.claims = ClaimDesk(
             self.issuer, self.table, outside.network, outside.platform
         )
-        self.router = Router(
-            replica=self.replica,
+        attempts = AttemptDesk(
             backends=self.backends,
-            desk=self.desk,
+            slots=self.desk,
             claims=self.claims,
             client=outside.client,
-            table=self.table,
             figures=self.figures,
             clock=outside.clock,
-            guard=self.find_obstacle,
             continue_body=outside.continue_body,
+            first_byte_limit_s=self.settings.first_byte_timeout_s,
+        )
+        self.router = Router(
+            replica=self.replica,
+            attempts=attempts,
+            claims=self.claims,
+            table=self.table,
+            figures=self.figures,
+            guard=self.find_obstacle,
         )
 
     def _refresh(self) -> None:
--- a/egretdale/coordination/ports.py
+++ b/egretdale/coordination/ports.py
@@ -156,6 +156,7 @@
     :ivar body: request body.
     :ivar priority: 0 is the highest.
     :ivar fresh: whether a new connection must be used.
+    :ivar first_byte_s: longest wait for the first byte in seconds.
     """
 
     stream_id: str
@@ -165,6 +166,7 @@
     body: bytes
     priority: int
     fresh: bool
+    first_byte_s: float
 
 
 @dataclass(slots=True, frozen=True)
--- a/egretdale/coordination/requests.py
+++ b/egretdale/coordination/requests.py
@@ -122,6 +122,15 @@
         self._read = read
         self._abandon = abandon
 
+    def move(self, backend: str, stream_id: str) -> None:
+        """Note that another engine goes on with the stream.
+
+        :param backend: name of the engine.
+        :param stream_id: identity of the stream there.
+        """
+        self.backend = backend
+        self.stream_id = stream_id
+
     def read(self) -> bytes | None:
         """Return the next bytes, ``None`` when the stream has ended."""
         return self._read()
--- a/egretdale/coordination/slots.py
+++ b/egretdale/coordination/slots.py
@@ -315,7 +315,10 @@
 
 
 class SlotDesk(MeshListener):
-    """The slot clients of all groups on this host."""
+    """The slot clients of all groups on this host.
+
+    :ivar client_class: class of the clients.
+    """
 
     __slots__ = (
         '_backend_client',
@@ -324,6 +327,7 @@
         '_clock',
         '_mesh',
         '_random',
+        'client_class',
     )
 
     name = 'slots'
@@ -351,6 +355,7 @@
         self._clock = clock
         self._random = source
         self._clients: dict[str, SlotClient] = {}
+        self.client_class: type[SlotClient] = SlotClient
 
     def choose(self, service: str, groups: int) -> SlotClient:
         """Choose a group of a service, the less loaded one of two.
@@ -373,7 +378,7 @@
         """
         client = self._clients.get(group)
         if client is None:
-            client = SlotClient(
+            client = self.client_class(
                 group,
                 self._mesh,
                 self._board,
--- a/egretdale/state/documents.py
+++ b/egretdale/state/documents.py
@@ -56,6 +56,11 @@
     expected_output_tokens: int = 128
     requests: tuple[RequestPattern, ...] = ()
 
+    @property
+    def first_token_s(self) -> float:
+        """Target from arrival to the first byte in seconds."""
+        return self.first_token_ms / 1000
+
     @property
     def patience_s(self) -> float:
         """Longest wait for a slot in seconds."""
--- a/egretdale/state/order.py
+++ b/egretdale/state/order.py
@@ -9,6 +9,8 @@
 from egretdale.state.documents import RequestClass, ServiceDocument
 from egretdale.state.messages import Ask
 
+_SHORTEST_WAIT_SHARE = 0.25
+
 
 @dataclass(slots=True, eq=False)
 class Waiting:
@@ -20,6 +22,7 @@
     :ivar weight: weight of its organisation.
     :ivar arrival: monotonic seconds of its arrival at the entry host.
     :ivar cost: expected slot-seconds.
+    :ivar first_token_s: expected seconds from a grant to the first token.
     """
 
     ask: Ask
@@ -28,16 +31,24 @@
     weight: float
     arrival: float
     cost: float
+    first_token_s: float = float(0)
 
     @property
     def deadline(self) -> float:
         """Monotonic seconds at which the first token is due."""
-        return self.arrival + self.request_class.first_token_ms / 1000
+        return self.arrival + self.request_class.first_token_s
 
     @property
     def expiry(self) -> float:
         """Monotonic seconds at which the request is given up."""
-        return self.arrival + self.request_class.patience_s
+        patience_s = self.request_class.patience_s
+        shortest_s = patience_s * _SHORTEST_WAIT_SHARE
+        return self.arrival + max(patience_s - self.first_token_s, shortest_s)
+
+    @property
+    def latest_start(self) -> float:
+        """Monotonic seconds after which the target cannot be met."""
+        return self.deadline - self.first_token_s
 
     @property
     def tier(self) -> int:
--- a/egretdale/transport/backends.py
+++ b/egretdale/transport/backends.py
@@ -27,6 +27,7 @@
 _CONNECT_S = 1.0
 _LOAD_TIMEOUT_S = 0.5
 _CONTROL_TIMEOUT_S = 1.0
+_CONTINUE_S = 3.0
 _CHUNK_BYTES = 65536
 _OK = 200
 _HOP_HEADERS = frozenset(
@@ -98,15 +99,13 @@
 class HttpBackendClient:
     """Calls to backend servers over HTTP."""
 
-    __slots__ = ('_first_byte_s', '_fresh_pool', '_pool', '_progress_s')
+    __slots__ = ('_fresh_pool', '_pool', '_progress_s')
 
-    def __init__(self, first_byte_s: float, progress_s: float) -> None:
+    def __init__(self, progress_s: float) -> None:
         """Create a client.
 
-        :param first_byte_s: longest wait for the first byte in seconds.
         :param progress_s: longest silence of a stream in seconds.
         """
-        self._first_byte_s = first_byte_s
         self._progress_s = progress_s
         self._pool = urllib3.PoolManager(
             num_pools=_POOLS, maxsize=_CONNECTIONS, retries=False
@@ -146,7 +145,16 @@
         :return: the response, or why there is none.
         """
         path = f'/v1/streams/{stream_id}?after={after}'
-        call = BackendCall(stream_id, 'GET', path, (), b'', 0, fresh=True)
+        call = BackendCall(
+            stream_id,
+            'GET',
+            path,
+            (),
+            b'',
+            0,
+            fresh=True,
+            first_byte_s=_CONTINUE_S,
+        )
         headers = {'Connection': 'close'}
         stream = self._start(self._fresh_pool, address, call, headers)
         if isinstance(stream, HttpBackendStream) and stream.status != _OK:
@@ -196,7 +204,7 @@
         call: BackendCall,
         headers: dict[str, str],
     ) -> HttpBackendStream | NotRun | MaybeRun:
-        timeout = urllib3.Timeout(connect=_CONNECT_S, read=self._first_byte_s)
+        timeout = urllib3.Timeout(connect=_CONNECT_S, read=call.first_byte_s)
         try:
             response = pool.request(
                 call.method,
--- a/egretdale/transport/callers.py
+++ b/egretdale/transport/callers.py
@@ -328,13 +328,12 @@
         request: CallerRequest,
         reply: StreamReply,
     ) -> Iterable[bytes]:
-        token = StreamToken(reply.backend, reply.stream_id)
         start_response(
             f'{reply.status} ',
             [
                 *reply.headers,
                 ('Egret-Request-Id', request.request_id),
-                ('Egret-Stream', encode_stream_token(token)),
+                ('Egret-Stream', _create_token(reply)),
                 *self._list_connection_headers(),
             ],
         )
@@ -362,7 +361,7 @@
 class StreamBody:
     """The chunks of a stream, closed when the caller goes."""
 
-    __slots__ = ('_ended', '_interface', '_reply', '_request')
+    __slots__ = ('_ended', '_interface', '_reply', '_request', '_token')
 
     def __init__(
         self,
@@ -380,6 +379,7 @@
         self._request = request
         self._reply = reply
         self._ended = False
+        self._token = _create_token(reply)
 
     def __iter__(self) -> Iterator[bytes]:
         """Iterate over the chunks."""
@@ -391,13 +391,21 @@
             raise StopIteration
         chunk = self._reply.read()
         if chunk is not None:
-            return chunk
+            return self._announce_move() + chunk
         self._ended = True
         outcome = self._reply.outcome
         if isinstance(outcome, Refused):
             return self._interface.describe_failure(self._request, outcome)
         raise StopIteration
 
+    def _announce_move(self) -> bytes:
+        token = _create_token(self._reply)
+        if token == self._token:
+            return b''
+        self._token = token
+        # A comment; callers that resume streams look for it.
+        return f': egret-stream {token}\n\n'.encode()
+
     def close(self) -> None:
         """Stop the stream if it still runs."""
         if not self._ended:
@@ -406,6 +414,10 @@
         self._interface.active.leave()
 
 
+def _create_token(reply: StreamReply) -> str:
+    return encode_stream_token(StreamToken(reply.backend, reply.stream_id))
+
+
 def _list_passed(environ: dict[str, Any]) -> list[tuple[str, str]]:
     passed = []
     for name in _PASSED_HEADERS:
--- a/egretdale/transport/daemon.py
+++ b/egretdale/transport/daemon.py
@@ -176,9 +176,7 @@
         return Surroundings(
             platform,
             PeerClient(settings.peer_timeout_s, self._count_peer_bytes),
-            HttpBackendClient(
-                settings.first_byte_timeout_s, settings.progress_timeout_s
-            ),
+            HttpBackendClient(settings.progress_timeout_s),
             read_hub_clock,
             read_wall_clock,
             random.Random(),
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -16,6 +16,7 @@
 _TIMEOUT_S = 60.0
 _MAXIMUM_TRIES = 6
 _TRY_PAUSE_S = 0.2
+_MOVED = b': egret-stream '
 
 
 @dataclass(slots=True, frozen=True)
@@ -280,7 +281,11 @@
                 return _read_refusal(call, response.data)
             headers['Egret-Stream'] = response.headers['Egret-Stream']
             for event in _split_events(response):
-                _take_event(stream, event)
+                if event.startswith(_MOVED):
+                    token = event.removeprefix(_MOVED).decode()
+                    headers['Egret-Stream'] = token
+                else:
+                    _take_event(stream, event)
         except (HTTPError, OSError):
             return None
         return _judge_stream(call, stream)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -197,8 +197,8 @@
         if len(prompt) >= _PREFIX_BYTES:
             stream.prefix = zlib.crc32(prompt[:_PREFIX_BYTES].encode())
             stream.prefix_tokens = _PREFIX_BYTES // _BYTES_PER_TOKEN
-        done = body.get('continue_from', {}).get('events', 0)
-        stream.output_tokens = max(1, stream.output_tokens - done)
+        stream.offset = body.get('continue_from', {}).get('events', 0)
+        stream.output_tokens = max(1, stream.output_tokens - stream.offset)
         identity = str(body.get('standin_identity', stream_id))
         self.runs[identity] = self.runs.get(identity, 0) + 1
         if self._instant:
@@ -208,7 +208,7 @@
         chat = 'chat' in environ['PATH_INFO']
         if body.get('stream'):
             start_response('200 OK', [('Content-Type', 'text/event-stream')])
-            return EventStream(self, stream, done, 0, chat=chat)
+            return EventStream(self, stream, 0, chat=chat)
         self._wait_whole(stream)
         text = ''.join(f'w{index} ' for index in range(stream.output_tokens))
         choice = {'index': 0, 'text': text, 'message': {'content': text}}
@@ -226,7 +226,7 @@
         self, path: str, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
         stream_id, _, action = path.removeprefix(_STREAMS).partition('/')
-        stream = self.model.streams.get(stream_id)
+        stream = self.model.find(stream_id)
         now = time.monotonic()
         if stream is None:
             return respond(start_response, '404 Not Found', {})
@@ -235,7 +235,8 @@
             after = int(query.get('after', ['0'])[0])
             self._detached.pop(stream_id, None)
             start_response('200 OK', [('Content-Type', 'text/event-stream')])
-            return EventStream(self, stream, 0, after, chat=True)
+            sent = max(0, after - stream.offset)
+            return EventStream(self, stream, sent, chat=True)
         if action == 'cancel':
             self.model.cancel(stream_id, now)
             return respond(start_response, '200 OK', {})
@@ -254,7 +255,7 @@
             hang()
         limit = self.faults.crash_after
         if limit and stream.tokens >= limit:
-            self.model.streams.pop(stream.stream_id, None)
+            self.model.lose(stream.stream_id)
             raise _BrokenConnectionError(stream.stream_id)
 
     def detach(self, stream: EngineStream) -> None:
@@ -269,14 +270,13 @@
 class EventStream:
     """The events of one stream."""
 
-    __slots__ = ('_chat', '_program', '_sent', '_start', '_stream', '_whole')
+    __slots__ = ('_chat', '_program', '_sent', '_stream', '_whole')
 
     def __init__(
         self,
         program: EngineProgram,
         stream: EngineStream,
-        start: int,
-        after: int,
+        sent: int,
         *,
         chat: bool,
     ) -> None:
@@ -284,14 +284,12 @@
 
         :param program: the engine.
         :param stream: the stream.
-        :param start: tokens that an earlier engine delivered.
-        :param after: events of this stream that the caller has.
+        :param sent: events of this stream that the caller has.
         :param chat: whether events have the form of chat completions.
         """
         self._program = program
         self._stream = stream
-        self._start = start
-        self._sent = after
+        self._sent = sent
         self._chat = chat
         self._whole = False
 
@@ -322,13 +320,13 @@
         self._program.detach(self._stream)
 
     def _format(self, index: int) -> bytes:
-        text = f'w{self._start + index} '
+        index += self._stream.offset
+        text = f'w{index} '
         choice: dict[str, Any] = {'index': 0, 'text': text}
         if self._chat:
             choice = {'index': 0, 'delta': {'content': text}}
         body = json.dumps({'id': self._stream.stream_id, 'choices': [choice]})
-        number = self._start + index + 1
-        return f'id: {number}\ndata: {body}\n\n'.encode()
+        return f'id: {index + 1}\ndata: {body}\n\n'.encode()
 
 
 def _stream_instantly(tokens: int) -> Iterator[bytes]:
--- /dev/null
+++ b/standins/measure.py
@@ -0,0 +1,113 @@
+"""Measurements of the project."""
+
+from __future__ import annotations
+
+from egretdale.util import greening  # noqa: F401, I001
+
+import sys
+from concurrent.futures import ProcessPoolExecutor
+from multiprocessing import get_context
+from pathlib import Path
+
+import click
+import msgspec
+from absl import logging as absl_logging
+
+from standins.baselines import POLICIES
+from standins.replay import Report, find_misses, format_report, replay
+from standins.traces import list_traces, load_trace
+
+_WORKERS = 6
+
+
+@click.group()
+def main() -> None:
+    """Measure egretdale."""
+
+
+@main.command()
+@click.argument('traces', nargs=-1)
+@click.option(
+    '--policy',
+    'policies',
+    multiple=True,
+    type=click.Choice(tuple(POLICIES)),
+    help='Way to allocate slots; all when absent.',
+)
+@click.option(
+    '--json',
+    'json_path',
+    type=click.Path(path_type=Path),
+    help='File for the reports as JSON.',
+)
+def policy(
+    traces: tuple[str, ...], policies: tuple[str, ...], json_path: Path | None
+) -> None:
+    """Replay traces under policies and compare with the stated outcomes.
+
+    \f
+    :param traces: names of traces, all when empty.
+    :param policies: names of policies, all when empty.
+    :param json_path: file for the reports as JSON.
+    """
+    names = traces or tuple(list_traces())
+    pairs = [
+        (name, chosen)
+        for name in names
+        for chosen in policies or tuple(POLICIES)
+    ]
+    context = get_context('spawn')
+    with ProcessPoolExecutor(_WORKERS, mp_context=context) as executor:
+        reports = list(executor.map(run_replay, pairs))
+    missed = 0
+    for report in reports:
+        click.echo(format_report(report))
+        if report.policy == 'product':
+            for miss in find_misses(load_trace(report.trace), report):
+                click.echo(f'  MISSED: {miss}')
+                missed += 1
+    for line in compare_baselines(reports):
+        click.echo(line)
+    if json_path is not None:
+        json_path.write_bytes(msgspec.json.encode(reports))
+    sys.exit(1 if missed else 0)
+
+
+def run_replay(pair: tuple[str, str]) -> Report:
+    """Replay one trace under one policy, in a process of its own.
+
+    :param pair: names of the trace and the policy.
+    :return: the report.
+    """
+    absl_logging.set_verbosity('error')
+    name, chosen = pair
+    return replay(load_trace(name), chosen)
+
+
+def compare_baselines(reports: list[Report]) -> list[str]:
+    """List where a baseline does better on a class than the product.
+
+    :param reports: reports of all policies.
+    :return: lines of text.
+    """
+    own = {
+        report.trace: report for report in reports if report.policy == 'product'
+    }
+    lines = []
+    for report in reports:
+        mine = own.get(report.trace)
+        if mine is None or report is mine:
+            continue
+        for name, entry in report.classes.items():
+            reached = mine.classes[name].attainment
+            if entry.attainment > reached:
+                lines.append(
+                    f'BASELINE BETTER: {report.trace} {name}: '
+                    f'{report.policy} {entry.attainment} '
+                    f'above product {reached}'
+                )
+    return lines
+
+
+if __name__ == '__main__':
+    main()
--- a/standins/models/engine.py
+++ b/standins/models/engine.py
@@ -57,6 +57,7 @@
     :ivar priority: 0 is the highest.
     :ivar prefix: hash of the leading part of the prompt, 0 for none.
     :ivar prefix_tokens: tokens saved when the prefix is cached.
+    :ivar offset: events that an earlier engine delivered of the answer.
     :ivar emitted: tokens generated, in fractions.
     :ivar phase: phase of the stream.
     :ivar prefill_left: prompt tokens still to be processed.
@@ -69,6 +70,7 @@
     priority: int = 0
     prefix: int = 0
     prefix_tokens: int = 0
+    offset: int = 0
     emitted: float = float(0)
     phase: StreamPhase = StreamPhase.WAITING
     prefill_left: float = float(0)
@@ -94,7 +96,7 @@
 
     :ivar profile: speed and limits.
     :ivar speed: factor on all rates, below 1 for a slow engine.
-    :ivar streams: streams by identity, ended ones for a while.
+    :ivar streams: streams that have not ended, by identity.
     :ivar generated: tokens generated in all.
     """
 
@@ -120,7 +122,7 @@
         self.generated = float(0)
         self._now = now
         self._cache: OrderedDict[int, None] = OrderedDict()
-        self._ended: OrderedDict[str, None] = OrderedDict()
+        self._ended: OrderedDict[str, EngineStream] = OrderedDict()
 
     def submit(self, stream: EngineStream, now: float) -> None:
         """Start a stream.
@@ -141,7 +143,7 @@
         """
         self.advance(now)
         stream = self.streams.get(stream_id)
-        if stream is not None and not stream.has_ended():
+        if stream is not None:
             self._end(stream, StreamPhase.CANCELLED)
             self._admit()
 
@@ -188,6 +190,22 @@
         """
         return self._now + self._time_to_event()
 
+    def find(self, stream_id: str) -> EngineStream | None:
+        """Find a stream, also one that ended a while ago.
+
+        :param stream_id: identity of the stream.
+        :return: the stream, or ``None``.
+        """
+        return self.streams.get(stream_id) or self._ended.get(stream_id)
+
+    def lose(self, stream_id: str) -> None:
+        """Forget a stream as a crash would.
+
+        :param stream_id: identity of the stream.
+        """
+        self.streams.pop(stream_id, None)
+        self._ended.pop(stream_id, None)
+
     def count_running(self) -> int:
         """Count streams that are prefilled or decoded."""
         return sum(
@@ -209,7 +227,7 @@
         return sum(
             stream.kv_tokens
             for stream in self.streams.values()
-            if not stream.has_ended() and stream.phase != StreamPhase.WAITING
+            if stream.phase != StreamPhase.WAITING
         )
 
     def list_cached(self) -> list[int]:
@@ -322,7 +340,7 @@
 
     def _end(self, stream: EngineStream, phase: StreamPhase) -> None:
         stream.phase = phase
-        self._ended[stream.stream_id] = None
+        self.streams.pop(stream.stream_id, None)
+        self._ended[stream.stream_id] = stream
         if len(self._ended) > _FINISHED_KEPT:
-            oldest, _ = self._ended.popitem(last=False)
-            self.streams.pop(oldest, None)
+            self._ended.popitem(last=False)
--- /dev/null
+++ b/standins/replay.py
@@ -0,0 +1,364 @@
+"""Replays a trace through the real coordination code on virtual time."""
+
+from __future__ import annotations
+
+import json
+from collections import Counter, defaultdict
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import eventlet
+import msgspec
+
+from egretdale.coordination import allocation
+from egretdale.state.documents import ServiceDocument, parse_document
+from egretdale.state.outcomes import Refused
+from standins.baselines import POLICIES
+from standins.bounds import bound_deliverable, compute_cost
+from standins.models.engine import EngineProfile
+from standins.traces import Arrival, Fault, Trace
+from standins.virtual.backends import VirtualWork
+from standins.virtual.hub import use_virtual_time
+from standins.virtual.world import Demand, Ending, World, WorldPlan
+
+_EXAMPLES = Path(__file__).resolve().parent.parent / 'examples'
+_WARM_UP_S = 3.0
+_DRAIN_S = 900.0
+_PREFIX_TOKENS = 400
+
+
+class ClassReport(msgspec.Struct):
+    """What became of one class.
+
+    :ivar offered: requests made.
+    :ivar whole: whole answers.
+    :ivar attained: whole answers whose first token met the target.
+    :ivar attainment: part of the offered requests that attained.
+    :ivar refused: refusals by reason.
+    :ivar longest_gap_s: longest time with demand and without any answer.
+    """
+
+    offered: int = 0
+    whole: int = 0
+    attained: int = 0
+    attainment: float = float(0)
+    refused: dict[str, int] = {}
+    longest_gap_s: float = float(0)
+
+
+class Report(msgspec.Struct):
+    """What became of a trace under a policy.
+
+    :ivar trace: name of the trace.
+    :ivar policy: name of the policy.
+    :ivar classes: reports by class.
+    :ivar goodput_tokens: tokens of whole answers.
+    :ivar goodput: part of what the engines could have delivered.
+    :ivar wasted: part of the generated tokens that reached no caller.
+    :ivar unfair: top-tier refusals for which lower-tier work got a slot.
+    :ivar unended: requests without any outcome.
+    :ivar cut: answers that were not whole and not refused.
+    :ivar seconds: real seconds of the replay.
+    """
+
+    trace: str
+    policy: str
+    classes: dict[str, ClassReport]
+    goodput_tokens: int
+    goodput: float
+    wasted: float
+    unfair: int
+    unended: int
+    cut: int
+
+
+@dataclass(slots=True, frozen=True)
+class Decision:
+    """A decision read from the allocators' log lines.
+
+    :ivar at: virtual seconds.
+    :ivar event: ``grant``, ``refuse``, ``pause`` or ``resume``.
+    :ivar fields: fields of the line.
+    """
+
+    at: float
+    event: str
+    fields: dict[str, Any]
+
+
+class DecisionLog:
+    """Collects the log lines of allocators.
+
+    :ivar decisions: decisions in order.
+    """
+
+    __slots__ = ('_clock', 'decisions')
+
+    def __init__(self, clock: Any) -> None:
+        """Create an empty log.
+
+        :param clock: virtual clock.
+        """
+        self._clock = clock
+        self.decisions: list[Decision] = []
+
+    def info(self, event: str, **fields: Any) -> None:
+        """Take in a line."""
+        self.decisions.append(Decision(self._clock(), event, fields))
+
+
+@contextmanager
+def record_decisions(clock: Any) -> Iterator[DecisionLog]:
+    """Collect the decisions of all allocators.
+
+    :param clock: virtual clock.
+    :return: the log.
+    """
+    previous = allocation.logger
+    log = DecisionLog(clock)
+    allocation.logger = log
+    try:
+        yield log
+    finally:
+        allocation.logger = previous
+
+
+def replay(trace: Trace, policy: str) -> Report:
+    """Replay a trace.
+
+    :param trace: the trace.
+    :param policy: name of the way to allocate slots.
+    :return: what became of it.
+    """
+    text = (_EXAMPLES / trace.head.document).read_text()
+    document = parse_document(text.encode())
+    if not isinstance(document, ServiceDocument):
+        raise TypeError(document)
+    plan = WorldPlan(
+        {trace.head.service: text},
+        {trace.head.service: trace.head.engines},
+        hosts=trace.head.hosts,
+    )
+    with use_virtual_time() as hub, record_decisions(hub.read_now) as log:
+        world = World(plan, hub.read_now)
+        world.replace_desks(POLICIES[policy])
+        eventlet.sleep(_WARM_UP_S)
+        pool = eventlet.GreenPool(100000)
+        for event in trace.events:
+            eventlet.sleep(max(0, _WARM_UP_S + event.at - hub.now))
+            match event:
+                case Arrival():
+                    pool.spawn_n(world.make, _create_demand(trace, event))
+                case Fault():
+                    _apply_fault(world, trace, event)
+        with eventlet.Timeout(_DRAIN_S, False):
+            pool.waitall()
+        return _build_report(trace, policy, document, world, log)
+
+
+def _create_demand(trace: Trace, arrival: Arrival) -> Demand:
+    prefix_tokens = _PREFIX_TOKENS if arrival.prefix else 0
+    work = VirtualWork(
+        arrival.prompt,
+        arrival.output,
+        arrival.prefix,
+        min(prefix_tokens, arrival.prompt),
+        f'{arrival.at}',
+    )
+    return Demand(
+        f'{arrival.at}/{arrival.class_name}/{arrival.organisation}',
+        trace.head.service,
+        arrival.class_name,
+        arrival.organisation,
+        work,
+    )
+
+
+def _apply_fault(world: World, trace: Trace, fault: Fault) -> None:
+    engine = world.backends.get(f'{trace.head.service}-{fault.target}')
+    match fault.name:
+        case 'speed' if engine:
+            engine.set_speed(fault.amount)
+        case 'crash' if engine:
+            engine.crash()
+        case 'restart' if engine:
+            engine.down = False
+        case 'lag' if engine:
+            engine.lag_s = fault.amount
+        case 'lie' if engine:
+            engine.lying = bool(fault.amount)
+        case 'kill-host':
+            world.kill_host(f'host-{fault.target}')
+        case 'kill-allocator':
+            owner = world.find_allocator(f'{trace.head.service}/0')
+            world.kill_host(owner or 'host-0')
+
+
+def _build_report(
+    trace: Trace,
+    policy: str,
+    document: ServiceDocument,
+    world: World,
+    log: DecisionLog,
+) -> Report:
+    by_class: dict[str, list[Ending]] = defaultdict(list)
+    for ending in world.endings:
+        by_class[ending.demand.class_name].append(ending)
+    classes = {}
+    for request_class in document.classes:
+        endings = by_class[request_class.name]
+        if endings:
+            target_s = request_class.first_token_ms / 1000
+            classes[request_class.name] = _report_class(endings, target_s)
+    whole = [ended for ended in world.endings if ended.is_whole()]
+    delivered = sum(ended.demand.work.output for ended in whole)
+    generated = world.count_generated()
+    arrivals = sum(1 for event in trace.events if isinstance(event, Arrival))
+    lost = sum(1 for ended in world.endings if ended.outcome is None)
+    cut = sum(
+        1 for ended in whole if ended.events != ended.demand.work.output + 1
+    )
+    return Report(
+        trace.head.name,
+        policy,
+        classes,
+        delivered,
+        round(_measure_goodput(trace, document, whole), 4),
+        round((generated - delivered) / max(1, generated), 4),
+        _count_unfair(document, log),
+        arrivals - len(world.endings) + lost,
+        cut,
+    )
+
+
+def _report_class(endings: list[Ending], target_s: float) -> ClassReport:
+    whole = [ended for ended in endings if ended.is_whole()]
+    attained = sum(
+        1
+        for ended in whole
+        if ended.first_s is not None and ended.first_s <= target_s
+    )
+    reasons = Counter(
+        str(ended.outcome.reason)
+        for ended in endings
+        if isinstance(ended.outcome, Refused)
+    )
+    return ClassReport(
+        len(endings),
+        len(whole),
+        attained,
+        round(attained / len(endings), 4),
+        dict(reasons),
+        round(_find_longest_gap(endings), 1),
+    )
+
+
+def _find_longest_gap(endings: list[Ending]) -> float:
+    served = sorted(
+        ended.started_at + ended.first_s
+        for ended in endings
+        if ended.first_s is not None
+    )
+    longest = float(0)
+    first = min(ended.started_at for ended in endings)
+    last = max(ended.started_at for ended in endings)
+    marks = [first, *(at for at in served if first <= at <= last)]
+    starts = sorted(ended.started_at for ended in endings)
+    for before, after in zip(marks, [*marks[1:], last], strict=True):
+        asked = [at for at in starts if before < at < after]
+        if asked:
+            longest = max(longest, after - asked[0])
+    return longest
+
+
+def _measure_goodput(
+    trace: Trace, document: ServiceDocument, whole: list[Ending]
+) -> float:
+    profile = EngineProfile()
+    last = _WARM_UP_S + trace.events[-1].at
+    done = float(0)
+    for ending in whole:
+        work = ending.demand.work
+        cost = compute_cost(work.prompt, work.output, profile)
+        done += cost * _measure_part(ending, last)
+    return done / bound_deliverable(trace, document, profile)
+
+
+def _measure_part(ended: Ending, last: float) -> float:
+    # The part of a stream that ran before the last arrival.
+    first_at = ended.started_at + (ended.first_s or 0)
+    length = max(ended.ended_at - first_at, 0.001)
+    return max(0, min(1, (last - first_at) / length))
+
+
+def _count_unfair(document: ServiceDocument, log: DecisionLog) -> int:
+    tiers = {entry.name: entry.tier for entry in document.classes}
+    grants = [
+        decision
+        for decision in log.decisions
+        if decision.event == 'grant'
+        and decision.fields['reason'] != 'minimum-share'
+    ]
+    unfair = 0
+    for refusal in log.decisions:
+        if refusal.event != 'refuse':
+            continue
+        tier = tiers[refusal.fields['request_class']]
+        waited_s = refusal.fields.get('waited_ms', 0) / 1000
+        arrived = refusal.at - waited_s
+        unfair += any(
+            arrived < grant.at <= refusal.at
+            and tiers[grant.fields['request_class']] > tier
+            for grant in grants
+        )
+    return unfair
+
+
+def format_report(report: Report) -> str:
+    """Format a report as a table.
+
+    :param report: the report.
+    :return: lines of text.
+    """
+    lines = [
+        f'{report.trace} / {report.policy}: goodput {report.goodput:.3f} '
+        f'({report.goodput_tokens} tokens), wasted {report.wasted:.4f}, '
+        f'unfair {report.unfair}, unended {report.unended}, cut {report.cut}',
+    ]
+    for name, entry in report.classes.items():
+        refused = json.dumps(entry.refused) if entry.refused else '-'
+        lines.append(
+            f'  {name:17} offered {entry.offered:5} whole {entry.whole:5} '
+            f'attainment {entry.attainment:.4f} '
+            f'gap {entry.longest_gap_s:6.1f} s refused {refused}'
+        )
+    return '\n'.join(lines)
+
+
+def find_misses(trace: Trace, report: Report) -> list[str]:
+    """Compare a report with the trace's stated outcomes.
+
+    :param trace: the trace.
+    :param report: the report.
+    :return: one line for each outcome that was missed.
+    """
+    stated = trace.head.stated
+    misses = []
+    for name, entry in report.classes.items():
+        least = stated.attainment.get(name, 0)
+        if entry.attainment < least:
+            misses.append(f'{name} attainment {entry.attainment} below {least}')
+        longest = stated.served_within_s.get(name, _DRAIN_S)
+        if entry.longest_gap_s > longest:
+            misses.append(f'{name} not served for {entry.longest_gap_s} s')
+    if report.goodput < stated.goodput:
+        misses.append(f'goodput {report.goodput} below {stated.goodput}')
+    if report.wasted > stated.wasted:
+        misses.append(f'wasted {report.wasted} above {stated.wasted}')
+    broken = report.unfair + report.unended + report.cut
+    if broken:
+        misses.append(f'{broken} unfair, unended or cut requests')
+    return misses
--- /dev/null
+++ b/standins/virtual/platform.py
@@ -0,0 +1,135 @@
+"""The platform in memory, with outages and lost replies."""
+
+from __future__ import annotations
+
+import eventlet
+
+from egretdale.coordination.ports import (
+    Listing,
+    StoredObject,
+    Written,
+)
+from egretdale.errors import (
+    Ambiguous,
+    Cause,
+    Conflict,
+    Missing,
+    Unreachable,
+)
+from standins.models.store import ObjectStore, Snapshot, StoreEntry
+from standins.virtual.network import HostFaults
+
+_TIMEOUT_S = 2.0
+_WATCH_TICK_S = 0.05
+
+
+class PlatformState:
+    """The store and its faults, shared by the clients of all hosts.
+
+    :ivar store: the objects.
+    :ivar down: whether calls fail.
+    :ivar slow_s: seconds that every call takes.
+    :ivar lose_replies: writes take effect and their replies are lost.
+    :ivar silent: hosts whose watches are never answered.
+    :ivar cut: hosts that do not reach the platform.
+    """
+
+    __slots__ = ('cut', 'down', 'lose_replies', 'silent', 'slow_s', 'store')
+
+    def __init__(self) -> None:
+        """Create an empty platform without faults."""
+        self.store = ObjectStore()
+        self.down = False
+        self.slow_s = 0.002
+        self.lose_replies = False
+        self.silent: set[str] = set()
+        self.cut: set[str] = set()
+
+
+class VirtualPlatform:
+    """The platform as one host calls it."""
+
+    __slots__ = ('_faults', '_host', '_state')
+
+    def __init__(
+        self, host: str, state: PlatformState, faults: HostFaults
+    ) -> None:
+        """Create a client.
+
+        :param host: name of the host.
+        :param state: the platform.
+        :param faults: faults of hosts.
+        """
+        self._host = host
+        self._state = state
+        self._faults = faults
+
+    def read(
+        self, kind: str, name: str
+    ) -> StoredObject | Missing | Unreachable:
+        """Read one object."""
+        failed = self._call()
+        if failed is not None:
+            return failed
+        entry = self._state.store.read(kind, name)
+        if entry is None:
+            return Missing(name)
+        return _convert(entry)
+
+    def list_objects(self, kind: str) -> Listing | Unreachable:
+        """List all objects of a kind."""
+        failed = self._call()
+        if failed is not None:
+            return failed
+        return _convert_listing(self._state.store.snapshot(kind))
+
+    def watch(
+        self, kind: str, version: int, timeout_s: float
+    ) -> Listing | Unreachable:
+        """Wait until a listing is newer than a version."""
+        ticks = round(timeout_s / _WATCH_TICK_S)
+        for _ in range(ticks):
+            failed = self._call()
+            if failed is not None:
+                return failed
+            silent = self._host in self._state.silent
+            snapshot = self._state.store.snapshot(kind)
+            if snapshot.version > version and not silent:
+                return _convert_listing(snapshot)
+            eventlet.sleep(_WATCH_TICK_S)
+        return self.list_objects(kind)
+
+    def write(
+        self, kind: str, name: str, body: bytes, expected: int
+    ) -> Written | Conflict | Unreachable | Ambiguous:
+        """Write an object if its version is the expected one."""
+        failed = self._call()
+        if failed is not None:
+            return failed
+        store = self._state.store
+        entry = store.write(kind, name, body.decode(), expected)
+        if self._state.lose_replies:
+            eventlet.sleep(_TIMEOUT_S)
+            return Ambiguous(Cause.SLOW)
+        self._faults.check_self(self._host)
+        if entry is None:
+            return Conflict(0)
+        return Written(entry.version)
+
+    def _call(self) -> Unreachable | None:
+        self._faults.check_self(self._host)
+        eventlet.sleep(self._state.slow_s)
+        self._faults.check_self(self._host)
+        if self._state.down or self._host in self._state.cut:
+            eventlet.sleep(0.1)
+            return Unreachable(Cause.REFUSED)
+        return None
+
+
+def _convert(entry: StoreEntry) -> StoredObject:
+    return StoredObject(entry.name, entry.version, entry.text.encode())
+
+
+def _convert_listing(snapshot: Snapshot) -> Listing:
+    entries = tuple(_convert(entry) for entry in snapshot.entries)
+    return Listing(snapshot.version, entries)
