Bound the minimum share by slots and refuse what would expire

Cause: at the refusals of counter questions in mix-2 a third of the slots was held by streams that a ten-second pause had made unpausable, paused streams kept the KV tokens that a counter question needed, and the wait was estimated over slots of engines that were down or too slow. Ruled out: order (the head of the queue was always a counter question) and load reports (same refusals with fresh reports).

--- a/egretdale/coordination/allocation.py
+++ b/egretdale/coordination/allocation.py
@@ -28,6 +28,7 @@
 _GRANT_FLIGHT_S = 1.0
 _NO_BACKEND_RETRY_S = 5.0
 _PERMILLE = 1000
+_ADMISSION_SHARE = 0.8
 _OVERLOADED_PERMILLE = 10000
 
 
@@ -195,8 +196,8 @@
         :param waiting: a request that has not been added.
         :return: seconds.
         """
-        slots = self.pool.count_slots(waiting.tier)
         ahead = self._order.measure_ahead(waiting)
+        slots = self.pool.count_slots(waiting.tier)
         if ahead <= 0 and self.pool.count_busy() < slots:
             return float(0)
         if slots < 1:
@@ -204,8 +205,8 @@
         # Higher tiers go on arriving while the request waits.
         above = self._demand.read_above(waiting.tier, self._clock())
         least = slots * waiting.request_class.minimum_share
-        rate = max(slots - above, least)
-        return (ahead + self.pool.mean_remaining()) / rate
+        rate = max(self.pool.count_open(waiting) - above, least)
+        return (ahead + self.pool.mean_remaining(waiting.tier)) / rate
 
     # Requests
 
@@ -219,7 +220,7 @@
             return
         wait_s = self.estimate_wait(waiting)
         allowed_s = waiting.expiry - self._clock()
-        if wait_s > allowed_s and not ask.returning:
+        if wait_s > allowed_s * _ADMISSION_SHARE and not ask.returning:
             self._deny(waiting, Reason.TARGET_UNREACHABLE, wait_s)
             return
         self._order.add(waiting)
@@ -310,6 +311,9 @@
 
     def _dispatch_next(self) -> bool:
         for choice in self._order.list_candidates():
+            request_class = choice.waiting.request_class
+            if choice.minimum_share and self.pool.has_share(request_class):
+                continue
             view = self.pool.find_backend(choice)
             if view is None and not choice.minimum_share:
                 view = self._pause_for(choice)
--- a/egretdale/coordination/pool.py
+++ b/egretdale/coordination/pool.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from egretdale.state.backends import BackendAddress, BackendView, Held
-from egretdale.state.documents import ServiceDocument
+from egretdale.state.documents import RequestClass, ServiceDocument
 from egretdale.state.estimates import ClassEstimate
 from egretdale.state.messages import Ask, Done, Running
 from egretdale.state.order import Choice, Waiting
@@ -13,6 +13,7 @@
 _PREFILL_RATE = 4000.0
 _CACHED_SHARE = 0.25
 _LOAD_WEIGHT_S = 0.05
+_KV_HEADROOM = 0.04
 _PAUSE_PROGRESS_LIMIT = 0.7
 _PAUSE_LIMIT_S = 10.0
 
@@ -123,9 +124,7 @@
         """
         now = self._clock()
         total = sum(
-            view.limit
-            for view in self.views.values()
-            if view.is_usable(now) or view.held
+            view.limit for view in self.views.values() if view.is_usable(now)
         )
         return total * (1 - self._document.headroom * tier)
 
@@ -133,19 +132,55 @@
         """Count the slots in use."""
         return sum(view.count_running() for view in self.views.values())
 
-    def mean_remaining(self) -> float:
-        """Estimate how long the slots in use will be held on average.
+    def count_open(self, waiting: Waiting) -> float:
+        """Count the slots that come free for a request by and by.
+
+        :param waiting: the request.
+        :return: slots of suited backend servers, without those that lower
+            tiers hold for their minimum share.
+        """
+        now = self._clock()
+        usable = [view for view in self.views.values() if view.is_usable(now)]
+        suited = [view for view in usable if _is_suited(view, waiting)]
+        return sum(
+            max(float(0), view.limit - _count_protected(view, waiting.tier))
+            for view in suited or usable
+        )
+
+    def count_class(self, class_name: str) -> int:
+        """Count the running slots of a class.
+
+        :param class_name: name of the class.
+        :return: slots whose streams are not paused.
+        """
+        return sum(
+            1
+            for held in self.held.values()
+            if held.ask.class_name == class_name and not held.paused
+        )
+
+    def has_share(self, request_class: RequestClass) -> bool:
+        """Tell whether a class has its minimum share of the slots.
+
+        :param request_class: the class.
+        :return: whether it runs on at least that many slots.
+        """
+        share = request_class.minimum_share * self.count_slots(0)
+        return self.count_class(request_class.name) >= max(1, share)
 
+    def mean_remaining(self, tier: int) -> float:
+        """Estimate how long slots will be held on average.
+
+        :param tier: the lowest tier whose slots count.
         :return: seconds.
         """
-        if not self.held:
-            return float(0)
         now = self._clock()
-        remaining = sum(
+        remaining = [
             max(float(0), held.waiting.cost - (now - held.granted_at))
             for held in self.held.values()
-        )
-        return remaining / len(self.held)
+            if held.tier <= tier and not held.paused
+        ]
+        return sum(remaining) / max(1, len(remaining))
 
     def has_usable(self) -> bool:
         """Tell whether any backend server may get new work now."""
@@ -224,9 +259,11 @@
             return
         view.note_success()
         estimate = self.estimates.get(held.ask.class_name)
-        if estimate is None or held.request_was_paused:
+        if estimate is None:
             return
-        self._learn(estimate, view, held, done)
+        estimate.learn_length(done.tokens)
+        if not held.request_was_paused:
+            self._learn(estimate, view, held, done)
 
     # Pausing
 
@@ -242,7 +279,9 @@
         victims = [
             held
             for view in self.views.values()
-            if view.is_usable(now) and _is_suited(view, waiting)
+            if view.is_usable(now)
+            and _is_suited(view, waiting)
+            and self._has_tokens(view, waiting)
             for held in view.held.values()
             if self._may_pause(held, waiting)
         ]
@@ -264,6 +303,8 @@
             held = self.held[request_id]
             view = self.find_view(request_id)
             overdue = now - paused_at > _PAUSE_LIMIT_S
+            if overdue:
+                overdue = not self.has_share(held.waiting.request_class)
             has_room = view and view.count_running() + 1 <= view.limit
             first = highest_waiting is None or highest_waiting >= held.tier
             if overdue or (has_room and first):
@@ -277,7 +318,7 @@
     def _may_pause(self, held: Held, waiting: Waiting) -> bool:
         if held.paused or held.minimum_share or held.tier <= waiting.tier:
             return False
-        if held.first_token_s is None and not held.tokens:
+        if self._clock() < held.first_token_at:
             return False
         expected = max(1, held.reserved_tokens - held.ask.prompt_tokens)
         return held.tokens / expected < _PAUSE_PROGRESS_LIMIT
@@ -316,15 +357,22 @@
             return False
         if view.count_running() + 1 > view.limit:
             return False
-        needed = self._reserve_tokens(waiting.ask)
-        return not view.held or view.count_free_tokens(now) >= needed
+        return not view.held or self._has_tokens(view, waiting)
+
+    def _has_tokens(self, view: BackendView, waiting: Waiting) -> bool:
+        # Paused streams keep their KV tokens, so lower tiers leave some free.
+        spared = view.kv_limit * _KV_HEADROOM * waiting.tier
+        needed = self._reserve_tokens(waiting.ask) + spared
+        return view.count_free_tokens() >= needed
 
     def _score(self, view: BackendView, waiting: Waiting, now: float) -> float:
         ask = waiting.ask
         prompt_tokens = float(ask.prompt_tokens)
         if self._prefixes.is_held(view.name, ask.prefix, now):
             prompt_tokens *= _CACHED_SHARE
-        prefill = (view.count_prefill_tokens() + prompt_tokens) / _PREFILL_RATE
+        prefill = (
+            view.count_prefill_tokens(now) + prompt_tokens
+        ) / _PREFILL_RATE
         load = view.count_running() / view.limit
         return (prefill + load * _LOAD_WEIGHT_S) * view.first_factor
 
@@ -370,6 +418,14 @@
         held.seen_at = now
 
 
+def _count_protected(view: BackendView, tier: int) -> int:
+    return sum(
+        1
+        for held in view.held.values()
+        if held.minimum_share and held.tier > tier and not held.paused
+    )
+
+
 def _rank_victim(held: Held) -> tuple[int, float]:
     return held.tier, held.granted_at
 
--- a/egretdale/state/backends.py
+++ b/egretdale/state/backends.py
@@ -15,8 +15,8 @@
 _SUSPENSION_START_S = 0.5
 _SUSPENSION_MAXIMUM_S = 10.0
 _SPEED_SMOOTHING = 0.3
-_REPORT_LIFETIME_S = 10.0
 _SHORTEST_S = 0.001
+_CAUTION = 1.5
 _LARGEST_RATIO = 10.0
 _DEFAULT_KV_TOKENS = 1000000
 
@@ -88,6 +88,13 @@
     seen_at: float = float('-inf')
     request_was_paused: bool = False
 
+    @property
+    def first_token_at(self) -> float:
+        """Monotonic seconds of the first token, expected or reported."""
+        if self.first_token_s is None and not self.tokens:
+            return self.granted_at + self.waiting.first_token_s * _CAUTION
+        return self.granted_at
+
     @property
     def tier(self) -> int:
         """Tier of the request."""
@@ -100,6 +107,7 @@
     :ivar address: its entry in the platform's list.
     :ivar held: slots in use by request identity.
     :ivar limit: requests that it may run at once, adapted to its speed.
+    :ivar kv_limit: tokens that its KV cache holds, as last reported.
     :ivar token_s: mean seconds between tokens of a stream; ``None`` before
         anything was measured.
     :ivar first_factor: ratio of first-token times to what was predicted.
@@ -109,12 +117,11 @@
         '_adapted_at',
         '_failures',
         '_maximum',
-        '_report',
-        '_report_at',
         '_suspended_until',
         'address',
         'first_factor',
         'held',
+        'kv_limit',
         'limit',
         'token_s',
     )
@@ -134,8 +141,7 @@
         self._adapted_at = float(0)
         self._failures = 0
         self._suspended_until = float(0)
-        self._report: LoadReport | None = None
-        self._report_at = float(0)
+        self.kv_limit = _DEFAULT_KV_TOKENS
 
     @property
     def name(self) -> str:
@@ -166,24 +172,22 @@
         """Count the slots in use whose streams are not paused."""
         return sum(1 for held in self.held.values() if not held.paused)
 
-    def count_free_tokens(self, now: float) -> int:
-        """Count the KV tokens that may still be set aside.
+    def count_free_tokens(self) -> int:
+        """Count the KV tokens that may still be set aside."""
+        return self.kv_limit - sum(
+            held.reserved_tokens for held in self.held.values()
+        )
+
+    def count_prefill_tokens(self, now: float) -> int:
+        """Count prompt tokens of requests that have no first token yet.
 
         :param now: monotonic seconds.
-        :return: tokens; the last report corrects our own figure while fresh.
+        :return: tokens.
         """
-        reserved = sum(held.reserved_tokens for held in self.held.values())
-        report = self._report
-        if report is None or now - self._report_at > _REPORT_LIFETIME_S:
-            return _DEFAULT_KV_TOKENS - reserved
-        return report.kv_limit - reserved
-
-    def count_prefill_tokens(self) -> int:
-        """Count prompt tokens of requests that have no first token yet."""
         return sum(
             held.ask.prompt_tokens
             for held in self.held.values()
-            if held.first_token_s is None and not held.paused
+            if now < held.first_token_at and not held.paused
         )
 
     def accept_report(self, report: LoadReport, now: float) -> None:
@@ -192,8 +196,7 @@
         :param report: the report.
         :param now: monotonic seconds.
         """
-        self._report = report
-        self._report_at = now
+        self.kv_limit = report.kv_limit
         if now >= self._suspended_until and not self.held:
             self._failures = 0
 
--- a/egretdale/state/estimates.py
+++ b/egretdale/state/estimates.py
@@ -8,6 +8,7 @@
 from egretdale.state.documents import RequestClass
 
 _SMOOTHING = 0.1
+_LENGTH_SMOOTHING = 0.02
 _HISTORY = 256
 _QUANTILE_STEPS = 10
 _HIGH_DECILE = 8
@@ -57,6 +58,16 @@
         self._tokens = float(request_class.expected_output_tokens)
         self._lengths: deque[int] = deque(maxlen=_HISTORY)
 
+    def learn_length(self, tokens: int) -> None:
+        """Learn the output length of a finished request.
+
+        :param tokens: tokens of the output.
+        """
+        self._lengths.append(tokens)
+        # The first samples replace the document's figure quickly.
+        weight = max(1 / (len(self._lengths) + 1), _LENGTH_SMOOTHING)
+        self._tokens = smooth(self._tokens, tokens, weight)
+
     def learn(
         self,
         prompt_tokens: int,
@@ -64,7 +75,7 @@
         first_token_s: float,
         running_s: float,
     ) -> None:
-        """Learn from a finished request.
+        """Learn from the times of a finished request.
 
         :param prompt_tokens: length of its prompt.
         :param tokens: length of its output.
@@ -76,8 +87,6 @@
             self.prompt_tokens = float(prompt_tokens)
         self.first_token_s = smooth(self.first_token_s, first_token_s)
         self.prompt_tokens = smooth(self.prompt_tokens, prompt_tokens)
-        self._tokens = smooth(self._tokens, tokens)
-        self._lengths.append(tokens)
         if tokens > 1:
             sample = (running_s - first_token_s) / (tokens - 1)
             self.token_s = smooth(self.token_s, max(float(0), sample))
--- a/standins/replay.py
+++ b/standins/replay.py
@@ -257,11 +257,10 @@
 
 
 def _find_longest_gap(endings: list[Ending]) -> float:
-    served = sorted(
-        ended.started_at + ended.first_s
-        for ended in endings
-        if ended.first_s is not None
-    )
+    answered = [ended for ended in endings if ended.first_s is not None]
+    firsts = [ended.started_at + (ended.first_s or 0) for ended in answered]
+    ends = [ended.ended_at for ended in answered]
+    served = sorted([*firsts, *ends])
     longest = float(0)
     first = min(ended.started_at for ended in endings)
     last = max(ended.started_at for ended in endings)
