Serve requests that can still meet their target before late ones

Change: requests that missed their target wait aside, oldest first, with a quarter of the class's work; those that no slot could serve within their patience are refused at once. The goodput bound now counts all work that the engines could begin before it expires, also after the last arrival.

--- a/egretdale/coordination/allocation.py
+++ b/egretdale/coordination/allocation.py
@@ -28,7 +28,7 @@
 _GRANT_FLIGHT_S = 1.0
 _NO_BACKEND_RETRY_S = 5.0
 _PERMILLE = 1000
-_ADMISSION_SHARE = 0.8
+_ADMISSION_MARGIN = 0.2
 _OVERLOADED_PERMILLE = 10000
 
 
@@ -166,6 +166,8 @@
             if now >= waiting.expiry:
                 self._order.remove(waiting.ask.request_id)
                 self._deny(waiting, Reason.PATIENCE_EXCEEDED)
+        for late in self._order.list_late():
+            self._refuse_hopeless(late)
 
     def take_replies(self) -> dict[str, GroupReply]:
         """Take the decisions made since the last call.
@@ -220,12 +222,25 @@
             return
         wait_s = self.estimate_wait(waiting)
         allowed_s = waiting.expiry - self._clock()
-        if wait_s > allowed_s * _ADMISSION_SHARE and not ask.returning:
+        margin_s = waiting.request_class.first_token_s * _ADMISSION_MARGIN
+        if wait_s > allowed_s - margin_s and not ask.returning:
             self._deny(waiting, Reason.TARGET_UNREACHABLE, wait_s)
             return
         self._order.add(waiting)
         self._demand.add(waiting.tier, waiting.cost, self._clock())
 
+    def _refuse_hopeless(self, late: list[Waiting]) -> None:
+        # Even with every slot the last ones would not be served in time.
+        slots = max(1, self.pool.count_open(late[0]))
+        now = self._clock()
+        ahead = float(0)
+        for waiting in late:
+            if ahead / slots > waiting.expiry - now:
+                self._order.remove(waiting.ask.request_id)
+                self._deny(waiting, Reason.TARGET_UNREACHABLE, ahead / slots)
+            else:
+                ahead += waiting.cost
+
     def _create_waiting(
         self, host: str, ask: Ask, arrival: float
     ) -> Waiting | None:
@@ -310,7 +325,7 @@
     # Slots
 
     def _dispatch_next(self) -> bool:
-        for choice in self._order.list_candidates():
+        for choice in self._order.list_candidates(self._clock()):
             request_class = choice.waiting.request_class
             if choice.minimum_share and self.pool.has_share(request_class):
                 continue
--- a/egretdale/state/order.py
+++ b/egretdale/state/order.py
@@ -10,6 +10,7 @@
 from egretdale.state.messages import Ask
 
 _SHORTEST_WAIT_SHARE = 0.25
+_LATE_SHARE = 0.25
 
 
 @dataclass(slots=True, eq=False)
@@ -50,6 +51,14 @@
         """Monotonic seconds after which the target cannot be met."""
         return self.deadline - self.first_token_s
 
+    def is_late(self, now: float) -> bool:
+        """Tell whether the target can no longer be met.
+
+        :param now: monotonic seconds.
+        :return: whether it is too late.
+        """
+        return now > self.latest_start
+
     @property
     def tier(self) -> int:
         """Tier of the class."""
@@ -132,6 +141,8 @@
     """
 
     __slots__ = (
+        '_late',
+        '_late_credit',
         '_organisations',
         '_virtual_time',
         'cost',
@@ -150,6 +161,8 @@
         self.count = 0
         self.credit = float(0)
         self._virtual_time = float(0)
+        self._late: dict[str, Waiting] = {}
+        self._late_credit = float(0)
         self._organisations: dict[str, OrganisationQueue] = {}
 
     def add(self, waiting: Waiting) -> None:
@@ -173,7 +186,8 @@
 
         :param waiting: the request.
         """
-        self._organisations[waiting.ask.organisation].remove(waiting)
+        if self._late.pop(waiting.ask.request_id, None) is None:
+            self._organisations[waiting.ask.organisation].remove(waiting)
         self.count -= 1
         self.cost -= waiting.cost
 
@@ -183,17 +197,44 @@
         :param waiting: the request.
         """
         queue = self._organisations[waiting.ask.organisation]
-        self._virtual_time = max(self._virtual_time, queue.tag)
-        queue.tag += waiting.cost / waiting.weight
+        if waiting.ask.request_id in self._late:
+            self._late_credit = max(float(0), self._late_credit - waiting.cost)
+        else:
+            self._virtual_time = max(self._virtual_time, queue.tag)
+            queue.tag += waiting.cost / waiting.weight
+            if self._late:
+                self._late_credit += waiting.cost * _LATE_SHARE
         self.remove(waiting)
 
-    def peek(self) -> Waiting | None:
-        """Return the request that is next within the class."""
+    def peek(self, now: float) -> Waiting | None:
+        """Return the request that is next within the class.
+
+        Requests that can still meet their target go before late ones, which
+        get a share of the work.
+
+        :param now: monotonic seconds.
+        :return: the request, or ``None``.
+        """
+        self._set_late_aside(now)
+        late = next(iter(self._late.values()), None)
         active = [queue for queue in self._organisations.values() if len(queue)]
         if not active:
-            return None
+            return late
+        if late is not None and self._late_credit >= late.cost:
+            return late
         return min(active, key=_rank_queue).peek()
 
+    def list_late(self) -> list[Waiting]:
+        """List the requests that missed their target, the oldest first."""
+        return list(self._late.values())
+
+    def _set_late_aside(self, now: float) -> None:
+        for queue in self._organisations.values():
+            while len(queue) and queue.peek().is_late(now):
+                waiting = queue.peek()
+                queue.remove(waiting)
+                self._late[waiting.ask.request_id] = waiting
+
     def measure_ahead(self, organisation: str, own: float) -> float:
         """Measure the work served before a new request of an organisation.
 
@@ -202,6 +243,7 @@
         :return: slot-seconds under fair sharing.
         """
         queue = self._organisations.get(organisation)
+        late_share = _LATE_SHARE if self._late else float(0)
         own_cost = queue.cost if queue else float(0)
         weight = queue.weight if queue else float(1)
         level = (own_cost + own) / weight
@@ -209,15 +251,7 @@
         for name, other in self._organisations.items():
             if name != organisation:
                 ahead += min(other.cost, level * other.weight)
-        return ahead
-
-    def list_waiting(self) -> list[Waiting]:
-        """List the requests, those of one organisation together."""
-        return [
-            waiting
-            for queue in self._organisations.values()
-            for waiting in queue
-        ]
+        return ahead * (1 + late_share)
 
 
 def _rank_queue(queue: OrganisationQueue) -> tuple[float, float]:
@@ -289,20 +323,21 @@
         own.take(waiting)
         own.credit = max(float(0), own.credit - waiting.cost)
 
-    def list_candidates(self) -> list[Choice]:
+    def list_candidates(self, now: float) -> list[Choice]:
         """List the requests that may get the next slot.
 
+        :param now: monotonic seconds.
         :return: a request that its minimum share chose, if any, then the
             request that is first in order.
         """
         candidates = []
-        owed = self._choose_owed()
+        owed = self._choose_owed(now)
         if owed is not None:
             candidates.append(owed)
-        heads = [queue.peek() for queue in self._queues.values()]
+        heads = [queue.peek(now) for queue in self._queues.values()]
         waiting = [head for head in heads if head is not None]
         if waiting:
-            first = min(waiting, key=_rank_head)
+            first = min(waiting, key=lambda head: _rank_head(head, now))
             candidates.append(Choice(first, minimum_share=False))
         return candidates
 
@@ -349,17 +384,22 @@
         ]
         return min(tiers, default=None)
 
-    def _choose_owed(self) -> Choice | None:
+    def list_late(self) -> list[list[Waiting]]:
+        """List the late requests of each class that has any."""
+        late = [queue.list_late() for queue in self._queues.values()]
+        return [entries for entries in late if entries]
+
+    def _choose_owed(self, now: float) -> Choice | None:
         for queue in self._queues.values():
             if queue.count and queue.credit > 0:
-                head = queue.peek()
+                head = queue.peek(now)
                 if head is not None and queue.credit >= head.cost:
                     return Choice(head, minimum_share=True)
         return None
 
 
-def _rank_head(waiting: Waiting) -> tuple[int, float]:
-    return waiting.tier, waiting.deadline
+def _rank_head(waiting: Waiting, now: float) -> tuple[int, bool, float]:
+    return waiting.tier, waiting.is_late(now), waiting.deadline
 
 
 def _goes_before(queue: ClassQueue, waiting: Waiting) -> bool:
@@ -368,5 +408,6 @@
     tier = queue.request_class.tier
     if tier != waiting.tier:
         return tier < waiting.tier
-    head = queue.peek()
-    return head is not None and head.deadline <= waiting.deadline
+    return queue.request_class.first_token_ms <= (
+        waiting.request_class.first_token_ms
+    )
--- a/standins/baselines.py
+++ b/standins/baselines.py
@@ -80,7 +80,7 @@
 
     __slots__ = ()
 
-    def list_candidates(self) -> list[Choice]:
+    def list_candidates(self, now: float) -> list[Choice]:
         """List the request that came first."""
         waiting = self.list_waiting()
         if not waiting:
@@ -176,6 +176,12 @@
             eventlet.sleep(_QUEUE_POLL_S)
         return Denial(ask.request_id, Reason.PATIENCE_EXCEEDED, 2000)
 
+    def adopt(self, ask: Ask, backend: str) -> Active:
+        """Take over a slot whose holder has gone."""
+        now = self._view.node.surroundings.clock()
+        self._view.in_flight[backend] = self._own(backend) + 1
+        return Active(ask, now, backend, now)
+
     def release(self, active: Active, *, whole: bool, failed: bool) -> None:
         """Give a slot back."""
         self._view.in_flight[active.backend] -= 1
--- a/standins/bounds.py
+++ b/standins/bounds.py
@@ -40,12 +40,14 @@
     :param trace: the trace.
     :param document: document with the patience of each class.
     :param profile: speed and limits of the engines.
-    :return: engine-seconds up to the last event of the trace.
+    :return: engine-seconds.
     """
     patience = {entry.name: entry.patience_s for entry in document.classes}
     waiting: list[_Work] = []
     done = float(0)
-    for second in range(int(trace.events[-1].at) + 1):
+    second = 0
+    last = int(trace.events[-1].at)
+    while second <= last or waiting:
         for event in trace.events:
             if isinstance(event, Arrival) and int(event.at) == second:
                 expiry = event.at + patience[event.class_name]
@@ -55,6 +57,7 @@
         waiting.sort(key=_read_expiry)
         done += _serve(waiting, count_engines(trace, second))
         waiting = [work for work in waiting if work.cost > 0]
+        second += 1
     return done
 
 
--- a/standins/replay.py
+++ b/standins/replay.py
@@ -277,22 +277,13 @@
     trace: Trace, document: ServiceDocument, whole: list[Ending]
 ) -> float:
     profile = EngineProfile()
-    last = _WARM_UP_S + trace.events[-1].at
     done = float(0)
     for ending in whole:
         work = ending.demand.work
-        cost = compute_cost(work.prompt, work.output, profile)
-        done += cost * _measure_part(ending, last)
+        done += compute_cost(work.prompt, work.output, profile)
     return done / bound_deliverable(trace, document, profile)
 
 
-def _measure_part(ended: Ending, last: float) -> float:
-    # The part of a stream that ran before the last arrival.
-    first_at = ended.started_at + (ended.first_s or 0)
-    length = max(ended.ended_at - first_at, 0.001)
-    return max(0, min(1, (last - first_at) / length))
-
-
 def _count_unfair(document: ServiceDocument, log: DecisionLog) -> int:
     tiers = {entry.name: entry.tier for entry in document.classes}
     grants = [
--- a/tests/test_state/test_order.py
+++ b/tests/test_state/test_order.py
@@ -10,7 +10,7 @@
 
 
 def _take_next(order: WaitingOrder) -> str:
-    choice = order.list_candidates()[0]
+    choice = order.list_candidates(0)[0]
     order.take(choice)
     return choice.waiting.ask.request_id
 
