--- a/egretdale/config.py
+++ b/egretdale/config.py
@@ -67,7 +67,7 @@
     drain_limit_s: _Seconds = 600.0
     probe_period_s: _Seconds = 0.5
     suspicion_s: _Seconds = 1.0
-    peer_timeout_s: _Seconds = 0.3
+    peer_timeout_s: _Seconds = 0.15
     peer_bytes_per_s: _Rate = 4096.0
     platform_timeout_s: _Seconds = 2.0
     platform_calls_per_s: _Rate = 50.0
--- a/egretdale/coordination/allocation.py
+++ b/egretdale/coordination/allocation.py
@@ -27,6 +27,7 @@
 
 _GRANT_FLIGHT_S = 1.0
 _NO_BACKEND_RETRY_S = 5.0
+_LONGEST_WAIT_S = 86400.0
 _PERMILLE = 1000
 _ADMISSION_MARGIN = 0.2
 _OVERLOADED_PERMILLE = 10000
@@ -198,12 +199,14 @@
         :param waiting: a request that has not been added.
         :return: seconds.
         """
-        ahead = self._order.measure_ahead(waiting)
         slots = self.pool.count_slots(waiting.tier)
-        if ahead <= 0 and self.pool.count_busy() < slots:
+        free = slots - self.pool.count_busy()
+        if free > self._order.count_ahead(waiting):
             return float(0)
+        ahead = self._order.measure_ahead(waiting)
         if slots < 1:
-            return waiting.request_class.patience_s * 2
+            # All are suspended; the first one that is probed serves.
+            return self.pool.measure_suspension() + ahead
         # Higher tiers go on arriving while the request waits.
         above = self._demand.read_above(waiting.tier, self._clock())
         least = slots * waiting.request_class.minimum_share
@@ -217,7 +220,7 @@
         if waiting is None:
             self._deny_unknown(host, ask)
             return
-        if not self.pool.views:
+        if self.pool.has_left():
             self._deny(waiting, Reason.NO_BACKEND_SERVER)
             return
         wait_s = self.estimate_wait(waiting)
@@ -290,6 +293,7 @@
     ) -> None:
         if wait_s is None:
             wait_s = self.estimate_wait(waiting)
+        wait_s = min(wait_s, _LONGEST_WAIT_S)
         retry_after_s = self._promise(waiting, wait_s)
         denial = Denial(
             waiting.ask.request_id,
@@ -313,7 +317,7 @@
         )
 
     def _promise(self, waiting: Waiting, wait_s: float) -> float:
-        if not self.pool.views:
+        if self.pool.has_left():
             return _NO_BACKEND_RETRY_S
         slots = max(1, self.pool.count_slots(waiting.tier))
         excess_s = wait_s - waiting.request_class.patience_s / 2
--- a/egretdale/coordination/claims.py
+++ b/egretdale/coordination/claims.py
@@ -16,8 +16,8 @@
     StoredObject,
     Written,
 )
-from egretdale.errors import Ambiguous, Missing, Unreachable
-from egretdale.state.members import MemberTable
+from egretdale.errors import Ambiguous, Conflict, Missing, Unreachable
+from egretdale.state.members import MemberStatus, MemberTable
 from egretdale.state.messages import ClaimAsk, ClaimReply
 from egretdale.util.clocks import Clock
 from egretdale.util.logs import get_logger
@@ -25,6 +25,7 @@
 logger = get_logger(__name__)
 
 CLAIM_KIND = 'claims'
+DECISION_KIND = 'decisions'
 ISSUED_PREFIX = 'ik1.'
 
 _KEY_LIFETIME_S = 3600.0
@@ -69,6 +70,19 @@
     finished: bool = False
 
 
+class StoredDecisions(msgspec.Struct, frozen=True):
+    """The decisions that a process left behind at its planned stop.
+
+    :ivar floor_age: keys issued before this age in seconds are unknown.
+    :ivar finished: last parts of the keys whose requests have run.
+    :ivar running: last parts of the keys whose requests may be running.
+    """
+
+    floor_age: int
+    finished: tuple[str, ...]
+    running: tuple[str, ...]
+
+
 class KeyIssuer:
     """Issues keys and decides on them from memory.
 
@@ -78,6 +92,7 @@
 
     __slots__ = (
         '_clock',
+        '_closed',
         '_decisions',
         '_floor_age',
         '_issued',
@@ -96,6 +111,7 @@
         self._clock = clock
         self._started_at = clock()
         self._issued = 0
+        self._closed = False
         self._floor_age = 0
         self._decisions: OrderedDict[str, _Decision] = OrderedDict()
 
@@ -114,7 +130,7 @@
         :param question: the question.
         :return: the decision.
         """
-        if not self._is_valid(question.key):
+        if self._closed or not self._is_valid(question.key):
             return ClaimReply(ClaimVerdict.UNKNOWN)
         known = self._decisions.get(question.key)
         if known is None:
@@ -131,6 +147,29 @@
         verdict = ClaimVerdict.RAN if known.finished else ClaimVerdict.RUNNING
         return ClaimReply(verdict, known.host)
 
+    def close(self) -> StoredDecisions:
+        """Stop deciding and export the decisions for a planned stop.
+
+        :return: every key of this process that may have run.
+        """
+        self._closed = True
+        finished = [
+            key.removeprefix(self._process)
+            for key, decision in self._decisions.items()
+            if decision.finished
+        ]
+        running = [
+            key.removeprefix(self._process)
+            for key, decision in self._decisions.items()
+            if not decision.finished
+        ]
+        return StoredDecisions(self._floor_age, tuple(finished), tuple(running))
+
+    @property
+    def process(self) -> str:
+        """Text that all keys of this process begin with."""
+        return self._process
+
     def settle(self, key: str, *, ran: bool) -> None:
         """Note how a request ended.
 
@@ -184,6 +223,7 @@
         '_issuer',
         '_network',
         '_platform',
+        '_stored',
         '_table',
         '_unsettled',
     )
@@ -207,6 +247,7 @@
         self._network = network
         self._platform = platform
         self._unsettled: dict[str, _Unsettled] = {}
+        self._stored: set[str] = set()
 
     def claim(self, question: ClaimAsk) -> ClaimReply:
         """Claim a key.
@@ -224,43 +265,75 @@
         :param question: the question that was answered with ``run``.
         :param ran: whether a backend server may have run it.
         """
-        if question.key.startswith(ISSUED_PREFIX):
-            self._settle_issued(question.key, ran=ran)
-        else:
-            self._settle_stored(question, ran=ran)
+        if not self._settle_once(question, ran=ran):
+            self._unsettled[question.nonce] = _Unsettled(question, ran)
 
     def _claim_issued(self, question: ClaimAsk) -> ClaimReply:
         issuer = _read_issuer(question.key)
         if issuer == self._table.own_host:
             return self._issuer.decide(question)
         member = self._table.find(issuer)
-        if member is None:
-            return ClaimReply(ClaimVerdict.UNKNOWN)
+        if member is None or member.status == MemberStatus.GONE:
+            return self._claim_left(question)
         # The question carries a nonce, so asking again is harmless.
         for _ in range(_ATTEMPTS):
             outcome = self._network.claim(member.update.peer_address, question)
             if isinstance(outcome, ClaimReply):
+                if outcome.verdict == ClaimVerdict.UNKNOWN:
+                    return self._claim_left(question)
                 return outcome
             eventlet.sleep(_PAUSE_S)
-        return ClaimReply(ClaimVerdict.UNKNOWN)
+        return self._claim_left(question)
 
-    def _settle_issued(self, key: str, *, ran: bool) -> None:
+    def _claim_left(self, question: ClaimAsk) -> ClaimReply:
+        # A process that stopped as planned has left its decisions behind.
+        process = f'{question.key.rsplit(".", 2)[0]}.'
+        stored = self._platform.read(DECISION_KIND, process)
+        if not isinstance(stored, StoredObject):
+            return ClaimReply(ClaimVerdict.UNKNOWN)
+        left = msgspec.json.decode(stored.body, type=StoredDecisions)
+        suffix = question.key.removeprefix(process)
+        if suffix in left.finished:
+            return ClaimReply(ClaimVerdict.RAN)
+        if suffix in left.running or _read_age(suffix) < left.floor_age:
+            return ClaimReply(ClaimVerdict.UNKNOWN)
+        return self._claim_stored(question)
+
+    def leave_decisions(self) -> bool:
+        """Stop deciding on issued keys and leave the decisions behind.
+
+        :return: whether they are stored.
+        """
+        body = msgspec.json.encode(self._issuer.close())
+        for _ in range(_ATTEMPTS):
+            outcome = self._platform.write(
+                DECISION_KIND, self._issuer.process, body, 0
+            )
+            # A conflict says that an earlier try was stored.
+            if isinstance(outcome, Written | Conflict):
+                return True
+            eventlet.sleep(_PAUSE_S)
+        return False
+
+    def _settle_issued(self, key: str, *, ran: bool) -> bool:
         issuer = _read_issuer(key)
         if issuer == self._table.own_host:
             self._issuer.settle(key, ran=ran)
-            return
+            return True
         member = self._table.find(issuer)
         if member is None:
-            return
+            return False
         for _ in range(_ATTEMPTS):
             address = member.update.peer_address
             outcome = self._network.settle(address, key, ran=ran)
             if isinstance(outcome, bool):
-                return
+                return True
             eventlet.sleep(_PAUSE_S)
+        return False
 
     def _claim_stored(self, question: ClaimAsk) -> ClaimReply:
         claim = StoredClaim(question.nonce, question.host, question.fingerprint)
+        self._stored.add(question.nonce)
         name = _name_claim(question.key)
         expected = 0
         for _ in range(_ATTEMPTS):
@@ -305,14 +378,18 @@
         while True:
             eventlet.sleep(_SETTLE_PERIOD_S)
             for nonce, entry in list(self._unsettled.items()):
-                if self._try_settle(entry.question, ran=entry.ran):
+                if self._settle_once(entry.question, ran=entry.ran):
                     self._unsettled.pop(nonce, None)
 
-    def _settle_stored(self, question: ClaimAsk, *, ran: bool) -> None:
-        if not self._try_settle(question, ran=ran):
-            self._unsettled[question.nonce] = _Unsettled(question, ran)
+    def _settle_once(self, question: ClaimAsk, *, ran: bool) -> bool:
+        if question.nonce not in self._stored:
+            return self._settle_issued(question.key, ran=ran)
+        settled = self._settle_stored(question, ran=ran)
+        if settled:
+            self._stored.discard(question.nonce)
+        return settled
 
-    def _try_settle(self, question: ClaimAsk, *, ran: bool) -> bool:
+    def _settle_stored(self, question: ClaimAsk, *, ran: bool) -> bool:
         name = _name_claim(question.key)
         stored = self._platform.read(CLAIM_KIND, name)
         match stored:
@@ -340,6 +417,14 @@
     return 0
 
 
+def _read_age(suffix: str) -> int:
+    """Read the age at which a key was issued, -1 when it is malformed."""
+    try:
+        return int(suffix.partition('.')[0], _HEXADECIMAL)
+    except ValueError:
+        return -1
+
+
 def _read_issuer(key: str) -> str:
     return key.removeprefix(ISSUED_PREFIX).split('.')[0]
 
--- a/egretdale/coordination/membership.py
+++ b/egretdale/coordination/membership.py
@@ -169,7 +169,7 @@
         :param host: name of the host.
         """
         member = self.table.find(host)
-        if member is not None and member.status == MemberStatus.ALIVE:
+        if member is not None and member.status < MemberStatus.SUSPECT:
             self.learn(replace(member.update, status=MemberStatus.SUSPECT))
 
     # This host
@@ -182,6 +182,11 @@
         if load != self.own.load:
             self._publish(load=load)
 
+    def join(self) -> None:
+        """Tell peers that this host is ready to serve."""
+        self._publish(status=int(MemberStatus.ALIVE))
+        self._probe_all()
+
     def leave(self) -> None:
         """Mark this host as leaving and tell peers and the platform."""
         self._publish(status=int(MemberStatus.LEAVING))
--- a/egretdale/coordination/mesh.py
+++ b/egretdale/coordination/mesh.py
@@ -19,7 +19,7 @@
 
 _COALESCE_S = 0.02
 _BUDGET_BURST_S = 4.0
-_RETRY_S = 0.05
+_RETRY_S = 0.01
 
 #: Handles a batch from a peer and returns what there is to say at once.
 BatchHandler = Callable[[Batch], Batch]
--- a/egretdale/coordination/node.py
+++ b/egretdale/coordination/node.py
@@ -21,7 +21,7 @@
 from egretdale.coordination.submission import DocumentStore
 from egretdale.state.figures import Figures
 from egretdale.state.identity import RequestNumbers
-from egretdale.state.members import MemberTable
+from egretdale.state.members import MemberStatus, MemberTable
 from egretdale.state.messages import MemberUpdate
 from egretdale.state.outcomes import Ran, Reason, Refused
 from egretdale.util.clocks import Clock, WallClock, convert_to_ms
@@ -33,6 +33,7 @@
 _CONFIRMATION_S = 1.5
 _WATCHDOG_PERIOD_S = 0.25
 _PAUSE_LIMIT_S = 1.5
+_JOINING_CHECK_S = 0.05
 _ISOLATED_RETRY_S = 5.0
 _STARTING_RETRY_S = 1.0
 
@@ -131,6 +132,7 @@
         tasks.start(self.desk.run_sync)
         tasks.start(self.claims.run_settling)
         tasks.start(self._run_watchdog)
+        tasks.start(self._run_joining)
 
     def find_obstacle(self, service: str) -> Refused | None:
         """Tell why this host may not take new work.
@@ -176,6 +178,11 @@
         self.board.reset()
         self.membership.rejoin(incarnation)
 
+    def _run_joining(self) -> None:
+        while not self.replica.is_settled(_CONFIRMATION_S):
+            eventlet.sleep(_JOINING_CHECK_S)
+        self.membership.join()
+
     def _run_watchdog(self) -> None:
         clock = self.surroundings.clock
         while True:
@@ -191,7 +198,7 @@
             settings.host,
             incarnation,
             0,
-            0,
+            int(MemberStatus.JOINING),
             settings.data_centre,
             settings.caller_address,
             settings.peer_address,
--- a/egretdale/coordination/pool.py
+++ b/egretdale/coordination/pool.py
@@ -182,10 +182,24 @@
         ]
         return sum(remaining) / max(1, len(remaining))
 
-    def has_usable(self) -> bool:
-        """Tell whether any backend server may get new work now."""
+    def has_left(self) -> bool:
+        """Tell whether no backend server will take new work."""
+        return all(view.address.leaving for view in self.views.values())
+
+    def measure_suspension(self) -> float:
+        """Measure how long it takes until a backend server may be probed.
+
+        :return: seconds; infinite when all are leaving.
+        """
         now = self._clock()
-        return any(view.is_usable(now) for view in self.views.values())
+        return min(
+            (
+                view.measure_suspension(now)
+                for view in self.views.values()
+                if not view.address.leaving
+            ),
+            default=float('inf'),
+        )
 
     # Slots
 
--- a/egretdale/coordination/replica.py
+++ b/egretdale/coordination/replica.py
@@ -23,7 +23,7 @@
     ServiceDocument,
     parse_document,
 )
-from egretdale.state.members import MemberTable
+from egretdale.state.members import MemberStatus, MemberTable
 from egretdale.state.messages import Batch, DocumentCopy, Revision
 from egretdale.util.clocks import Clock
 from egretdale.util.logs import get_logger
@@ -214,9 +214,16 @@
     def fill(self, host: str, batch: Batch) -> None:
         """Add revisions to a batch: changed ones and one of the others.
 
+        A host that is joining gets them all.
+
         :param host: receiving host.
         :param batch: the batch.
         """
+        receiver = self._table.find(host)
+        if receiver is None or receiver.status != MemberStatus.ALIVE:
+            batch.revisions.extend(self.list_revisions())
+            batch.complete = self._settled
+            return
         chosen = list(self._news)
         for service in chosen:
             self._news[service] -= 1
@@ -236,7 +243,7 @@
 
         :param batch: a batch from a peer.
         """
-        if batch.sender != self._table.own_host:
+        if batch.complete:
             self._peers_heard = True
         for news in batch.revisions:
             held = self._held.get(news.service_name)
--- a/egretdale/protocol/gen/ttypes.py
+++ b/egretdale/protocol/gen/ttypes.py
@@ -1397,6 +1397,7 @@
      - members
      - backends
      - revisions
+     - complete
 
     """
 
@@ -1408,10 +1409,11 @@
         'members',
         'backends',
         'revisions',
+        'complete',
     )
 
 
-    def __init__(self, sender=None, incarnation=None, asks=None, replies=None, members=None, backends=None, revisions=None,):
+    def __init__(self, sender=None, incarnation=None, asks=None, replies=None, members=None, backends=None, revisions=None, complete=None,):
         self.sender = sender
         self.incarnation = incarnation
         self.asks = asks
@@ -1419,6 +1421,7 @@
         self.members = members
         self.backends = backends
         self.revisions = revisions
+        self.complete = complete
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1494,6 +1497,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.complete = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1547,6 +1555,10 @@
                 iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.complete is not None:
+            oprot.writeFieldBegin('complete', TType.BOOL, 8)
+            oprot.writeBool(self.complete)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1957,6 +1969,7 @@
     (5, TType.LIST, 'members', (TType.STRUCT, [MemberUpdate, None], False), None, ),  # 5
     (6, TType.LIST, 'backends', (TType.STRUCT, [BackendUpdate, None], False), None, ),  # 6
     (7, TType.LIST, 'revisions', (TType.STRUCT, [Revision, None], False), None, ),  # 7
+    (8, TType.BOOL, 'complete', None, None, ),  # 8
 )
 all_structs.append(ClaimAsk)
 ClaimAsk.thrift_spec = (
--- a/egretdale/protocol/peer.thrift
+++ b/egretdale/protocol/peer.thrift
@@ -98,6 +98,7 @@
   5: list<MemberUpdate> members
   6: list<BackendUpdate> backends
   7: list<Revision> revisions
+  8: bool complete
 }
 
 struct ClaimAsk {
--- a/egretdale/state/backends.py
+++ b/egretdale/state/backends.py
@@ -168,6 +168,14 @@
         # After a suspension a single request probes the backend server.
         return not (self._failures and self.count_running())
 
+    def measure_suspension(self, now: float) -> float:
+        """Measure how long it stays suspended.
+
+        :param now: monotonic seconds.
+        :return: seconds.
+        """
+        return max(float(0), self._suspended_until - now)
+
     def count_running(self) -> int:
         """Count the slots in use whose streams are not paused."""
         return sum(1 for held in self.held.values() if not held.paused)
--- a/egretdale/state/members.py
+++ b/egretdale/state/members.py
@@ -12,9 +12,10 @@
     """Status of an entry host, in order of precedence."""
 
     ALIVE = 0
-    SUSPECT = 1
-    LEAVING = 2
-    GONE = 3
+    JOINING = 1
+    SUSPECT = 2
+    LEAVING = 3
+    GONE = 4
 
 
 @dataclass(slots=True)
--- a/egretdale/state/messages.py
+++ b/egretdale/state/messages.py
@@ -162,7 +162,7 @@
     :ivar host: name of the host.
     :ivar incarnation: start time of its process in milliseconds.
     :ivar counter: number that orders updates of one incarnation.
-    :ivar status: 0 alive, 1 suspect, 2 leaving, 3 gone.
+    :ivar status: a value of ``MemberStatus``.
     :ivar data_centre: data centre of the host.
     :ivar caller_address: ``address:port`` for callers.
     :ivar peer_address: ``address:port`` for other daemons.
@@ -218,6 +218,7 @@
     :ivar members: news about entry hosts.
     :ivar backends: news about backend servers.
     :ivar revisions: document revisions in force at the sender.
+    :ivar complete: whether the revisions are all that a serving host has.
     """
 
     sender: str
@@ -227,6 +228,7 @@
     members: list[MemberUpdate] = field(default_factory=list)
     backends: list[BackendUpdate] = field(default_factory=list)
     revisions: list[Revision] = field(default_factory=list)
+    complete: bool = False
 
 
 @dataclass(slots=True)
--- a/egretdale/transport/callers.py
+++ b/egretdale/transport/callers.py
@@ -281,6 +281,8 @@
         keys_text = query.get('keys', [''])[0]
         wanted = int(keys_text) if keys_text.isdigit() else _DEFAULT_KEYS
         count = min(wanted, _MAXIMUM_KEYS)
+        if self._node.membership.is_leaving():
+            count = 0
         keys = tuple(self._node.issuer.issue() for _ in range(count))
         lifetime_s = self._node.settings.answer_lifetime_s
         shorter = self._node.surroundings.source.uniform(0, _LIFETIME_JITTER)
--- a/egretdale/transport/daemon.py
+++ b/egretdale/transport/daemon.py
@@ -131,6 +131,8 @@
             cut_off=cut_off,
             drained_s=round(clock() - started_at, 3),
         )
+        if not self.node.claims.leave_decisions():
+            logger.warning('decisions-not-stored')
         self._finish(1 if cut_off else 0)
 
     def _finish(self, status: int) -> None:
--- /dev/null
+++ b/standins/proof.py
@@ -0,0 +1,383 @@
+"""Failure proofs against real processes under load."""
+
+from __future__ import annotations
+
+from egretdale.util import greening  # noqa: F401, I001
+
+import contextlib
+import signal
+import sys
+import time
+from collections.abc import Callable
+from types import MappingProxyType
+
+import click
+import eventlet
+
+from standins.callers import Call
+from standins.scene import CLAIMS, EXAMPLES, WEB, Scene, create_plan
+
+_GROUP = f'{CLAIMS}/0'
+_RATE = 25.0
+
+
+def prove_host_killed(scene: Scene) -> str:
+    """Kill an entry host that is no allocator; its callers go elsewhere."""
+    scene.start_load(_RATE, 8)
+    scene.sleep(3)
+    allocator = scene.find_allocator(_GROUP)
+    victim = next(name for name in scene.fleet.hosts if name != allocator)
+    scene.fleet.signal(victim, signal.SIGKILL)
+    scene.sleep(6)
+    return f'kill -9 of {victim} after 3 s'
+
+
+def prove_allocator_killed(scene: Scene) -> str:
+    """Kill the allocator; order is restored within 2 s."""
+    scene.start_load(_RATE, 8)
+    scene.sleep(3)
+    victim = scene.find_allocator(_GROUP)
+    scene.fleet.signal(victim, signal.SIGKILL)
+    killed_at = time.monotonic()
+    restored = None
+    while restored is None and time.monotonic() - killed_at < 10:
+        scene.sleep(0.05)
+        name = scene.find_allocator(_GROUP)
+        if name != victim:
+            restored = time.monotonic() - killed_at
+    scene.require(
+        restored is not None and restored <= 2, f'restored after {restored} s'
+    )
+    scene.sleep(6)
+    return f'kill -9 of allocator {victim}; next one after {restored:.2f} s'
+
+
+def prove_allocator_frozen(scene: Scene) -> str:
+    """Freeze the allocator past every lifetime, then let it go on."""
+    scene.start_load(_RATE, 12)
+    scene.sleep(3)
+    victim = scene.find_allocator(_GROUP)
+    scene.fleet.signal(victim, signal.SIGSTOP)
+    scene.sleep(5)
+    scene.fleet.signal(victim, signal.SIGCONT)
+    scene.sleep(5)
+    status = scene.fleet.get(scene.fleet.hosts[victim].address, '/v1/status')
+    alive = [
+        member for member in status['members'] if member['status'] == 'alive'
+    ]
+    scene.require(len(alive) == 3, f'{len(alive)} members alive afterwards')
+    return f'SIGSTOP of allocator {victim} for 5 s'
+
+
+def prove_engine_slow(scene: Scene) -> str:
+    """Slow an engine to a quarter; the top tier keeps its target."""
+    scene.start_load(_RATE, 10)
+    scene.sleep(3)
+    _set_engine(scene, 1, speed=0.25)
+    scene.sleep(8)
+    _require_attainment(scene, 0.97)
+    return 'an engine at a quarter of its speed after 3 s'
+
+
+def prove_engine_crash(scene: Scene) -> str:
+    """Kill an engine in the middle of its streams."""
+    scene.start_load(_RATE, 10)
+    scene.sleep(4)
+    scene.fleet.signal(f'{CLAIMS}-1', signal.SIGKILL)
+    scene.sleep(3)
+    scene.fleet.restart_backend(f'{CLAIMS}-1')
+    scene.sleep(4)
+    return 'kill -9 of an engine after 4 s, again after 7 s'
+
+
+def prove_engine_silent(scene: Scene) -> str:
+    """Let an engine keep its connections and send nothing any more."""
+    scene.start_load(_RATE, 10)
+    scene.sleep(3)
+    _set_engine(scene, 2, silent=True)
+    scene.sleep(8)
+    return 'an engine went silent after 3 s'
+
+
+def prove_engine_lying(scene: Scene) -> str:
+    """Let an engine always report that it is idle."""
+    _set_engine(scene, 3, lying=True)
+    scene.start_load(_RATE, 8)
+    scene.sleep(9)
+    _require_attainment(scene, 0.97)
+    return 'an engine that reports no load'
+
+
+def prove_platform_down(scene: Scene) -> str:
+    """Take the platform down; traffic goes on and nothing reverts."""
+    scene.start_load(_RATE, 10)
+    scene.sleep(2)
+    before = _read_revisions(scene)
+    _set_platform(scene, down=True)
+    path = EXAMPLES / f'{CLAIMS}.yaml'
+    refused = scene.fleet.submit(path)
+    scene.require(refused == 2, f'submit ended with {refused} in the outage')
+    scene.sleep(7)
+    scene.require(_read_revisions(scene) == before, 'a document reverted')
+    _set_platform(scene, down=False)
+    scene.sleep(2)
+    scene.require(scene.fleet.submit(path) == 0, 'submit after the outage')
+    return 'platform answers 503 for 7 s'
+
+
+def prove_write_lost(scene: Scene) -> str:
+    """Lose the replies of writes; submit tells the truth."""
+    path = EXAMPLES / f'{CLAIMS}.yaml'
+    before = _read_revisions(scene)
+    _set_platform(scene, write_lost=True)
+    status = scene.fleet.submit(path)
+    _set_platform(scene, write_lost=False)
+    scene.sleep(2)
+    after = _read_revisions(scene)
+    changed = after['host-0'][CLAIMS] > before['host-0'][CLAIMS]
+    # 0 says accepted, 4 says unknown; both are true when it was stored.
+    scene.require(changed and status in {0, 4}, f'submit said {status}')
+    scene.start_load(_RATE, 2)
+    scene.sleep(3)
+    return f'replies of writes lost; submit said {status}, stored: {changed}'
+
+
+def prove_two_operators(scene: Scene) -> str:
+    """Let two operators submit on the same base; one is told."""
+    path = str(EXAMPLES / f'{CLAIMS}.yaml')
+    base = str(_read_revisions(scene)['host-0'][CLAIMS])
+    arguments = ('document', 'submit', path, '--base-revision', base)
+    pool = eventlet.GreenPool()
+    both = [
+        pool.spawn(scene.fleet.run_command, host, *arguments)
+        for host in ('host-0', 'host-1')
+    ]
+    statuses = sorted(thread.wait().returncode for thread in both)
+    scene.require(statuses == [0, 1], f'exit statuses {statuses}')
+    scene.start_load(_RATE, 2)
+    scene.sleep(3)
+    return f'two submissions on revision {base}: exit statuses {statuses}'
+
+
+def prove_planned_stop(scene: Scene) -> str:
+    """Stop hosts under load, one after the other; nothing is cut."""
+    scene.start_load(_RATE, 16)
+    scene.sleep(2)
+    statuses = []
+    for name in list(scene.fleet.hosts):
+        running = scene.fleet.hosts[name]
+        running.process.send_signal(signal.SIGTERM)
+        while running.is_alive():
+            scene.sleep(0.05)
+        statuses.append(running.process.returncode)
+        scene.fleet.start_host(name)
+        scene.sleep(1.5)
+    scene.require(not any(statuses), f'exit statuses {statuses}')
+    scene.wait_calls()
+    resumed = sum(1 for ending in scene.endings if ending.resumed)
+    scene.require(resumed == 0, f'{resumed} streams had to be resumed')
+    refused = [
+        ending.reason for ending in scene.endings if ending.kind == 'refused'
+    ]
+    scene.require(not refused, f'refused: {refused}')
+    return f'planned stop of every host in turn: exit statuses {statuses}'
+
+
+def prove_backend_leaving(scene: Scene) -> str:
+    """Mark an engine as leaving; it gets no new work after 3 s."""
+    scene.start_load(_RATE, 10)
+    scene.sleep(2)
+    name = f'{CLAIMS}-0'
+    scene.fleet.list_backend(name, state='leaving')
+    scene.sleep(3)
+    address = scene.fleet.backends[name].address
+    before = sum(_read_runs(scene, address).values())
+    scene.sleep(5)
+    after = sum(_read_runs(scene, address).values())
+    scene.require(before == after, f'{after - before} requests after 3 s')
+    return f'{name} listed as leaving; new requests after 3 s: {after - before}'
+
+
+def prove_refusal_explained(scene: Scene) -> str:
+    """Explain a refusal with its host dead and the platform down."""
+    call = Call('unknown', CLAIMS, 'no-such-class', 'kingston-parish', 10, 1)
+    refused = scene.start_call(call).wait()
+    host = next(
+        name
+        for name, running in scene.fleet.hosts.items()
+        if running.address == refused.host
+    )
+    scene.fleet.signal(host, signal.SIGKILL)
+    _set_platform(scene, down=True)
+    other = next(name for name in scene.fleet.hosts if name != host)
+    explained = scene.fleet.run_command(other, 'explain', refused.refusal_id)
+    scene.require(
+        explained.returncode == 0 and 'unknown-class' in explained.stdout,
+        explained.stdout + explained.stderr,
+    )
+    return f'{host} killed and platform down; explain said the reason'
+
+
+def prove_document_in_force(scene: Scene) -> str:
+    """Submit twenty times; each is in force on all hosts within 2 s."""
+    path = EXAMPLES / f'{CLAIMS}.yaml'
+    delays = []
+    scene.start_load(10, 15)
+    for _ in range(20):
+        finished = scene.fleet.run_command(
+            'host-0', 'document', 'submit', str(path)
+        )
+        scene.require(finished.returncode == 0, finished.stdout)
+        accepted_at = time.monotonic()
+        revision = int(finished.stdout.split()[3])
+        while min(_list_held(scene)) < revision:
+            scene.sleep(0.01)
+        delays.append(time.monotonic() - accepted_at)
+    slowest = max(delays)
+    scene.require(slowest <= 2, f'in force after {slowest:.2f} s')
+    return f'20 submissions, in force everywhere after at most {slowest:.3f} s'
+
+
+def prove_organisation_bursts(scene: Scene) -> str:
+    """Let one organisation flood a class; the others keep their target."""
+    scene.start_load(_RATE, 8)
+    scene.sleep(2)
+    for number in range(400):
+        flood = Call(
+            f'flood-{number}', CLAIMS, 'counter', 'trelawny-parish', 150, 60
+        )
+        scene.start_call(flood)
+        scene.sleep(0.005)
+    scene.sleep(5)
+    scene.wait_calls()
+    scene.endings = [
+        ending
+        for ending in scene.endings
+        if not ending.call.identity.startswith('flood')
+    ]
+    _require_attainment(scene, 0.97)
+    return '400 counter questions of one organisation in 2 s'
+
+
+def prove_reply_lost(scene: Scene) -> str:
+    """Break the replies of a plain service; nothing is run twice."""
+    scene.start_load(_RATE, 6)
+    scene.sleep(2)
+    address = scene.fleet.backends[f'{WEB}-0'].address
+    scene.fleet.post(address, '/admin/faults', {'reply_lost': True})
+    scene.sleep(2)
+    scene.fleet.post(address, '/admin/faults', {'reply_lost': False})
+    scene.sleep(3)
+    return 'a plain service ran calls and broke their connections for 2 s'
+
+
+#: Proofs by name with their number of entry hosts.
+PROOFS: MappingProxyType[str, Callable[[Scene], str]] = MappingProxyType(
+    {
+        'host-killed': prove_host_killed,
+        'allocator-killed': prove_allocator_killed,
+        'allocator-frozen': prove_allocator_frozen,
+        'engine-slow': prove_engine_slow,
+        'engine-crash': prove_engine_crash,
+        'engine-silent': prove_engine_silent,
+        'engine-lying': prove_engine_lying,
+        'platform-down': prove_platform_down,
+        'write-lost': prove_write_lost,
+        'two-operators': prove_two_operators,
+        'planned-stop': prove_planned_stop,
+        'backend-leaving': prove_backend_leaving,
+        'refusal-explained': prove_refusal_explained,
+        'document-in-force': prove_document_in_force,
+        'organisation-bursts': prove_organisation_bursts,
+        'reply-lost': prove_reply_lost,
+    }
+)
+
+
+def _set_engine(scene: Scene, number: int, **faults: object) -> None:
+    address = scene.fleet.backends[f'{CLAIMS}-{number}'].address
+    scene.fleet.post(address, '/admin/faults', faults)
+
+
+def _set_platform(scene: Scene, **faults: object) -> None:
+    scene.fleet.post(scene.fleet.platform.address, '/admin/faults', faults)
+
+
+def _read_runs(scene: Scene, address: str) -> dict[str, int]:
+    return scene.fleet.post(address, '/admin/runs', {})['runs']
+
+
+def _read_revisions(scene: Scene) -> dict[str, dict[str, int]]:
+    revisions = {}
+    for name, running in scene.fleet.hosts.items():
+        status = scene.fleet.get(running.address, '/v1/status')
+        revisions[name] = status['host']['revisions']
+    return revisions
+
+
+def _list_held(scene: Scene) -> list[int]:
+    return [held[CLAIMS] for held in _read_revisions(scene).values()]
+
+
+def _require_attainment(scene: Scene, least: float) -> None:
+    scene.wait_calls()
+    counter = [
+        ending
+        for ending in scene.endings
+        if ending.call.request_class == 'counter'
+    ]
+    attained = sum(
+        1
+        for ending in counter
+        if ending.kind == 'whole' and ending.first_s <= 0.8
+    )
+    part = attained / max(1, len(counter))
+    scene.require(part >= least, f'counter attainment {part:.3f}')
+
+
+def run_proof(name: str, hosts: int) -> bool:
+    """Run one proof and print what was seen.
+
+    :param name: name of the proof.
+    :param hosts: number of entry hosts.
+    :return: whether everything held.
+    """
+    started_at = time.monotonic()
+    step = PROOFS[name]
+    scene = Scene(create_plan(hosts))
+    with contextlib.closing(scene.fleet):
+        injected = step(scene)
+        scene.wait_calls()
+        scene.check()
+        lines = scene.describe()
+    click.echo(f'{name}: {step.__doc__}')
+    for line in (f'injected: {injected}', *lines):
+        click.echo(f'  {line}')
+    for problem in scene.problems[:10]:
+        click.echo(f'  PROBLEM: {problem}')
+    held = not scene.problems
+    took_s = time.monotonic() - started_at
+    click.echo(f'  {"held" if held else "BROKEN"} after {took_s:.1f} s')
+    return held
+
+
+@click.command()
+@click.argument('names', nargs=-1, type=click.Choice(tuple(PROOFS)))
+@click.option('--all', 'everything', is_flag=True, help='Run all proofs.')
+@click.option('--hosts', default=3, help='Number of entry hosts.')
+def main(names: tuple[str, ...], *, everything: bool, hosts: int) -> None:
+    """Prove what must hold when things fail.
+
+    \f
+    :param names: names of proofs.
+    :param everything: whether to run all proofs.
+    :param hosts: number of entry hosts.
+    """
+    chosen = tuple(PROOFS) if everything else names
+    broken = [name for name in chosen if not run_proof(name, hosts)]
+    click.echo(f'{len(chosen) - len(broken)} held, {len(broken)} broken')
+    sys.exit(1 if broken else 0)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/standins/scene.py
@@ -0,0 +1,223 @@
+"""A running system under load, with what must hold in every proof."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from pathlib import Path
+
+import eventlet
+from eventlet.greenthread import GreenThread
+
+from standins.callers import Call, Caller, Ending
+from standins.fleet import Fleet, FleetPlan
+
+EXAMPLES = Path(__file__).resolve().parent.parent / 'examples'
+CLAIMS = 'blue-mahoe-claims'
+WEB = 'blue-mahoe-web'
+
+_CALLERS = 8
+_ORGANISATIONS = (
+    'kingston-parish',
+    'st-andrew-parish',
+    'st-catherine-parish',
+    'portland-parish',
+)
+
+
+def create_plan(hosts: int = 3) -> FleetPlan:
+    """Create the plan of Blue Mahoe's system.
+
+    :param hosts: number of entry hosts.
+    :return: the plan.
+    """
+    return FleetPlan(
+        hosts=hosts,
+        engines={CLAIMS: 5},
+        plain={WEB: 3},
+        settings={
+            'answer_lifetime_s': 2.0,
+            'drain_limit_s': 60.0,
+            'platform_timeout_s': 1.0,
+        },
+        engine_options=('--speed', '2'),
+    )
+
+
+class Scene:
+    """A fleet, callers and the endings of their calls.
+
+    :ivar fleet: the processes.
+    :ivar endings: how calls ended.
+    :ivar problems: what did not hold.
+    """
+
+    __slots__ = (
+        '_callers',
+        '_random',
+        '_threads',
+        'endings',
+        'fleet',
+        'problems',
+    )
+
+    def __init__(self, plan: FleetPlan, seed: int = 1) -> None:
+        """Start the fleet and submit the documents.
+
+        :param plan: what is started.
+        :param seed: seed of the load.
+        """
+        self.fleet = Fleet(plan)
+        self.endings: list[Ending] = []
+        self.problems: list[str] = []
+        self._random = random.Random(seed)
+        self._threads: list[GreenThread] = []
+        self.fleet.start()
+        for service in (*plan.engines, *plan.plain):
+            status = self.fleet.submit(EXAMPLES / f'{service}.yaml')
+            self.require(status == 0, f'{service} was not accepted')
+        seeds = [running.address for running in self.fleet.hosts.values()]
+        self._callers = [
+            Caller(seeds, f'dc-{number % 3}', random.Random(number))
+            for number in range(_CALLERS)
+        ]
+
+    def require(self, holds: bool, problem: str) -> None:
+        """Note a problem unless something holds.
+
+        :param holds: whether it holds.
+        :param problem: what is wrong otherwise.
+        """
+        if not holds:
+            self.problems.append(problem)
+
+    def start_call(self, call: Call) -> GreenThread:
+        """Make a call in the background.
+
+        :param call: the call.
+        :return: thread that returns the ending.
+        """
+        thread = eventlet.spawn(self._make, call)
+        self._threads.append(thread)
+        return thread
+
+    def start_load(self, rate: float, duration_s: float) -> GreenThread:
+        """Make mixed calls in the background.
+
+        :param rate: calls a second.
+        :param duration_s: seconds.
+        :return: thread that ends after the last call has begun.
+        """
+        return eventlet.spawn(self._load, rate, duration_s)
+
+    def wait_calls(self) -> None:
+        """Wait until all calls have ended."""
+        while self._threads:
+            self._threads.pop().wait()
+
+    def sleep(self, seconds: float) -> None:
+        """Let the load run.
+
+        :param seconds: seconds.
+        """
+        eventlet.sleep(seconds)
+
+    def find_allocator(self, group: str) -> str:
+        """Find the host that allocates a group.
+
+        :param group: group key.
+        :return: name of the host.
+        """
+        for name, running in self.fleet.hosts.items():
+            if running.is_alive():
+                status = self.fleet.get(running.address, '/v1/status')
+                if group in status['host']['groups']:
+                    return name
+        return 'host-0'
+
+    def count_runs(self) -> Counter[str]:
+        """Count the runs of all requests at backend servers that answer."""
+        runs: Counter[str] = Counter()
+        for running in self.fleet.backends.values():
+            if not running.is_alive():
+                continue
+            answer = self.fleet.post(running.address, '/admin/runs', {})
+            runs.update(answer.get('runs', answer))
+        return runs
+
+    def check(self) -> None:
+        """Check what must hold in every proof."""
+        runs = self.count_runs()
+        for ending in self.endings:
+            call = ending.call
+            self.require(
+                ending.kind != 'broken',
+                f'{call.identity} {call.request_class}{call.path} broken: '
+                f'{ending.reason}',
+            )
+            if ending.kind == 'refused' and ending.ran == 'no':
+                self.require(
+                    runs[call.identity] == 0,
+                    f'{call.identity} was refused as not run and ran',
+                )
+            self.require(
+                bool(call.prompt_tokens) or runs[call.identity] <= 1,
+                f'{call.identity} ran {runs[call.identity]} times',
+            )
+
+    def describe(self) -> list[str]:
+        """Describe the endings as lines of text."""
+        kinds = Counter(ending.kind for ending in self.endings)
+        reasons = Counter(
+            f'{ending.reason} (ran {ending.ran})'
+            for ending in self.endings
+            if ending.kind == 'refused'
+        )
+        runs = self.count_runs()
+        plain = [
+            ending.call.identity
+            for ending in self.endings
+            if not ending.call.prompt_tokens
+        ]
+        doubles = sum(1 for identity in plain if runs[identity] > 1)
+        resumed = sum(1 for ending in self.endings if ending.resumed)
+        return [
+            f'requests {len(self.endings)}, whole {kinds["whole"]}, '
+            f'refused {kinds["refused"]}, broken {kinds["broken"]}, '
+            f'resumed {resumed}',
+            f'refusals: {dict(reasons)}',
+            f'non-idempotent calls {len(plain)}, run twice {doubles}',
+        ]
+
+    def _make(self, call: Call) -> Ending:
+        ending = self._random.choice(self._callers).make(call)
+        self.endings.append(ending)
+        return ending
+
+    def _load(self, rate: float, duration_s: float) -> None:
+        for number in range(round(rate * duration_s)):
+            self.start_call(self._create_call(len(self._threads) + number))
+            eventlet.sleep(1 / rate)
+
+    def _create_call(self, number: int) -> Call:
+        identity = f'{number}-{self._random.getrandbits(48):x}'
+        organisation = self._random.choice(_ORGANISATIONS)
+        match self._random.choices(range(4), (45, 10, 5, 40))[0]:
+            case 0:
+                return Call(identity, CLAIMS, 'counter', organisation, 150, 60)
+            case 1:
+                return Call(identity, CLAIMS, 'summary', organisation, 900, 150)
+            case 2:
+                return Call(
+                    identity, CLAIMS, 'claim-file', organisation, 4000, 300
+                )
+        return self._create_reference(identity)
+
+    def _create_reference(self, identity: str) -> Call:
+        own_key = ''
+        kind = self._random.randrange(3)
+        if kind == 0:
+            own_key = f'key-{identity}'
+        return Call(
+            identity, WEB, path='/references', keyed=kind == 1, own_key=own_key
+        )
--- a/standins/virtual/network.py
+++ b/standins/virtual/network.py
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     from egretdale.coordination.node import Node
 
-_TIMEOUT_S = 0.3
+_TIMEOUT_S = 0.15
 
 
 class HostFaults:
--- a/standins/virtual/world.py
+++ b/standins/virtual/world.py
@@ -48,6 +48,8 @@
 _CALLER_LATENCY_S = 0.001
 _NOTICE_S = 0.3
 _MAXIMUM_TRIES = 6
+_ANSWER_LIFETIME_S = 3.0
+_DRAIN_S = 120.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -82,6 +84,7 @@
     :ivar path: path at the backend server.
     :ivar key: idempotency key, empty for none.
     :ivar streams: whether the answer is a stream.
+    :ivar asks_again: whether the caller asks again when its host dies.
     """
 
     identity: str
@@ -92,6 +95,7 @@
     path: str = '/v1/completions'
     key: str = ''
     streams: bool = True
+    asks_again: bool = True
 
 
 @dataclass(slots=True)
@@ -224,6 +228,27 @@
         for waiter in list(self._waiters.get(name, ())):
             waiter.kill()
 
+    def stop_host(self, name: str) -> int:
+        """Stop a host in the planned way and wait for its end.
+
+        :param name: name of the host.
+        :return: requests that were cut off.
+        """
+        node = self.nodes[name]
+        node.membership.leave()
+        eventlet.sleep(_ANSWER_LIFETIME_S)
+        end_at = self.clock() + _DRAIN_S
+        while self._count_waiters(name) and self.clock() < end_at:
+            eventlet.sleep(_NOTICE_S)
+        cut = self._count_waiters(name)
+        if name not in self.faults.dead:
+            node.claims.leave_decisions()
+            self.kill_host(name)
+        return cut
+
+    def _count_waiters(self, name: str) -> int:
+        return len(self._waiters.get(name, ()))
+
     def freeze_host(self, name: str) -> None:
         """Pause the process of a host.
 
@@ -334,7 +359,9 @@
             with contextlib.suppress(greenlet.GreenletExit):
                 waiter.wait()
             running.discard(waiter)
-            if ended.outcome is not None or host is not None:
+            if ended.outcome is not None or not demand.asks_again:
+                break
+            if host is not None:
                 break
             # The entry host died; the caller notices and asks another one.
             eventlet.sleep(_NOTICE_S)
--- a/tests/fixtures.py
+++ b/tests/fixtures.py
@@ -2,10 +2,18 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import eventlet
+
 from egretdale.errors import Invalid
 from egretdale.state.documents import ServiceDocument, parse_document
 from egretdale.state.messages import Ask
 from egretdale.state.order import Waiting
+from standins.virtual.backends import VirtualWork
+from standins.virtual.hub import use_virtual_time
+from standins.virtual.world import Demand, World, WorldPlan
 
 DOCUMENT_SOURCE = """
 schema: 1
@@ -15,7 +23,11 @@
 backend_concurrency: 4
 headroom: 0.1
 classes:
-  - {name: counter, tier: 0, first_token_ms: 800, between_tokens_ms: 100}
+  - name: counter
+    tier: 0
+    first_token_ms: 800
+    between_tokens_ms: 100
+    expected_output_tokens: 20
   - {name: summary, tier: 1, first_token_ms: 4000, patience_ms: 20000}
   - {name: draft, tier: 3, first_token_ms: 60000, patience_ms: 3600000}
 organisations:
@@ -62,3 +74,101 @@
         raise AssertionError(class_name)
     ask = Ask(identity, class_name, organisation, prompt_tokens=100)
     return Waiting(ask, 'host-0', request_class, weight, arrival, cost)
+
+
+WEB_SOURCE = """
+schema: 1
+service: web
+owner: team
+kind: plain
+backend_concurrency: 4
+classes:
+  - name: reference
+    tier: 0
+    first_token_ms: 2000
+    patience_ms: 5000
+    expected_output_tokens: 1
+    requests: [{method: POST, path: /references}]
+  - name: status
+    tier: 2
+    first_token_ms: 2000
+    expected_output_tokens: 1
+    requests: [{path: /status}]
+non_idempotent:
+  - {method: POST, path: /references}
+"""
+
+
+@contextmanager
+def open_world(
+    *, hosts: int = 3, engines: int = 3, seed: int = 1
+) -> Iterator[World]:
+    """Run a whole system in memory on virtual time.
+
+    :param hosts: number of entry hosts.
+    :param engines: number of engines.
+    :param seed: seed of all random sources.
+    :return: the world, after its hosts have found each other.
+    """
+    plan = WorldPlan(
+        {'claims': DOCUMENT_SOURCE, 'web': WEB_SOURCE},
+        {'claims': engines},
+        {'web': 2},
+        hosts,
+        seed,
+    )
+    with use_virtual_time() as hub:
+        world = World(plan, hub.read_now)
+        eventlet.sleep(3)
+        yield world
+
+
+def create_demand(
+    identity: str,
+    class_name: str = 'counter',
+    *,
+    prompt: int = 100,
+    output: int = 20,
+    organisation: str = 'small',
+) -> Demand:
+    """Create a request to the model service.
+
+    :param identity: identity of the request.
+    :param class_name: class of the request.
+    :param prompt: tokens of the prompt.
+    :param output: tokens of the output.
+    :param organisation: organisation of the caller.
+    :return: the demand.
+    """
+    work = VirtualWork(prompt, output, identity=identity)
+    return Demand(identity, 'claims', class_name, organisation, work)
+
+
+def create_reference(identity: str, key: str = '') -> Demand:
+    """Create a non-idempotent request to the plain service.
+
+    :param identity: identity of the request.
+    :param key: idempotency key, empty for none.
+    :return: the demand.
+    """
+    return Demand(
+        identity,
+        'web',
+        '',
+        '',
+        VirtualWork(1, 1, identity=identity),
+        '/references',
+        key,
+        streams=False,
+        asks_again=False,
+    )
+
+
+def count_runs(world: World, identity: str) -> int:
+    """Count how often backend servers ran a request.
+
+    :param world: the world.
+    :param identity: identity of the request.
+    :return: runs.
+    """
+    return sum(backend.runs[identity] for backend in world.backends.values())
--- /dev/null
+++ b/tests/test_coordination/test_claims.py
@@ -0,0 +1,163 @@
+"""Tests that non-idempotent requests run at most once."""
+
+from __future__ import annotations
+
+import eventlet
+
+from egretdale.state.outcomes import Refused
+from standins.virtual.world import Ending, World
+from tests.fixtures import count_runs, create_reference, open_world
+from tests.functions import create_loader
+
+load_tests = create_loader(__name__)
+
+
+def _assert_refused(ending: Ending, reason: str, ran: str) -> None:
+    assert isinstance(ending.outcome, Refused), ending
+    assert ending.outcome.reason == reason, ending
+    assert ending.outcome.ran == ran, ending
+
+
+def _make_twice(world: World, key: str) -> list[Ending]:
+    demand = create_reference('once', key)
+    return [world.make(demand, host) for host in ('host-0', 'host-1')]
+
+
+def test_issued_key_runs_once_on_any_host() -> None:
+    """A second request with an issued key is told that the first ran."""
+    with open_world() as world:
+        first, second = _make_twice(world, world.nodes['host-2'].issuer.issue())
+        assert first.is_whole()
+        _assert_refused(second, 'answer-not-kept', 'yes')
+        assert count_runs(world, 'once') == 1
+
+
+def test_own_key_runs_once_on_any_host() -> None:
+    """A second request with a caller's key is told that the first ran."""
+    with open_world() as world:
+        first, second = _make_twice(world, 'my-key')
+        assert first.is_whole()
+        _assert_refused(second, 'answer-not-kept', 'yes')
+        assert count_runs(world, 'once') == 1
+
+
+def test_racing_requests_with_one_key_run_once() -> None:
+    """Of requests that race with one key one runs."""
+    for key in ('my-key', ''):
+        with open_world() as world:
+            chosen = key or world.nodes['host-0'].issuer.issue()
+            threads = [
+                eventlet.spawn(
+                    world.make, create_reference('once', chosen), host
+                )
+                for host in world.nodes
+            ]
+            endings = [thread.wait() for thread in threads]
+            assert sum(ending.is_whole() for ending in endings) == 1
+            assert count_runs(world, 'once') == 1
+
+
+def test_key_of_another_request_is_noticed() -> None:
+    """A key that was used for something else is refused as not run."""
+    with open_world() as world:
+        world.make(create_reference('first', 'my-key'))
+        ended = world.make(create_reference('second', 'my-key'))
+        _assert_refused(ended, 'key-reused', 'no')
+        assert count_runs(world, 'second') == 0
+
+
+def test_key_of_a_dead_issuer_is_unknown() -> None:
+    """Nobody runs a request whose issuer died without a planned stop."""
+    with open_world() as world:
+        key = world.nodes['host-2'].issuer.issue()
+        world.kill_host('host-2')
+        ended = world.make(create_reference('once', key), 'host-0')
+        _assert_refused(ended, 'outcome-unknown', 'unknown')
+        assert count_runs(world, 'once') == 0
+
+
+def test_key_outlives_a_planned_stop_of_its_issuer() -> None:
+    """Keys of a host that stopped as planned run once, used before or not."""
+    with open_world() as world:
+        issuer = world.nodes['host-2'].issuer
+        used = issuer.issue()
+        unused = issuer.issue()
+        world.make(create_reference('used', used), 'host-0')
+        world.stop_host('host-2')
+        eventlet.sleep(5)
+        again = world.make(create_reference('used', used), 'host-1')
+        _assert_refused(again, 'answer-not-kept', 'yes')
+        first = world.make(create_reference('unused', unused), 'host-0')
+        assert first.is_whole()
+        second = world.make(create_reference('unused', unused), 'host-1')
+        _assert_refused(second, 'answer-not-kept', 'yes')
+        assert count_runs(world, 'used') == count_runs(world, 'unused') == 1
+
+
+def test_own_key_without_platform_is_refused_as_not_run() -> None:
+    """A caller's key cannot be claimed in an outage; nothing runs."""
+    with open_world() as world:
+        world.platform.down = True
+        ended = world.make(create_reference('once', 'my-key'))
+        _assert_refused(ended, 'key-store-unavailable', 'no')
+        assert ended.outcome.retry_after_s
+        assert count_runs(world, 'once') == 0
+
+
+def test_issued_key_needs_no_platform() -> None:
+    """An issued key runs once although the platform is down."""
+    with open_world() as world:
+        world.platform.down = True
+        first, second = _make_twice(world, world.nodes['host-2'].issuer.issue())
+        assert first.is_whole()
+        _assert_refused(second, 'answer-not-kept', 'yes')
+        assert count_runs(world, 'once') == 1
+
+
+def test_claim_whose_reply_was_lost_can_be_used_later() -> None:
+    """A refusal as not run leaves the key usable."""
+    with open_world() as world:
+        world.platform.lose_replies = True
+        ended = world.make(create_reference('once', 'my-key'), 'host-0')
+        world.platform.lose_replies = False
+        if not ended.is_whole():
+            assert ended.outcome.ran == 'no'
+            eventlet.sleep(6)
+            ended = world.make(create_reference('once', 'my-key'), 'host-1')
+        assert ended.is_whole(), ended
+        assert count_runs(world, 'once') == 1
+
+
+def test_lost_answer_is_not_run_again() -> None:
+    """A call whose reply was lost is not repeated."""
+    with open_world() as world:
+        for name in ('web-0', 'web-1'):
+            world.backends[name].lose_replies = True
+        for identity, key in (('keyed', 'my-key'), ('unkeyed', '')):
+            ended = world.make(create_reference(identity, key))
+            _assert_refused(ended, 'outcome-unknown', 'unknown')
+            assert count_runs(world, identity) == 1
+
+
+def test_call_that_was_not_run_goes_elsewhere() -> None:
+    """A backend server that says it did not run a call is passed over."""
+    with open_world() as world:
+        world.backends['web-0'].refusing = True
+        for number in range(6):
+            ended = world.make(create_reference(f'r-{number}'))
+            assert ended.is_whole(), ended
+            assert count_runs(world, f'r-{number}') == 1
+
+
+def test_paused_issuer_keeps_its_decisions() -> None:
+    """An issuer that was paused still knows which keys were used."""
+    with open_world() as world:
+        key = world.nodes['host-2'].issuer.issue()
+        world.make(create_reference('once', key), 'host-0')
+        world.freeze_host('host-2')
+        eventlet.sleep(10)
+        world.thaw_host('host-2')
+        eventlet.sleep(5)
+        ended = world.make(create_reference('once', key), 'host-1')
+        assert not ended.is_whole()
+        assert count_runs(world, 'once') == 1
--- /dev/null
+++ b/tests/test_coordination/test_failover.py
@@ -0,0 +1,121 @@
+"""Tests of allocation across hosts when hosts or paths fail."""
+
+from __future__ import annotations
+
+import eventlet
+
+from standins.virtual.world import World
+from tests.fixtures import create_demand, open_world
+from tests.functions import create_loader
+
+load_tests = create_loader(__name__)
+
+_GROUP = 'claims/0'
+
+
+def _start(world: World, count: int, prefix: str = 'a') -> eventlet.GreenPool:
+    pool = eventlet.GreenPool(count)
+    for number in range(count):
+        pool.spawn_n(world.make, create_demand(f'{prefix}-{number}'))
+        eventlet.sleep(0.05)
+    return pool
+
+
+def _assert_whole(world: World) -> None:
+    for ending in world.endings:
+        assert ending.is_whole(), ending
+        assert ending.events == ending.demand.work.output + 1, ending
+
+
+def test_killed_allocator_is_replaced() -> None:
+    """Requests go on and another host allocates within 2 s."""
+    with open_world() as world:
+        pool = _start(world, 20)
+        victim = world.find_allocator(_GROUP)
+        world.kill_host(victim or '')
+        pool.spawn_n(world.make, create_demand('after'))
+        eventlet.sleep(2)
+        assert world.find_allocator(_GROUP) not in {None, victim}
+        pool.waitall()
+        assert len(world.endings) == 21
+        _assert_whole(world)
+
+
+def test_frozen_allocator_is_replaced_and_comes_back() -> None:
+    """A paused allocator loses its place and rejoins when it goes on."""
+    with open_world() as world:
+        pool = _start(world, 10)
+        victim = world.find_allocator(_GROUP) or ''
+        world.freeze_host(victim)
+        others = [name for name in world.list_alive() if name != victim]
+        for number in range(20):
+            demand = create_demand(f'b-{number}')
+            pool.spawn_n(world.make, demand, others[number % 2])
+            eventlet.sleep(0.2)
+        world.thaw_host(victim)
+        eventlet.sleep(5)
+        assert world.count_serving() == 3
+        pool.waitall()
+        served = [ending for ending in world.endings if ending.host != victim]
+        assert len(served) >= 20
+        for ending in served:
+            assert ending.is_whole(), ending
+
+
+def test_cut_host_serves_from_its_own_share() -> None:
+    """A host that reaches no other host still serves, in part."""
+    with open_world() as world:
+        pool = _start(world, 5)
+        allocator = world.find_allocator(_GROUP) or ''
+        victim = next(name for name in world.list_alive() if name != allocator)
+        for name in world.list_alive():
+            if name != victim:
+                world.faults.cut.add(frozenset((victim, name)))
+        eventlet.sleep(1)
+        ended = world.make(create_demand('cut'), victim)
+        assert ended.is_whole(), ended
+        pool.waitall()
+        world.faults.cut.clear()
+        eventlet.sleep(8)
+        assert world.count_serving() == 3
+
+
+def test_host_without_platform_and_peers_says_so() -> None:
+    """An isolated host refuses new work with a true reason."""
+    with open_world() as world:
+        victim = 'host-0'
+        for name in world.list_alive():
+            world.faults.cut.add(frozenset((victim, name)))
+        world.platform.cut.add(victim)
+        eventlet.sleep(10)
+        ended = world.make(create_demand('isolated'), victim)
+        assert not ended.is_whole()
+        assert ended.outcome.reason == 'host-isolated'
+        assert ended.outcome.ran == 'no'
+        assert ended.outcome.retry_after_s
+
+
+def test_platform_outage_leaves_traffic_alone() -> None:
+    """All hosts serve through a long outage of the platform."""
+    with open_world() as world:
+        world.platform.down = True
+        eventlet.sleep(120)
+        pool = _start(world, 20)
+        pool.waitall()
+        assert len(world.endings) == 20
+        _assert_whole(world)
+
+
+def test_slots_are_not_lost_over_time() -> None:
+    """After many requests and faults no slot is held any more."""
+    with open_world() as world:
+        pool = _start(world, 30)
+        world.kill_host('host-1')
+        pool.waitall()
+        world.start_host('host-1')
+        eventlet.sleep(5)
+        _start(world, 10, 'c').waitall()
+        eventlet.sleep(3)
+        for name in world.list_alive():
+            for allocator in world.nodes[name].board.list_allocators():
+                assert not allocator.pool.held, name
--- /dev/null
+++ b/tests/test_coordination/test_streams.py
@@ -0,0 +1,112 @@
+"""Tests of streams when engines and callers fail."""
+
+from __future__ import annotations
+
+import eventlet
+
+from egretdale.coordination.requests import CallerRequest, StreamReply
+from standins.virtual.world import Ending, World
+from tests.fixtures import create_demand, open_world
+from tests.functions import create_loader
+
+load_tests = create_loader(__name__)
+
+
+def _start_long(
+    world: World, count: int
+) -> list[eventlet.greenthread.GreenThread]:
+    return [
+        eventlet.spawn(
+            world.make, create_demand(f's-{number}', 'summary', output=300)
+        )
+        for number in range(count)
+    ]
+
+
+def _assert_whole(ending: Ending) -> None:
+    assert ending.is_whole(), ending
+    assert ending.events == ending.demand.work.output + 1, ending
+
+
+def test_streams_go_on_after_an_engine_crash() -> None:
+    """Answers are whole although their engine crashed in the middle."""
+    with open_world() as world:
+        threads = _start_long(world, 6)
+        eventlet.sleep(2)
+        world.backends['claims-0'].crash()
+        world.backends['claims-1'].crash()
+        for thread in threads:
+            _assert_whole(thread.wait())
+
+
+def test_streams_go_on_after_an_engine_fell_silent() -> None:
+    """Answers are whole although their engine stopped sending."""
+    with open_world() as world:
+        threads = _start_long(world, 6)
+        eventlet.sleep(2)
+        world.backends['claims-0'].silent = True
+        for thread in threads:
+            _assert_whole(thread.wait())
+
+
+def test_streams_go_on_after_their_host_died() -> None:
+    """Another entry host goes on with the streams of a dead one."""
+    with open_world() as world:
+        threads = _start_long(world, 6)
+        eventlet.sleep(2)
+        world.kill_host('host-0')
+        world.kill_host('host-1')
+        generated = [thread.wait() for thread in threads]
+        for ending in generated:
+            _assert_whole(ending)
+        # Streams were taken up, not run again.
+        assert world.count_generated() <= 6 * 300 + 1
+
+
+def test_crash_and_dead_host_together() -> None:
+    """Answers are whole when an engine and an entry host fail together."""
+    with open_world() as world:
+        threads = _start_long(world, 9)
+        eventlet.sleep(2)
+        world.backends['claims-2'].crash()
+        eventlet.sleep(0.5)
+        world.kill_host('host-2')
+        for thread in threads:
+            _assert_whole(thread.wait())
+
+
+def test_gone_caller_cancels_its_stream() -> None:
+    """The engine stops generating for a caller that has gone."""
+    with open_world() as world:
+        node = world.nodes['host-0']
+        demand = create_demand('gone', 'summary', output=1000)
+        request = CallerRequest(
+            'r-1',
+            'claims',
+            'POST',
+            demand.path,
+            (),
+            b'{"prompt":100,"output":1000,"identity":"gone"}',
+            'summary',
+            'small',
+            streams=True,
+        )
+        reply = node.router.route(request)
+        assert isinstance(reply, StreamReply)
+        reply.read()
+        reply.abandon()
+        eventlet.sleep(5)
+        assert world.count_generated() < 100
+        assert reply.outcome.reason == 'caller-gone'
+
+
+def test_whole_pool_down_is_refused_truly() -> None:
+    """With every engine down the refusal says that nothing ran."""
+    with open_world() as world:
+        for name in ('claims-0', 'claims-1', 'claims-2'):
+            world.backends[name].crash()
+        eventlet.sleep(3)
+        ended = world.make(create_demand('down'))
+        assert not ended.is_whole()
+        assert ended.outcome.ran == 'no'
+        assert ended.outcome.retry_after_s
