Send each event as it comes instead of filling 4 KiB chunks

Cause: eventlet's WSGI server joins response chunks below 4096 bytes, so a counter question's first token reached the caller with its last ones (stand-in engine at a quarter speed: first byte after 3.3 s although the engine had it after 0.04 s). Ruled out: engine model (alone it gives the first token after 0.04 s), priorities (sent and honoured), processor time (machine idle). Change: the daemon and the stand-ins set the minimum chunk to one byte.

--- a/egretdale/transport/daemon.py
+++ b/egretdale/transport/daemon.py
@@ -157,6 +157,8 @@
     def _dispatch(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
+        # The server would hold small events back until they fill a chunk.
+        environ['eventlet.minimum_write_chunk_size'] = 1
         if self._callers.handles(environ['PATH_INFO']):
             return self._callers.serve(environ, start_response)
         return self._operators.serve(environ, start_response)
--- a/standins/web.py
+++ b/standins/web.py
@@ -48,9 +48,17 @@
     :param listener: listening socket.
     :param application: WSGI application.
     """
+
+    def pass_on(
+        environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        # The server would hold small events back until they fill a chunk.
+        environ['eventlet.minimum_write_chunk_size'] = 1
+        return application(environ, start_response)
+
     wsgi.server(
         listener,
-        application,
+        pass_on,
         log=_DiscardedLog(),
         max_size=8192,
         debug=False,
