--- a/egretdale/cmd/documents.py
+++ b/egretdale/cmd/documents.py
@@ -18,7 +18,7 @@
     fail,
     show,
 )
-from egretdale.errors import Invalid, Unreachable
+from egretdale.errors import Cause, Invalid, Unreachable
 from egretdale.protocol.operators import (
     DocumentAnswer,
     HistoryAnswer,
@@ -87,8 +87,12 @@
     if nonce:
         resource = f'{resource}/settle'
     answer = context.client.post(resource, body, SubmitAnswer)
-    if isinstance(answer, Invalid | Unreachable):
-        fail(answer)
+    match answer:
+        case Unreachable(cause=cause) if cause != Cause.REFUSED:
+            # The host may have submitted the document all the same.
+            answer = SubmitAnswer('undecided', detail=answer.detail)
+        case Invalid() | Unreachable():
+            fail(answer)
     _report(context, answer, body)
     if wait:
         _wait_in_force(context, parsed.service, answer.revision, wait_s)
--- a/egretdale/coordination/allocation.py
+++ b/egretdale/coordination/allocation.py
@@ -310,9 +310,11 @@
             request_class=waiting.request_class.name,
             organisation=waiting.ask.organisation,
             reason=reason,
+            waited_ms=convert_to_ms(self._clock() - waiting.arrival),
             wait_ms=denial.wait_ms,
             ahead=denial.ahead,
             retry_after_ms=denial.retry_after_ms,
+            term=self.term,
             revision=self.revision,
         )
 
@@ -381,6 +383,7 @@
             candidates=len(self.pool.views),
             waited_ms=convert_to_ms(held.granted_at - waiting.arrival),
             reason='minimum-share' if choice.minimum_share else 'order',
+            term=self.term,
             revision=self.revision,
         )
 
--- a/egretdale/transport/client.py
+++ b/egretdale/transport/client.py
@@ -6,11 +6,12 @@
 
 import msgspec
 import urllib3
-from urllib3.exceptions import HTTPError
+from urllib3.exceptions import HTTPError, NewConnectionError
 
 from egretdale.errors import Cause, Invalid, Unreachable
 
 _TIMEOUT_S = 5.0
+_WRITE_TIMEOUT_S = 30.0
 _OK_STATUSES = frozenset((200, 202, 409))
 
 _Answer = TypeVar('_Answer')
@@ -80,6 +81,9 @@
             outcome = self._call(address, method, path, body, answer_type)
             if not isinstance(outcome, Unreachable):
                 return outcome
+            if method == 'POST' and outcome.cause != Cause.REFUSED:
+                # It may have taken effect; another host must not repeat it.
+                return outcome
             failed = outcome
         return failed
 
@@ -92,8 +96,13 @@
         answer_type: type[_Answer],
     ) -> _Answer | Invalid | Unreachable:
         url = f'http://{address}{path}'
+        timeout_s = _TIMEOUT_S if body is None else _WRITE_TIMEOUT_S
         try:
-            response = self._pool.request(method, url, body=body)
+            response = self._pool.request(
+                method, url, body=body, timeout=timeout_s
+            )
+        except NewConnectionError as refused:
+            return Unreachable(Cause.REFUSED, f'{address}: {refused}')
         except HTTPError as failed:
             return Unreachable(Cause.BROKEN, f'{address}: {failed}')
         known = response.status in _OK_STATUSES
--- a/standins/plain.py
+++ b/standins/plain.py
@@ -15,6 +15,7 @@
 from standins.web import (
     Environ,
     StartResponse,
+    break_connection,
     hang,
     listen,
     read_json,
@@ -93,7 +94,7 @@
         reference = self._next
         eventlet.sleep(self.faults.slow_s)
         if self.faults.reply_lost:
-            raise ConnectionError(identity)
+            break_connection(environ)
         return respond(
             start_response,
             '200 OK',
--- a/standins/virtual/world.py
+++ b/standins/virtual/world.py
@@ -168,7 +168,7 @@
         self._source = random.Random(plan.seed)
         self._addresses: dict[str, Node] = {}
         self._tasks: dict[str, TaskGroup] = {}
-        self._waiters: dict[str, set[GreenThread]] = {}
+        self._waiters: dict[str, dict[GreenThread, Ending]] = {}
         for service, count in plan.engines.items():
             self._add_backends(service, count, plan.profile, plain=False)
         for service, count in plan.plain.items():
@@ -353,12 +353,12 @@
         for _ in range(_MAXIMUM_TRIES):
             chosen = host or self.choose_host(demand.organisation)
             waiter = eventlet.spawn(self._route, ended, chosen)
-            running = self._waiters.setdefault(chosen or '', set())
-            running.add(waiter)
+            running = self._waiters.setdefault(chosen or '', {})
+            running[waiter] = ended
             # A task ends with its host when that is killed.
             with contextlib.suppress(greenlet.GreenletExit):
                 waiter.wait()
-            running.discard(waiter)
+            running.pop(waiter, None)
             if ended.outcome is not None or not demand.asks_again:
                 break
             if host is not None:
--- a/standins/web.py
+++ b/standins/web.py
@@ -101,6 +101,15 @@
     return [body]
 
 
+def break_connection(environ: Environ) -> None:
+    """Close the connection of a request without an answer.
+
+    :param environ: WSGI environment.
+    """
+    connection = environ['eventlet.input'].get_socket()
+    connection.shutdown(socket.SHUT_RDWR)
+
+
 def hang() -> None:
     """Never answer, as a connection that went silent."""
     eventlet.sleep(3600)
--- /dev/null
+++ b/tests/machine.py
@@ -0,0 +1,418 @@
+"""A stateful machine that drives a whole system and checks an oracle."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import Any
+
+import eventlet
+from hypothesis import strategies
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from egretdale.coordination.submission import Accepted, Submission
+from egretdale.state.outcomes import Ran, Reason, Refused
+from standins.replay import DecisionLog, record_decisions
+from standins.virtual.world import Ending, World
+from tests.fixtures import (
+    DOCUMENT_SOURCE,
+    count_runs,
+    create_demand,
+    create_reference,
+    open_world,
+)
+
+_HOSTS = 3
+_ENGINES = 3
+_LEAVING_S = 3.0
+_HEAL_S = 12.0
+_DRAIN_S = 400.0
+_TIERS = {'counter': 0, 'summary': 1, 'draft': 3}
+
+_hosts = strategies.integers(0, _HOSTS - 1).map('host-{}'.format)
+_engines = strategies.integers(0, _ENGINES - 1).map('claims-{}'.format)
+_classes = strategies.sampled_from(sorted(_TIERS))
+_names = strategies.sampled_from(['large', 'small'])
+
+
+class SystemMachine(RuleBasedStateMachine):
+    """Requests, operators and faults in any order, together and twice.
+
+    The oracle is simple: it knows what each backend server ran, what each
+    caller received and which documents were accepted.
+    """
+
+    def __init__(self) -> None:
+        """Start a system in memory."""
+        super().__init__()
+        self._stack = contextlib.ExitStack()
+        self.world: World = self._stack.enter_context(
+            open_world(hosts=_HOSTS, engines=_ENGINES)
+        )
+        self.log: DecisionLog = self._stack.enter_context(
+            record_decisions(self.world.clock)
+        )
+        self.pool = eventlet.GreenPool(1000)
+        self.count = 0
+        self.made = 0
+        self.keys: list[str] = []
+        self.accepted = 0
+        self.highest: dict[str, int] = {}
+        self.leaving: dict[str, float] = {}
+        self.runs_at_leaving: dict[str, int] = {}
+        self.cut = 0
+        self.stopping: set[str] = set()
+
+    def teardown(self) -> None:
+        """Heal everything, let all requests end and check what must hold."""
+        try:
+            self._heal()
+            self._drain()
+            self._check_endings()
+            self._check_order()
+            self._check_documents()
+            self._check_served()
+            assert self.cut == 0, f'{self.cut} requests cut by a planned stop'
+        finally:
+            self._stack.close()
+
+    # Requests
+
+    @rule(
+        class_name=_classes,
+        organisation=_names,
+        output=strategies.integers(1, 120),
+    )
+    def ask(self, class_name: str, organisation: str, output: int) -> None:
+        """Ask the model service."""
+        prompt = 2000 if class_name == 'draft' else 100
+        demand = create_demand(
+            self._name(),
+            class_name,
+            prompt=prompt,
+            output=output,
+            organisation=organisation,
+        )
+        self._make(demand)
+
+    @rule(count=strategies.integers(5, 40), organisation=_names)
+    def burst(self, count: int, organisation: str) -> None:
+        """Ask many counter questions at once."""
+        for _ in range(count):
+            self._make(create_demand(self._name(), organisation=organisation))
+
+    @rule()
+    def call_unkeyed(self) -> None:
+        """Make a non-idempotent call without a key."""
+        self._make(create_reference(self._name()))
+
+    @rule(host=_hosts)
+    def call_with_issued_key(self, host: str) -> None:
+        """Make a non-idempotent call with a key of some host."""
+        if host in self.world.list_alive():
+            key = self.world.nodes[host].issuer.issue()
+            self._call_twice(key)
+
+    @rule()
+    def call_with_own_key(self) -> None:
+        """Make a non-idempotent call with a key that the caller made."""
+        self._call_twice(f'own-{self.count}')
+
+    # Faults of hosts
+
+    @rule(host=_hosts)
+    def kill(self, host: str) -> None:
+        """Kill the process of a host unless it is the last one."""
+        if host in self.world.list_alive() and self._may_lose_host():
+            self.world.kill_host(host)
+
+    @rule(host=_hosts)
+    def start(self, host: str) -> None:
+        """Replace a host that is dead."""
+        if host in self.world.faults.dead and host not in self.stopping:
+            self.world.start_host(host)
+
+    @rule(host=_hosts, seconds=strategies.sampled_from([0.5, 3, 8]))
+    def freeze(self, host: str, seconds: float) -> None:
+        """Pause a host for a while."""
+        if host in self.world.list_alive() and self._may_lose_host():
+            self.world.freeze_host(host)
+            eventlet.spawn_after(seconds, self.world.thaw_host, host)
+
+    @rule(first=_hosts, second=_hosts)
+    def cut_path(self, first: str, second: str) -> None:
+        """Cut the path between two hosts."""
+        if first != second:
+            self.world.faults.cut.add(frozenset((first, second)))
+
+    @rule()
+    def heal_paths(self) -> None:
+        """Heal all paths."""
+        self.world.faults.cut.clear()
+        self.world.platform.cut.clear()
+
+    @rule(host=_hosts)
+    def stop(self, host: str) -> None:
+        """Stop a host as planned and replace it."""
+        busy = self.stopping or self.world.faults.frozen
+        alive = host in self.world.list_alive()
+        if alive and not busy and self._may_lose_host():
+            self.stopping.add(host)
+            eventlet.spawn(self._stop, host)
+
+    # Faults of the platform
+
+    @rule(down=strategies.booleans())
+    def switch_platform(self, *, down: bool) -> None:
+        """Take the platform down or bring it back."""
+        self.world.platform.down = down
+
+    @rule(lost=strategies.booleans())
+    def lose_replies(self, *, lost: bool) -> None:
+        """Lose the replies of writes, or stop losing them."""
+        self.world.platform.lose_replies = lost
+
+    @rule(frozen=strategies.booleans())
+    def freeze_listings(self, *, frozen: bool) -> None:
+        """Let listings show an old state, or the present one."""
+        self.world.platform.store.freeze_listings(frozen=frozen)
+
+    @rule(host=_hosts)
+    def silence_watches(self, host: str) -> None:
+        """Let the watches of a host go silent."""
+        self.world.platform.silent.add(host)
+
+    # Faults of backend servers
+
+    @rule(engine=_engines, speed=strategies.sampled_from([0.25, 1.0]))
+    def change_speed(self, engine: str, speed: float) -> None:
+        """Slow an engine or let it run at its full speed."""
+        self.world.backends[engine].set_speed(speed)
+
+    @rule(engine=_engines)
+    def crash(self, engine: str) -> None:
+        """Crash an engine with its streams."""
+        self.world.backends[engine].crash()
+
+    @rule(engine=_engines)
+    def restart(self, engine: str) -> None:
+        """Start a crashed engine again."""
+        self.world.backends[engine].down = False
+
+    @rule(engine=_engines, silent=strategies.booleans())
+    def silence(self, engine: str, *, silent: bool) -> None:
+        """Let an engine fall silent or speak again."""
+        self.world.backends[engine].silent = silent
+
+    @rule(engine=_engines, lying=strategies.booleans())
+    def lie(self, engine: str, *, lying: bool) -> None:
+        """Let an engine report that it is idle."""
+        self.world.backends[engine].lying = lying
+
+    @rule(lost=strategies.booleans())
+    def lose_calls(self, *, lost: bool) -> None:
+        """Let a plain service run calls and lose the replies."""
+        self.world.backends['web-0'].lose_replies = lost
+
+    @rule(refusing=strategies.booleans())
+    def refuse_calls(self, *, refusing: bool) -> None:
+        """Let a plain service refuse calls as not run."""
+        self.world.backends['web-1'].refusing = refusing
+
+    @precondition(lambda self: not self.leaving)
+    @rule(engine=_engines)
+    def leave(self, engine: str) -> None:
+        """List an engine as leaving."""
+        reachable = not (
+            self.world.platform.down
+            or self.world.platform.silent
+            or self.world.platform.cut
+            or self.world.faults.cut
+            or self.world.faults.frozen
+        )
+        if reachable:
+            self.world.platform.store.freeze_listings(frozen=False)
+            self.world.list_backend(engine, state='leaving')
+            self.leaving[engine] = self.world.clock()
+            eventlet.spawn_after(_LEAVING_S, self._note_runs, engine)
+
+    # Operators
+
+    @rule(host=_hosts, other=_hosts)
+    def submit(self, host: str, other: str) -> None:
+        """Let two operators submit on the same base."""
+        alive = self.world.list_alive()
+        if host in alive and other in alive:
+            threads = [
+                eventlet.spawn(self._submit, name, f'{self._name()}-{name}')
+                for name in sorted({host, other})
+            ]
+            outcomes = [thread.wait() for thread in threads]
+            wins = [one for one in outcomes if isinstance(one, Accepted)]
+            assert len({win.revision for win in wins}) == len(wins)
+            for win in wins:
+                self.accepted = max(self.accepted, win.revision)
+
+    @rule(seconds=strategies.sampled_from([0.05, 0.5, 2, 10]))
+    def pass_time(self, seconds: float) -> None:
+        """Let time pass."""
+        eventlet.sleep(seconds)
+
+    @invariant()
+    def check_revisions(self) -> None:
+        """No process ever follows an older revision than before."""
+        for name, node in self.world.nodes.items():
+            process = f'{name}/{id(node)}'
+            in_force = node.replica.find('claims')
+            revision = in_force.revision if in_force else 0
+            assert revision >= self.highest.get(process, 0), 'reverted'
+            self.highest[process] = revision
+
+    # Steps
+
+    def _name(self) -> str:
+        self.count += 1
+        return f'n{self.count}'
+
+    def _make(self, demand: Any, host: str | None = None) -> None:
+        self.made += 1
+        self.pool.spawn_n(self.world.make, demand, host)
+
+    def _call_twice(self, key: str) -> None:
+        demand = create_reference(self._name(), key)
+        for host in self.world.list_alive()[:2]:
+            self._make(demand, host)
+
+    def _may_lose_host(self) -> bool:
+        return len(self.world.list_alive()) > 1 and not self.stopping
+
+    def _stop(self, host: str) -> None:
+        node = self.world.nodes[host]
+        self.cut += self.world.stop_host(host)
+        self.stopping.discard(host)
+        if self.world.nodes[host] is node:
+            self.world.start_host(host)
+
+    def _submit(self, host: str, nonce: str) -> object:
+        in_force = self.world.nodes[host].replica.find('claims')
+        base = in_force.revision if in_force else 0
+        submission = Submission(
+            'claims', DOCUMENT_SOURCE, base, nonce, 'operator'
+        )
+        with contextlib.suppress(BaseException):
+            return self.world.nodes[host].documents.submit(submission)
+        return None
+
+    def _note_runs(self, engine: str) -> None:
+        if engine in self.leaving:
+            runs = self.world.backends[engine].runs
+            self.runs_at_leaving[engine] = sum(runs.values())
+
+    def _heal(self) -> None:
+        for engine, runs in self.runs_at_leaving.items():
+            now = sum(self.world.backends[engine].runs.values())
+            assert now == runs, f'{engine} got work after {_LEAVING_S} s'
+        world = self.world
+        world.faults.cut.clear()
+        world.platform.cut.clear()
+        world.platform.silent.clear()
+        world.platform.down = False
+        world.platform.lose_replies = False
+        world.platform.store.freeze_listings(frozen=False)
+        for host in sorted(world.faults.frozen):
+            world.thaw_host(host)
+        for name, backend in world.backends.items():
+            backend.down = False
+            backend.silent = False
+            backend.lying = False
+            backend.lose_replies = False
+            backend.refusing = False
+            backend.set_speed(1)
+            world.list_backend(name, incarnation=2)
+        self.leaving.clear()
+        eventlet.sleep(_HEAL_S)
+        while self.stopping:
+            eventlet.sleep(1)
+        for host in sorted(world.faults.dead):
+            world.start_host(host)
+        eventlet.sleep(_HEAL_S)
+
+    def _drain(self) -> None:
+        with eventlet.Timeout(_DRAIN_S, False):
+            self.pool.waitall()
+        assert len(self.world.endings) == self.made, 'a request has no end'
+
+    def _check_endings(self) -> None:
+        for ending in self.world.endings:
+            if ending.is_whole():
+                self._check_whole(ending)
+            elif isinstance(ending.outcome, Refused):
+                self._check_refused(ending, ending.outcome)
+            if not ending.demand.streams:
+                runs = count_runs(self.world, ending.demand.identity)
+                assert runs <= 1, f'{ending.demand.identity} ran {runs} times'
+
+    def _check_whole(self, ending: Ending) -> None:
+        identity = ending.demand.identity
+        assert count_runs(self.world, identity) >= 1, f'{identity} never ran'
+        if ending.demand.streams:
+            expected = ending.demand.work.output + 1
+            assert ending.events == expected, f'{ending} is not whole'
+
+    def _check_refused(self, ending: Ending, refused: Refused) -> None:
+        identity = ending.demand.identity
+        runs = count_runs(self.world, identity)
+        if refused.ran == Ran.NO and not self._shares_key(ending):
+            assert runs == 0, f'{identity} was refused as not run'
+        if refused.ran == Ran.YES:
+            assert runs >= 1, f'{identity} was refused as run'
+        waits = {Reason.TARGET_UNREACHABLE, Reason.PATIENCE_EXCEEDED}
+        if refused.reason in waits:
+            assert refused.retry_after_s, f'{identity} has no time to return'
+
+    def _shares_key(self, ending: Ending) -> bool:
+        # Another request with the same key may have run.
+        same = [
+            other
+            for other in self.world.endings
+            if other.demand.identity == ending.demand.identity
+        ]
+        return len(same) > 1
+
+    def _check_order(self) -> None:
+        grants = [
+            decision
+            for decision in self.log.decisions
+            if decision.event == 'grant'
+            and decision.fields['reason'] != 'minimum-share'
+        ]
+        for refusal in self.log.decisions:
+            name = refusal.fields.get('request_class', '')
+            if refusal.event != 'refuse' or name not in _TIERS:
+                continue
+            started = refusal.at - refusal.fields['waited_ms'] / 1000
+            lower = [
+                grant
+                for grant in grants
+                if started < grant.at <= refusal.at
+                and grant.fields['group'] == refusal.fields['group']
+                and grant.fields['term'] == refusal.fields['term']
+                and _TIERS.get(grant.fields['request_class'], 0) > _TIERS[name]
+            ]
+            assert not lower, f'{refusal} although {lower[0]}'
+
+    def _check_documents(self) -> None:
+        for name, node in self.world.nodes.items():
+            in_force = node.replica.find('claims')
+            assert in_force is not None, f'{name} has no document'
+            assert in_force.revision >= self.accepted, f'{name} is behind'
+
+    def _check_served(self) -> None:
+        for class_name in _TIERS:
+            demand = create_demand(f'last-{class_name}', class_name)
+            ending = self.world.make(demand)
+            assert ending.is_whole(), f'{class_name} is not served: {ending}'
