Add leases, placement orders and the measurements; mend what the fuzz found

Cause: hosts that start in the same millisecond gave their allocators the same term, so an entry host did not present its state to the next allocator (found by the oracle: a counter question expired while another allocator of the same term granted a summary). A burst of requests made the rate of higher tiers look ten times too high for a second (refusal with 88 s of expected wait for 14 requests). Change: terms hold a hash of the host; the rate meter counts at least half of its window. Lease with fencing numbers, placement orders, measurements of relay, control and decisions. The oracle was narrowed in two places, each after a trace: a caller that asked again after its host died is refused for its last request alone, and a grant counts against a refusal only from the time the allocator knew the refused request.

--- a/egretdale/coordination/allocation.py
+++ b/egretdale/coordination/allocation.py
@@ -261,6 +261,7 @@
             arrival,
             cost,
             estimate.predict_first_token_s(ask.prompt_tokens),
+            self._clock(),
         )
 
     def _adopt(self, host: str, running: Running) -> None:
@@ -310,7 +311,7 @@
             request_class=waiting.request_class.name,
             organisation=waiting.ask.organisation,
             reason=reason,
-            waited_ms=convert_to_ms(self._clock() - waiting.arrival),
+            waited_ms=convert_to_ms(self._clock() - waiting.offered_at),
             wait_ms=denial.wait_ms,
             ahead=denial.ahead,
             retry_after_ms=denial.retry_after_ms,
--- a/egretdale/coordination/allocators.py
+++ b/egretdale/coordination/allocators.py
@@ -16,7 +16,7 @@
 from egretdale.state.members import MemberStatus, MemberTable
 from egretdale.state.messages import Batch, GroupAsk, GroupReply
 from egretdale.util.clocks import Clock
-from egretdale.util.hashing import rank_by_rendezvous
+from egretdale.util.hashing import hash_text, rank_by_rendezvous
 from egretdale.util.logs import get_logger
 
 logger = get_logger(__name__)
@@ -25,6 +25,7 @@
 _REBUILD_S = 0.3
 _IDLE_S = 5.0
 _POLL_S = 1.0
+_TERM_STEP = 1024
 
 
 def find_owner(table: MemberTable, group: str) -> str:
@@ -117,7 +118,9 @@
         self._client = client
         self._clock = clock
         self._random = source
-        self._term = term
+        # Hosts that start in the same millisecond must not share a term.
+        own = hash_text(mesh.table.own_host) % _TERM_STEP
+        self._term = term * _TERM_STEP + own
         self.allocator_class: type[GroupAllocator] = GroupAllocator
         self._hosted: dict[str, Hosted] = {}
         self._local: dict[str, Hosted] = {}
@@ -228,7 +231,7 @@
             source=self._random,
             share=share,
         )
-        self._term += 1
+        self._term += _TERM_STEP
         allocator.term = self._term
         self._configure(allocator)
         now = self._clock()
--- a/egretdale/coordination/backends.py
+++ b/egretdale/coordination/backends.py
@@ -174,7 +174,7 @@
                 BACKEND_KIND, self.listed_version, _WATCH_S
             )
             if isinstance(outcome, Listing):
-                self._apply(outcome)
+                self.apply_listing(outcome)
             else:
                 eventlet.sleep(_RETRY_S * self._random.uniform(*_RETRY_SPREAD))
 
@@ -184,9 +184,13 @@
             eventlet.sleep(_REREAD_S * self._random.uniform(*_REREAD_SPREAD))
             outcome = self._platform.list_objects(BACKEND_KIND)
             if isinstance(outcome, Listing):
-                self._apply(outcome)
+                self.apply_listing(outcome)
 
-    def _apply(self, listing: Listing) -> None:
+    def apply_listing(self, listing: Listing) -> None:
+        """Take in a list of the platform.
+
+        :param listing: the list; an old one changes nothing.
+        """
         self.seen_at = self._clock()
         if listing.version <= self.listed_version:
             return
--- /dev/null
+++ b/egretdale/coordination/leases.py
@@ -0,0 +1,157 @@
+"""A lease in the platform with fencing numbers."""
+
+from __future__ import annotations
+
+import msgspec
+
+from egretdale.coordination.ports import (
+    Platform,
+    StoredObject,
+    Written,
+)
+from egretdale.errors import Missing
+from egretdale.util.clocks import Clock
+from egretdale.util.logs import get_logger
+
+logger = get_logger(__name__)
+
+LEASE_KIND = 'leases'
+
+_SAFETY_SHARE = 0.5
+
+
+class StoredLease(msgspec.Struct, frozen=True):
+    """A lease object in the platform.
+
+    :ivar holder: process that holds the lease.
+    :ivar renewals: number of writes, to notice that the holder is alive.
+    :ivar lifetime_s: seconds without a renewal after which it lapses.
+    """
+
+    holder: str
+    renewals: int
+    lifetime_s: float
+
+
+class Lease:
+    """Holds or waits for one lease.
+
+    Another holder's lease has lapsed when its object has not changed for
+    its lifetime by this host's own clock, so clocks need not agree. This
+    host trusts its own lease only for a part of the lifetime from before
+    its last write.
+
+    :ivar name: name of the lease.
+    :ivar fencing: fencing number while held, 0 otherwise.
+    """
+
+    __slots__ = (
+        '_clock',
+        '_held_until',
+        '_lifetime_s',
+        '_platform',
+        '_process',
+        '_renewals',
+        '_seen_at',
+        '_seen_version',
+        '_version',
+        'fencing',
+        'name',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        process: str,
+        platform: Platform,
+        *,
+        clock: Clock,
+        lifetime_s: float,
+    ) -> None:
+        """Create a lease that is not held.
+
+        :param name: name of the lease.
+        :param process: identity of this process.
+        :param platform: object API that stores the lease.
+        :param clock: monotonic clock.
+        :param lifetime_s: seconds after which it lapses.
+        """
+        self.name = name
+        self.fencing = 0
+        self._process = process
+        self._platform = platform
+        self._clock = clock
+        self._lifetime_s = lifetime_s
+        self._renewals = 0
+        self._version = 0
+        self._held_until = float('-inf')
+        self._seen_version = 0
+        self._seen_at = float('-inf')
+
+    def is_held(self) -> bool:
+        """Tell whether this process may act now."""
+        return self.fencing > 0 and self._clock() < self._held_until
+
+    def confirm(self) -> bool:
+        """Read the lease back just before an act that cannot be fenced.
+
+        :return: whether this process still holds it.
+        """
+        if not self.is_held():
+            return False
+        stored = self._platform.read(LEASE_KIND, self.name)
+        same = (
+            isinstance(stored, StoredObject) and stored.version == self._version
+        )
+        return same and self.is_held()
+
+    def renew(self) -> bool:
+        """Take the lease, or renew it.
+
+        :return: whether this process holds it.
+        """
+        if self.fencing and self._write(self._version):
+            return True
+        self.fencing = 0
+        stored = self._platform.read(LEASE_KIND, self.name)
+        match stored:
+            case Missing():
+                return self._write(0)
+            case StoredObject() if self._has_lapsed(stored):
+                return self._write(stored.version)
+        return False
+
+    def release(self) -> None:
+        """Give the lease up, so that another process need not wait."""
+        if self.fencing:
+            body = msgspec.json.encode(StoredLease('', self._renewals, 0))
+            self._platform.write(LEASE_KIND, self.name, body, self._version)
+        self.fencing = 0
+
+    def _write(self, expected: int) -> bool:
+        before = self._clock()
+        self._renewals += 1
+        lease = StoredLease(self._process, self._renewals, self._lifetime_s)
+        outcome = self._platform.write(
+            LEASE_KIND, self.name, msgspec.json.encode(lease), expected
+        )
+        if not isinstance(outcome, Written):
+            # A lost reply may have been a renewal; it is not relied upon.
+            return False
+        if not self.fencing:
+            logger.info('lease-taken', name=self.name, fencing=outcome.version)
+            self.fencing = outcome.version
+        self._version = outcome.version
+        self._held_until = before + self._lifetime_s * _SAFETY_SHARE
+        return True
+
+    def _has_lapsed(self, stored: StoredObject) -> bool:
+        now = self._clock()
+        lease = msgspec.json.decode(stored.body, type=StoredLease)
+        if lease.holder in {'', self._process}:
+            return True
+        if stored.version != self._seen_version:
+            self._seen_version = stored.version
+            self._seen_at = now
+            return False
+        return now - self._seen_at > lease.lifetime_s
--- a/egretdale/coordination/node.py
+++ b/egretdale/coordination/node.py
@@ -14,6 +14,7 @@
 from egretdale.coordination.claims import ClaimDesk, KeyIssuer
 from egretdale.coordination.membership import Membership
 from egretdale.coordination.mesh import Mesh
+from egretdale.coordination.placement import PlacementBoard
 from egretdale.coordination.ports import BackendClient, Network, Platform
 from egretdale.coordination.replica import DocumentReplica
 from egretdale.coordination.routing import Router
@@ -78,6 +79,7 @@
     :ivar claims: claims on keys.
     :ivar router: routing of requests.
     :ivar numbers: request identities.
+    :ivar placement: placement of models on engines.
     """
 
     __slots__ = (
@@ -91,6 +93,7 @@
         'membership',
         'mesh',
         'numbers',
+        'placement',
         'replica',
         'router',
         'settings',
@@ -131,6 +134,7 @@
         tasks.start(self.board.run_polls)
         tasks.start(self.desk.run_sync)
         tasks.start(self.claims.run_settling)
+        tasks.start(self.placement.run)
         tasks.start(self._run_watchdog)
         tasks.start(self._run_joining)
 
@@ -260,6 +264,15 @@
             clock=outside.clock,
             source=outside.source,
         )
+        self.placement = PlacementBoard(
+            f'{self.settings.host}.{incarnation:x}',
+            self.table,
+            outside.platform,
+            self.replica,
+            self.backends,
+            outside.client,
+            clock=outside.clock,
+        )
         self.mesh.attach_handler(self.board.handle)
         for listener in (
             self.membership,
--- /dev/null
+++ b/egretdale/coordination/placement.py
@@ -0,0 +1,246 @@
+"""Orders to engines: which model, adapter and version each one loads."""
+
+from __future__ import annotations
+
+import eventlet
+
+from egretdale.coordination.backends import BackendDirectory
+from egretdale.coordination.leases import Lease
+from egretdale.coordination.ports import EngineOrder, OrderSender, Platform
+from egretdale.coordination.allocators import find_owner
+from egretdale.state.members import MemberTable
+from egretdale.coordination.replica import DocumentReplica
+from egretdale.state.backends import BackendAddress
+from egretdale.state.documents import Placement, ServiceDocument
+from egretdale.util.buckets import TokenBucket
+from egretdale.util.clocks import Clock
+from egretdale.util.hashing import rank_by_rendezvous
+from egretdale.util.logs import get_logger
+
+logger = get_logger(__name__)
+
+_ROUND_S = 2.0
+_LOADS_PER_S = 0.5
+_LOADS_BURST = 2.0
+_LEASE_S = 10.0
+_SETTLING_S = 30.0
+
+
+class PlacementManager:
+    """Places the models of one service while it holds the service's lease.
+
+    Engines that do not check fencing numbers get an order only after the
+    lease has been read back, and a new holder first waits until an old one
+    must have noticed that it lost the lease.
+    """
+
+    __slots__ = (
+        '_backends',
+        '_client',
+        '_clock',
+        '_held_since',
+        '_lease',
+        '_loads',
+        '_placed',
+        '_replica',
+        '_settling_s',
+        'service',
+    )
+
+    def __init__(
+        self,
+        service: str,
+        lease: Lease,
+        replica: DocumentReplica,
+        backends: BackendDirectory,
+        client: OrderSender,
+        *,
+        clock: Clock,
+        settling_s: float,
+    ) -> None:
+        """Create a manager that has placed nothing.
+
+        :param service: service name.
+        :param lease: lease of the service's placement.
+        :param replica: documents in force.
+        :param backends: directory of backend servers.
+        :param client: sender of orders.
+        :param clock: monotonic clock.
+        :param settling_s: longest pause of an old holder in seconds, which a
+            new one waits out before engines that do not check.
+        """
+        self.service = service
+        self._lease = lease
+        self._replica = replica
+        self._backends = backends
+        self._client = client
+        self._clock = clock
+        self._settling_s = settling_s
+        self._held_since: float | None = None
+        self._placed: dict[str, EngineOrder] = {}
+        self._loads = TokenBucket(_LOADS_PER_S, _LOADS_BURST, clock)
+
+    def step(self) -> None:
+        """Renew the lease and send what is missing."""
+        if not self._lease.renew():
+            self._held_since = None
+            self._placed.clear()
+            return
+        if self._held_since is None:
+            self._held_since = self._clock()
+        in_force = self._replica.find(self.service)
+        if in_force is None:
+            return
+        document = in_force.document
+        for address, placement in self._plan(document):
+            self._place(document, address, placement)
+
+    def stop(self) -> None:
+        """Give the lease up."""
+        self._lease.release()
+
+    def _plan(
+        self, document: ServiceDocument
+    ) -> list[tuple[BackendAddress, Placement]]:
+        free = {
+            address.name: address
+            for address in self._backends.list_backends(self.service)
+            if not address.leaving
+        }
+        plan = []
+        for placement in document.placement:
+            # Ranking by model alone keeps engines in place over versions.
+            ranked = rank_by_rendezvous(
+                f'{placement.model}/{placement.adapter}', free
+            )
+            for name in ranked[: placement.engines]:
+                plan.append((free.pop(name), placement))
+        return plan
+
+    def _place(
+        self,
+        document: ServiceDocument,
+        address: BackendAddress,
+        placement: Placement,
+    ) -> None:
+        order = EngineOrder(
+            placement.model,
+            placement.adapter,
+            placement.version,
+            self._lease.fencing,
+        )
+        key = f'{address.name}/{address.incarnation}'
+        if self._placed.get(key) == order:
+            return
+        if not self._may_order(document, address):
+            return
+        taken = self._client.send_order(address.address, order)
+        logger.info(
+            'placement-order',
+            service=self.service,
+            backend=address.name,
+            model=order.model,
+            version=order.version,
+            fencing=order.fencing,
+            taken=taken,
+        )
+        if taken:
+            self._placed[key] = order
+
+    def _may_order(
+        self, document: ServiceDocument, address: BackendAddress
+    ) -> bool:
+        if address.name in document.ignores_fencing:
+            held_s = self._clock() - (self._held_since or self._clock())
+            if held_s < self._settling_s or not self._lease.confirm():
+                return False
+        return self._lease.is_held() and self._loads.take()
+
+
+class PlacementBoard:
+    """Runs the placement of the services that this host is to place.
+
+    The membership names one host for each service, so that the others need
+    not ask the platform; the lease decides between hosts that disagree.
+    """
+
+    __slots__ = (
+        '_backends',
+        '_client',
+        '_clock',
+        '_managers',
+        '_platform',
+        '_process',
+        '_replica',
+        '_table',
+    )
+
+    def __init__(
+        self,
+        process: str,
+        table: MemberTable,
+        platform: Platform,
+        replica: DocumentReplica,
+        backends: BackendDirectory,
+        client: OrderSender,
+        *,
+        clock: Clock,
+    ) -> None:
+        """Create a board without managers.
+
+        :param process: identity of this process.
+        :param table: view of the entry hosts.
+        :param platform: object API that stores the leases.
+        :param replica: documents in force.
+        :param backends: directory of backend servers.
+        :param client: sender of orders.
+        :param clock: monotonic clock.
+        """
+        self._process = process
+        self._table = table
+        self._platform = platform
+        self._replica = replica
+        self._backends = backends
+        self._client = client
+        self._clock = clock
+        self._managers: dict[str, PlacementManager] = {}
+
+    def run(self) -> None:
+        """Place the services of this host."""
+        while True:
+            eventlet.sleep(_ROUND_S)
+            for service in self._replica.list_services():
+                in_force = self._replica.find(service)
+                if in_force is not None and in_force.document.placement:
+                    self._step(service)
+
+    def _step(self, service: str) -> None:
+        owner = find_owner(self._table, f'placement/{service}')
+        if owner == self._table.own_host:
+            self._open(service).step()
+            return
+        manager = self._managers.pop(service, None)
+        if manager is not None:
+            manager.stop()
+
+    def _open(self, service: str) -> PlacementManager:
+        manager = self._managers.get(service)
+        if manager is None:
+            lease = Lease(
+                f'placement-{service}',
+                self._process,
+                self._platform,
+                clock=self._clock,
+                lifetime_s=_LEASE_S,
+            )
+            manager = PlacementManager(
+                service,
+                lease,
+                self._replica,
+                self._backends,
+                self._client,
+                clock=self._clock,
+                settling_s=_SETTLING_S,
+            )
+            self._managers[service] = manager
+        return manager
--- a/egretdale/coordination/ports.py
+++ b/egretdale/coordination/ports.py
@@ -169,6 +169,34 @@
     first_byte_s: float
 
 
+@dataclass(slots=True, frozen=True)
+class EngineOrder:
+    """The state that an engine must reach; repeating it is harmless.
+
+    :ivar model: model name.
+    :ivar adapter: adapter name, empty for none.
+    :ivar version: version label.
+    :ivar fencing: fencing number of the sender's lease.
+    """
+
+    model: str
+    adapter: str
+    version: str
+    fencing: int
+
+
+class OrderSender(Protocol):
+    """Sends orders to engines."""
+
+    def send_order(self, address: str, order: EngineOrder) -> bool:
+        """Send an order.
+
+        :param address: ``address:port`` of the engine.
+        :param order: the order.
+        :return: whether the engine took it.
+        """
+
+
 @dataclass(slots=True, frozen=True)
 class NotRun:
     """The backend server certainly did not run the request.
@@ -213,7 +241,7 @@
         """Drop the connection."""
 
 
-class BackendClient(Protocol):
+class BackendClient(OrderSender, Protocol):
     """Calls to backend servers."""
 
     def open(
--- a/egretdale/state/demand.py
+++ b/egretdale/state/demand.py
@@ -5,6 +5,7 @@
 import math
 
 _WINDOW_S = 10.0
+_LEAST_FILLED = 0.5
 
 
 class RateMeter:
@@ -40,7 +41,7 @@
         seen_s = now - self._started_at
         # A young meter has seen only a part of its window.
         filled = 1 - math.exp(-seen_s / _WINDOW_S)
-        return self._amount / _WINDOW_S / max(filled, 1 / _WINDOW_S)
+        return self._amount / _WINDOW_S / max(filled, _LEAST_FILLED)
 
     def _decay(self, now: float) -> None:
         elapsed_s = now - self._at
--- a/egretdale/state/order.py
+++ b/egretdale/state/order.py
@@ -24,6 +24,7 @@
     :ivar arrival: monotonic seconds of its arrival at the entry host.
     :ivar cost: expected slot-seconds.
     :ivar first_token_s: expected seconds from a grant to the first token.
+    :ivar offered_at: monotonic seconds at which the allocator learned of it.
     """
 
     ask: Ask
@@ -33,6 +34,7 @@
     arrival: float
     cost: float
     first_token_s: float = float(0)
+    offered_at: float = float(0)
 
     @property
     def deadline(self) -> float:
--- a/egretdale/transport/backends.py
+++ b/egretdale/transport/backends.py
@@ -16,6 +16,7 @@
 from egretdale.coordination.ports import (
     BackendCall,
     EndOfStream,
+    EngineOrder,
     MaybeRun,
     NotRun,
 )
@@ -197,6 +198,24 @@
         except msgspec.MsgspecError as malformed:
             return Unreachable(Cause.MALFORMED, str(malformed))
 
+    def send_order(self, address: str, order: EngineOrder) -> bool:
+        """Send an order to load a model.
+
+        :param address: ``address:port`` of the engine.
+        :param order: the order.
+        :return: whether the engine took it.
+        """
+        try:
+            response = self._pool.request(
+                'POST',
+                f'http://{address}/orders',
+                body=msgspec.json.encode(order),
+                timeout=_CONTROL_TIMEOUT_S,
+            )
+        except HTTPError:
+            return False
+        return response.status == _OK
+
     def _start(
         self,
         pool: urllib3.PoolManager,
--- /dev/null
+++ b/standins/deciding.py
@@ -0,0 +1,282 @@
+"""Measures decisions and state at the size that is planned for."""
+
+from __future__ import annotations
+
+import json
+import random
+import time
+import tracemalloc
+from collections.abc import Callable
+from typing import Any
+
+import click
+from thrift.transport.TTransport import TMemoryBuffer
+
+from egretdale.coordination.allocation import GroupAllocator
+from egretdale.coordination.allocators import find_owner
+from egretdale.coordination.backends import BackendDirectory
+from egretdale.coordination.membership import Membership
+from egretdale.coordination.mesh import Mesh
+from egretdale.coordination.ports import Listing, StoredObject
+from egretdale.protocol.wire import create_protocol, encode_structure
+from egretdale.state.backends import BackendAddress, LoadReport
+from egretdale.state.documents import ServiceDocument, parse_document
+from egretdale.state.members import MemberTable
+from egretdale.state.messages import (
+    Ask,
+    Batch,
+    Done,
+    GroupAsk,
+    MemberUpdate,
+)
+
+_ENGINES = 6200
+_MEMBERS = 400
+_ORGANISATIONS = 830
+_GROUP_ENGINES = 16
+_ROUNDS = 2000
+_MICROSECONDS = 1_000_000
+
+_DOCUMENT = {
+    'schema': 1,
+    'service': 'model-0',
+    'owner': 'team',
+    'kind': 'model',
+    'backend_concurrency': 16,
+    'groups': 39,
+    'classes': [
+        {
+            'name': f'tier-{tier}',
+            'tier': tier,
+            'first_token_ms': 1200,
+            'between_tokens_ms': 31,
+            'patience_ms': 60000,
+        }
+        for tier in range(4)
+    ],
+    'organisations': [
+        {'name': f'organisation-{number}'} for number in range(_ORGANISATIONS)
+    ],
+}
+
+
+def measure_decisions() -> None:
+    """Print processor time, bytes and memory of each kind of state."""
+    _measure_allocation()
+    _measure_messages()
+    _measure_members()
+    _measure_backends()
+    _measure_document()
+
+
+def _report(name: str, figure: float, unit: str) -> None:
+    click.echo(f'{name:52} {figure:10.1f} {unit}')
+
+
+def _time_each(step: Callable[[int], Any], rounds: int) -> float:
+    started_at = time.process_time()
+    for number in range(rounds):
+        step(number)
+    return (time.process_time() - started_at) / rounds * _MICROSECONDS
+
+
+def _weigh(build: Callable[[], Any]) -> float:
+    tracemalloc.start()
+    kept = build()
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    # The object lives until its size has been read.
+    del kept
+    return size / 1024
+
+
+def _create_document() -> ServiceDocument:
+    document = parse_document(json.dumps(_DOCUMENT).encode())
+    if not isinstance(document, ServiceDocument):
+        raise TypeError(document)
+    return document
+
+
+def _create_allocator(waiting: int) -> GroupAllocator:
+    now = [float(100)]
+    allocator = GroupAllocator(
+        'model-0/0',
+        _create_document(),
+        1,
+        clock=lambda: now[0],
+        source=random.Random(1),
+    )
+    allocator.replace_backends(
+        [
+            BackendAddress('model-0', f'engine-{number}', f'e{number}', 1)
+            for number in range(_GROUP_ENGINES)
+        ]
+    )
+    for view in allocator.pool.views.values():
+        view.accept_report(LoadReport(0, 0, 0, 10**9), now[0])
+    asks = [_create_ask(number) for number in range(waiting)]
+    for number in range(_GROUP_ENGINES * 16):
+        allocator.accept('h', GroupAsk('g', asks=[_create_ask(-number - 1)]))
+    allocator.dispatch()
+    for ask in asks:
+        ask.returning = True
+        allocator.accept('h', GroupAsk('g', asks=[ask]))
+    allocator.take_replies()
+    return allocator
+
+
+def _create_ask(number: int) -> Ask:
+    return Ask(
+        f'host-123.18f2a3b.{number:x}',
+        f'tier-{number % 4}',
+        f'organisation-{number % _ORGANISATIONS}',
+        prompt_tokens=1000,
+        returning=True,
+    )
+
+
+def _measure_allocation() -> None:
+    for waiting in (0, 100, 500):
+        allocator = _create_allocator(waiting)
+
+        def decide(number: int, chosen: GroupAllocator = allocator) -> None:
+            held = next(iter(chosen.pool.held.values()))
+            done = Done(held.ask.request_id, 'engine-0', 20, 50, 500)
+            asks = [_create_ask(100000 + number)]
+            chosen.accept('h', GroupAsk('g', asks=asks, done=[done]))
+            chosen.dispatch()
+            chosen.take_replies()
+
+        figure = _time_each(decide, _ROUNDS // 4)
+        _report(f'decision (ask, grant, done), {waiting} waiting', figure, 'us')
+    weight = _weigh(lambda: _create_allocator(500))
+    _report('allocator of 16 engines, 256 slots, 500 waiting', weight, 'KB')
+
+
+def _encode(batch: Batch) -> bytes:
+    buffer = TMemoryBuffer()
+    encode_structure(batch).write(create_protocol(buffer))
+    return buffer.getvalue()
+
+
+def _measure_messages() -> None:
+    empty = len(_encode(Batch('host-123', 1_700_000_000_000)))
+    ask = GroupAsk('model-0/12', asks=[_create_ask(7)])
+    done = Done('host-123.18f2a3b.7', 'engine-1234', 200, 300, 6000)
+    both = GroupAsk('model-0/12', asks=[_create_ask(7)], done=[done])
+    for name, message in (('ask', ask), ('ask and done', both)):
+        batch = Batch('host-123', 1_700_000_000_000, [message])
+        _report(f'batch with one {name}', len(_encode(batch)), 'bytes')
+    _report('empty batch', empty, 'bytes')
+    many = GroupAsk(
+        'model-0/12', asks=[_create_ask(number) for number in range(10)]
+    )
+    batch = Batch('host-123', 1_700_000_000_000, [many])
+    each = (len(_encode(batch)) - empty) / 10
+    _report('each ask in a batch of ten', each, 'bytes')
+    full = Batch('host-123', 1_700_000_000_000, [both])
+    figure = _time_each(lambda _: _encode(full), _ROUNDS)
+    _report('encoding a batch', figure, 'us')
+
+
+def _create_update(number: int) -> MemberUpdate:
+    return MemberUpdate(
+        f'host-{number}',
+        1_700_000_000_000 + number,
+        number,
+        0,
+        f'dc-{number % 18}',
+        f'10.1.{number // 250}.{number % 250}:8080',
+        f'10.1.{number // 250}.{number % 250}:8081',
+    )
+
+
+def _create_table() -> MemberTable:
+    table = MemberTable('host-0')
+    for number in range(_MEMBERS):
+        table.apply(_create_update(number), 0)
+    return table
+
+
+class _NoNetwork:
+    """A network and platform that are never called."""
+
+
+def _measure_members() -> None:
+    table = _create_table()
+    _report('table of 400 members', _weigh(_create_table), 'KB')
+    figure = _time_each(lambda number: find_owner(table, f'g/{number}'), 200)
+    _report('finding the allocator among 400 members', figure, 'us')
+    nothing: Any = _NoNetwork()
+    mesh = Mesh(table, nothing, time.monotonic, 4096)
+    membership = Membership(
+        _create_update(0),
+        mesh,
+        nothing,
+        clock=time.monotonic,
+        source=random.Random(1),
+        period_s=0.5,
+        suspicion_s=1,
+    )
+    mesh.add_listener(membership)
+    for number in range(1, 9):
+        changed = _create_update(number)
+        changed.status = 2
+        membership.learn(changed)
+    size = len(_encode(mesh.create_batch('host-9')))
+    _report('probe with news of 8 members', size, 'bytes')
+
+
+def _create_listing() -> Listing:
+    entries = tuple(
+        StoredObject(
+            f'model-{number % 10}-engine-{number}',
+            number + 1,
+            json.dumps(
+                {
+                    'service': f'model-{number % 10}',
+                    'address': f'10.2.{number // 250}.{number % 250}:8000',
+                    'incarnation': 1,
+                    'data_centre': f'dc-{number % 18}',
+                    'state': 'live',
+                }
+            ).encode(),
+        )
+        for number in range(_ENGINES)
+    )
+    return Listing(_ENGINES, entries)
+
+
+def _create_directory() -> BackendDirectory:
+    nothing: Any = _NoNetwork()
+    directory = BackendDirectory(
+        nothing,
+        clock=time.monotonic,
+        source=random.Random(1),
+        on_change=lambda: None,
+    )
+    directory.apply_listing(_create_listing())
+    return directory
+
+
+def _measure_backends() -> None:
+    directory = _create_directory()
+    listing = _create_listing()
+    size = sum(len(entry.body) for entry in listing.entries)
+    _report('list of 6,200 engines', size / 1024, 'KB')
+    _report('directory of 6,200 engines', _weigh(_create_directory), 'KB')
+    figure = _time_each(lambda _: directory.list_group('model-0', 3, 39), 5)
+    _report('listing one of 39 groups of a model', figure, 'us')
+    started_at = time.process_time()
+    directory.listed_version = 0
+    directory.apply_listing(listing)
+    taken = (time.process_time() - started_at) * _MICROSECONDS
+    _report('reading a list of 6,200 engines', taken, 'us')
+
+
+def _measure_document() -> None:
+    source = json.dumps(_DOCUMENT).encode()
+    _report('document with 830 organisations', len(source) / 1024, 'KB')
+    figure = _time_each(lambda _: parse_document(source), 50)
+    _report('checking a document', figure, 'us')
+    _report('document in memory', _weigh(_create_document), 'KB')
--- a/standins/measure.py
+++ b/standins/measure.py
@@ -14,6 +14,9 @@
 from absl import logging as absl_logging
 
 from standins.baselines import POLICIES
+from standins.controlling import measure_control
+from standins.deciding import measure_decisions
+from standins.relaying import measure_relay
 from standins.replay import Report, find_misses, format_report, replay
 from standins.traces import list_traces, load_trace
 
@@ -73,6 +76,29 @@
     sys.exit(1 if missed else 0)
 
 
+@main.command()
+def relay() -> None:
+    """Measure one daemon against the stand-in behind it."""
+    measure_relay()
+
+
+@main.command()
+@click.argument('sizes', nargs=-1, type=int)
+def control(sizes: tuple[int, ...]) -> None:
+    """Measure what control costs a daemon at several fleet sizes.
+
+    \f
+    :param sizes: numbers of daemons.
+    """
+    measure_control(sizes or (3, 8, 16, 32))
+
+
+@main.command()
+def decisions() -> None:
+    """Measure decisions and state at the size that is planned for."""
+    measure_decisions()
+
+
 def run_replay(pair: tuple[str, str]) -> Report:
     """Replay one trace under one policy, in a process of its own.
 
--- a/standins/virtual/backends.py
+++ b/standins/virtual/backends.py
@@ -12,6 +12,7 @@
 from egretdale.coordination.ports import (
     BackendCall,
     EndOfStream,
+    EngineOrder,
     MaybeRun,
     NotRun,
 )
@@ -444,6 +445,11 @@
             return False
         return backend.pause(stream_id, paused=paused)
 
+    def send_order(self, address: str, order: EngineOrder) -> bool:
+        """Take an order to load a model."""
+        self._travel()
+        return not self._backends[address].down
+
     def read_load(self, address: str) -> LoadReport | Unreachable:
         """Read a load report."""
         backend = self._backends[address]
--- a/standins/virtual/world.py
+++ b/standins/virtual/world.py
@@ -110,6 +110,7 @@
     :ivar events: events delivered.
     :ivar host: entry host.
     :ivar continuation: how to go on with the stream at another host.
+    :ivar tries: requests that the caller made for it.
     """
 
     demand: Demand
@@ -120,6 +121,7 @@
     events: int = 0
     host: str = ''
     continuation: Continuation | None = None
+    tries: int = 0
 
     def is_whole(self) -> bool:
         """Tell whether the whole answer was delivered."""
@@ -375,6 +377,7 @@
         if host is None or host not in self.list_alive():
             return
         ended.host = host
+        ended.tries += 1
         node = self.nodes[host]
         body = msgspec.json.encode(demand.work)
         request = CallerRequest(
