Keep the connection to the engine after a whole stream

Cause: a relayed stream was closed right after its last event, before the end of its framing was read, so every request opened a new connection (profile: two connects a request). Change: the end is read, for at most 50 ms, and the connection kept.

--- a/egretdale/coordination/ports.py
+++ b/egretdale/coordination/ports.py
@@ -237,6 +237,9 @@
     def read(self) -> bytes | EndOfStream | MaybeRun:
         """Read the next chunk of the body."""
 
+    def finish(self) -> None:
+        """Keep the connection after the last event if it has ended."""
+
     def close(self) -> None:
         """Drop the connection."""
 
--- a/egretdale/coordination/relay.py
+++ b/egretdale/coordination/relay.py
@@ -149,7 +149,7 @@
         answered = self._desk.finish(
             self._route, self._attempt, self._log.events
         )
-        self._attempt.stream.close()
+        self._attempt.stream.finish()
         self._end_reply(answered)
 
     def _fail(self, refused: Refused) -> None:
--- a/egretdale/transport/backends.py
+++ b/egretdale/transport/backends.py
@@ -26,6 +26,7 @@
 _CONNECTIONS = 256
 _POOLS = 64
 _CONNECT_S = 1.0
+_END_S = 0.05
 _LOAD_TIMEOUT_S = 0.5
 _CONTROL_TIMEOUT_S = 1.0
 _CONTINUE_S = 3.0
@@ -92,6 +93,13 @@
         self._response.release_conn()
         return EndOfStream()
 
+    def finish(self) -> None:
+        """Keep the connection after the last event if it has ended."""
+        with eventlet.Timeout(_END_S, False):
+            if isinstance(self.read(), EndOfStream):
+                return
+        self.close()
+
     def close(self) -> None:
         """Drop the connection."""
         self._response.close()
--- a/standins/virtual/backends.py
+++ b/standins/virtual/backends.py
@@ -310,6 +310,9 @@
             if paused or self._stream.tokens == 0:
                 waited_s += _PROGRESS_S
 
+    def finish(self) -> None:
+        """Do nothing; there is no connection to keep."""
+
     def close(self) -> None:
         """Drop the connection."""
         self._done = True
@@ -360,6 +363,9 @@
         """Return the body, then the end."""
         return self._chunks.pop() if self._chunks else EndOfStream()
 
+    def finish(self) -> None:
+        """Do nothing; there is no connection to keep."""
+
     def close(self) -> None:
         """Do nothing."""
 
