Make come-back times hold and probe two peers a period

Going before newcomers was done by an earlier arrival, which also shortened their patience, and times were spaced as if the organisation had every slot. Change: callers who come back have a rank of their own and keep their patience; times are spaced by the organisation's share; two peers are probed a period when there are more than three.

--- a/egretdale/coordination/allocation.py
+++ b/egretdale/coordination/allocation.py
@@ -325,11 +325,13 @@
     def _promise(self, waiting: Waiting, wait_s: float) -> float:
         if self.pool.has_left():
             return _NO_BACKEND_RETRY_S
-        slots = max(1, self.pool.count_slots(waiting.tier))
+        slots = max(1, self.pool.count_open(waiting))
         excess_s = wait_s - waiting.request_class.patience_s / 2
         queue_name = (waiting.request_class.name, waiting.ask.organisation)
+        share = self._order.measure_share(waiting)
+        spacing_s = waiting.cost / (slots * share)
         return self._promises.promise(
-            queue_name, self._clock(), excess_s, waiting.cost / slots
+            queue_name, self._clock(), excess_s, spacing_s
         )
 
     # Slots
--- a/egretdale/coordination/membership.py
+++ b/egretdale/coordination/membership.py
@@ -21,7 +21,7 @@
 MEMBER_KIND = 'members'
 
 _PROBE_FANOUT = 7
-_FULL_FANOUT_PEERS = 16
+_FULL_FANOUT_PEERS = 3
 _SPARSE_FANOUT = 2
 _NEWS_PER_BATCH = 8
 _NEWS_REPEATS = 6
--- a/egretdale/state/order.py
+++ b/egretdale/state/order.py
@@ -28,6 +28,7 @@
     :ivar offered_at: monotonic seconds at which the allocator learned of it.
     :ivar tier: tier of the class.
     :ivar deadline: monotonic seconds at which the first token is due.
+    :ivar rank: place within the class; the lowest goes first.
     :ivar expiry: monotonic seconds at which the request is given up.
     :ivar latest_start: monotonic seconds after which the target is missed.
     """
@@ -42,6 +43,7 @@
     offered_at: float = float(0)
     tier: int = field(init=False)
     deadline: float = field(init=False)
+    rank: float = field(init=False)
     expiry: float = field(init=False)
     latest_start: float = field(init=False)
 
@@ -51,7 +53,12 @@
         shortest_s = patience_s * _SHORTEST_WAIT_SHARE
         wait_s = max(patience_s - self.first_token_s, shortest_s)
         self.tier = self.request_class.tier
-        self.deadline = self.arrival + self.request_class.first_token_s
+        target_s = self.request_class.first_token_s
+        self.deadline = self.arrival + target_s
+        self.rank = self.deadline
+        if self.ask.returning:
+            # A caller who keeps a promised time goes before newcomers.
+            self.rank -= target_s
         self.expiry = self.arrival + wait_s
         self.latest_start = self.deadline - self.first_token_s
 
@@ -110,7 +117,7 @@
 
         :param waiting: the request.
         """
-        bisect.insort(self._entries, waiting, key=_read_deadline)
+        bisect.insort(self._entries, waiting, key=_read_rank)
         self.cost += waiting.cost
 
     def remove(self, waiting: Waiting) -> None:
@@ -126,8 +133,8 @@
         return self._entries[0]
 
 
-def _read_deadline(waiting: Waiting) -> float:
-    return waiting.deadline
+def _read_rank(waiting: Waiting) -> float:
+    return waiting.rank
 
 
 class ClassQueue:
@@ -228,6 +235,20 @@
             return late
         return min(self._organisations.values(), key=_rank_queue).peek()
 
+    def measure_share(self, organisation: str, weight: float) -> float:
+        """Measure which part of the class's work an organisation gets.
+
+        :param organisation: the organisation.
+        :param weight: its weight.
+        :return: part, from 0 to 1, while the same organisations wait.
+        """
+        others = sum(
+            queue.weight
+            for name, queue in self._organisations.items()
+            if name != organisation
+        )
+        return weight / (weight + others)
+
     def list_late(self) -> list[Waiting]:
         """List the requests that missed their target, the oldest first."""
         return list(self._late.values())
@@ -281,7 +302,7 @@
 
 
 def _rank_queue(queue: OrganisationQueue) -> tuple[float, float]:
-    return queue.tag, queue.peek().deadline
+    return queue.tag, queue.peek().rank
 
 
 class WaitingOrder:
@@ -385,6 +406,15 @@
                 ahead += queue.cost
         return ahead
 
+    def measure_share(self, waiting: Waiting) -> float:
+        """Measure which part of its class's work an organisation gets.
+
+        :param waiting: a request of the organisation.
+        :return: part, from 0 to 1.
+        """
+        queue = self._queues[waiting.request_class.name]
+        return queue.measure_share(waiting.ask.organisation, waiting.weight)
+
     def count_ahead(self, waiting: Waiting) -> int:
         """Count waiting requests of the same and higher tiers.
 
@@ -425,7 +455,7 @@
 
 
 def _rank_head(waiting: Waiting, now: float) -> tuple[int, bool, float]:
-    return waiting.tier, waiting.is_late(now), waiting.deadline
+    return waiting.tier, waiting.is_late(now), waiting.rank
 
 
 def _goes_before(queue: ClassQueue, waiting: Waiting) -> bool:
--- a/standins/measure.py
+++ b/standins/measure.py
@@ -43,8 +43,17 @@
     type=click.Path(path_type=Path),
     help='File for the reports as JSON.',
 )
+@click.option(
+    '--comes-back',
+    is_flag=True,
+    help='Refused callers come back once, when they were told to.',
+)
 def policy(
-    traces: tuple[str, ...], policies: tuple[str, ...], json_path: Path | None
+    traces: tuple[str, ...],
+    policies: tuple[str, ...],
+    json_path: Path | None,
+    *,
+    comes_back: bool,
 ) -> None:
     """Replay traces under policies and compare with the stated outcomes.
 
@@ -52,10 +61,11 @@
     :param traces: names of traces, all when empty.
     :param policies: names of policies, all when empty.
     :param json_path: file for the reports as JSON.
+    :param comes_back: whether refused callers come back.
     """
     names = traces or tuple(list_traces())
     pairs = [
-        (name, chosen)
+        (name, chosen, comes_back)
         for name in names
         for chosen in policies or tuple(POLICIES)
     ]
@@ -99,15 +109,16 @@
     measure_decisions()
 
 
-def run_replay(pair: tuple[str, str]) -> Report:
+def run_replay(work: tuple[str, str, bool]) -> Report:
     """Replay one trace under one policy, in a process of its own.
 
-    :param pair: names of the trace and the policy.
+    :param work: names of the trace and the policy, and whether refused
+        callers come back.
     :return: the report.
     """
     absl_logging.set_verbosity('error')
-    name, chosen = pair
-    return replay(load_trace(name), chosen)
+    name, chosen, comes_back = work
+    return replay(load_trace(name), chosen, comes_back=comes_back)
 
 
 def compare_baselines(reports: list[Report]) -> list[str]:
--- a/standins/replay.py
+++ b/standins/replay.py
@@ -6,7 +6,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -39,6 +39,8 @@
     :ivar attainment: part of the offered requests that attained.
     :ivar refused: refusals by reason.
     :ivar longest_gap_s: longest time with demand and without any answer.
+    :ivar returned: callers that came back at the promised time.
+    :ivar served: callers that were answered whole when they came back.
     """
 
     offered: int = 0
@@ -47,6 +49,8 @@
     attainment: float = float(0)
     refused: dict[str, int] = {}
     longest_gap_s: float = float(0)
+    returned: int = 0
+    served: int = 0
 
 
 class Report(msgspec.Struct):
@@ -126,11 +130,13 @@
         allocation.logger = previous
 
 
-def replay(trace: Trace, policy: str) -> Report:
+def replay(trace: Trace, policy: str, *, comes_back: bool = False) -> Report:
     """Replay a trace.
 
     :param trace: the trace.
     :param policy: name of the way to allocate slots.
+    :param comes_back: whether refused callers come back once, at the time
+        that they were told.
     :return: what became of it.
     """
     text = (_EXAMPLES / trace.head.document).read_text()
@@ -151,7 +157,9 @@
             eventlet.sleep(max(0, _WARM_UP_S + event.at - hub.now))
             match event:
                 case Arrival():
-                    pool.spawn_n(world.make, _create_demand(trace, event))
+                    demand = _create_demand(trace, event)
+                    demand = replace(demand, comes_back=comes_back)
+                    pool.spawn_n(world.make, demand)
                 case Fault():
                     _apply_fault(world, trace, event)
         with eventlet.Timeout(_DRAIN_S, False):
@@ -253,6 +261,8 @@
         round(attained / len(endings), 4),
         dict(reasons),
         round(_find_longest_gap(endings), 1),
+        sum(ended.returned_s is not None for ended in endings),
+        sum(ended.returned_s is not None for ended in whole),
     )
 
 
@@ -324,6 +334,7 @@
             f'  {name:17} offered {entry.offered:5} whole {entry.whole:5} '
             f'attainment {entry.attainment:.4f} '
             f'gap {entry.longest_gap_s:6.1f} s refused {refused}'
+            f' came back {entry.returned} served {entry.served}'
         )
     return '\n'.join(lines)
 
--- a/standins/virtual/world.py
+++ b/standins/virtual/world.py
@@ -85,6 +85,7 @@
     :ivar key: idempotency key, empty for none.
     :ivar streams: whether the answer is a stream.
     :ivar asks_again: whether the caller asks again when its host dies.
+    :ivar comes_back: whether the caller comes back at a promised time.
     """
 
     identity: str
@@ -96,6 +97,7 @@
     key: str = ''
     streams: bool = True
     asks_again: bool = True
+    comes_back: bool = False
 
 
 @dataclass(slots=True)
@@ -111,6 +113,7 @@
     :ivar host: entry host.
     :ivar continuation: how to go on with the stream at another host.
     :ivar tries: requests that the caller made for it.
+    :ivar returned_s: seconds after which the caller came back, if it did.
     """
 
     demand: Demand
@@ -122,6 +125,7 @@
     host: str = ''
     continuation: Continuation | None = None
     tries: int = 0
+    returned_s: float | None = None
 
     def is_whole(self) -> bool:
         """Tell whether the whole answer was delivered."""
@@ -352,6 +356,23 @@
         :return: how it ended.
         """
         ended = Ending(demand, None, self.clock(), self.clock())
+        self._try_hosts(ended, host)
+        if demand.comes_back:
+            self._come_back(ended, host)
+        ended.ended_at = self.clock()
+        self.endings.append(ended)
+        return ended
+
+    def _come_back(self, ended: Ending, host: str | None) -> None:
+        refused = ended.outcome
+        if isinstance(refused, Refused) and refused.retry_after_s is not None:
+            ended.returned_s = refused.retry_after_s
+            eventlet.sleep(refused.retry_after_s)
+            ended.outcome = None
+            self._try_hosts(ended, host)
+
+    def _try_hosts(self, ended: Ending, host: str | None) -> None:
+        demand = ended.demand
         for _ in range(_MAXIMUM_TRIES):
             chosen = host or self.choose_host(demand.organisation)
             waiter = eventlet.spawn(self._route, ended, chosen)
@@ -367,9 +388,6 @@
                 break
             # The entry host died; the caller notices and asks another one.
             eventlet.sleep(_NOTICE_S)
-        ended.ended_at = self.clock()
-        self.endings.append(ended)
-        return ended
 
     def _route(self, ended: Ending, host: str | None) -> None:
         eventlet.sleep(_CALLER_LATENCY_S)
@@ -395,6 +413,7 @@
             0,
             demand.work.prefix,
             hash_text(demand.identity) >> 1,
+            returning=ended.returned_s is not None,
             continuation=ended.continuation,
         )
         reply = node.router.route(request)
