--- a/egretdale/cmd/egretdale.py
+++ b/egretdale/cmd/egretdale.py
@@ -91,7 +91,7 @@
     if isinstance(record, Invalid):
         fail(record)
     explanation = Explanation(record)
-    for address in context.client.addresses:
+    for address in _list_addresses(context):
         answer = context.client.get_from(
             address, f'/v1/explain/{refusal_id}', Explanation
         )
@@ -114,6 +114,19 @@
     show(context, explanation, lines)
 
 
+def _list_addresses(context: Context) -> list[str]:
+    """List the given hosts and those that they know of."""
+    addresses = list(context.client.addresses)
+    status = context.client.get('/v1/status', StatusAnswer)
+    if isinstance(status, StatusAnswer):
+        addresses += [
+            member.caller_address
+            for member in status.members
+            if member.caller_address and member.status != 'gone'
+        ]
+    return list(dict.fromkeys(addresses))
+
+
 @main.command()
 @click.option('--organisation', default='', help='Organisation that calls.')
 @click.option('--data-centre', default='', help='Data centre of the caller.')
--- a/egretdale/coordination/allocation.py
+++ b/egretdale/coordination/allocation.py
@@ -17,7 +17,8 @@
     Pause,
     Running,
 )
-from egretdale.state.order import Choice, Waiting, WaitingOrder
+from egretdale.state.order import Choice, WaitingOrder
+from egretdale.state.queues import Waiting
 from egretdale.state.outcomes import Reason
 from egretdale.state.promises import PromiseBook
 from egretdale.util.clocks import Clock, convert_to_ms, convert_to_seconds
--- a/egretdale/coordination/attempts.py
+++ b/egretdale/coordination/attempts.py
@@ -20,7 +20,8 @@
     Continuation,
     StreamLog,
 )
-from egretdale.coordination.slots import Active, SlotClient, SlotDesk
+from egretdale.coordination.desks import SlotDesk
+from egretdale.coordination.slots import Active, SlotClient
 from egretdale.state.documents import RequestClass
 from egretdale.state.figures import Figures
 from egretdale.state.messages import Ask, ClaimAsk, Denial
--- a/egretdale/coordination/claims.py
+++ b/egretdale/coordination/claims.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
-import enum
 import hashlib
-from collections import OrderedDict
 from dataclasses import dataclass
 
 import eventlet
 import msgspec
 
+from egretdale.coordination.keys import (
+    ISSUED_PREFIX,
+    ClaimVerdict,
+    KeyIssuer,
+    StoredDecisions,
+    read_issue_age,
+    read_issuer,
+)
 from egretdale.coordination.ports import (
     Network,
     Platform,
@@ -19,42 +25,18 @@
 from egretdale.errors import Ambiguous, Conflict, Missing, Unreachable
 from egretdale.state.members import MemberStatus, MemberTable
 from egretdale.state.messages import ClaimAsk, ClaimReply
-from egretdale.util.clocks import Clock
 from egretdale.util.logs import get_logger
 
 logger = get_logger(__name__)
 
 CLAIM_KIND = 'claims'
 DECISION_KIND = 'decisions'
-ISSUED_PREFIX = 'ik1.'
 
-_KEY_LIFETIME_S = 3600.0
-_KEYS_KEPT = 100000
 _ATTEMPTS = 4
 _PAUSE_S = 0.1
-_HEXADECIMAL = 16
 _SETTLE_PERIOD_S = 2.0
 
 
-class ClaimVerdict(enum.StrEnum):
-    """The decision on a keyed request."""
-
-    RUN = 'run'
-    RUNNING = 'running'
-    RAN = 'ran'
-    UNKNOWN = 'unknown'
-    REUSED = 'reused'
-    UNAVAILABLE = 'unavailable'
-
-
-@dataclass(slots=True)
-class _Decision:
-    nonce: str
-    host: str
-    fingerprint: int
-    finished: bool = False
-
-
 class StoredClaim(msgspec.Struct, frozen=True):
     """A claim object in the platform.
 
@@ -70,142 +52,6 @@
     finished: bool = False
 
 
-class StoredDecisions(msgspec.Struct, frozen=True):
-    """The decisions that a process left behind at its planned stop.
-
-    :ivar floor_age: keys issued before this age in seconds are unknown.
-    :ivar finished: last parts of the keys whose requests have run.
-    :ivar running: last parts of the keys whose requests may be running.
-    """
-
-    floor_age: int
-    finished: tuple[str, ...]
-    running: tuple[str, ...]
-
-
-class KeyIssuer:
-    """Issues keys and decides on them from memory.
-
-    Only the process that issued a key decides on it, so no key can be
-    granted twice; when the process is gone the outcome is unknown.
-    """
-
-    __slots__ = (
-        '_clock',
-        '_closed',
-        '_decisions',
-        '_floor_age',
-        '_issued',
-        '_process',
-        '_started_at',
-    )
-
-    def __init__(self, host: str, incarnation: int, clock: Clock) -> None:
-        """Create an issuer.
-
-        :param host: name of this host.
-        :param incarnation: incarnation of this process at its start.
-        :param clock: monotonic clock.
-        """
-        self._process = f'{ISSUED_PREFIX}{host}.{incarnation:x}.'
-        self._clock = clock
-        self._started_at = clock()
-        self._issued = 0
-        self._closed = False
-        self._floor_age = 0
-        self._decisions: OrderedDict[str, _Decision] = OrderedDict()
-
-    def issue(self) -> str:
-        """Issue a key.
-
-        :return: text such as ``ik1.host.18f2a.12.7``; the numbers are the
-            process, its age in seconds and a count.
-        """
-        self._issued += 1
-        return f'{self._process}{self._read_age():x}.{self._issued:x}'
-
-    def decide(self, question: ClaimAsk) -> ClaimReply:
-        """Decide whether a request may run.
-
-        :param question: the question.
-        :return: the decision.
-        """
-        if self._closed or not self._is_valid(question.key):
-            return ClaimReply(ClaimVerdict.UNKNOWN)
-        known = self._decisions.get(question.key)
-        if known is None:
-            self._decisions[question.key] = _Decision(
-                question.nonce, question.host, question.fingerprint
-            )
-            while len(self._decisions) > _KEYS_KEPT:
-                self._forget_oldest()
-            return ClaimReply(ClaimVerdict.RUN, question.host)
-        if known.fingerprint != question.fingerprint:
-            return ClaimReply(ClaimVerdict.REUSED, known.host)
-        if known.nonce == question.nonce:
-            return ClaimReply(ClaimVerdict.RUN, known.host)
-        verdict = ClaimVerdict.RAN if known.finished else ClaimVerdict.RUNNING
-        return ClaimReply(verdict, known.host)
-
-    def close(self) -> StoredDecisions:
-        """Stop deciding and export the decisions for a planned stop.
-
-        :return: every key of this process that may have run.
-        """
-        self._closed = True
-        finished = [
-            key.removeprefix(self._process)
-            for key, decision in self._decisions.items()
-            if decision.finished
-        ]
-        running = [
-            key.removeprefix(self._process)
-            for key, decision in self._decisions.items()
-            if not decision.finished
-        ]
-        return StoredDecisions(self._floor_age, tuple(finished), tuple(running))
-
-    @property
-    def process(self) -> str:
-        """Text that all keys of this process begin with."""
-        return self._process
-
-    def settle(self, key: str, *, ran: bool) -> None:
-        """Note how a request ended.
-
-        :param key: its key.
-        :param ran: whether a backend server may have run it; the key may be
-            used again when none did.
-        """
-        if ran and key in self._decisions:
-            self._decisions[key].finished = True
-        elif not ran:
-            self._decisions.pop(key, None)
-
-    def _is_valid(self, key: str) -> bool:
-        if not key.startswith(self._process):
-            return False
-        try:
-            issued_age = self._read_issue_age(key)
-        except ValueError:
-            return False
-        age = self._read_age() - issued_age
-        return 0 <= age < _KEY_LIFETIME_S and issued_age >= self._floor_age
-
-    def _read_age(self) -> int:
-        return int(self._clock() - self._started_at)
-
-    def _read_issue_age(self, key: str) -> int:
-        age_text = key.removeprefix(self._process).partition('.')[0]
-        return int(age_text, _HEXADECIMAL)
-
-    def _forget_oldest(self) -> None:
-        oldest, _ = self._decisions.popitem(last=False)
-        # Keys as old as a forgotten decision are not decided on any more.
-        floor = self._read_issue_age(oldest) + 1
-        self._floor_age = max(self._floor_age, floor)
-
-
 @dataclass(slots=True, frozen=True)
 class _Unsettled:
     question: ClaimAsk
@@ -269,7 +115,7 @@
             self._unsettled[question.nonce] = _Unsettled(question, ran)
 
     def _claim_issued(self, question: ClaimAsk) -> ClaimReply:
-        issuer = _read_issuer(question.key)
+        issuer = read_issuer(question.key)
         if issuer == self._table.own_host:
             return self._issuer.decide(question)
         member = self._table.find(issuer)
@@ -295,7 +141,7 @@
         suffix = question.key.removeprefix(process)
         if suffix in left.finished:
             return ClaimReply(ClaimVerdict.RAN)
-        if suffix in left.running or _read_age(suffix) < left.floor_age:
+        if suffix in left.running or read_issue_age(suffix) < left.floor_age:
             return ClaimReply(ClaimVerdict.UNKNOWN)
         return self._claim_stored(question)
 
@@ -316,7 +162,7 @@
         return False
 
     def _settle_issued(self, key: str, *, ran: bool) -> bool:
-        issuer = _read_issuer(key)
+        issuer = read_issuer(key)
         if issuer == self._table.own_host:
             self._issuer.settle(key, ran=ran)
             return True
@@ -417,17 +263,5 @@
     return 0
 
 
-def _read_age(suffix: str) -> int:
-    """Read the age at which a key was issued, -1 when it is malformed."""
-    try:
-        return int(suffix.partition('.')[0], _HEXADECIMAL)
-    except ValueError:
-        return -1
-
-
-def _read_issuer(key: str) -> str:
-    return key.removeprefix(ISSUED_PREFIX).split('.')[0]
-
-
 def _name_claim(key: str) -> str:
     return hashlib.sha256(key.encode()).hexdigest()
--- /dev/null
+++ b/egretdale/coordination/desks.py
@@ -0,0 +1,124 @@
+"""The slot clients of an entry host."""
+
+from __future__ import annotations
+
+import random
+
+import eventlet
+
+from egretdale.coordination.allocators import AllocatorBoard
+from egretdale.coordination.mesh import Mesh, MeshListener
+from egretdale.coordination.ports import BackendClient
+from egretdale.coordination.slots import SlotClient
+from egretdale.state.messages import Batch
+from egretdale.util.clocks import Clock
+
+_SYNC_S = 1.0
+
+
+class SlotDesk(MeshListener):
+    """The slot clients of all groups on this host.
+
+    :ivar client_class: class of the clients.
+    """
+
+    __slots__ = (
+        '_backend_client',
+        '_board',
+        '_clients',
+        '_clock',
+        '_mesh',
+        '_random',
+        'client_class',
+    )
+
+    name = 'slots'
+
+    def __init__(
+        self,
+        mesh: Mesh,
+        board: AllocatorBoard,
+        backend_client: BackendClient,
+        *,
+        clock: Clock,
+        source: random.Random,
+    ) -> None:
+        """Create a desk without clients.
+
+        :param mesh: links to peers.
+        :param board: allocators of this host, for the fallback.
+        :param backend_client: calls to backend servers, for pausing.
+        :param clock: monotonic clock.
+        :param source: random source.
+        """
+        self._mesh = mesh
+        self._board = board
+        self._backend_client = backend_client
+        self._clock = clock
+        self._random = source
+        self._clients: dict[str, SlotClient] = {}
+        self.client_class: type[SlotClient] = SlotClient
+
+    def choose(self, service: str, groups: int) -> SlotClient:
+        """Choose a group of a service, the less loaded one of two.
+
+        :param service: service name.
+        :param groups: number of groups.
+        :return: its client.
+        """
+        indexes = range(groups)
+        if groups > 2:
+            indexes = self._random.sample(indexes, 2)
+        clients = [self.open(f'{service}/{index}') for index in indexes]
+        return min(clients, key=_read_load)
+
+    def open(self, group: str) -> SlotClient:
+        """Return the client of a group.
+
+        :param group: group key.
+        :return: the client.
+        """
+        client = self._clients.get(group)
+        if client is None:
+            client = self.client_class(
+                group,
+                self._mesh,
+                self._board,
+                self._backend_client,
+                self._clock,
+            )
+            self._clients[group] = client
+        return client
+
+    def receive(self, batch: Batch) -> None:
+        """Take in decisions of allocators.
+
+        :param batch: a batch from a peer.
+        """
+        for reply in batch.replies:
+            self.open(reply.group).handle_reply(reply)
+
+    def count(self) -> int:
+        """Count the requests that wait or hold slots."""
+        return sum(client.count() for client in self._clients.values())
+
+    def clear(self) -> None:
+        """Drop all slots, after this process was paused."""
+        for client in self._clients.values():
+            client.clear()
+
+    def run_sync(self) -> None:
+        """Present the state at a steady period, as messages may be lost."""
+        checks = 10
+        while True:
+            for _ in range(checks):
+                eventlet.sleep(_SYNC_S / checks)
+                for client in list(self._clients.values()):
+                    client.check_owner()
+            for client in list(self._clients.values()):
+                client.resume_overdue()
+                client.present_if_due()
+
+
+def _read_load(client: SlotClient) -> int:
+    return client.load_permille
--- a/egretdale/coordination/node.py
+++ b/egretdale/coordination/node.py
@@ -11,14 +11,15 @@
 from egretdale.coordination.allocators import AllocatorBoard
 from egretdale.coordination.attempts import AttemptDesk, ContinueBody
 from egretdale.coordination.backends import BackendDirectory
-from egretdale.coordination.claims import ClaimDesk, KeyIssuer
+from egretdale.coordination.claims import ClaimDesk
+from egretdale.coordination.keys import KeyIssuer
 from egretdale.coordination.membership import Membership
 from egretdale.coordination.mesh import Mesh
 from egretdale.coordination.placement import PlacementBoard
 from egretdale.coordination.ports import BackendClient, Network, Platform
 from egretdale.coordination.replica import DocumentReplica
 from egretdale.coordination.routing import Router
-from egretdale.coordination.slots import SlotDesk
+from egretdale.coordination.desks import SlotDesk
 from egretdale.coordination.submission import DocumentStore
 from egretdale.state.figures import Figures
 from egretdale.state.identity import RequestNumbers
--- a/egretdale/coordination/pool.py
+++ b/egretdale/coordination/pool.py
@@ -6,7 +6,8 @@
 from egretdale.state.documents import RequestClass, ServiceDocument
 from egretdale.state.estimates import ClassEstimate
 from egretdale.state.messages import Ask, Done, Running
-from egretdale.state.order import Choice, Waiting
+from egretdale.state.order import Choice
+from egretdale.state.queues import Waiting
 from egretdale.state.prefixes import PrefixIndex
 from egretdale.util.clocks import Clock, convert_to_seconds
 
--- a/egretdale/coordination/routing.py
+++ b/egretdale/coordination/routing.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 
 from egretdale.coordination.attempts import Attempt, AttemptDesk, Route
-from egretdale.coordination.claims import ClaimDesk, ClaimVerdict
+from egretdale.coordination.claims import ClaimDesk
+from egretdale.coordination.keys import ClaimVerdict
 from egretdale.coordination.ports import EndOfStream, MaybeRun
 from egretdale.coordination.relay import StreamRelay
 from egretdale.coordination.replica import DocumentReplica
--- a/egretdale/coordination/slots.py
+++ b/egretdale/coordination/slots.py
@@ -2,18 +2,16 @@
 
 from __future__ import annotations
 
-import random
 from dataclasses import dataclass, replace
 
 import eventlet
 from eventlet.event import Event
 
 from egretdale.coordination.allocators import AllocatorBoard, find_owner
-from egretdale.coordination.mesh import Mesh, MeshListener
+from egretdale.coordination.mesh import Mesh
 from egretdale.coordination.ports import BackendClient
 from egretdale.state.messages import (
     Ask,
-    Batch,
     Denial,
     Done,
     Grant,
@@ -27,10 +25,12 @@
 
 logger = get_logger(__name__)
 
-_SYNC_S = 1.0
 _PATIENCE_MARGIN_S = 1.0
 _FALLBACK_RETRY_MS = 2000
 _PAUSE_LIMIT_S = 20.0
+_ENTRY_BYTES = 70
+_STATE_BYTES_PER_S = 1024
+_SHORTEST_PERIOD_S = 0.9
 
 
 @dataclass(slots=True, eq=False)
@@ -108,6 +108,7 @@
         '_mesh',
         '_owner',
         '_pending',
+        '_presented_at',
         '_ranked_owner',
         '_ranked_version',
         '_term',
@@ -139,6 +140,7 @@
         self._clock = clock
         self._pending: dict[str, Pending] = {}
         self._active: dict[str, Active] = {}
+        self._presented_at = float('-inf')
         self._owner = ''
         self._ranked_owner = ''
         self._ranked_version = -1
@@ -230,8 +232,21 @@
 
     def present(self) -> None:
         """Send the whole state of this host to the allocator."""
+        self._presented_at = self._clock()
         self._send_full()
 
+    def present_if_due(self) -> None:
+        """Send the whole state when its period is over.
+
+        The period grows with the state, so that its bytes stay within a part
+        of the budget for control.
+        """
+        entries = self.count()
+        period_s = entries * _ENTRY_BYTES / _STATE_BYTES_PER_S
+        due_at = self._presented_at + max(_SHORTEST_PERIOD_S, period_s)
+        if entries and self._clock() >= due_at:
+            self.present()
+
     def check_owner(self) -> None:
         """Present the state when the allocator has moved or failed."""
         owner = self._choose_owner()
@@ -320,112 +335,3 @@
         reply = self._board.serve_locally(message)
         if reply is not None:
             eventlet.spawn_n(self.handle_reply, reply)
-
-
-class SlotDesk(MeshListener):
-    """The slot clients of all groups on this host.
-
-    :ivar client_class: class of the clients.
-    """
-
-    __slots__ = (
-        '_backend_client',
-        '_board',
-        '_clients',
-        '_clock',
-        '_mesh',
-        '_random',
-        'client_class',
-    )
-
-    name = 'slots'
-
-    def __init__(
-        self,
-        mesh: Mesh,
-        board: AllocatorBoard,
-        backend_client: BackendClient,
-        *,
-        clock: Clock,
-        source: random.Random,
-    ) -> None:
-        """Create a desk without clients.
-
-        :param mesh: links to peers.
-        :param board: allocators of this host, for the fallback.
-        :param backend_client: calls to backend servers, for pausing.
-        :param clock: monotonic clock.
-        :param source: random source.
-        """
-        self._mesh = mesh
-        self._board = board
-        self._backend_client = backend_client
-        self._clock = clock
-        self._random = source
-        self._clients: dict[str, SlotClient] = {}
-        self.client_class: type[SlotClient] = SlotClient
-
-    def choose(self, service: str, groups: int) -> SlotClient:
-        """Choose a group of a service, the less loaded one of two.
-
-        :param service: service name.
-        :param groups: number of groups.
-        :return: its client.
-        """
-        indexes = range(groups)
-        if groups > 2:
-            indexes = self._random.sample(indexes, 2)
-        clients = [self.open(f'{service}/{index}') for index in indexes]
-        return min(clients, key=_read_load)
-
-    def open(self, group: str) -> SlotClient:
-        """Return the client of a group.
-
-        :param group: group key.
-        :return: the client.
-        """
-        client = self._clients.get(group)
-        if client is None:
-            client = self.client_class(
-                group,
-                self._mesh,
-                self._board,
-                self._backend_client,
-                self._clock,
-            )
-            self._clients[group] = client
-        return client
-
-    def receive(self, batch: Batch) -> None:
-        """Take in decisions of allocators.
-
-        :param batch: a batch from a peer.
-        """
-        for reply in batch.replies:
-            self.open(reply.group).handle_reply(reply)
-
-    def count(self) -> int:
-        """Count the requests that wait or hold slots."""
-        return sum(client.count() for client in self._clients.values())
-
-    def clear(self) -> None:
-        """Drop all slots, after this process was paused."""
-        for client in self._clients.values():
-            client.clear()
-
-    def run_sync(self) -> None:
-        """Present the state at a steady period, as messages may be lost."""
-        checks = 10
-        while True:
-            for _ in range(checks):
-                eventlet.sleep(_SYNC_S / checks)
-                for client in list(self._clients.values()):
-                    client.check_owner()
-            for client in list(self._clients.values()):
-                client.resume_overdue()
-                if client.count():
-                    client.present()
-
-
-def _read_load(client: SlotClient) -> int:
-    return client.load_permille
--- a/egretdale/state/backends.py
+++ b/egretdale/state/backends.py
@@ -6,7 +6,7 @@
 
 from egretdale.state.estimates import smooth
 from egretdale.state.messages import Ask
-from egretdale.state.order import Waiting
+from egretdale.state.queues import Waiting
 
 _LIMIT_DECREASE = 0.9
 _LIMIT_INCREASE = 0.5
--- /dev/null
+++ b/egretdale/transport/reading.py
@@ -0,0 +1,173 @@
+"""Reads the requests of callers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+import eventlet
+
+from egretdale.config import Settings
+from egretdale.coordination.requests import CallerRequest, Continuation
+from egretdale.errors import Invalid
+from egretdale.protocol.completions import (
+    estimate_tokens,
+    hash_prefix,
+    parse_completion,
+)
+from egretdale.protocol.tokens import decode_stream_token
+from egretdale.state.outcomes import Reason
+from egretdale.transport.refusals import RefusalBook
+from egretdale.util.hashing import hash_text
+
+SERVICE_PREFIX = '/services/'
+
+_MAXIMUM_HEADER = 256
+_PASSED_HEADERS = ('CONTENT_TYPE', 'HTTP_ACCEPT', 'HTTP_ACCEPT_LANGUAGE')
+
+
+@dataclass(slots=True, frozen=True)
+class BadRequest:
+    """A request that cannot be understood.
+
+    :ivar reason: why.
+    :ivar detail: sentence for a person.
+    """
+
+    reason: Reason
+    detail: str
+
+
+class RequestReader:
+    """Reads requests within the limits of the settings."""
+
+    __slots__ = ('_refusals', '_settings')
+
+    def __init__(self, settings: Settings, refusals: RefusalBook) -> None:
+        """Create a reader.
+
+        :param settings: settings of this host.
+        :param refusals: records of refusals, for callers who come back.
+        """
+        self._settings = settings
+        self._refusals = refusals
+
+    def read(
+        self, environ: dict[str, Any], request_id: str
+    ) -> CallerRequest | BadRequest:
+        """Read a request with its body.
+
+        :param environ: WSGI environment.
+        :param request_id: identity of the request.
+        :return: the request, or why it cannot be understood.
+        """
+        body = self._read_body(environ)
+        if isinstance(body, BadRequest):
+            return body
+        path = environ['PATH_INFO']
+        request = CallerRequest(
+            request_id,
+            environ.get('HTTP_EGRET_SERVICE', ''),
+            environ['REQUEST_METHOD'],
+            path,
+            tuple(_list_passed(environ)),
+            body,
+            environ.get('HTTP_EGRET_CLASS', ''),
+            environ.get('HTTP_EGRET_ORGANISATION', ''),
+            environ.get('HTTP_IDEMPOTENCY_KEY', ''),
+        )
+        problem = self._read_target(environ, request)
+        if problem is not None:
+            return problem
+        text = f'{request.method} {request.path}'
+        request.fingerprint = hash_text(f'{text} {body!r}') >> 1
+        refusal_id = environ.get('HTTP_EGRET_RETRY_OF', '')
+        if refusal_id:
+            request.returning = self._refusals.is_due(refusal_id, request)
+        return self._read_continuation(environ, request) or request
+
+    def _read_target(
+        self, environ: dict[str, Any], request: CallerRequest
+    ) -> BadRequest | None:
+        for name in ('service', 'class_name', 'organisation', 'key'):
+            if len(getattr(request, name)) > _MAXIMUM_HEADER:
+                return BadRequest(Reason.BAD_REQUEST, f'{name} is too long')
+        path = request.path
+        query = environ.get('QUERY_STRING', '')
+        if path.startswith(SERVICE_PREFIX):
+            service, _, rest = path.removeprefix(SERVICE_PREFIX).partition('/')
+            request.service = service
+            request.path = f'/{rest}'
+            if query:
+                request.path = f'{request.path}?{query}'
+            return None
+        if request.method != 'POST':
+            return BadRequest(Reason.BAD_REQUEST, 'the method must be POST')
+        return self._read_completion(request)
+
+    def _read_completion(self, request: CallerRequest) -> BadRequest | None:
+        completion = parse_completion(request.body)
+        if isinstance(completion, Invalid):
+            return BadRequest(
+                Reason.BAD_REQUEST, f'{completion.path}: {completion.message}'
+            )
+        prompt = completion.read_input()
+        request.service = request.service or completion.model
+        request.streams = completion.stream
+        request.maximum_tokens = completion.max_tokens
+        request.prompt_tokens = estimate_tokens(prompt)
+        request.prefix = hash_prefix(prompt)
+        return None
+
+    def _read_continuation(
+        self, environ: dict[str, Any], request: CallerRequest
+    ) -> BadRequest | None:
+        token_text = environ.get('HTTP_EGRET_STREAM', '')
+        if not token_text:
+            return None
+        token = decode_stream_token(token_text)
+        last_event = environ.get('HTTP_LAST_EVENT_ID', '0')
+        if isinstance(token, Invalid) or not last_event.isdigit():
+            return BadRequest(
+                Reason.BAD_REQUEST, 'Egret-Stream or Last-Event-ID is wrong'
+            )
+        request.continuation = Continuation(
+            token.backend, token.stream_id, int(last_event)
+        )
+        return None
+
+    def _read_body(self, environ: dict[str, Any]) -> bytes | BadRequest:
+        limit = self._settings.maximum_body_bytes
+        length_text = environ.get('CONTENT_LENGTH') or ''
+        length = int(length_text) if length_text.isdigit() else None
+        if length is not None and length > limit:
+            return _refuse_large(limit)
+        reader = environ['wsgi.input']
+        try:
+            with eventlet.Timeout(self._settings.body_timeout_s):
+                body = reader.read(limit + 1 if length is None else length)
+        except eventlet.Timeout:
+            return BadRequest(Reason.BAD_REQUEST, 'the body came too slowly')
+        except (OSError, ValueError) as broken:
+            return BadRequest(Reason.BAD_REQUEST, f'the body broke: {broken}')
+        if length is not None and len(body) < length:
+            return BadRequest(Reason.BAD_REQUEST, 'the body was cut short')
+        if len(body) > limit:
+            return _refuse_large(limit)
+        return body
+
+
+def _list_passed(environ: dict[str, Any]) -> list[tuple[str, str]]:
+    passed = []
+    for name in _PASSED_HEADERS:
+        text = environ.get(name)
+        if text:
+            header = name.removeprefix('HTTP_').replace('_', '-').title()
+            passed.append((header, text))
+    return passed
+
+
+def _refuse_large(limit: int) -> BadRequest:
+    return BadRequest(
+        Reason.TOO_LARGE, f'the body is longer than {limit} bytes'
+    )
--- a/standins/baselines.py
+++ b/standins/baselines.py
@@ -10,10 +10,12 @@
 
 from egretdale.coordination.allocation import GroupAllocator
 from egretdale.coordination.node import Node
-from egretdale.coordination.slots import Active, SlotClient, SlotDesk
+from egretdale.coordination.desks import SlotDesk
+from egretdale.coordination.slots import Active, SlotClient
 from egretdale.errors import Unreachable
 from egretdale.state.messages import Ask, Denial
-from egretdale.state.order import Choice, Waiting, WaitingOrder
+from egretdale.state.order import Choice, WaitingOrder
+from egretdale.state.queues import Waiting
 from egretdale.state.outcomes import Reason
 
 _POLL_S = 1.0
--- a/standins/virtual/world.py
+++ b/standins/virtual/world.py
@@ -20,7 +20,7 @@
     Refusal,
     StreamReply,
 )
-from egretdale.coordination.slots import SlotDesk
+from egretdale.coordination.desks import SlotDesk
 from egretdale.protocol.hosts import order_hosts
 from egretdale.state.members import MemberStatus
 from egretdale.state.outcomes import Answered, Reason, Refused
--- a/tests/fixtures.py
+++ b/tests/fixtures.py
@@ -10,7 +10,7 @@
 from egretdale.errors import Invalid
 from egretdale.state.documents import ServiceDocument, parse_document
 from egretdale.state.messages import Ask
-from egretdale.state.order import Waiting
+from egretdale.state.queues import Waiting
 from standins.virtual.backends import VirtualWork
 from standins.virtual.hub import use_virtual_time
 from standins.virtual.world import Demand, World, WorldPlan
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -11,17 +11,19 @@
 from egretdale.coordination.allocation import GroupAllocator
 from egretdale.coordination.attempts import AttemptDesk, Route
 from egretdale.coordination.backends import BackendDirectory
-from egretdale.coordination.claims import ClaimDesk, ClaimVerdict
+from egretdale.coordination.claims import ClaimDesk
+from egretdale.coordination.keys import ClaimVerdict
 from egretdale.coordination.relay import StreamRelay
 from egretdale.coordination.replica import DocumentReplica, InForce
 from egretdale.state import order
 from egretdale.state.documents import parse_document
 from egretdale.state.messages import ClaimAsk, ClaimReply
+from egretdale.state.queues import Waiting
 from egretdale.state.outcomes import Ran, Reason, Refused
 from standins.virtual.world import World
 
 
-def _rank_lowest_first(waiting: order.Waiting, now: float) -> Any:
+def _rank_lowest_first(waiting: Waiting, now: float) -> Any:
     return -waiting.tier, waiting.deadline
 
 
@@ -29,7 +31,7 @@
     """Keep every request waiting for ever."""
 
 
-def _admit_all(allocator: GroupAllocator, waiting: order.Waiting) -> float:
+def _admit_all(allocator: GroupAllocator, waiting: Waiting) -> float:
     return float(0)
 
 
