--- a/egretdale/coordination/allocators.py
+++ b/egretdale/coordination/allocators.py
@@ -89,8 +89,6 @@
         'allocator_class',
     )
 
-    name = 'allocators'
-
     def __init__(
         self,
         mesh: Mesh,
--- a/egretdale/coordination/backends.py
+++ b/egretdale/coordination/backends.py
@@ -67,8 +67,6 @@
         'seen_at',
     )
 
-    name = 'backends'
-
     def __init__(
         self,
         platform: Platform,
--- a/egretdale/coordination/desks.py
+++ b/egretdale/coordination/desks.py
@@ -32,8 +32,6 @@
         'client_class',
     )
 
-    name = 'slots'
-
     def __init__(
         self,
         mesh: Mesh,
--- a/egretdale/coordination/membership.py
+++ b/egretdale/coordination/membership.py
@@ -71,8 +71,6 @@
         'table',
     )
 
-    name = 'membership'
-
     def __init__(
         self,
         own: MemberUpdate,
--- a/egretdale/coordination/mesh.py
+++ b/egretdale/coordination/mesh.py
@@ -26,15 +26,10 @@
 
 
 class MeshListener:
-    """Receives what the mesh learns; a base with no reaction.
-
-    :cvar name: name for log lines.
-    """
+    """Receives what the mesh learns; a base with no reaction."""
 
     __slots__ = ()
 
-    name = 'listener'
-
     def fill(self, host: str, batch: Batch) -> None:
         """Add news to a batch that is about to leave.
 
--- a/egretdale/coordination/ports.py
+++ b/egretdale/coordination/ports.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Protocol
 
 from egretdale.errors import Ambiguous, Conflict, Missing, Unreachable
@@ -287,19 +287,3 @@
 
         :param address: ``address:port`` of the backend server.
         """
-
-
-@dataclass(slots=True)
-class CacheNews:
-    """Cache events of an engine since a position.
-
-    :ivar position: position to ask from next time.
-    :ivar has_gap: whether events were lost.
-    :ivar stored: prefixes stored.
-    :ivar evicted: prefixes evicted.
-    """
-
-    position: int
-    has_gap: bool = False
-    stored: list[int] = field(default_factory=list)
-    evicted: list[int] = field(default_factory=list)
--- a/egretdale/coordination/replica.py
+++ b/egretdale/coordination/replica.py
@@ -109,8 +109,6 @@
         'in_sync_at',
     )
 
-    name = 'documents'
-
     def __init__(
         self,
         platform: Platform,
--- a/egretdale/coordination/slots.py
+++ b/egretdale/coordination/slots.py
@@ -168,14 +168,6 @@
             ask.request_id, Reason.PATIENCE_EXCEEDED, _FALLBACK_RETRY_MS
         )
 
-    def withdraw(self, request_id: str) -> None:
-        """Stop waiting for a slot.
-
-        :param request_id: identity of the request.
-        """
-        if self._pending.pop(request_id, None) is not None:
-            self._send(GroupAsk(self.group, withdrawn=[request_id]))
-
     def adopt(self, ask: Ask, backend: str) -> Active:
         """Take over a slot whose holder has gone.
 
--- a/egretdale/errors.py
+++ b/egretdale/errors.py
@@ -1,4 +1,4 @@
-"""Sentinel values with a reason for errors, and the invariant exception."""
+"""Sentinel values with a reason for errors."""
 
 from __future__ import annotations
 
@@ -73,7 +73,3 @@
 
     path: str
     message: str
-
-
-class InvariantBrokenError(Exception):
-    """A fault of the program itself; the process stops."""
--- a/egretdale/protocol/problems.py
+++ b/egretdale/protocol/problems.py
@@ -19,7 +19,6 @@
         Reason.PATIENCE_EXCEEDED: _UNAVAILABLE,
         Reason.NO_BACKEND_SERVER: _UNAVAILABLE,
         Reason.BACKEND_FAILED: '502 Bad Gateway',
-        Reason.BACKEND_REJECTED: '502 Bad Gateway',
         Reason.OUTCOME_UNKNOWN: '502 Bad Gateway',
         Reason.ALREADY_RUNNING: '409 Conflict',
         Reason.ANSWER_NOT_KEPT: '409 Conflict',
--- a/egretdale/state/outcomes.py
+++ b/egretdale/state/outcomes.py
@@ -21,7 +21,6 @@
     PATIENCE_EXCEEDED = 'patience-exceeded'
     NO_BACKEND_SERVER = 'no-backend-server'
     BACKEND_FAILED = 'backend-failed'
-    BACKEND_REJECTED = 'backend-rejected'
     OUTCOME_UNKNOWN = 'outcome-unknown'
     ALREADY_RUNNING = 'already-running'
     ANSWER_NOT_KEPT = 'answer-not-kept'
--- a/egretdale/state/prefixes.py
+++ b/egretdale/state/prefixes.py
@@ -11,8 +11,8 @@
 class PrefixIndex:
     """Remembers prefixes by backend server.
 
-    Knowledge comes from grants and from cache events; both may be wrong,
-    so it is only ever a preference.
+    Knowledge comes from grants and may be wrong, so it is only ever a
+    preference.
     """
 
     __slots__ = ('_by_backend',)
@@ -36,16 +36,8 @@
         if len(known) > _ENTRIES_PER_BACKEND:
             known.popitem(last=False)
 
-    def evict(self, backend: str, prefix: int) -> None:
-        """Forget a prefix that a cache event reports as evicted.
-
-        :param backend: name of the backend server.
-        :param prefix: hash of the prefix.
-        """
-        self._by_backend.get(backend, OrderedDict()).pop(prefix, None)
-
     def clear(self, backend: str) -> None:
-        """Forget all prefixes after a gap in events or a restart.
+        """Forget all prefixes after a restart.
 
         :param backend: name of the backend server.
         """
--- a/egretdale/transport/daemon.py
+++ b/egretdale/transport/daemon.py
@@ -13,7 +13,6 @@
 from egretdale.config import Settings
 from egretdale.coordination.node import Node, Surroundings
 from egretdale.protocol.completions import continue_body
-from egretdale.state.figures import Figures
 from egretdale.transport.backends import HttpBackendClient
 from egretdale.transport.callers import CallerInterface, StartResponse
 from egretdale.transport.operators import OperatorInterface
@@ -187,11 +186,8 @@
             continue_body,
         )
 
-    def _read_figures(self) -> Figures:
-        return self.node.figures
-
     def _count_platform_call(self, call: str, outcome: str) -> None:
-        self._read_figures().platform_calls.labels(call, outcome).inc()
+        self.node.figures.platform_calls.labels(call, outcome).inc()
 
     def _count_peer_bytes(self, size: int) -> None:
-        self._read_figures().peer_bytes.inc(size)
+        self.node.figures.peer_bytes.inc(size)
--- a/egretdale/transport/operators.py
+++ b/egretdale/transport/operators.py
@@ -35,7 +35,6 @@
 
 _JSON = 'application/json'
 _MAXIMUM_BODY = 1024 * 1024
-_DOCUMENTS = 'documents'
 _NOT_FOUND = '404 Not Found'
 _BAD_REQUEST = '400 Bad Request'
 _OK = '200 OK'
--- a/egretdale/util/buckets.py
+++ b/egretdale/util/buckets.py
@@ -52,15 +52,6 @@
         self._fill()
         return self._level < 0
 
-    def measure_delay(self, amount: float = 1) -> float:
-        """Measure how long it takes until units are there.
-
-        :param amount: units wanted.
-        :return: seconds.
-        """
-        self._fill()
-        return max(float(0), (amount - self._level) / self.rate)
-
     def _fill(self) -> None:
         now = self._clock()
         gained = (now - self._filled_at) * self.rate
