--- a/egretdale/state/figures.py
+++ b/egretdale/state/figures.py
@@ -17,6 +17,7 @@
     30.0,
     120.0,
 )
+_GROUP = ('group',)
 
 
 class Figures:
@@ -31,6 +32,9 @@
     :ivar retries: further attempts by cause.
     :ivar first_token: seconds to the first byte by service and class.
     :ivar in_progress: requests in progress.
+    :ivar waiting: requests waiting, by group allocated here.
+    :ivar slots: slots, by group allocated here.
+    :ivar busy: slots in use, by group allocated here.
     :ivar platform_calls: calls to the platform by kind of call and outcome.
     :ivar peer_bytes: bytes sent to peers.
     """
@@ -38,6 +42,7 @@
     __slots__ = (
         'answered',
         'attained',
+        'busy',
         'first_token',
         'goodput',
         'in_progress',
@@ -46,6 +51,8 @@
         'refused',
         'registry',
         'retries',
+        'slots',
+        'waiting',
         'wasted',
     )
 
@@ -82,10 +89,19 @@
             buckets=_FIRST_TOKEN_BUCKETS,
             registry=self.registry,
         )
-        self.in_progress = Gauge(
-            'egretdale_requests_in_progress',
-            'Requests in progress',
-            registry=self.registry,
+        self.in_progress = self._gauge(
+            'requests_in_progress', 'Requests in progress', ()
+        )
+        self.waiting = self._gauge(
+            'group_waiting', 'Requests waiting in groups allocated here', _GROUP
+        )
+        self.slots = self._gauge(
+            'group_slots', 'Slots of groups allocated here', _GROUP
+        )
+        self.busy = self._gauge(
+            'group_slots_in_use',
+            'Slots in use of groups allocated here',
+            _GROUP,
         )
 
     def _count(self, name: str, text: str, labels: tuple[str, ...]) -> Counter:
--- a/egretdale/transport/operators.py
+++ b/egretdale/transport/operators.py
@@ -98,6 +98,7 @@
         parts = environ['PATH_INFO'].removeprefix('/v1').strip('/').split('/')
         match [method, *parts]:
             case ['GET', 'metrics']:
+                self._refresh_gauges()
                 body = generate_latest(self._node.figures.registry)
                 return Response(_OK, body, CONTENT_TYPE_LATEST)
             case ['GET', 'health']:
@@ -119,6 +120,16 @@
                 return self._submit(environ, service, settle_only=True)
         return _fail(_NOT_FOUND, Invalid('path', 'there is no such resource'))
 
+    def _refresh_gauges(self) -> None:
+        figures = self._node.figures
+        for gauge in (figures.waiting, figures.slots, figures.busy):
+            gauge.clear()
+        for allocator in self._node.board.list_allocators():
+            group = allocator.group
+            figures.waiting.labels(group).set(allocator.count_waiting())
+            figures.slots.labels(group).set(allocator.pool.count_slots(0))
+            figures.busy.labels(group).set(allocator.pool.count_busy())
+
     def _describe_status(self) -> StatusAnswer:
         own = self._node.membership.own
         members = tuple(
--- a/standins/baselines.py
+++ b/standins/baselines.py
@@ -88,7 +88,7 @@
         if not waiting:
             return []
         first = min(waiting, key=_read_arrival)
-        return [Choice(first, minimum_share=True)]
+        return [Choice(first, minimum_share=False)]
 
 
 class FifoAllocator(GroupAllocator):
@@ -105,6 +105,9 @@
         """Admit everything."""
         return float(0)
 
+    def _pause_for(self, choice: Choice) -> None:
+        """Pause nothing."""
+
 
 def _read_arrival(waiting: Waiting) -> float:
     return waiting.arrival
--- a/tests/test_transport/test_daemon.py
+++ b/tests/test_transport/test_daemon.py
@@ -286,6 +286,7 @@
         page = _pool.request('GET', f'http://{system.address}/metrics').data
         assert b'egretdale_answered_total{' in page
         assert b'egretdale_platform_calls_total{' in page
+        assert b'egretdale_group_slots{group="claims/0"} 4.0' in page
 
 
 def test_planned_stop_waits_for_a_stream() -> None:
