--- a/egretdale/state/figures.py
+++ b/egretdale/state/figures.py
@@ -104,6 +104,9 @@
             _GROUP,
         )
 
+    def _gauge(self, name: str, text: str, labels: tuple[str, ...]) -> Gauge:
+        return Gauge(f'egretdale_{name}', text, labels, registry=self.registry)
+
     def _count(self, name: str, text: str, labels: tuple[str, ...]) -> Counter:
         return Counter(
             f'egretdale_{name}', text, labels, registry=self.registry
