Tick both boards in one loop and look members up by name

Cause: the last reading of the whole change: the tick of own and local allocators stood twice, the router searched a list for a host that the table finds by name, and a constant had no reader.

--- a/egretdale/coordination/allocators.py
+++ b/egretdale/coordination/allocators.py
@@ -176,14 +176,11 @@
         while True:
             eventlet.sleep(_TICK_S)
             self._drop_gone_hosts()
-            for group, hosted in list(self._hosted.items()):
-                hosted.allocator.expire()
-                self._run(hosted, None)
-                self._drop_idle(self._hosted, group, hosted)
-            for group, hosted in list(self._local.items()):
-                hosted.allocator.expire()
-                self._run(hosted, None)
-                self._drop_idle(self._local, group, hosted)
+            for board in (self._hosted, self._local):
+                for group, hosted in list(board.items()):
+                    hosted.allocator.expire()
+                    self._run(hosted, None)
+                    self._drop_idle(board, group, hosted)
 
     def run_polls(self) -> None:
         """Read the load reports of the backend servers allocated here."""
--- a/egretdale/coordination/routing.py
+++ b/egretdale/coordination/routing.py
@@ -19,7 +19,7 @@
 )
 from egretdale.state.documents import RequestClass, ServiceDocument
 from egretdale.state.figures import Figures
-from egretdale.state.members import MemberTable
+from egretdale.state.members import MemberStatus, MemberTable
 from egretdale.state.messages import ClaimAsk, ClaimReply
 from egretdale.state.outcomes import Ran, Reason, Refused
 from egretdale.util.logs import get_logger
@@ -183,10 +183,8 @@
         )
 
     def _is_present(self, host: str) -> bool:
-        if host == self._table.own_host:
-            return True
-        reachable = self._table.list_reachable()
-        return any(member.update.host == host for member in reachable)
+        member = self._table.find(host)
+        return member is not None and member.status != MemberStatus.GONE
 
     # Attempts
 
--- a/egretdale/util/greening.py
+++ b/egretdale/util/greening.py
@@ -13,5 +13,3 @@
 import eventlet  # noqa: E402
 
 eventlet.monkey_patch()
-
-IS_GREEN = True
