--- a/egretdale/config.py
+++ b/egretdale/config.py
@@ -80,6 +80,65 @@
     maximum_connections: Annotated[int, msgspec.Meta(ge=8)] = 4096
 
 
+class GatewaySettings(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """Settings of a host that forwards requests by routes.
+
+    :ivar host: name of this entry host.
+    :ivar data_centre: data centre of this host.
+    :ivar caller_address: ``address:port`` for callers.
+    :ivar peer_address: ``address:port`` for the other daemons.
+    :ivar readiness_address: ``address:port`` that tells whether this host is
+        ready; several purposes may share one address.
+    :ivar directory_address: ``address:port`` that tells callers where to
+        connect.
+    :ivar metrics_address: ``address:port`` of the metrics.
+    :ivar seeds: peer addresses that are known before the platform answers.
+    :ivar answer_lifetime_s: seconds that callers keep a list of hosts.
+    :ivar drain_limit_s: longest planned stop in seconds.
+    :ivar probe_period_s: seconds between probes of peers.
+    :ivar suspicion_s: seconds from suspicion of a peer to its removal.
+    :ivar peer_timeout_s: longest wait for a peer's answer in seconds.
+    :ivar peer_bytes_per_s: bytes a second to peers above which messages are
+        held back a little to share a batch.
+    :ivar denial_age_s: greatest age of the configuration at which a missing
+        route or key is the caller's fault, in seconds.
+    :ivar key_age_s: greatest age of the configuration at which keys are
+        accepted, in seconds.
+    :ivar retry_ratio: repeats of a service for each first attempt.
+    :ivar retry_allowance: repeats of a service in each window besides, by
+        all hosts together.
+    :ivar retry_window_s: length of the window in seconds.
+    :ivar expected_hosts: hosts that share the allowance.
+    :ivar maximum_connections: connections of callers at one time.
+    :ivar log_lines_per_s: log lines a second above which lines are left out.
+    """
+
+    host: _Name
+    data_centre: str
+    caller_address: _Address
+    peer_address: _Address
+    readiness_address: _Address
+    directory_address: _Address
+    metrics_address: _Address
+    seeds: tuple[_Address, ...] = ()
+    answer_lifetime_s: _Seconds = 2.0
+    drain_limit_s: _Seconds = 8.0
+    probe_period_s: _Seconds = 0.5
+    suspicion_s: _Seconds = 1.0
+    peer_timeout_s: _Seconds = 0.3
+    peer_bytes_per_s: _Rate = 4096.0
+    denial_age_s: _Seconds = 2.0
+    key_age_s: _Seconds = 5.0
+    retry_ratio: float = 0.1
+    retry_allowance: float = 20.0
+    retry_window_s: _Seconds = 10.0
+    expected_hosts: int = 8
+    maximum_connections: Annotated[int, msgspec.Meta(ge=8)] = 2048
+    log_lines_per_s: _Rate = 200.0
+
+
 def parse_settings(source: bytes) -> Settings | Invalid:
     """Decode and check settings.
 
--- /dev/null
+++ b/egretdale/coordination/configuration.py
@@ -0,0 +1,230 @@
+"""Follows the configuration in the platform, and over peers without it."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import eventlet
+
+from egretdale.coordination.mesh import MeshListener
+from egretdale.coordination.ports import Listing, Network, Platform
+from egretdale.errors import Invalid
+from egretdale.state.freshness import Confirmation
+from egretdale.state.members import MemberTable
+from egretdale.state.messages import Batch, DocumentCopy, Revision
+from egretdale.state.routing import RoutingTable
+from egretdale.util.clocks import (
+    Clock,
+    convert_to_ms,
+    convert_to_seconds,
+)
+from egretdale.util.logs import get_logger
+
+logger = get_logger(__name__)
+
+#: Kind of the configuration object in the platform, and its name to peers.
+ROUTING_KIND = 'routing'
+
+#: Longest wait of a watch, which bounds the age of the configuration.
+_WATCH_S = 2.0
+#: First and longest pause after a failed call, in seconds.
+_RETRY_START_S = 0.1
+_RETRY_MAXIMUM_S = 0.8
+_JITTER_SHARE = 0.3
+_UNKNOWN_AGE_MS = -1
+_LONGEST_AGE_MS = 1000000
+
+#: Decodes the text of a configuration.
+RoutingDecoder = Callable[[bytes], RoutingTable | Invalid]
+
+
+class ConfigurationFollower(MeshListener):
+    """Keeps the newest configuration and knows how old it may be.
+
+    :ivar table: routing table in force, ``None`` before the first one.
+    :ivar confirmation: when the table was last known to be the newest.
+    """
+
+    __slots__ = (
+        '_clock',
+        '_decode',
+        '_fetching',
+        '_members',
+        '_network',
+        '_platform',
+        '_source',
+        'confirmation',
+        'table',
+    )
+
+    def __init__(
+        self,
+        platform: Platform,
+        network: Network,
+        members: MemberTable,
+        *,
+        decode: RoutingDecoder,
+        clock: Clock,
+        source: random.Random,
+    ) -> None:
+        """Start without a configuration.
+
+        :param platform: object API.
+        :param network: calls to peers.
+        :param members: view of the hosts.
+        :param decode: decodes the text of a configuration.
+        :param clock: monotonic clock that counts suspension.
+        :param source: random source.
+        """
+        self.table: RoutingTable | None = None
+        self.confirmation = Confirmation(clock)
+        self._platform = platform
+        self._network = network
+        self._members = members
+        self._decode = decode
+        self._clock = clock
+        self._source = source
+        self._fetching = False
+
+    @property
+    def version(self) -> int:
+        """Version in force, 0 before the first one."""
+        return 0 if self.table is None else self.table.version
+
+    # Platform
+
+    def run_watch(self) -> None:
+        """Follow the configuration object."""
+        version = 0
+        pause_s = float(0)
+        while True:
+            sent_at = self._clock()
+            listing = self._read(version)
+            if isinstance(listing, Listing):
+                if pause_s:
+                    logger.info('configuration-source-regained')
+                pause_s = 0
+                version = listing.version
+                self._take_listing(listing, sent_at)
+                continue
+            if not pause_s:
+                logger.warning(
+                    'configuration-source-lost',
+                    cause=listing.cause,
+                    detail=listing.detail,
+                    version=self.version,
+                )
+            pause_s = min(max(_RETRY_START_S, pause_s * 2), _RETRY_MAXIMUM_S)
+            spread = self._source.uniform(1 - _JITTER_SHARE, 1 + _JITTER_SHARE)
+            eventlet.sleep(pause_s * spread)
+
+    # Peers
+
+    def fill(self, host: str, batch: Batch) -> None:
+        """Tell a peer which version is in force and how old it may be.
+
+        :param host: receiving host.
+        :param batch: the batch.
+        """
+        batch.revisions.append(
+            Revision(ROUTING_KIND, self.version, self._express_age())
+        )
+
+    def receive(self, batch: Batch) -> None:
+        """Fetch the configuration of a peer that has a newer one.
+
+        :param batch: a batch from a peer.
+        """
+        for revision in batch.revisions:
+            newer = revision.number > self.version
+            if revision.service_name == ROUTING_KIND and newer:
+                self._start_fetch(batch.sender)
+
+    def note_answer(self, answer: Batch, sent_at: float) -> None:
+        """Take over the age of a peer's equal configuration.
+
+        :param answer: answer of the peer.
+        :param sent_at: when the question was sent; the answer was given
+            after that, so the age is counted from there.
+        """
+        for revision in answer.revisions:
+            known = revision.age_ms > _UNKNOWN_AGE_MS
+            same = revision.number == self.version and self.version
+            if revision.service_name == ROUTING_KIND and known and same:
+                age_s = convert_to_seconds(revision.age_ms)
+                self.confirmation.confirm(sent_at - age_s)
+
+    def copy(self, service: str) -> DocumentCopy:
+        """Return the configuration for a peer.
+
+        :param service: name of the document, the routing kind.
+        :return: the copy, revision 0 when there is none.
+        """
+        if self.table is None or service != ROUTING_KIND:
+            return DocumentCopy(service, 0, '')
+        return DocumentCopy(
+            service, self.table.version, self.table.source.decode()
+        )
+
+    def _read(self, version: int):
+        if version:
+            return self._platform.watch(ROUTING_KIND, version, _WATCH_S)
+        return self._platform.list_objects(ROUTING_KIND)
+
+    def _take_listing(self, listing: Listing, sent_at: float) -> None:
+        newest = 0
+        for entry in listing.entries:
+            newest = max(newest, self._take(entry.body, 'platform'))
+        if newest and newest == self.version:
+            self.confirmation.confirm(sent_at)
+
+    def _take(self, source: bytes, origin: str) -> int:
+        """Put a configuration in force if it is newer.
+
+        :param source: its text.
+        :param origin: where it comes from, for the log.
+        :return: its version, 0 when it cannot be read.
+        """
+        if self.table is not None and source == self.table.source:
+            return self.table.version
+        table = self._decode(source)
+        if isinstance(table, Invalid):
+            logger.warning(
+                'configuration-malformed',
+                origin=origin,
+                path=table.path,
+                detail=table.message,
+            )
+            return 0
+        if table.version > self.version:
+            logger.info(
+                'configuration-in-force',
+                version=table.version,
+                before=self.version,
+                origin=origin,
+                routes=len(table.routes),
+            )
+            self.table = table
+        return table.version
+
+    def _start_fetch(self, host: str) -> None:
+        if not self._fetching:
+            self._fetching = True
+            eventlet.spawn_n(self._fetch, host)
+
+    def _fetch(self, host: str) -> None:
+        member = self._members.find(host)
+        if member is not None:
+            address = member.update.peer_address
+            outcome = self._network.fetch(address, ROUTING_KIND)
+            if isinstance(outcome, DocumentCopy) and outcome.revision:
+                self._take(outcome.source.encode(), host)
+        self._fetching = False
+
+    def _express_age(self) -> int:
+        age_s = self.confirmation.measure_age()
+        if age_s == float('inf'):
+            return _UNKNOWN_AGE_MS
+        # Rounded up, so that peers never think it younger than it is.
+        return min(convert_to_ms(age_s) + 1, _LONGEST_AGE_MS)
--- /dev/null
+++ b/egretdale/coordination/forwarding.py
@@ -0,0 +1,307 @@
+"""Forwards a request to backend servers until one answers it."""
+
+from __future__ import annotations
+
+import random
+
+from egretdale.coordination.admission import Admission, Admitted
+from egretdale.coordination.budgets import BudgetBook
+from egretdale.coordination.exchanges import (
+    ForwardAttempt,
+    ForwardClient,
+    ForwardOutcome,
+    ForwardReply,
+    ForwardRequest,
+    ForwardResponse,
+)
+from egretdale.coordination.placing import Placement, Placer
+from egretdale.coordination.ports import MaybeRun, NotRun
+from egretdale.coordination.progress import Opened, Progress
+from egretdale.coordination.relaying import Relay
+from egretdale.state.loads import LoadTable
+from egretdale.state.outcomes import Ran, Reason, Refused
+from egretdale.util.clocks import Clock, convert_to_ms
+from egretdale.util.logs import get_logger
+
+logger = get_logger(__name__)
+
+#: Least time that is left for an attempt to be worth while, in seconds.
+_WORTHWHILE_S = 0.02
+#: When to come back if no backend server can be reached, in seconds.
+_NO_BACKEND_RETRY_S = 0.5
+#: When to come back if all backend servers were full, in seconds.
+_FULL_RETRY_S = 0.3
+_REDIRECTION = 300
+_SERVER_ERROR = 500
+
+
+class Forwarder:
+    """Sends each request to as many backend servers as it may and must."""
+
+    __slots__ = (
+        '_admission',
+        '_budgets',
+        '_client',
+        '_clock',
+        '_loads',
+        '_placer',
+        '_source',
+    )
+
+    def __init__(
+        self,
+        *,
+        admission: Admission,
+        placer: Placer,
+        loads: LoadTable,
+        budgets: BudgetBook,
+        client: ForwardClient,
+        clock: Clock,
+        source: random.Random,
+    ) -> None:
+        """Create a forwarder.
+
+        :param admission: decides which requests may run.
+        :param placer: chooses backend servers.
+        :param loads: loads of backend servers.
+        :param budgets: budgets for repeats by service.
+        :param client: client of backend servers.
+        :param clock: monotonic clock.
+        :param source: random source.
+        """
+        self._admission = admission
+        self._placer = placer
+        self._loads = loads
+        self._budgets = budgets
+        self._client = client
+        self._clock = clock
+        self._source = source
+
+    def admit(self, request: ForwardRequest) -> Admitted | Refused:
+        """Decide whether a request may run.
+
+        :param request: the request.
+        :return: the decision, or a refusal.
+        """
+        return self._admission.decide(request)
+
+    def forward(self, admitted: Admitted) -> ForwardOutcome:
+        """Forward a request and wait for the head of an answer.
+
+        :param admitted: the decision to run it.
+        :return: the answer to pass on, or a refusal.
+        """
+        service = self._admission.choose_service(
+            admitted, self._source.random()
+        )
+        progress = Progress(admitted, service)
+        self._budgets.earn(service)
+        outcome = self._open(progress)
+        if isinstance(outcome, Refused):
+            return outcome
+        response = outcome.response
+        return ForwardReply(
+            response.status,
+            response.headers,
+            response.length,
+            Relay(self, progress, outcome),
+        )
+
+    def continue_stream(
+        self, progress: Progress, last_event_id: str
+    ) -> Opened | None:
+        """Go on with a stream at another backend server.
+
+        :param progress: what has happened so far.
+        :param last_event_id: event that the caller received last.
+        :return: the continued answer, or ``None``.
+        """
+        outcome = self._open(progress, last_event_id)
+        if isinstance(outcome, Refused):
+            return None
+        if outcome.response.status >= _REDIRECTION:
+            outcome.response.close()
+            self._loads.end(outcome.placement.instance.incarnation)
+            return None
+        return outcome
+
+    def note_end(
+        self, progress: Progress, placement: Placement, *, failed: bool
+    ) -> None:
+        """Note that an answer has ended.
+
+        :param progress: the request.
+        :param placement: where it ran.
+        :param failed: whether the backend server broke it off.
+        """
+        incarnation = placement.instance.incarnation
+        self._loads.end(incarnation)
+        self._loads.note_outcome(incarnation, failed=failed)
+        if failed:
+            progress.may_have_run = True
+
+    def _open(
+        self, progress: Progress, last_event_id: str = ''
+    ) -> Opened | Refused:
+        """Send the request until a backend server answers it.
+
+        :param progress: what has happened so far.
+        :param last_event_id: event after which a stream goes on.
+        :return: the answer, or a refusal.
+        """
+        while True:
+            refusal = self._find_obstacle(progress)
+            if refusal is not None:
+                return refusal
+            placement = self._placer.place(
+                progress.service,
+                progress.admitted.request.prompt,
+                progress.avoided,
+                spread_key=progress.admitted.request.request_id,
+            )
+            if placement is None:
+                return self._refuse(progress, 'no backend server is left')
+            if progress.sent and not self._budgets.spend(progress.service):
+                return self._refuse(progress, 'the retry budget is spent')
+            outcome = self._try(progress, placement, last_event_id)
+            if outcome is not None:
+                return outcome
+
+    def _find_obstacle(self, progress: Progress) -> Refused | None:
+        route = progress.admitted.route
+        stale = self._admission.find_staleness(progress.admitted)
+        if stale is not None:
+            return self._refuse(progress, stale.detail, stale)
+        if progress.sent >= route.maximum_attempts:
+            return self._refuse(progress, 'no attempt is left')
+        if progress.may_have_run and not route.is_repeatable():
+            return self._refuse(progress, 'the request must not run twice')
+        left_s = self._admission.measure_left(progress.admitted)
+        if left_s < _WORTHWHILE_S:
+            return self._refuse(progress, 'no time is left')
+        return None
+
+    def _try(
+        self, progress: Progress, placement: Placement, last_event_id: str
+    ) -> Opened | Refused | None:
+        instance = placement.instance
+        admitted = progress.admitted
+        attempt = ForwardAttempt(
+            admitted.request,
+            instance,
+            admitted.organisation,
+            self._admission.measure_left(admitted),
+            admitted.urgency,
+            last_event_id,
+            may_repeat=admitted.route.is_repeatable(),
+        )
+        progress.avoided.append(instance.name)
+        sent_at = self._clock()
+        outcome = self._exchange(attempt, placement)
+        self._log(progress, placement, outcome, sent_at)
+        match outcome:
+            case NotRun():
+                self._loads.suspend(instance.incarnation)
+            case MaybeRun():
+                progress.sent += 1
+                progress.may_have_run = True
+                self._loads.note_outcome(instance.incarnation, failed=True)
+            case _:
+                progress.sent += 1
+                return self._judge(progress, placement, outcome)
+        return None
+
+    def _exchange(
+        self, attempt: ForwardAttempt, placement: Placement
+    ) -> ForwardResponse | NotRun | MaybeRun:
+        incarnation = placement.instance.incarnation
+        self._loads.begin(incarnation, placement.prefill_tokens)
+        opened = False
+        try:
+            outcome = self._client.open(attempt)
+            opened = not isinstance(outcome, NotRun | MaybeRun)
+        finally:
+            self._loads.note_first_byte(incarnation, placement.prefill_tokens)
+            if not opened:
+                self._loads.end(incarnation)
+        return outcome
+
+    def _judge(
+        self,
+        progress: Progress,
+        placement: Placement,
+        response: ForwardResponse,
+    ) -> Opened | Refused | None:
+        """Decide what becomes of an answer.
+
+        :param progress: the request.
+        :param placement: where the answer comes from.
+        :param response: the answer.
+        :return: the answer to pass on; ``None`` to try again.
+        """
+        incarnation = placement.instance.incarnation
+        if response.not_run:
+            response.close()
+            self._loads.end(incarnation)
+            return None
+        progress.may_have_run = True
+        if not response.sealed:
+            response.close()
+            self._loads.end(incarnation)
+            self._loads.note_outcome(incarnation, failed=True)
+            return None
+        failed = response.status >= _SERVER_ERROR
+        if failed and self._may_try_again(progress):
+            response.close()
+            self._loads.end(incarnation)
+            self._loads.note_outcome(incarnation, failed=True)
+            return None
+        self._placer.note(placement, progress.admitted.request.prompt)
+        return Opened(response, placement)
+
+    def _may_try_again(self, progress: Progress) -> bool:
+        route = progress.admitted.route
+        if not route.is_repeatable():
+            return False
+        if progress.sent >= route.maximum_attempts:
+            return False
+        left_s = self._admission.measure_left(progress.admitted)
+        if left_s < route.target_s / 2:
+            return False
+        return self._budgets.has_room(progress.service)
+
+    def _refuse(
+        self, progress: Progress, detail: str, refusal: Refused | None = None
+    ) -> Refused:
+        if progress.may_have_run:
+            return Refused(Reason.OUTCOME_UNKNOWN, Ran.UNKNOWN, detail=detail)
+        if refusal is not None:
+            return refusal
+        retry_s = _FULL_RETRY_S if progress.sent else _NO_BACKEND_RETRY_S
+        return Refused(Reason.NO_BACKEND_SERVER, Ran.NO, retry_s, detail)
+
+    def _log(
+        self,
+        progress: Progress,
+        placement: Placement,
+        outcome: ForwardResponse | NotRun | MaybeRun,
+        sent_at: float,
+    ) -> None:
+        match outcome:
+            case NotRun(detail=detail):
+                ended = f'not run: {detail}'
+            case MaybeRun(detail=detail):
+                ended = f'may have run: {detail}'
+            case _:
+                ended = str(outcome.status)
+        logger.info(
+            'attempt',
+            request_id=progress.admitted.request.request_id,
+            backend=placement.instance.name,
+            service=progress.service,
+            attempt=progress.sent + 1,
+            prefill_tokens=placement.prefill_tokens,
+            revision=progress.admitted.revision,
+            outcome=ended,
+            took_ms=convert_to_ms(self._clock() - sent_at),
+        )
--- /dev/null
+++ b/egretdale/coordination/gateway.py
@@ -0,0 +1,218 @@
+"""One host that forwards requests: its parts and the tasks that drive them."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+import eventlet
+
+from egretdale.config import GatewaySettings
+from egretdale.coordination.admission import Admission, FreshnessTerms
+from egretdale.coordination.budgets import BudgetBook, BudgetTerms
+from egretdale.coordination.configuration import (
+    ConfigurationFollower,
+    RoutingDecoder,
+)
+from egretdale.coordination.exchanges import ForwardClient
+from egretdale.coordination.forwarding import Forwarder
+from egretdale.coordination.instances import (
+    LAPSE_S,
+    InstanceDecoder,
+    InstanceFollower,
+)
+from egretdale.coordination.membership import Membership
+from egretdale.coordination.mesh import Mesh
+from egretdale.coordination.placing import Placer
+from egretdale.coordination.ports import Network, Platform
+from egretdale.state.instances import InstanceTable
+from egretdale.state.loads import LoadTable
+from egretdale.state.members import MemberStatus, MemberTable
+from egretdale.state.messages import MemberUpdate
+from egretdale.state.routing import CallerLimits
+from egretdale.util.clocks import Clock, WallClock, convert_to_ms
+from egretdale.util.tasks import TaskGroup
+
+_JOINING_CHECK_S = 0.05
+
+
+@dataclass(slots=True, frozen=True)
+class GatewaySurroundings:
+    """The world outside as a forwarding host sees it.
+
+    :ivar platform: object API.
+    :ivar network: calls to peers.
+    :ivar client: calls to backend servers.
+    :ivar clock: monotonic clock that counts suspension.
+    :ivar wall_clock: calendar clock.
+    :ivar source: random source.
+    :ivar decode_routing: decodes the configuration.
+    :ivar decode_instance: decodes the entry of a backend server.
+    """
+
+    platform: Platform
+    network: Network
+    client: ForwardClient
+    clock: Clock
+    wall_clock: WallClock
+    source: random.Random
+    decode_routing: RoutingDecoder
+    decode_instance: InstanceDecoder
+
+
+class Gateway:
+    """The coordination parts of a host that forwards requests.
+
+    :ivar settings: settings of the host.
+    :ivar mesh: links to peers.
+    :ivar membership: membership of the hosts.
+    :ivar configuration: configuration in force.
+    :ivar instances: backend servers.
+    :ivar forwarder: forwards requests.
+    """
+
+    __slots__ = (
+        '_outside',
+        '_table',
+        'configuration',
+        'forwarder',
+        'instances',
+        'membership',
+        'mesh',
+        'settings',
+    )
+
+    def __init__(
+        self, settings: GatewaySettings, outside: GatewaySurroundings
+    ) -> None:
+        """Build the parts of a host.
+
+        :param settings: settings of the host.
+        :param outside: the world outside.
+        """
+        self.settings = settings
+        self._outside = outside
+        self._table = MemberTable(settings.host)
+        self.mesh = Mesh(
+            self._table,
+            outside.network,
+            outside.clock,
+            settings.peer_bytes_per_s,
+        )
+        self._build_membership()
+        self.configuration = ConfigurationFollower(
+            outside.platform,
+            outside.network,
+            self._table,
+            decode=outside.decode_routing,
+            clock=outside.clock,
+            source=outside.source,
+        )
+        self._build_forwarder()
+        self.mesh.add_listener(self.membership)
+        self.mesh.add_listener(self.configuration)
+
+    def start(self, tasks: TaskGroup) -> None:
+        """Start the tasks of the host.
+
+        :param tasks: group that they belong to.
+        """
+        tasks.start(self.configuration.run_watch)
+        tasks.start(self.instances.run_watch)
+        tasks.start(self.instances.run_expiry)
+        tasks.start(self.membership.run_publishing)
+        tasks.start(self.membership.run_probes)
+        tasks.start(self._run_joining)
+
+    def is_ready(self) -> bool:
+        """Tell whether this host takes new requests."""
+        ready = self.configuration.table is not None
+        return ready and not self.membership.is_leaving()
+
+    def limits(self) -> CallerLimits:
+        """Return the limits on what callers may send."""
+        table = self.configuration.table
+        return CallerLimits() if table is None else table.limits
+
+    def list_addresses(self) -> list[str]:
+        """List the addresses that callers may connect to.
+
+        :return: addresses of serving hosts; those that did not answer lately
+            only when there are no others.
+        """
+        members = [
+            member
+            for member in self._table.list_serving()
+            if member.update.caller_address
+        ]
+        alive = [
+            member.update.caller_address
+            for member in members
+            if member.status == MemberStatus.ALIVE
+        ]
+        return alive or [member.update.caller_address for member in members]
+
+    def _run_joining(self) -> None:
+        while self.configuration.table is None:
+            eventlet.sleep(_JOINING_CHECK_S)
+        self.membership.join()
+
+    def _build_membership(self) -> None:
+        settings = self.settings
+        outside = self._outside
+        own = MemberUpdate(
+            settings.host,
+            convert_to_ms(outside.wall_clock()),
+            0,
+            int(MemberStatus.JOINING),
+            settings.data_centre,
+            settings.caller_address,
+            settings.peer_address,
+        )
+        self.membership = Membership(
+            own,
+            self.mesh,
+            outside.platform,
+            clock=outside.clock,
+            source=outside.source,
+            period_s=settings.probe_period_s,
+            suspicion_s=settings.suspicion_s,
+        )
+        for seed in settings.seeds:
+            self.membership.learn_seed(seed)
+
+    def _build_forwarder(self) -> None:
+        settings = self.settings
+        outside = self._outside
+        loads = LoadTable(outside.clock)
+        table = InstanceTable(outside.clock, LAPSE_S)
+        placer = Placer(table, loads, outside.clock)
+        self.instances = InstanceFollower(
+            outside.platform,
+            table,
+            decode=outside.decode_instance,
+            clock=outside.clock,
+            source=outside.source,
+            on_gone=placer.forget,
+        )
+        self.forwarder = Forwarder(
+            admission=Admission(
+                self.configuration,
+                FreshnessTerms(settings.denial_age_s, settings.key_age_s),
+                outside.clock,
+            ),
+            placer=placer,
+            loads=loads,
+            budgets=BudgetBook(
+                BudgetTerms(
+                    settings.retry_ratio,
+                    settings.retry_allowance,
+                    settings.retry_window_s,
+                    settings.expected_hosts,
+                ),
+                outside.clock,
+            ),
+            client=outside.client,
+            clock=outside.clock,
+            source=outside.source,
+        )
--- a/egretdale/coordination/membership.py
+++ b/egretdale/coordination/membership.py
@@ -27,6 +27,7 @@
 _NEWS_REPEATS = 6
 _FORGET_S = 60.0
 _PUBLISH_S = 30.0
+_PUBLISH_RETRY_S = 2.0
 _JITTER_SHARE = 0.2
 
 
@@ -142,16 +143,44 @@
         if update.host == self.own.host:
             self._refute(update)
             return
+        if update.host == update.peer_address:
+            # Only a seed whose name the sender does not know.
+            return
         known = self.table.find(update.host)
         if known is None and update.status == MemberStatus.GONE:
             return
         before = None if known is None else known.status
         if not self.table.apply(update, self._clock()):
             return
+        if known is None and self.table.find(update.peer_address) is not None:
+            self.table.forget(update.peer_address)
         if before != update.status:
             self._spread(update.host)
             self._log(update)
 
+    def learn_seed(self, peer_address: str) -> None:
+        """Probe an address whose host is not known yet.
+
+        :param peer_address: ``address:port`` of a daemon for peers.
+        """
+        known = {
+            member.update.peer_address for member in self.table.list_members()
+        }
+        if peer_address not in known:
+            # The address stands in for the name until the host answers.
+            self.table.apply(
+                MemberUpdate(
+                    peer_address,
+                    0,
+                    0,
+                    int(MemberStatus.SUSPECT),
+                    '',
+                    '',
+                    peer_address,
+                ),
+                self._clock(),
+            )
+
     def note_reply(self, host: str) -> None:
         """Note that a host has answered or called.
 
@@ -227,13 +256,17 @@
     def run_publishing(self) -> None:
         """Publish this host in the platform and read first addresses."""
         while True:
-            self.store_own()
+            stored = self.store_own()
             self.read_stored()
+            period_s = _PUBLISH_S if stored else _PUBLISH_RETRY_S
             jitter = self._random.uniform(1 - _JITTER_SHARE, 1 + _JITTER_SHARE)
-            eventlet.sleep(_PUBLISH_S * jitter)
+            eventlet.sleep(period_s * jitter)
+
+    def store_own(self) -> bool:
+        """Write this host's member object.
 
-    def store_own(self) -> None:
-        """Write this host's member object."""
+        :return: whether the platform has confirmed the write.
+        """
         body = msgspec.json.encode(StoredMember(self.own))
         outcome = self._platform.write(
             MEMBER_KIND, self.own.host, body, self._stored_version
@@ -242,8 +275,10 @@
             case Written(version=version):
                 self._stored_version = version
                 self.platform_seen_at = self._clock()
+                return True
             case _:
                 self._find_stored_version()
+                return False
 
     def read_stored(self) -> None:
         """Learn of other hosts from the platform."""
--- a/egretdale/coordination/mesh.py
+++ b/egretdale/coordination/mesh.py
@@ -43,6 +43,13 @@
         :param batch: the batch.
         """
 
+    def note_answer(self, answer: Batch, sent_at: float) -> None:
+        """Take in facts whose age is counted from the question.
+
+        :param answer: answer of a peer.
+        :param sent_at: when the question was sent, on the mesh's clock.
+        """
+
     def note_reply(self, host: str) -> None:
         """Note that a host has answered.
 
@@ -116,6 +123,7 @@
 
     __slots__ = (
         '_budget',
+        '_clock',
         '_handler',
         '_links',
         '_listeners',
@@ -143,6 +151,7 @@
         self.sent_bytes = 0
         self.sent_batches = 0
         self._network = network
+        self._clock = clock
         self._budget = TokenBucket(
             bytes_per_s, bytes_per_s * _BUDGET_BURST_S, clock
         )
@@ -267,6 +276,7 @@
         member = self.table.find(host)
         if member is None:
             return False
+        sent_at = self._clock()
         outcome = self._network.deliver(member.update.peer_address, batch)
         match outcome:
             case Delivered(answer=answer, sent_bytes=size):
@@ -276,6 +286,7 @@
                 for listener in self._listeners:
                     listener.note_reply(host)
                     listener.receive(answer)
+                    listener.note_answer(answer, sent_at)
                 return True
             case Unreachable() | Ambiguous():
                 logger.info(
--- /dev/null
+++ b/egretdale/coordination/placing.py
@@ -0,0 +1,151 @@
+"""Choice of the backend server that gets a request."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from dataclasses import dataclass
+
+from egretdale.coordination.exchanges import Prompt
+from egretdale.state.instances import Instance, InstanceTable
+from egretdale.state.loads import InstanceLoad, LoadTable
+from egretdale.state.prefixes import PrefixIndex
+from egretdale.util.clocks import Clock
+from egretdale.util.hashing import rank_by_rendezvous
+
+#: Prompt tokens that an engine prefills in the time by which one more
+#: running request delays a new one.
+_TOKENS_PER_RUNNING = 150
+#: Prompt tokens worth of delay for a backend server that fails always.
+_TOKENS_PER_FAILURE = 60000
+
+
+@dataclass(slots=True, frozen=True)
+class Placement:
+    """Where a request goes.
+
+    :ivar instance: the backend server.
+    :ivar prefill_tokens: tokens that it probably has to prefill.
+    """
+
+    instance: Instance
+    prefill_tokens: int
+
+
+class Placer:
+    """Chooses backend servers by cached prompt parts and load.
+
+    All hosts prefer the same backend server for a shared part, so that it
+    is prefilled once, and move on to others as load builds up there.
+    """
+
+    __slots__ = ('_clock', '_instances', '_loads', '_prefixes')
+
+    def __init__(
+        self, instances: InstanceTable, loads: LoadTable, clock: Clock
+    ) -> None:
+        """Create a placer.
+
+        :param instances: backend servers.
+        :param loads: their loads.
+        :param clock: monotonic clock.
+        """
+        self._instances = instances
+        self._loads = loads
+        self._clock = clock
+        self._prefixes = PrefixIndex()
+
+    def place(
+        self,
+        service: str,
+        prompt: Prompt,
+        avoided: Collection[str],
+        *,
+        spread_key: str,
+    ) -> Placement | None:
+        """Choose a backend server.
+
+        :param service: service name.
+        :param prompt: size and parts of the prompt.
+        :param avoided: names of backend servers that failed the request.
+        :param spread_key: spreads requests without a shared part.
+        :return: the choice, or ``None`` when there is no backend server.
+        """
+        candidates = [
+            instance
+            for instance in self._instances.list_ready(service)
+            if instance.name not in avoided
+        ]
+        usable = [
+            instance
+            for instance in candidates
+            if not self._loads.is_suspended(instance.incarnation)
+        ]
+        part = prompt.find_affinity()
+        key = spread_key if part is None else str(part.identity)
+        placements = self._weigh(usable or candidates, prompt, key)
+        if not placements:
+            return None
+        return min(placements, key=lambda entry: entry[0])[1]
+
+    def note(self, placement: Placement, prompt: Prompt) -> None:
+        """Remember which parts a backend server will hold.
+
+        :param placement: where the request was sent.
+        :param prompt: its prompt.
+        """
+        part = prompt.find_affinity()
+        if part is not None:
+            name = _name_incarnation(placement.instance)
+            self._prefixes.note(name, part.identity, self._clock())
+
+    def forget(self, instance: Instance) -> None:
+        """Drop what is known of a backend server that has gone.
+
+        :param instance: the backend server.
+        """
+        self._prefixes.clear(_name_incarnation(instance))
+        self._loads.forget(instance.incarnation)
+
+    def _weigh(
+        self, instances: list[Instance], prompt: Prompt, key: str
+    ) -> list[tuple[tuple[float, int], Placement]]:
+        by_name = {entry.name: entry for entry in instances}
+        ranked = [by_name[name] for name in rank_by_rendezvous(key, by_name)]
+        loads = {
+            entry.name: self._loads.find(entry.incarnation)
+            for entry in instances
+        }
+        best_rate = min(
+            (load.failure_rate for load in loads.values()), default=float(0)
+        )
+        weighed = []
+        for rank, entry in enumerate(ranked):
+            tokens = self._count_prefill(entry, prompt, rank)
+            delay = _measure_delay(loads[entry.name], tokens, best_rate)
+            weighed.append(((delay, rank), Placement(entry, tokens)))
+        return weighed
+
+    def _count_prefill(
+        self, instance: Instance, prompt: Prompt, rank: int
+    ) -> int:
+        part = prompt.find_affinity()
+        if part is None or len(prompt.parts) < 2:
+            return prompt.tokens
+        cached = not rank or self._prefixes.is_held(
+            _name_incarnation(instance), part.identity, self._clock()
+        )
+        return prompt.tokens - cached * prompt.count_shared()
+
+
+def _measure_delay(load: InstanceLoad, tokens: int, best_rate: float) -> float:
+    failing = max(float(0), load.failure_rate - best_rate)
+    return (
+        tokens
+        + load.prefill_tokens
+        + load.running * _TOKENS_PER_RUNNING
+        + failing * _TOKENS_PER_FAILURE
+    )
+
+
+def _name_incarnation(instance: Instance) -> str:
+    return f'{instance.name}.{instance.born_ms}'
--- /dev/null
+++ b/egretdale/protocol/forwarding.py
@@ -0,0 +1,267 @@
+"""Headers of forwarded requests and of the answers to them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+from egretdale.coordination.exchanges import (
+    ForwardAttempt,
+    ForwardRequest,
+    Prompt,
+    PromptPart,
+)
+from egretdale.errors import Invalid
+from egretdale.util.clocks import convert_to_ms, convert_to_seconds
+
+#: A header as it was sent.
+Header = tuple[str, str]
+
+_HEXADECIMAL = 16
+#: Headers of one connection, which are never passed on.
+_CONNECTION_HEADERS = frozenset(
+    (
+        'connection',
+        'content-length',
+        'expect',
+        'host',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
+
+
+@dataclass(slots=True, frozen=True)
+class HeaderNames:
+    """Names of the headers that mean something to the system.
+
+    :ivar request_id: identity of a request, repeated in its answer.
+    :ivar deadline_ms: milliseconds that the caller waits.
+    :ivar credentials: carries the key of the caller.
+    :ivar scheme: authentication scheme before the key.
+    :ivar token_counts: prompt tokens and output limit.
+    :ivar prompt_parts: parts of the prompt, as identity and tokens.
+    :ivar last_event_id: event after which a stream goes on.
+    :ivar seal: signature of the backend server.
+    :ivar organisation: organisation of the caller.
+    :ivar expected_instance: backend server that must run the request.
+    :ivar instance: backend server that answers.
+    :ivar not_run: present when the backend server did not run the request.
+    :ivar urgency: rank of the request at the backend server.
+    :ivar reserved: further headers that callers must not set.
+    """
+
+    request_id: str = 'Egret-Request-Id'
+    deadline_ms: str = 'Egret-Deadline-Ms'
+    credentials: str = 'Authorization'
+    scheme: str = 'Bearer'
+    token_counts: str = 'Egret-Token-Counts'
+    prompt_parts: str = 'Egret-Prompt-Parts'
+    last_event_id: str = 'Last-Event-Id'
+    seal: str = 'Egret-Seal'
+    organisation: str = 'Egret-Organisation'
+    expected_instance: str = 'Egret-Expected-Instance'
+    instance: str = 'Egret-Instance'
+    not_run: str = 'Egret-Not-Run'
+    urgency: str = 'Egret-Urgency'
+    reserved: tuple[str, ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class RequestHead:
+    """The head of a request as the server read it.
+
+    :ivar method: HTTP method.
+    :ivar target: path and query exactly as sent.
+    :ivar headers: headers as sent.
+    :ivar arrived_at: when it had been read, on the clock of the host.
+    """
+
+    method: str
+    target: str
+    headers: Sequence[Header]
+    arrived_at: float
+
+
+@dataclass(slots=True, frozen=True)
+class AnswerMarks:
+    """What the headers of an answer say.
+
+    :ivar matches: whether the answer belongs to the request.
+    :ivar sealed: whether the backend server signed it as its own.
+    :ivar not_run: whether the request was not run.
+    :ivar headers: headers to pass on.
+    """
+
+    matches: bool
+    sealed: bool
+    not_run: bool
+    headers: list[Header]
+
+
+@dataclass(slots=True)
+class HeaderCodec:
+    """Reads and writes the headers of forwarded requests.
+
+    :ivar names: names of the headers.
+    """
+
+    names: HeaderNames
+    _withheld: frozenset[str] = field(init=False, default=frozenset())
+
+    def __post_init__(self) -> None:
+        """Collect the headers that are not passed on as they came."""
+        names = self.names
+        replaced = (
+            names.credentials,
+            names.deadline_ms,
+            names.organisation,
+            names.expected_instance,
+            names.urgency,
+            *names.reserved,
+        )
+        self._withheld = _CONNECTION_HEADERS | {
+            name.lower() for name in replaced
+        }
+
+    def read_request(self, head: RequestHead) -> ForwardRequest | Invalid:
+        """Understand the head of a request.
+
+        :param head: the head.
+        :return: the request without its body, or what is wrong.
+        """
+        present: dict[str, str] = {}
+        for name, text in head.headers:
+            present.setdefault(name.lower(), text)
+        names = self.names
+        request_id = present.get(names.request_id.lower(), '')
+        if not request_id:
+            return Invalid(names.request_id, 'is missing')
+        patience_s = _parse_duration(present.get(names.deadline_ms.lower()))
+        if isinstance(patience_s, Invalid):
+            return Invalid(names.deadline_ms, patience_s.message)
+        host_name, _, _ = present.get('host', '').partition(':')
+        return ForwardRequest(
+            request_id,
+            head.method,
+            head.target,
+            host_name,
+            self._list_passed(head.headers),
+            b'',
+            self._parse_key(present.get(names.credentials.lower(), '')),
+            patience_s,
+            parse_prompt(
+                present.get(names.token_counts.lower(), ''),
+                present.get(names.prompt_parts.lower(), ''),
+            ),
+            head.arrived_at,
+        )
+
+    def write_attempt(self, attempt: ForwardAttempt) -> list[Header]:
+        """Write the headers of a request to a backend server.
+
+        :param attempt: the request and where it goes.
+        :return: headers without those of the body's length.
+        """
+        names = self.names
+        request = attempt.request
+        last_event = names.last_event_id.lower()
+        headers = [
+            (name, text)
+            for name, text in request.headers
+            if not attempt.last_event_id or name.lower() != last_event
+        ]
+        headers.append(('Host', request.host_name))
+        left_ms = max(1, convert_to_ms(attempt.left_s))
+        headers.append((names.deadline_ms, str(left_ms)))
+        headers.append((names.expected_instance, attempt.instance.name))
+        if attempt.organisation:
+            headers.append((names.organisation, attempt.organisation))
+        if request.prompt.tokens:
+            headers.append((names.urgency, str(attempt.urgency)))
+        if attempt.last_event_id:
+            headers.append((names.last_event_id, attempt.last_event_id))
+        return headers
+
+    def read_answer(
+        self, request_id: str, status: int, headers: Iterable[Header]
+    ) -> AnswerMarks:
+        """Understand the headers of an answer.
+
+        :param request_id: identity of the request that was sent.
+        :param status: HTTP status.
+        :param headers: headers as the backend server sent them.
+        :return: what they say.
+        """
+        names = self.names
+        present: dict[str, str] = {}
+        passed = []
+        for name, text in headers:
+            lowered = name.lower()
+            present[lowered] = text
+            if lowered not in _CONNECTION_HEADERS:
+                passed.append((name, text))
+        answered_id = present.get(names.request_id.lower(), request_id)
+        not_run = names.not_run.lower() in present or status == _MISDIRECTED
+        sealed = (
+            names.seal.lower() in present and 'content-encoding' not in present
+        )
+        return AnswerMarks(answered_id == request_id, sealed, not_run, passed)
+
+    def _list_passed(self, headers: Iterable[Header]) -> list[Header]:
+        return [
+            (name, text)
+            for name, text in headers
+            if name.lower() not in self._withheld
+        ]
+
+    def _parse_key(self, credentials: str) -> str:
+        scheme, _, key = credentials.strip().partition(' ')
+        if scheme.lower() != self.names.scheme.lower():
+            return ''
+        return key.strip()
+
+
+_MISDIRECTED = 421
+
+
+def parse_prompt(counts: str, parts: str) -> Prompt:
+    """Parse the size and the parts of a prompt.
+
+    :param counts: prompt tokens and output limit, separated by a comma.
+    :param parts: parts as identity, colon and tokens, separated by commas.
+    :return: the prompt; what cannot be read is left out.
+    """
+    prompt_tokens, _, output = counts.partition(',')
+    parsed = []
+    for entry in parts.split(','):
+        identity, _, tokens = entry.strip().partition(':')
+        if not tokens.isdigit():
+            continue
+        try:
+            number = int(identity, _HEXADECIMAL)
+        except ValueError:
+            continue
+        parsed.append(PromptPart(number, int(tokens)))
+    return Prompt(
+        _parse_count(prompt_tokens), _parse_count(output), tuple(parsed)
+    )
+
+
+def _parse_count(text: str) -> int:
+    stripped = text.strip()
+    return int(stripped) if stripped.isdigit() else 0
+
+
+def _parse_duration(text: str | None) -> float | None | Invalid:
+    if text is None:
+        return None
+    if not text.strip().isdigit():
+        return Invalid('', 'must be a whole number of milliseconds')
+    return convert_to_seconds(int(text))
--- a/egretdale/protocol/gen/ttypes.py
+++ b/egretdale/protocol/gen/ttypes.py
@@ -1312,18 +1312,21 @@
     Attributes:
      - service_name
      - number
+     - age_ms
 
     """
 
     __slots__ = (
         'service_name',
         'number',
+        'age_ms',
     )
 
 
-    def __init__(self, service_name=None, number=None,):
+    def __init__(self, service_name=None, number=None, age_ms=None,):
         self.service_name = service_name
         self.number = number
+        self.age_ms = age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1344,6 +1347,11 @@
                     self.number = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1362,6 +1370,10 @@
             oprot.writeFieldBegin('number', TType.I64, 2)
             oprot.writeI64(self.number)
             oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1958,6 +1970,7 @@
     None,  # 0
     (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
     (2, TType.I64, 'number', None, None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
 )
 all_structs.append(Batch)
 Batch.thrift_spec = (
--- a/egretdale/protocol/peer.thrift
+++ b/egretdale/protocol/peer.thrift
@@ -88,6 +88,7 @@
 struct Revision {
   1: string service_name
   2: i64 number
+  3: i32 age_ms
 }
 
 struct Batch {
--- a/egretdale/protocol/problems.py
+++ b/egretdale/protocol/problems.py
@@ -33,6 +33,10 @@
         Reason.TOO_LARGE: '413 Content Too Large',
         Reason.STREAM_LOST: '410 Gone',
         Reason.CALLER_GONE: '499 Client Closed Request',
+        Reason.NO_ROUTE: '404 Not Found',
+        Reason.UNKNOWN_KEY: '401 Unauthorized',
+        Reason.CONFIGURATION_STALE: _UNAVAILABLE,
+        Reason.DEADLINE_PASSED: '504 Gateway Timeout',
     }
 )
 
--- /dev/null
+++ b/egretdale/state/instances.py
@@ -0,0 +1,133 @@
+"""Backend servers that requests may be sent to."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from egretdale.util.clocks import Clock
+
+
+@dataclass(slots=True, frozen=True)
+class Instance:
+    """One start of a backend server.
+
+    :ivar name: name that the backend server registered with.
+    :ivar service: service that it belongs to.
+    :ivar address: ``address:port``.
+    :ivar data_centre: its data centre.
+    :ivar born_ms: start in milliseconds since the Unix epoch, 0 if unknown.
+    :ivar slots: requests that it processes at once.
+    :ivar leaving: whether it takes no new work any more.
+    """
+
+    name: str
+    service: str
+    address: str
+    data_centre: str = ''
+    born_ms: int = 0
+    slots: int = 0
+    leaving: bool = False
+
+    @property
+    def incarnation(self) -> tuple[str, int]:
+        """Identity of this start, different after a restart."""
+        return self.name, self.born_ms
+
+
+class InstanceTable:
+    """Backend servers by service.
+
+    An entry that disappears while the list could not be read is kept for a
+    while: its backend server may only have been unable to renew it.
+    """
+
+    __slots__ = ('_by_service', '_clock', '_lapse_s', '_lapsing', '_listed')
+
+    def __init__(self, clock: Clock, lapse_s: float) -> None:
+        """Create an empty table.
+
+        :param clock: monotonic clock.
+        :param lapse_s: seconds that an entry is kept that disappeared during
+            an outage of the list.
+        """
+        self._clock = clock
+        self._lapse_s = lapse_s
+        self._listed: dict[str, Instance] = {}
+        self._lapsing: dict[str, float] = {}
+        self._by_service: dict[str, list[Instance]] = {}
+
+    def replace(
+        self, instances: dict[str, Instance], *, after_outage: bool
+    ) -> list[Instance]:
+        """Take in a newer list.
+
+        :param instances: backend servers by name.
+        :param after_outage: whether the list could not be read for a while
+            before.
+        :return: backend servers that are no longer listed or have restarted.
+        """
+        now = self._clock()
+        kept = dict(instances)
+        gone = []
+        for name, known in self._listed.items():
+            current = instances.get(name)
+            if current is None and self._is_lapsing(name, now, after_outage):
+                kept[name] = known
+            elif current is None or current.incarnation != known.incarnation:
+                gone.append(known)
+        self._lapsing = {
+            lapsing: until
+            for lapsing, until in self._lapsing.items()
+            if lapsing in kept and lapsing not in instances
+        }
+        self._listed = kept
+        self._index()
+        return gone
+
+    def expire(self) -> list[Instance]:
+        """Drop entries that did not come back after an outage.
+
+        :return: the entries that were dropped.
+        """
+        now = self._clock()
+        expired = [
+            name for name, until in self._lapsing.items() if until <= now
+        ]
+        dropped = [self._listed.pop(name) for name in expired]
+        for name in expired:
+            self._lapsing.pop(name)
+        if dropped:
+            self._index()
+        return dropped
+
+    def list_ready(self, service: str) -> list[Instance]:
+        """List the backend servers of a service that take new work.
+
+        :param service: service name.
+        :return: backend servers, without those that are leaving.
+        """
+        return self._by_service.get(service, [])
+
+    def find(self, name: str) -> Instance | None:
+        """Find a backend server.
+
+        :param name: its name.
+        :return: its entry, or ``None`` when it is not listed.
+        """
+        return self._listed.get(name)
+
+    def count(self) -> int:
+        """Count the listed backend servers."""
+        return len(self._listed)
+
+    def _is_lapsing(self, name: str, now: float, after_outage: bool) -> bool:
+        if after_outage:
+            self._lapsing.setdefault(name, now + self._lapse_s)
+        return self._lapsing.get(name, float('-inf')) > now
+
+    def _index(self) -> None:
+        self._by_service = {}
+        for instance in self._listed.values():
+            if not instance.leaving:
+                ready = self._by_service.setdefault(instance.service, [])
+                ready.append(instance)
--- a/egretdale/state/messages.py
+++ b/egretdale/state/messages.py
@@ -201,10 +201,13 @@
 
     :ivar service_name: name of the service.
     :ivar number: revision number.
+    :ivar age_ms: milliseconds since the host knew that it is the newest, -1
+        when it does not.
     """
 
     service_name: str
     number: int
+    age_ms: int = -1
 
 
 @dataclass(slots=True)
--- a/egretdale/state/outcomes.py
+++ b/egretdale/state/outcomes.py
@@ -35,6 +35,10 @@
     TOO_LARGE = 'too-large'
     STREAM_LOST = 'stream-lost'
     CALLER_GONE = 'caller-gone'
+    NO_ROUTE = 'no-route'
+    UNKNOWN_KEY = 'unknown-key'
+    CONFIGURATION_STALE = 'configuration-stale'
+    DEADLINE_PASSED = 'deadline-passed'
 
 
 @dataclass(slots=True, frozen=True)
--- a/egretdale/transport/daemon.py
+++ b/egretdale/transport/daemon.py
@@ -16,7 +16,12 @@
 from egretdale.transport.backends import HttpBackendClient
 from egretdale.transport.callers import CallerInterface, StartResponse
 from egretdale.transport.operators import OperatorInterface
-from egretdale.transport.peers import PeerClient, PeerServer, listen
+from egretdale.transport.peers import (
+    PeerClient,
+    PeerHandler,
+    PeerServer,
+    listen,
+)
 from egretdale.transport.platform import PlatformClient
 from egretdale.transport.refusals import RefusalBook
 from egretdale.util.clocks import read_hub_clock, read_wall_clock
@@ -83,7 +88,9 @@
         :return: exit status; 0 when no request was cut off.
         """
         self.node.start(self._tasks)
-        self._tasks.start(PeerServer(self._peer_listener, self.node).run)
+        self._tasks.start(
+            PeerServer(self._peer_listener, PeerHandler(self.node)).run
+        )
         self._tasks.start(self._publish_load)
         server = eventlet.spawn(self._serve)
         logger.info(
--- /dev/null
+++ b/egretdale/transport/gateway.py
@@ -0,0 +1,219 @@
+"""The daemon of a host that forwards requests."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any
+
+import eventlet
+from eventlet import wsgi
+from eventlet.event import Event
+from prometheus_client import CollectorRegistry, make_wsgi_app
+
+from egretdale.config import GatewaySettings
+from egretdale.coordination.configuration import RoutingDecoder
+from egretdale.coordination.gateway import Gateway, GatewaySurroundings
+from egretdale.coordination.instances import InstanceDecoder
+from egretdale.coordination.ports import Platform
+from egretdale.protocol.forwarding import HeaderCodec
+from egretdale.transport.forwarding import HttpForwardClient
+from egretdale.transport.ingress import Ingress
+from egretdale.transport.peers import (
+    NewsHandler,
+    PeerClient,
+    PeerServer,
+    listen,
+)
+from egretdale.util.clocks import read_boot_clock, read_wall_clock
+from egretdale.util.logs import get_logger
+from egretdale.util.tasks import TaskGroup
+
+logger = get_logger(__name__)
+
+_CRASH_STATUS = 70
+_DRAIN_CHECK_S = 0.05
+#: Answers of the directory that callers keep longer than told.
+_KEPT_ANSWERS = 3
+#: Part of the planned stop that is left for ending the process, in seconds.
+_STOP_MARGIN_S = 0.4
+_SETTLE_S = 0.1
+_SIDE_CONNECTIONS = 256
+#: Longest idle time of a connection for other purposes, in seconds.
+_SIDE_TIMEOUT_S = 20
+
+#: A WSGI application.
+Application = Callable[..., Iterable[bytes]]
+
+
+@dataclass(slots=True, frozen=True)
+class GatewayInterface:
+    """What the world outside looks like on the wire.
+
+    :ivar platform: object API.
+    :ivar codec: headers of requests and answers.
+    :ivar decode_routing: decodes the configuration.
+    :ivar decode_instance: decodes the entry of a backend server.
+    :ivar create_readiness: creates the application that tells whether the
+        host is ready.
+    :ivar create_directory: creates the application that tells callers where
+        to connect.
+    """
+
+    platform: Platform
+    codec: HeaderCodec
+    decode_routing: RoutingDecoder
+    decode_instance: InstanceDecoder
+    create_readiness: Callable[[Gateway], Application]
+    create_directory: Callable[[Gateway], Application]
+
+
+class GatewayDaemon:
+    """One process that forwards requests.
+
+    :ivar gateway: coordination parts.
+    """
+
+    __slots__ = (
+        '_ingress',
+        '_listeners',
+        '_settings',
+        '_stopped',
+        '_stopping',
+        '_tasks',
+        'gateway',
+    )
+
+    def __init__(
+        self, settings: GatewaySettings, interface: GatewayInterface
+    ) -> None:
+        """Open the listeners and build the parts.
+
+        :param settings: settings of this host.
+        :param interface: the world outside on the wire.
+        """
+        self._settings = settings
+        self._stopped = Event()
+        self._stopping = False
+        self._tasks = TaskGroup(self._crash)
+        clock = read_boot_clock
+        self.gateway = Gateway(
+            settings,
+            GatewaySurroundings(
+                interface.platform,
+                PeerClient(settings.peer_timeout_s, self._ignore_bytes),
+                HttpForwardClient(interface.codec, clock),
+                clock,
+                read_wall_clock,
+                random.Random(),
+                interface.decode_routing,
+                interface.decode_instance,
+            ),
+        )
+        self._ingress = Ingress(
+            interface.codec,
+            self.gateway.forwarder,
+            self.gateway.limits,
+            clock,
+            settings.maximum_connections,
+        )
+        self._listeners = {
+            address: listen(address) for address in self._list_addresses()
+        }
+        self._start_servers(interface)
+
+    def run(self) -> int:
+        """Serve until a planned stop has ended.
+
+        :return: exit status; 0 when no request was cut off.
+        """
+        self.gateway.start(self._tasks)
+        logger.info(
+            'started',
+            host=self._settings.host,
+            caller_address=self._settings.caller_address,
+            peer_address=self._settings.peer_address,
+        )
+        status = self._stopped.wait()
+        self._tasks.stop()
+        logger.info('stopped', status=status, active=self._ingress.active)
+        return status
+
+    def request_stop(self) -> None:
+        """Begin a planned stop; a second call changes nothing."""
+        if not self._stopping:
+            self._stopping = True
+            eventlet.spawn(self._drain)
+
+    def _list_addresses(self) -> set[str]:
+        settings = self._settings
+        return {
+            settings.caller_address,
+            settings.peer_address,
+            settings.readiness_address,
+            settings.directory_address,
+            settings.metrics_address,
+        }
+
+    def _start_servers(self, interface: GatewayInterface) -> None:
+        settings = self._settings
+        handler = NewsHandler(
+            self.gateway.mesh, self.gateway.configuration.copy
+        )
+        peers = PeerServer(self._listeners[settings.peer_address], handler)
+        self._tasks.start(peers.run)
+        self._tasks.start(
+            self._ingress.run, self._listeners[settings.caller_address]
+        )
+        sides = {
+            settings.readiness_address: interface.create_readiness(
+                self.gateway
+            ),
+            settings.directory_address: interface.create_directory(
+                self.gateway
+            ),
+            settings.metrics_address: make_wsgi_app(CollectorRegistry()),
+        }
+        for address, application in sides.items():
+            self._tasks.start(_serve, self._listeners[address], application)
+
+    def _drain(self) -> None:
+        clock = read_boot_clock
+        started_at = clock()
+        limit_at = started_at + self._settings.drain_limit_s - _STOP_MARGIN_S
+        logger.info('drain-started', active=self._ingress.active)
+        self._ingress.start_closing()
+        self.gateway.membership.leave()
+        kept_s = self._settings.answer_lifetime_s * _KEPT_ANSWERS
+        answers_end = min(started_at + kept_s, limit_at)
+        while clock() < answers_end:
+            eventlet.sleep(_DRAIN_CHECK_S)
+        self._listeners[self._settings.caller_address].close()
+        self._ingress.close_idle()
+        while self._ingress.active and clock() < limit_at:
+            eventlet.sleep(_DRAIN_CHECK_S)
+        eventlet.sleep(_SETTLE_S)
+        self._finish(1 if self._ingress.active else 0)
+
+    def _finish(self, status: int) -> None:
+        if not self._stopped.ready():
+            self._stopped.send(status)
+
+    def _crash(self, error: BaseException) -> None:
+        logger.warning('stopped-by-broken-invariant', error=repr(error))
+        self._finish(_CRASH_STATUS)
+
+    def _ignore_bytes(self, size: int) -> None:
+        """Take no account of the bytes of a message to a peer."""
+
+
+def _serve(listener: Any, application: Application) -> None:
+    wsgi.server(
+        listener,
+        application,
+        log_output=False,
+        max_size=_SIDE_CONNECTIONS,
+        socket_timeout=_SIDE_TIMEOUT_S,
+        debug=False,
+    )
--- a/egretdale/transport/peers.py
+++ b/egretdale/transport/peers.py
@@ -14,6 +14,7 @@
 from thrift.Thrift import TApplicationException, TException
 from thrift.transport.TTransport import TMemoryBuffer, TTransportException
 
+from egretdale.coordination.mesh import Mesh
 from egretdale.coordination.node import Node
 from egretdale.coordination.ports import Delivered
 from egretdale.errors import Ambiguous, Cause, Unreachable
@@ -222,17 +223,19 @@
             connection.close()
 
 
-class PeerHandler:
-    """Answers calls of other daemons."""
+class NewsHandler:
+    """Answers batches and requests for copies."""
 
-    __slots__ = ('_node',)
+    __slots__ = ('_copy', '_mesh')
 
-    def __init__(self, node: Node) -> None:
+    def __init__(self, mesh: Mesh, copy: Callable[[str], DocumentCopy]) -> None:
         """Create a handler.
 
-        :param node: parts of this host.
+        :param mesh: links to peers.
+        :param copy: returns the copy of a document by its name.
         """
-        self._node = node
+        self._mesh = mesh
+        self._copy = copy
 
     def deliver(self, batch: Any) -> Any:
         """Take in a batch.
@@ -240,7 +243,29 @@
         :param batch: thrift structure of the batch.
         :return: thrift structure of the answer.
         """
-        return encode_structure(self._node.mesh.handle(decode_structure(batch)))
+        return encode_structure(self._mesh.handle(decode_structure(batch)))
+
+    def fetch(self, service_name: str) -> Any:
+        """Return a copy of a document.
+
+        :param service_name: service name.
+        :return: thrift structure of the copy.
+        """
+        return encode_structure(self._copy(service_name))
+
+
+class PeerHandler(NewsHandler):
+    """Answers all calls of other daemons."""
+
+    __slots__ = ('_issuer',)
+
+    def __init__(self, node: Node) -> None:
+        """Create a handler.
+
+        :param node: parts of this host.
+        """
+        super().__init__(node.mesh, node.replica.copy)
+        self._issuer = node.issuer
 
     def claim(self, question: Any) -> Any:
         """Decide on a key that this host issued.
@@ -248,9 +273,7 @@
         :param question: thrift structure of the question.
         :return: thrift structure of the decision.
         """
-        return encode_structure(
-            self._node.issuer.decide(decode_structure(question))
-        )
+        return encode_structure(self._issuer.decide(decode_structure(question)))
 
     def settle(self, key: str, ran: bool) -> bool:
         """Note how a request with a key of this host ended.
@@ -259,31 +282,23 @@
         :param ran: whether a backend server may have run it.
         :return: true.
         """
-        self._node.issuer.settle(key, ran=ran)
+        self._issuer.settle(key, ran=ran)
         return True
 
-    def fetch(self, service_name: str) -> Any:
-        """Return a copy of a document.
-
-        :param service_name: service name.
-        :return: thrift structure of the copy.
-        """
-        return encode_structure(self._node.replica.copy(service_name))
-
 
 class PeerServer:
     """Accepts connections of other daemons, one task for each."""
 
     __slots__ = ('_listener', '_pool', '_processor')
 
-    def __init__(self, listener: socket.socket, node: Node) -> None:
+    def __init__(self, listener: socket.socket, handler: NewsHandler) -> None:
         """Create a server.
 
         :param listener: listening socket.
-        :param node: parts of this host.
+        :param handler: answers the calls.
         """
         self._listener = listener
-        self._processor = Peer.Processor(PeerHandler(node))
+        self._processor = Peer.Processor(handler)
         self._pool = GreenPool(_MAXIMUM_PEERS)
 
     def run(self) -> None:
--- a/egretdale/util/buckets.py
+++ b/egretdale/util/buckets.py
@@ -39,6 +39,14 @@
         self._level -= amount
         return True
 
+    def has(self, amount: float) -> bool:
+        """Tell whether units are there.
+
+        :param amount: units wanted.
+        """
+        self._fill()
+        return self._level >= amount
+
     def charge(self, amount: float) -> None:
         """Take units that have been spent already; the level may go negative.
 
--- a/egretdale/util/clocks.py
+++ b/egretdale/util/clocks.py
@@ -24,6 +24,14 @@
     return hubs.get_hub().clock()
 
 
+def read_boot_clock() -> float:
+    """Read the clock that also counts time during which we were suspended.
+
+    :return: monotonic seconds since the host was started.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def read_wall_clock() -> float:
     """Read the calendar clock.
 
