Test forwarding, the ingress and the adapter; read plainly after an outage

Cause: the forwarding modules had no tests. Writing them found three faults: a request with two lengths or an unknown transfer coding was read; a closing host announced the end of a connection and kept it; after an outage the first call was a watch, so a configuration was confirmed two seconds late. Change: framing is checked before the body, the server itself ends connections, and both followers list after a failed call. Exchange and framing are modules of their own. A stand-in for the store of objects.

--- a/egretdale/coordination/configuration.py
+++ b/egretdale/coordination/configuration.py
@@ -115,6 +115,8 @@
                     detail=listing.detail,
                     version=self.version,
                 )
+            # A plain read after the outage confirms sooner than a watch.
+            version = 0
             pause_s = min(max(_RETRY_START_S, pause_s * 2), _RETRY_MAXIMUM_S)
             spread = self._source.uniform(1 - _JITTER_SHARE, 1 + _JITTER_SHARE)
             eventlet.sleep(pause_s * spread)
--- a/egretdale/coordination/instances.py
+++ b/egretdale/coordination/instances.py
@@ -87,6 +87,8 @@
                 version = listing.version
                 continue
             self._note_lost(listing.detail)
+            # A plain read after the outage tells sooner than a watch.
+            version = 0
             pause_s = min(max(_RETRY_START_S, pause_s * 2), _RETRY_MAXIMUM_S)
             spread = self._source.uniform(1 - _JITTER_SHARE, 1 + _JITTER_SHARE)
             eventlet.sleep(pause_s * spread)
--- a/egretdale/transport/ingress.py
+++ b/egretdale/transport/ingress.py
@@ -3,27 +3,21 @@
 from __future__ import annotations
 
 import socket as sockets
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from typing import Any, Protocol
 
-import eventlet
 from eventlet import wsgi
 from eventlet.greenpool import GreenPool
 
 from egretdale.coordination.admission import Admitted
-from egretdale.coordination.exchanges import (
-    BrokenAnswer,
-    CallerGone,
-    ForwardOutcome,
-    ForwardReply,
-    ForwardRequest,
-)
+from egretdale.coordination.exchanges import ForwardOutcome, ForwardRequest
 from egretdale.errors import Invalid
 from egretdale.protocol.forwarding import HeaderCodec, RequestHead
+from egretdale.protocol.framing import is_framing_clear
 from egretdale.protocol.problems import choose_status
 from egretdale.state.outcomes import Ran, Reason, Refused
 from egretdale.state.routing import CallerLimits
-from egretdale.transport.watching import CallerWatch
+from egretdale.transport.exchanges import Exchange
 from egretdale.util.clocks import Clock, convert_to_ms
 from egretdale.util.logs import get_logger
 
@@ -65,6 +59,10 @@
 class _CallerConnection(wsgi.HttpProtocol):
     """A connection of a caller, with limits that may change."""
 
+    def end_after_answer(self) -> None:
+        """Announce in the answer that the connection ends, and end it."""
+        self.close_connection = 1
+
     def get_environ(self) -> dict[str, Any]:
         """Return the WSGI environment with the head as it was sent.
 
@@ -73,6 +71,7 @@
         self.connection.settimeout(self.server.app.limits().header_s)
         environ = super().get_environ()
         environ['egretdale.target'] = self.path
+        environ['egretdale.connection'] = self
         return environ
 
     def _read_request_line(self) -> bytes:
@@ -186,6 +185,26 @@
         :return: chunks of the response.
         """
         environ['eventlet.minimum_write_chunk_size'] = 1
+        if self._closing:
+            environ['egretdale.connection'].end_after_answer()
+        request = self._read(environ)
+        if isinstance(request, Refused):
+            # What is left of the request must not be taken for another.
+            environ['egretdale.connection'].end_after_answer()
+            return self._refuse(start_response, request, '')
+        admitted = self._forwarder.admit(request)
+        if isinstance(admitted, Refused):
+            return self._refuse(start_response, admitted, request.request_id)
+        connection = environ['eventlet.input'].get_socket()
+        connection.settimeout(_WRITE_S)
+        exchange = Exchange(self, connection, admitted, start_response)
+        return exchange.answer()
+
+    def _read(self, environ: dict[str, Any]) -> ForwardRequest | Refused:
+        if not is_framing_clear(environ['headers_raw']):
+            return Refused(
+                Reason.BAD_REQUEST, Ran.NO, detail='the framing is ambiguous'
+            )
         head = RequestHead(
             environ['REQUEST_METHOD'],
             environ['egretdale.target'],
@@ -195,18 +214,8 @@
         request = self._codec.read_request(head)
         if isinstance(request, Invalid):
             detail = f'{request.path} {request.message}'
-            refused = Refused(Reason.BAD_REQUEST, Ran.NO, detail=detail)
-            return self._refuse(start_response, refused, '')
-        refused = self._read_body(environ, request)
-        if refused is not None:
-            return self._refuse(start_response, refused, request.request_id)
-        admitted = self._forwarder.admit(request)
-        if isinstance(admitted, Refused):
-            return self._refuse(start_response, admitted, request.request_id)
-        connection = environ['eventlet.input'].get_socket()
-        connection.settimeout(_WRITE_S)
-        exchange = _Exchange(self, connection, admitted, start_response)
-        return exchange.answer()
+            return Refused(Reason.BAD_REQUEST, Ran.NO, detail=detail)
+        return self._read_body(environ, request) or request
 
     def forward(self, admitted: Admitted) -> ForwardOutcome:
         """Forward a request.
@@ -224,10 +233,6 @@
         """
         return max(0, admitted.deadline_at - self._clock())
 
-    def list_connection_headers(self) -> list[tuple[str, str]]:
-        """List the headers that tell what becomes of the connection."""
-        return [('Connection', 'close')] if self._closing else []
-
     def log_end(self, request: ForwardRequest, outcome: str) -> None:
         """Log how a request ended.
 
@@ -252,7 +257,6 @@
         headers = [
             ('Content-Type', 'text/plain'),
             ('Content-Length', str(len(body))),
-            *self.list_connection_headers(),
         ]
         if request_id:
             headers.append((self._codec.names.request_id, request_id))
@@ -305,120 +309,6 @@
         return None
 
 
-class _Exchange:
-    """One request from its admission to the end of its answer."""
-
-    __slots__ = (
-        '_admitted',
-        '_chunks',
-        '_ended',
-        '_first',
-        '_ingress',
-        '_start_response',
-        '_timer',
-        '_watch',
-    )
-
-    def __init__(
-        self,
-        ingress: Ingress,
-        connection: Any,
-        admitted: Admitted,
-        start_response: Callable[..., Any],
-    ) -> None:
-        self._ingress = ingress
-        self._admitted = admitted
-        self._start_response = start_response
-        self._ended = False
-        self._first: bytes | None = None
-        self._chunks: Iterator[bytes] = iter(())
-        ingress.active += 1
-        self._watch = CallerWatch(connection)
-        self._timer = eventlet.Timeout(ingress.measure_left(admitted))
-
-    def answer(self) -> Iterable[bytes]:
-        """Forward the request and wait for the first bytes of an answer."""
-        try:
-            outcome = self._forward()
-        except eventlet.Timeout as passed:
-            if passed is not self._timer:
-                self.close()
-                raise
-            outcome = Refused(
-                Reason.DEADLINE_PASSED, Ran.UNKNOWN, detail='no answer in time'
-            )
-        except BrokenAnswer as broken:
-            outcome = Refused(
-                Reason.BACKEND_FAILED, Ran.UNKNOWN, detail=str(broken)
-            )
-        except BaseException as failed:
-            self._log_failure(failed)
-            self.close()
-            raise
-        if isinstance(outcome, Refused):
-            self.close()
-            return self._ingress.refuse(
-                self._start_response, outcome, self._admitted.request
-            )
-        return self._start(outcome)
-
-    def __iter__(self) -> Iterator[bytes]:
-        """Iterate over the chunks."""
-        return self
-
-    def __next__(self) -> bytes:
-        """Return the next chunk."""
-        if self._first is not None:
-            first = self._first
-            self._first = None
-            return first
-        try:
-            return next(self._chunks)
-        except StopIteration:
-            self._ingress.log_end(self._admitted.request, 'answered')
-            raise
-        except BaseException as failed:
-            self._log_failure(failed)
-            raise
-
-    def close(self) -> None:
-        """End the exchange; an answer that still runs is dropped."""
-        if self._ended:
-            return
-        self._ended = True
-        self._timer.cancel()
-        self._watch.stop()
-        self._ingress.active -= 1
-        drop = getattr(self._chunks, 'close', None)
-        if drop is not None:
-            drop()
-
-    def _forward(self) -> ForwardOutcome:
-        outcome = self._ingress.forward(self._admitted)
-        if isinstance(outcome, ForwardReply):
-            self._chunks = outcome.chunks
-            # Until the first bytes are here, a failure has its own status.
-            self._first = next(self._chunks, None)
-        return outcome
-
-    def _start(self, reply: ForwardReply) -> Iterable[bytes]:
-        headers = [*reply.headers, *self._ingress.list_connection_headers()]
-        if reply.length is not None:
-            headers.append(('Content-Length', str(reply.length)))
-        self._start_response(f'{reply.status} ', headers)
-        return self
-
-    def _log_failure(self, failed: BaseException) -> None:
-        match failed:
-            case CallerGone():
-                outcome = 'caller-gone'
-            case eventlet.Timeout():
-                outcome = 'deadline-passed'
-            case _:
-                outcome = f'broken: {failed!r}'
-        self._ingress.log_end(self._admitted.request, outcome)
-
-
 def _refuse_large(limit: int) -> Refused:
     return Refused(
         Reason.TOO_LARGE,
--- /dev/null
+++ b/standins/objects.py
@@ -0,0 +1,170 @@
+"""A stand-in for the store of objects with revisions and watches."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import parse_qs
+
+import eventlet
+
+from standins.web import Environ, StartResponse
+
+_WATCH_TICK_S = 0.01
+_PREFIX = '/api/objects/'
+_OK = '200 OK'
+
+
+@dataclass(slots=True)
+class ObjectEvent:
+    """A change of an object.
+
+    :ivar revision: revision of the store after it.
+    :ivar kind: kind of the object.
+    :ivar body: the object.
+    :ivar is_gone: whether it was removed.
+    """
+
+    revision: int
+    kind: str
+    body: dict[str, Any]
+    is_gone: bool
+
+
+class ObjectStoreProgram:
+    """Lists, watches, creates and replaces objects over HTTP.
+
+    :ivar revision: revision of the store.
+    :ivar calls: calls that were answered, as method and path.
+    :ivar page_size: objects in one answer to a list.
+    :ivar refusing: status line of all answers while it is set.
+    """
+
+    def __init__(self) -> None:
+        """Create an empty store."""
+        self.revision = 1
+        self.calls: list[str] = []
+        self.page_size = 500
+        self.refusing = ''
+        self._objects: dict[str, dict[str, dict[str, Any]]] = {}
+        self._events: list[ObjectEvent] = []
+        self._oldest = 0
+
+    def put(self, kind: str, name: str, spec: object) -> None:
+        """Store an object.
+
+        :param kind: its kind.
+        :param name: its name.
+        :param spec: what it holds.
+        """
+        self.revision += 1
+        body = {
+            'metadata': {'name': name, 'revision': self.revision},
+            'spec': spec,
+        }
+        self._objects.setdefault(kind, {})[name] = body
+        self._events.append(ObjectEvent(self.revision, kind, body, False))
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object.
+
+        :param kind: its kind.
+        :param name: its name.
+        """
+        self.revision += 1
+        body = self._objects[kind].pop(name)
+        self._events.append(ObjectEvent(self.revision, kind, body, True))
+
+    def forget_history(self) -> None:
+        """Drop the events so far, as the history is bounded."""
+        self._oldest = self.revision
+        self._events.clear()
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one call."""
+        path = environ['PATH_INFO'].removeprefix(_PREFIX)
+        kind, _, name = path.partition('/')
+        query = parse_qs(environ.get('QUERY_STRING', ''))
+        self.calls.append(f'{environ["REQUEST_METHOD"]} {path}')
+        if self.refusing:
+            return _answer(start_response, self.refusing, {})
+        if environ['REQUEST_METHOD'] != 'GET':
+            body = json.loads(environ['wsgi.input'].read())
+            return self._write(start_response, kind, body)
+        if 'watch' in query:
+            return self._watch(start_response, kind, query)
+        return self._list(start_response, kind, query, name)
+
+    def _list(
+        self,
+        start_response: StartResponse,
+        kind: str,
+        query: dict[str, list[str]],
+        name: str,
+    ) -> Iterable[bytes]:
+        objects = self._objects.get(kind, {})
+        if name:
+            found = objects.get(name)
+            status = _OK if found else '404 Not Found'
+            return _answer(start_response, status, found or {})
+        after = query.get('after', [''])[0]
+        rest = sorted(entry for entry in objects if entry > after)
+        page = rest[: self.page_size]
+        listing = {
+            'items': [objects[entry] for entry in page],
+            'has_more': len(rest) > len(page),
+            'as_of': self.revision,
+        }
+        return _answer(start_response, _OK, listing)
+
+    def _watch(
+        self,
+        start_response: StartResponse,
+        kind: str,
+        query: dict[str, list[str]],
+    ) -> Iterable[bytes]:
+        since = int(query['watch'][0])
+        if since < self._oldest:
+            return _answer(start_response, '410 Gone', {})
+        events: list[dict[str, Any]] = []
+        for _ in range(int(query['wait_ms'][0]) // 10):
+            events = [
+                {'object': event.body, 'is_gone': event.is_gone}
+                for event in self._events
+                if event.revision > since and event.kind == kind
+            ]
+            if events:
+                break
+            eventlet.sleep(_WATCH_TICK_S)
+        answer = {'events': events, 'as_of': self.revision}
+        return _answer(start_response, _OK, answer)
+
+    def _write(
+        self, start_response: StartResponse, kind: str, body: dict[str, Any]
+    ) -> Iterable[bytes]:
+        name = body['metadata']['name']
+        current = self._objects.get(kind, {}).get(name)
+        expected = body['metadata'].get('revision', 0)
+        stored = current['metadata']['revision'] if current else 0
+        if expected != stored:
+            return _answer(start_response, '409 Conflict', current or body)
+        self.put(kind, name, body['spec'])
+        return _answer(start_response, _OK, self._objects[kind][name])
+
+
+def _answer(
+    start_response: StartResponse, status: str, body: dict[str, Any]
+) -> Iterable[bytes]:
+    encoded = json.dumps(body).encode()
+    start_response(
+        status,
+        [
+            ('Content-Type', 'application/json'),
+            ('Content-Length', str(len(encoded))),
+        ],
+    )
+    return [encoded]
--- /dev/null
+++ b/tests/forwarding.py
@@ -0,0 +1,236 @@
+"""Fixtures of the tests of forwarding."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+from egretdale.coordination.admission import Admission, FreshnessTerms
+from egretdale.coordination.budgets import BudgetBook, BudgetTerms
+from egretdale.coordination.exchanges import (
+    ForwardAttempt,
+    ForwardRequest,
+    Prompt,
+    PromptPart,
+)
+from egretdale.coordination.forwarding import Forwarder
+from egretdale.coordination.placing import Placer
+from egretdale.coordination.ports import EndOfStream, MaybeRun, NotRun
+from egretdale.state.freshness import Confirmation
+from egretdale.state.instances import Instance, InstanceTable
+from egretdale.state.loads import LoadTable
+from egretdale.state.routing import (
+    CallerLimits,
+    KeyHolder,
+    RequestKind,
+    Route,
+    RoutingTable,
+    WeightedService,
+)
+
+HOST_NAME = 'claims.example'
+
+
+class ManualClock:
+    """A clock that tests set.
+
+    :ivar now: seconds.
+    """
+
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def __call__(self) -> float:
+        """Return the time."""
+        return self.now
+
+
+def create_route(prefix: str, kind: RequestKind, **changes: object) -> Route:
+    """Create a route to the service ``claims``.
+
+    :param prefix: path prefix.
+    :param kind: what may be repeated.
+    :param changes: fields that differ.
+    :return: the route.
+    """
+    fields = {
+        'name': prefix.strip('/'),
+        'host_name': HOST_NAME,
+        'path_prefix': prefix,
+        'services': (WeightedService('claims', 1),),
+        'kind': kind,
+        'timeout_s': 5.0,
+        'target_s': 0.4,
+        'maximum_attempts': 3,
+        'priority': 1,
+    }
+    return Route(**{**fields, **changes})
+
+
+def create_table(
+    *routes: Route, version: int = 1, keys: tuple[str, ...] = ()
+) -> RoutingTable:
+    """Create a routing table.
+
+    :param routes: its routes.
+    :param version: its version.
+    :param keys: keys of the only organisation; none are needed when empty.
+    :return: the table.
+    """
+    return RoutingTable(
+        version,
+        str(version).encode(),
+        routes,
+        {},
+        CallerLimits(),
+        (KeyHolder('small', keys, 0),) if keys else (),
+        requires_keys=bool(keys),
+    )
+
+
+def create_request(path: str, **changes: object) -> ForwardRequest:
+    """Create a request that has just arrived.
+
+    :param path: path of the request.
+    :param changes: fields that differ.
+    :return: the request.
+    """
+    fields = {
+        'request_id': 'request-1',
+        'method': 'POST',
+        'target': path,
+        'host_name': HOST_NAME,
+        'headers': [],
+        'body': b'',
+        'key': '',
+        'patience_s': 3.0,
+        'prompt': Prompt(),
+        'arrived_at': 100.0,
+    }
+    return ForwardRequest(**{**fields, **changes})
+
+
+def create_prompt(shared: int, own: int, identity: int = 7) -> Prompt:
+    """Create a prompt with one shared part and one of its own.
+
+    :param shared: tokens of the shared part.
+    :param own: tokens of its own part.
+    :param identity: identity of the shared part.
+    :return: the prompt.
+    """
+    parts = (PromptPart(identity, shared), PromptPart(1, own))
+    return Prompt(shared + own, 100, parts)
+
+
+@dataclass
+class ScriptedResponse:
+    """An answer that tests write.
+
+    :ivar steps: what each read returns; the end when there are no more.
+    """
+
+    steps: list = field(default_factory=list)
+    status: int = 200
+    headers: list = field(default_factory=list)
+    length: int | None = None
+    sealed: bool = True
+    not_run: bool = False
+    closed: bool = False
+
+    def read(self) -> bytes | EndOfStream | MaybeRun:
+        """Return the next step."""
+        return self.steps.pop(0) if self.steps else EndOfStream()
+
+    def close(self) -> None:
+        """Note that the connection was dropped."""
+        self.closed = True
+
+
+class ScriptedClient:
+    """Answers attempts from a script.
+
+    :ivar attempts: what was sent.
+    """
+
+    def __init__(self, *outcomes: ScriptedResponse | NotRun | MaybeRun) -> None:
+        self.attempts: list[ForwardAttempt] = []
+        self._outcomes = list(outcomes)
+
+    def open(
+        self, attempt: ForwardAttempt
+    ) -> ScriptedResponse | NotRun | MaybeRun:
+        """Return the next outcome."""
+        self.attempts.append(attempt)
+        return self._outcomes.pop(0)
+
+
+@dataclass
+class KnownConfiguration:
+    """A configuration that does not change by itself."""
+
+    table: RoutingTable | None
+    confirmation: Confirmation
+
+
+@dataclass
+class ForwardingScene:
+    """A forwarder and what it works with."""
+
+    clock: ManualClock
+    configuration: KnownConfiguration
+    instances: InstanceTable
+    loads: LoadTable
+    placer: Placer
+    forwarder: Forwarder
+    client: ScriptedClient
+
+    def forward(self, request: ForwardRequest):
+        """Admit and forward a request.
+
+        :param request: the request.
+        :return: the answer or the refusal.
+        """
+        admitted = self.forwarder.admit(request)
+        if not hasattr(admitted, 'route'):
+            return admitted
+        return self.forwarder.forward(admitted)
+
+
+@contextmanager
+def open_scene(
+    table: RoutingTable | None, client: ScriptedClient, servers: int = 3
+) -> Iterator[ForwardingScene]:
+    """Build a forwarder with fresh configuration.
+
+    :param table: routing table.
+    :param client: client of the backend servers.
+    :param servers: number of backend servers of ``claims``.
+    """
+    clock = ManualClock()
+    confirmation = Confirmation(clock)
+    confirmation.confirm(clock.now)
+    configuration = KnownConfiguration(table, confirmation)
+    instances = InstanceTable(clock, 2)
+    instances.replace(
+        {
+            f'b{index}': Instance(f'b{index}', 'claims', f'10.0.0.{index}:80')
+            for index in range(servers)
+        },
+        after_outage=False,
+    )
+    loads = LoadTable(clock)
+    placer = Placer(instances, loads, clock)
+    forwarder = Forwarder(
+        admission=Admission(configuration, FreshnessTerms(2, 5), clock),
+        placer=placer,
+        loads=loads,
+        budgets=BudgetBook(BudgetTerms(0.2, 40, 10, 4), clock),
+        client=client,
+        clock=clock,
+        source=random.Random(1),
+    )
+    yield ForwardingScene(
+        clock, configuration, instances, loads, placer, forwarder, client
+    )
--- /dev/null
+++ b/tests/test_coordination/test_admission.py
@@ -0,0 +1,100 @@
+"""Tests of the admission of forwarded requests."""
+
+from __future__ import annotations
+
+from egretdale.coordination.admission import Admitted
+from egretdale.state.outcomes import Ran, Reason, Refused
+from egretdale.state.routing import RequestKind
+from tests.forwarding import (
+    ScriptedClient,
+    create_request,
+    create_route,
+    create_table,
+    open_scene,
+)
+from tests.functions import create_loader
+
+load_tests = create_loader(__name__)
+
+_ROUTE = create_route('/a/', RequestKind.IDEMPOTENT)
+_PUBLIC = create_route('/open/', RequestKind.IDEMPOTENT, public=True)
+
+
+def _refuse_reason(table, path: str, *, age_s: float, key: str = '') -> Reason:
+    with open_scene(table, ScriptedClient()) as scene:
+        scene.clock.now += age_s
+        request = create_request(path, key=key, arrived_at=scene.clock.now)
+        refused = scene.forwarder.admit(request)
+        assert isinstance(refused, Refused), refused
+        assert refused.ran == Ran.NO
+        return refused.reason
+
+
+def test_a_host_without_configuration_asks_to_come_back() -> None:
+    """Before the first configuration nothing is denied."""
+    reason = _refuse_reason(None, '/a/b', age_s=0)
+    assert reason == Reason.CONFIGURATION_STALE
+
+
+def test_denials_need_a_fresh_configuration() -> None:
+    """A missing route or key is denied only while the copy is fresh."""
+    table = create_table(_ROUTE, keys=('k',))
+    stale = Reason.CONFIGURATION_STALE
+    assert _refuse_reason(table, '/x/', age_s=1.9) == Reason.NO_ROUTE
+    assert _refuse_reason(table, '/x/', age_s=2.1) == stale
+    wrong = Reason.UNKNOWN_KEY
+    assert _refuse_reason(table, '/a/', age_s=1.9, key='old') == wrong
+    assert _refuse_reason(table, '/a/', age_s=2.1, key='old') == stale
+
+
+def test_known_keys_are_refused_when_they_may_have_been_removed() -> None:
+    """A key counts for as long as it could not have been removed unseen."""
+    table = create_table(_ROUTE, _PUBLIC, keys=('k',))
+    with open_scene(table, ScriptedClient()) as scene:
+        scene.clock.now += 4.9
+        admitted = scene.forwarder.admit(create_request('/a/', key='k'))
+        assert isinstance(admitted, Admitted)
+        assert admitted.organisation == 'small'
+        scene.clock.now += 0.2
+        refused = scene.forwarder.admit(create_request('/a/', key='k'))
+        assert refused.reason == Reason.CONFIGURATION_STALE
+        assert refused.retry_after_s is not None
+        # Public routes do not depend on keys.
+        public = scene.forwarder.admit(create_request('/open/'))
+        assert isinstance(public, Admitted)
+
+
+def test_keys_are_checked_again_right_before_the_request_leaves() -> None:
+    """A host that was suspended after admission sends nothing."""
+    patient = create_route('/a/', RequestKind.IDEMPOTENT, timeout_s=60.0)
+    table = create_table(patient, keys=('k',))
+    client = ScriptedClient()
+    with open_scene(table, client) as scene:
+        admitted = scene.forwarder.admit(
+            create_request('/a/', key='k', patience_s=60.0)
+        )
+        scene.clock.now += 6
+        refused = scene.forwarder.forward(admitted)
+        assert refused.reason == Reason.CONFIGURATION_STALE
+        assert not client.attempts
+
+
+def test_an_organisation_priority_replaces_the_route_priority() -> None:
+    """The rank of the key's holder decides the urgency."""
+    low = create_route('/a/', RequestKind.IDEMPOTENT, priority=2)
+    with open_scene(create_table(low), ScriptedClient()) as scene:
+        plain = scene.forwarder.admit(create_request('/a/'))
+    keyed_table = create_table(low, keys=('k',))
+    with open_scene(keyed_table, ScriptedClient()) as scene:
+        keyed = scene.forwarder.admit(create_request('/a/', key='k'))
+    assert keyed.urgency < plain.urgency
+
+
+def test_the_route_timeout_bounds_the_deadline() -> None:
+    """The caller's patience and the route's timeout both bound the wait."""
+    short = create_route('/a/', RequestKind.IDEMPOTENT, timeout_s=1.0)
+    with open_scene(create_table(short), ScriptedClient()) as scene:
+        admitted = scene.forwarder.admit(create_request('/a/'))
+        assert admitted.deadline_at == 101.0
+        hasty = create_request('/a/', patience_s=0.5)
+        assert scene.forwarder.admit(hasty).deadline_at == 100.5
--- /dev/null
+++ b/tests/test_coordination/test_configuration.py
@@ -0,0 +1,221 @@
+"""Tests of how hosts follow the configuration, with and without platform."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+
+import eventlet
+
+from egretdale.coordination.configuration import (
+    ROUTING_KIND,
+    ConfigurationFollower,
+)
+from egretdale.coordination.mesh import Mesh
+from egretdale.coordination.ports import Delivered
+from egretdale.errors import Cause, Invalid, Unreachable
+from egretdale.state.members import MemberTable
+from egretdale.state.messages import Batch, MemberUpdate
+from egretdale.state.routing import RoutingTable
+from standins.virtual.hub import VirtualHub, use_virtual_time
+from standins.virtual.network import HostFaults
+from standins.virtual.platform import PlatformState, VirtualPlatform
+from tests.forwarding import create_table
+from tests.functions import create_loader
+
+load_tests = create_loader(__name__)
+
+_REQUEST_S = 0.001
+
+
+def _decode(source: bytes) -> RoutingTable | Invalid:
+    if not source.isdigit():
+        return Invalid('$', 'is no number')
+    return create_table(version=int(source))
+
+
+class _Network:
+    """Calls between two hosts that take a while.
+
+    :ivar delay_s: seconds that an answer takes.
+    :ivar hosts: meshes and followers by address.
+    """
+
+    def __init__(self) -> None:
+        self.delay_s = _REQUEST_S
+        self.hosts: dict[str, _Host] = {}
+
+    def deliver(self, address: str, batch: Batch) -> Delivered | Unreachable:
+        host = self.hosts.get(address)
+        if host is None:
+            return Unreachable(Cause.REFUSED)
+        answer = host.mesh.handle(batch)
+        eventlet.sleep(self.delay_s)
+        return Delivered(answer, 100)
+
+    def fetch(self, address: str, service: str):
+        eventlet.sleep(self.delay_s)
+        return self.hosts[address].follower.copy(service)
+
+
+@dataclass
+class _Host:
+    mesh: Mesh
+    follower: ConfigurationFollower
+    tasks: list
+
+
+@dataclass
+class _Pair:
+    """Two hosts and the platform."""
+
+    hub: VirtualHub
+    state: PlatformState
+    network: _Network
+    first: _Host
+    second: _Host
+
+    def publish(self, version: int) -> None:
+        """Write a configuration as the operator does."""
+        store = self.state.store
+        known = store.read(ROUTING_KIND, 'main')
+        expected = 0 if known is None else known.version
+        store.write(ROUTING_KIND, 'main', str(version), expected)
+
+    def ages(self) -> tuple[float, float]:
+        """Return the ages of both configurations."""
+        return (
+            self.first.follower.confirmation.measure_age(),
+            self.second.follower.confirmation.measure_age(),
+        )
+
+
+def _create_host(
+    name: str, state: PlatformState, network: _Network, hub: VirtualHub
+) -> _Host:
+    table = MemberTable(name)
+    mesh = Mesh(table, network, hub.read_now, 4096)
+    follower = ConfigurationFollower(
+        VirtualPlatform(name, state, HostFaults()),
+        network,
+        table,
+        decode=_decode,
+        clock=hub.read_now,
+        source=random.Random(1),
+    )
+    mesh.add_listener(follower)
+    for other in ('first', 'second'):
+        update = MemberUpdate(other, 1, 0, 0, 'dc', '', other)
+        table.apply(update, 0)
+    host = _Host(mesh, follower, [])
+    network.hosts[name] = host
+    host.tasks.append(eventlet.spawn(follower.run_watch))
+    return host
+
+
+@contextmanager
+def _open_pair() -> Iterator[_Pair]:
+    with use_virtual_time() as hub:
+        state = PlatformState()
+        network = _Network()
+        pair = _Pair(
+            hub,
+            state,
+            network,
+            _create_host('first', state, network, hub),
+            _create_host('second', state, network, hub),
+        )
+        yield pair
+        for host in (pair.first, pair.second):
+            for task in host.tasks:
+                task.kill()
+
+
+def test_a_new_version_is_in_force_at_once() -> None:
+    """A watch brings a version to every host."""
+    with _open_pair() as pair:
+        pair.publish(3)
+        eventlet.sleep(0.5)
+        pair.publish(7)
+        eventlet.sleep(0.5)
+        assert pair.first.follower.version == 7
+        assert pair.second.follower.version == 7
+        assert max(pair.ages()) < 2.5
+
+
+def test_the_age_grows_while_the_platform_is_away() -> None:
+    """Without a successful read nothing is confirmed."""
+    with _open_pair() as pair:
+        pair.publish(3)
+        eventlet.sleep(1)
+        pair.state.down = True
+        eventlet.sleep(6)
+        assert min(pair.ages()) > 5
+        assert pair.first.follower.version == 3
+        pair.state.down = False
+        eventlet.sleep(2)
+        assert max(pair.ages()) < 2.5
+
+
+def test_a_peer_vouches_for_a_host_that_the_platform_turns_away() -> None:
+    """The age of an equal copy is taken over, never made younger."""
+    with _open_pair() as pair:
+        pair.publish(3)
+        eventlet.sleep(1)
+        pair.state.cut.add('second')
+        eventlet.sleep(6)
+        pair.second.mesh.probe('first')
+        eventlet.sleep(0.1)
+        first_s, second_s = pair.ages()
+        assert first_s <= second_s < 3
+
+
+def test_a_slow_answer_counts_from_the_question() -> None:
+    """An answer that was held up proves nothing about the time since."""
+    with _open_pair() as pair:
+        pair.publish(3)
+        eventlet.sleep(1)
+        pair.state.cut.add('second')
+        eventlet.sleep(6)
+        pair.network.delay_s = 4.0
+        pair.second.mesh.probe('first')
+        eventlet.sleep(4.5)
+        assert pair.second.follower.confirmation.measure_age() >= 4
+
+
+def test_a_newer_version_is_fetched_from_a_peer() -> None:
+    """A host cut off from the platform gets the version over its peer."""
+    with _open_pair() as pair:
+        pair.publish(3)
+        eventlet.sleep(1)
+        pair.state.cut.add('second')
+        pair.publish(9)
+        eventlet.sleep(1)
+        pair.second.mesh.probe('first')
+        eventlet.sleep(0.1)
+        assert pair.second.follower.version == 9
+
+
+def test_versions_never_go_back() -> None:
+    """An older copy in the platform is neither used nor confirmed."""
+    with _open_pair() as pair:
+        pair.publish(9)
+        eventlet.sleep(1)
+        pair.publish(3)
+        eventlet.sleep(6)
+        assert pair.first.follower.version == 9
+        assert pair.first.follower.confirmation.measure_age() > 5
+
+
+def test_a_configuration_that_cannot_be_read_changes_nothing() -> None:
+    """The version in force stays, and is not confirmed."""
+    with _open_pair() as pair:
+        pair.publish(3)
+        eventlet.sleep(1)
+        known = pair.state.store.read(ROUTING_KIND, 'main')
+        pair.state.store.write(ROUTING_KIND, 'main', 'text', known.version)
+        eventlet.sleep(6)
+        assert pair.first.follower.version == 3
+        assert pair.first.follower.confirmation.measure_age() > 5
--- /dev/null
+++ b/tests/test_coordination/test_forwarding.py
@@ -0,0 +1,199 @@
+"""Tests of forwarding: retries, resumed streams and true refusals."""
+
+from __future__ import annotations
+
+import unittest
+
+from egretdale.coordination.exchanges import BrokenAnswer, ForwardReply
+from egretdale.coordination.ports import MaybeRun, NotRun
+from egretdale.state.outcomes import Ran, Reason, Refused
+from egretdale.state.routing import RequestKind
+from tests.forwarding import (
+    ScriptedClient,
+    ScriptedResponse,
+    create_prompt,
+    create_request,
+    create_route,
+    create_table,
+    open_scene,
+)
+from tests.functions import create_loader
+
+load_tests = create_loader(__name__)
+
+_case = unittest.TestCase()
+_SAFE = create_route('/safe/', RequestKind.IDEMPOTENT)
+_UNSAFE = create_route('/unsafe/', RequestKind.NON_IDEMPOTENT)
+_STREAM = create_route('/stream/', RequestKind.STREAM, resumable=True)
+_ONCE = create_route('/once/', RequestKind.STREAM)
+_TABLE = create_table(_SAFE, _UNSAFE, _STREAM, _ONCE)
+
+
+def _event(number: int) -> bytes:
+    return b'id: %d\ndata: x\n\n' % number
+
+
+def test_requests_that_did_not_run_go_elsewhere() -> None:
+    """An unreachable and a full backend server are both passed over."""
+    full = ScriptedResponse(status=503, sealed=False, not_run=True)
+    client = ScriptedClient(NotRun('refused'), full, ScriptedResponse())
+    with open_scene(_TABLE, client) as scene:
+        reply = scene.forward(create_request('/unsafe/'))
+        assert reply.status == 200
+        names = [attempt.instance.name for attempt in client.attempts]
+        assert len(set(names)) == 3
+        assert full.closed
+
+
+def test_non_idempotent_requests_run_at_most_once() -> None:
+    """After a request may have run, it is neither sent nor denied to have."""
+    client = ScriptedClient(MaybeRun('reset'))
+    with open_scene(_TABLE, client) as scene:
+        refused = scene.forward(create_request('/unsafe/'))
+        assert refused.reason == Reason.OUTCOME_UNKNOWN
+        assert refused.ran == Ran.UNKNOWN
+        assert refused.retry_after_s is None
+        assert len(client.attempts) == 1
+
+
+def test_idempotent_requests_are_repeated_elsewhere() -> None:
+    """A request that may run twice survives a reset and an error."""
+    error = ScriptedResponse(status=500)
+    client = ScriptedClient(MaybeRun('reset'), error, ScriptedResponse())
+    with open_scene(_TABLE, client) as scene:
+        assert scene.forward(create_request('/safe/')).status == 200
+        assert error.closed
+
+
+def test_the_last_error_of_a_backend_server_is_passed_on() -> None:
+    """With no attempt left, the caller gets the signed failure itself."""
+    once = create_route('/safe/', RequestKind.IDEMPOTENT, maximum_attempts=1)
+    client = ScriptedClient(ScriptedResponse(status=500))
+    with open_scene(create_table(once), client) as scene:
+        assert scene.forward(create_request('/safe/')).status == 500
+
+
+def test_unsigned_answers_are_not_passed_on() -> None:
+    """A success without the signature is not the backend server's."""
+    forged = ScriptedResponse(sealed=False)
+    with open_scene(_TABLE, ScriptedClient(forged)) as scene:
+        refused = scene.forward(create_request('/unsafe/'))
+        assert refused.ran == Ran.UNKNOWN
+        assert forged.closed
+
+
+def test_attempts_stay_within_the_route_and_the_budget() -> None:
+    """No more backend servers get a request than its route allows."""
+    client = ScriptedClient(*[MaybeRun('reset') for _ in range(9)])
+    with open_scene(_TABLE, client, servers=6) as scene:
+        assert isinstance(scene.forward(create_request('/safe/')), Refused)
+        assert len(client.attempts) == 3
+
+
+def test_a_spent_budget_stops_repeats() -> None:
+    """Once the budget is spent, first attempts go on and repeats do not."""
+    client = ScriptedClient(*[MaybeRun('reset') for _ in range(200)])
+    with open_scene(_TABLE, client, servers=6) as scene:
+        for _ in range(50):
+            scene.forward(create_request('/safe/'))
+        repeats = len(client.attempts) - 50
+        # A quarter of the allowance, and one repeat for five requests.
+        assert 1 <= repeats <= 10 + 0.2 * 50
+
+
+def test_refusals_without_a_run_say_when_to_come_back() -> None:
+    """Full backend servers lead to a refusal that promises no run."""
+    client = ScriptedClient(
+        *[ScriptedResponse(503, not_run=True) for _ in range(3)]
+    )
+    with open_scene(_TABLE, client) as scene:
+        refused = scene.forward(create_request('/unsafe/'))
+        assert refused.ran == Ran.NO
+        assert refused.retry_after_s > 0
+
+
+def test_a_broken_stream_goes_on_after_its_last_whole_event() -> None:
+    """The caller gets each event once, from two backend servers."""
+    first = ScriptedResponse(
+        steps=[_event(1), _event(2) + b'id: 3\nda', MaybeRun('reset')]
+    )
+    second = ScriptedResponse(steps=[_event(3), _event(4)])
+    client = ScriptedClient(first, second)
+    with open_scene(_TABLE, client) as scene:
+        reply = scene.forward(create_request('/stream/'))
+        whole = b''.join(reply.chunks)
+        assert whole == b''.join(_event(number) for number in range(1, 5))
+        assert client.attempts[1].last_event_id == '2'
+        assert scene.loads.find(('b0', 0)).running == 0
+
+
+def test_a_stream_that_ends_within_an_event_goes_on() -> None:
+    """An orderly end in the middle of an event is not the end."""
+    first = ScriptedResponse(steps=[_event(1) + b'id: 2'])
+    client = ScriptedClient(first, ScriptedResponse(steps=[_event(2)]))
+    with open_scene(_TABLE, client) as scene:
+        reply = scene.forward(create_request('/stream/'))
+        assert b''.join(reply.chunks) == _event(1) + _event(2)
+
+
+def test_other_streams_break_off_visibly() -> None:
+    """A stream that must not run twice ends without its proper end."""
+    broken = ScriptedResponse(steps=[_event(1), MaybeRun('reset')])
+    with open_scene(_TABLE, ScriptedClient(broken)) as scene:
+        reply = scene.forward(create_request('/once/'))
+        assert next(reply.chunks) == _event(1)
+        with _case.assertRaises(BrokenAnswer):
+            next(reply.chunks)
+        assert broken.closed
+
+
+def test_abandoned_answers_free_their_backend_server() -> None:
+    """Closing the relay drops the connection and the load."""
+    running = ScriptedResponse(steps=[_event(1), _event(2)])
+    with open_scene(_TABLE, ScriptedClient(running), servers=1) as scene:
+        reply = scene.forward(create_request('/stream/'))
+        assert isinstance(reply, ForwardReply)
+        assert scene.loads.find(('b0', 0)).running == 1
+        reply.chunks.close()
+        assert running.closed
+        assert scene.loads.find(('b0', 0)).running == 0
+
+
+def test_shared_parts_are_prefilled_once() -> None:
+    """Requests with the same part go to the same backend server."""
+    client = ScriptedClient(*[ScriptedResponse() for _ in range(8)])
+    with open_scene(_TABLE, client, servers=5) as scene:
+        for _ in range(8):
+            request = create_request('/once/', prompt=create_prompt(6000, 100))
+            list(scene.forward(request).chunks)
+    names = {attempt.instance.name for attempt in client.attempts}
+    assert len(names) == 1
+
+
+def test_a_crowded_backend_server_loses_its_preference() -> None:
+    """With long prompts in progress, another one takes the next."""
+    client = ScriptedClient(*[ScriptedResponse() for _ in range(40)])
+    with open_scene(_TABLE, client, servers=2) as scene:
+        for _ in range(40):
+            request = create_request('/once/', prompt=create_prompt(600, 100))
+            scene.forward(request)
+    names = [attempt.instance.name for attempt in client.attempts]
+    assert 10 <= names.count('b0') <= 30
+
+
+def test_stale_keys_stop_a_resumed_stream() -> None:
+    """A stream is not sent anywhere once its key may have been removed."""
+    patient = create_route(
+        '/stream/', RequestKind.STREAM, resumable=True, timeout_s=60.0
+    )
+    table = create_table(patient, keys=('k',))
+    broken = ScriptedResponse(steps=[_event(1), MaybeRun('reset')])
+    client = ScriptedClient(broken, ScriptedResponse())
+    with open_scene(table, client) as scene:
+        request = create_request('/stream/', key='k', patience_s=30.0)
+        reply = scene.forward(request)
+        next(reply.chunks)
+        scene.clock.now += 6
+        with _case.assertRaises(BrokenAnswer):
+            next(reply.chunks)
+        assert len(client.attempts) == 1
--- /dev/null
+++ b/tests/test_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
--- /dev/null
+++ b/tests/test_platform/test_translation.py
@@ -0,0 +1,143 @@
+"""Tests of the translation of settings, configuration and entries."""
+
+from __future__ import annotations
+
+import json
+
+from egretdale.errors import Invalid
+from egretdale.state.instances import Instance
+from egretdale.state.routing import RequestKind, RoutingTable
+from tests import platform_path  # noqa: F401
+from tests.functions import create_loader
+
+from egretdale_platform.configuration import (  # isort: skip
+    decode_configuration,
+    decode_engine,
+)
+from egretdale_platform.settings import (  # isort: skip
+    parse_platform_settings,
+    translate_settings,
+)
+
+load_tests = create_loader(__name__)
+
+_ROUTE = {
+    'name': 'r1',
+    'host': 'a.example',
+    'path_prefix': '/a/',
+    'kind': 'streaming',
+    'timeout_ms': 8000,
+    'target_latency_ms': 1000,
+    'priority': 2,
+    'traffic_split': [{'backend': 's1', 'weight': 9}],
+    'max_attempts': 2,
+    'public': False,
+    'resumable': True,
+    'gap_aim_ms': 800,
+    'a_later_field': {},
+}
+_ENTRY = {
+    'backend': 's1',
+    'address': '10.0.0.1:80',
+    'zone': 'z1',
+    'state': 'ready',
+    'slots': 8,
+    'born': 1700000000123,
+    'sequence': 4,
+}
+_SETTINGS = {
+    'node_name': 'front-1',
+    'ip': '10.1.0.40',
+    'zone': 'z1',
+    'bind': {
+        'front': '10.1.0.40:1',
+        'ready': '10.1.0.40:2',
+        'control': '10.1.0.40:3',
+        'directory': '10.1.0.40:4',
+    },
+    'provider': {'address': '10.2.0.1:5'},
+    'seeds': ['10.1.0.40:3', '10.1.0.41:3'],
+    'bounds': {'grace_s': 8, 'revoke_ms': 5000, 'config_apply_ms': 2000},
+    'limits': {'memory_mb': 300, 'max_fds': 4100, 'cores': 2},
+}
+
+
+def _decode(**changes: object) -> RoutingTable | Invalid:
+    body = {'version': 7, 'routes': [_ROUTE], 'services': [], 'limits': {}}
+    return decode_configuration(json.dumps({**body, **changes}).encode())
+
+
+def _decode_entry(**changes: object) -> Instance | Invalid:
+    return decode_engine('i-1', json.dumps({**_ENTRY, **changes}).encode())
+
+
+def test_routes_keep_their_meaning() -> None:
+    """Kinds, times and splits are translated; later fields are ignored."""
+    table = _decode()
+    route = table.find_route('a.example', '/a/x')
+    assert route.kind == RequestKind.STREAM
+    assert (route.timeout_s, route.target_s) == (8, 1)
+    assert route.pause_target_s == 0.8
+    assert route.services[0].service == 's1'
+    assert route.is_repeatable()
+    assert table.version == 7
+
+
+def test_keys_are_needed_once_there_are_tenants() -> None:
+    """A configuration without tenants asks for no key."""
+    assert not _decode().requires_keys
+    table = _decode(tenants=[{'name': 't1', 'api_keys': ['k'], 'priority': 1}])
+    assert table.requires_keys
+    assert table.find_holder('k').name == 't1'
+    assert table.find_holder('other') is None
+
+
+def test_a_wrong_configuration_names_the_field() -> None:
+    """An unknown kind of route is not guessed at."""
+    wrong = _decode(routes=[{**_ROUTE, 'kind': 'sometimes'}])
+    assert isinstance(wrong, Invalid)
+    assert wrong.path == '$.routes[0].kind'
+    assert isinstance(decode_configuration(b'\xff{'), Invalid)
+
+
+def test_entries_name_a_start_of_an_engine() -> None:
+    """A restart under the same id is another incarnation."""
+    entry = _decode_entry()
+    again = _decode_entry(born=1700000009999)
+    assert entry.incarnation != again.incarnation
+    assert not entry.leaving
+    assert _decode_entry(state='draining').leaving
+
+
+def test_entries_of_other_writers_name_no_engine() -> None:
+    """What cannot be understood is left out, whatever is wrong with it."""
+    for changes in (
+        {'state': 'asleep'},
+        {'state': 3},
+        {'address': 'nowhere'},
+        {'address': None},
+        {'backend': ['s1']},
+        {'slots': 'many'},
+    ):
+        assert isinstance(_decode_entry(**changes), Invalid), changes
+    for source in (b'', b'\xff\xfe', b'[]', b'null', b'{"backend": "s1"}'):
+        assert isinstance(decode_engine('i-1', source), Invalid), source
+
+
+def test_settings_are_translated() -> None:
+    """Bounds become the product's limits, with a reserve."""
+    given = parse_platform_settings(json.dumps(_SETTINGS).encode())
+    settings = translate_settings(given)
+    assert settings.host == 'front-1'
+    assert settings.seeds == ('10.1.0.41:3',)
+    assert settings.key_age_s < 5
+    assert settings.denial_age_s < 2
+    assert settings.drain_limit_s == 8
+
+
+def test_wrong_settings_name_the_field() -> None:
+    """A missing address is told by its path."""
+    broken = {**_SETTINGS, 'bind': {'front': '10.1.0.40:1'}}
+    wrong = parse_platform_settings(json.dumps(broken).encode())
+    assert isinstance(wrong, Invalid)
+    assert wrong.path == '$.bind'
--- /dev/null
+++ b/tests/test_state/test_instances.py
@@ -0,0 +1,68 @@
+"""Tests of the table of backend servers."""
+
+from __future__ import annotations
+
+from egretdale.state.instances import Instance, InstanceTable
+from tests.forwarding import ManualClock
+from tests.functions import create_loader
+
+load_tests = create_loader(__name__)
+
+
+def _create(name: str, **changes: object) -> Instance:
+    return Instance(name, 'claims', '10.0.0.1:80', **changes)
+
+
+def test_removed_entries_are_gone_at_once() -> None:
+    """Without an outage, a missing entry takes no new work."""
+    table = InstanceTable(ManualClock(), 2)
+    table.replace({'a': _create('a')}, after_outage=False)
+    gone = table.replace({}, after_outage=False)
+    assert [entry.name for entry in gone] == ['a']
+    assert not table.list_ready('claims')
+
+
+def test_entries_that_lapsed_in_an_outage_are_kept_for_a_while() -> None:
+    """A missing entry is used until the time to register again is over."""
+    clock = ManualClock()
+    table = InstanceTable(clock, 2)
+    table.replace({'a': _create('a')}, after_outage=False)
+    assert not table.replace({}, after_outage=True)
+    assert len(table.list_ready('claims')) == 1
+    clock.now += 1
+    # Further changes of the list do not end or extend the time.
+    table.replace({'b': _create('b')}, after_outage=True)
+    assert len(table.list_ready('claims')) == 2
+    assert not table.expire()
+    clock.now += 1.1
+    assert [entry.name for entry in table.expire()] == ['a']
+    assert len(table.list_ready('claims')) == 1
+
+
+def test_a_lapsed_entry_that_returns_stays() -> None:
+    """An entry that is listed again is no longer about to expire."""
+    clock = ManualClock()
+    table = InstanceTable(clock, 2)
+    table.replace({'a': _create('a')}, after_outage=False)
+    table.replace({}, after_outage=True)
+    table.replace({'a': _create('a')}, after_outage=True)
+    clock.now += 5
+    assert not table.expire()
+    assert len(table.list_ready('claims')) == 1
+
+
+def test_a_restart_under_the_same_name_is_another_instance() -> None:
+    """What was known of the earlier start is reported as gone."""
+    table = InstanceTable(ManualClock(), 2)
+    table.replace({'a': _create('a', born_ms=1)}, after_outage=False)
+    gone = table.replace({'a': _create('a', born_ms=2)}, after_outage=False)
+    assert [entry.born_ms for entry in gone] == [1]
+    assert table.list_ready('claims')[0].born_ms == 2
+
+
+def test_leaving_servers_take_no_new_work() -> None:
+    """A leaving backend server is listed but not ready."""
+    table = InstanceTable(ManualClock(), 2)
+    table.replace({'a': _create('a', leaving=True)}, after_outage=False)
+    assert not table.list_ready('claims')
+    assert table.find('a') is not None
