--- a/egretdale/transport/forwarding.py
+++ b/egretdale/transport/forwarding.py
@@ -19,6 +19,7 @@
 )
 from egretdale.coordination.ports import EndOfStream, MaybeRun, NotRun
 from egretdale.protocol.forwarding import AnswerMarks, HeaderCodec
+from egretdale.transport.sockets import ResetAwareSocket
 from egretdale.util.clocks import Clock
 
 _CHUNK_BYTES = 65536
@@ -45,6 +46,22 @@
 )
 
 
+class BackendConnection(HTTPConnection):
+    """A connection to a backend server that notices resets."""
+
+    def _new_conn(self) -> ResetAwareSocket:
+        created = ResetAwareSocket(sockets.AF_INET, sockets.SOCK_STREAM)
+        try:
+            for option in self.socket_options or ():
+                created.setsockopt(*option)
+            created.settimeout(self.timeout)
+            created.connect((self.host, self.port))
+        except OSError:
+            created.close()
+            raise
+        return created
+
+
 @dataclass(slots=True, frozen=True)
 class IdleConnection:
     """A connection that waits for the next request.
@@ -163,7 +180,7 @@
         :return: the connection, or why there is none.
         """
         host, _, port = address.rpartition(':')
-        connection = HTTPConnection(
+        connection = BackendConnection(
             host,
             int(port),
             timeout=_CONNECT_S,
--- /dev/null
+++ b/egretdale/transport/sockets.py
@@ -0,0 +1,41 @@
+"""Sockets that tell a reset from an orderly end."""
+
+from __future__ import annotations
+
+import errno
+from typing import Any
+
+from eventlet import hubs
+from eventlet.green import socket
+
+
+class ResetAwareSocket(socket.socket):
+    """A cooperative socket on which a reset raises an error.
+
+    The base class reports a reset as the end of the stream, and an answer
+    whose end is the end of its connection would look complete.
+    """
+
+    def recv_into(self, buffer: Any, nbytes: int = 0, flags: int = 0) -> int:
+        """Receive bytes into a buffer.
+
+        :param buffer: where they go.
+        :param nbytes: most bytes to receive, 0 for the buffer's size.
+        :param flags: flags of the system call.
+        :return: number of bytes, 0 at an orderly end.
+        :raises ConnectionAbortedError: the other side reset the connection.
+        """
+        while True:
+            try:
+                return self.fd.recv_into(buffer, nbytes, flags)
+            except BlockingIOError:
+                hubs.trampoline(
+                    self.fd,
+                    read=True,
+                    timeout=self.gettimeout(),
+                    timeout_exc=TimeoutError,
+                )
+            except ConnectionResetError as reset:
+                raise ConnectionAbortedError(
+                    errno.ECONNABORTED, 'reset by the other side'
+                ) from reset
--- /dev/null
+++ b/tests/test_transport/test_forwarding.py
@@ -0,0 +1,198 @@
+"""Tests of connections to backend servers with real sockets."""
+
+from __future__ import annotations
+
+import socket
+import struct
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+import eventlet
+
+from egretdale.coordination.exchanges import ForwardAttempt
+from egretdale.coordination.ports import EndOfStream, MaybeRun, NotRun
+from egretdale.protocol.forwarding import HeaderCodec, HeaderNames
+from egretdale.state.instances import Instance
+from egretdale.transport.forwarding import ForwardedAnswer, HttpForwardClient
+from egretdale.util.clocks import read_boot_clock
+from tests.forwarding import create_request
+from tests.functions import create_loader
+
+load_tests = create_loader(__name__)
+
+#: Serves one accepted connection.
+Script = Callable[[socket.socket], None]
+
+_HEAD = b'HTTP/1.1 200 OK\r\nEgret-Request-Id: request-1\r\nEgret-Seal: s\r\n'
+
+
+@contextmanager
+def _open_server(script: Script) -> Iterator[tuple[HttpForwardClient, str]]:
+    listener = eventlet.listen(('127.0.0.1', 0))
+
+    def accept() -> None:
+        while True:
+            connection, _ = listener.accept()
+            eventlet.spawn(script, connection)
+
+    server = eventlet.spawn(accept)
+    client = HttpForwardClient(HeaderCodec(HeaderNames()), read_boot_clock)
+    host, port = listener.getsockname()
+    yield client, f'{host}:{port}'
+    server.kill()
+    listener.close()
+
+
+def _open(
+    client: HttpForwardClient, address: str, body: bytes = b''
+) -> ForwardedAnswer | NotRun | MaybeRun:
+    instance = Instance('b0', 'claims', address)
+    request = create_request('/a%2Fb?q', body=body)
+    attempt = ForwardAttempt(request, instance, '', 5.0, urgency=0)
+    with eventlet.Timeout(5):
+        return client.open(attempt)
+
+
+def _read_all(answer: ForwardedAnswer) -> tuple[bytes, EndOfStream | MaybeRun]:
+    body = b''
+    with eventlet.Timeout(5):
+        while True:
+            step = answer.read()
+            if not isinstance(step, bytes):
+                return body, step
+            body += step
+
+
+def _read_head(connection: socket.socket) -> bytes:
+    received = b''
+    while b'\r\n\r\n' not in received:
+        chunk = connection.recv(65536)
+        if not chunk:
+            return received
+        received += chunk
+    return received
+
+
+def _reset(connection: socket.socket) -> None:
+    linger = struct.pack('ii', 1, 0)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    connection.close()
+
+
+def test_an_answer_without_length_ends_with_its_connection() -> None:
+    """An orderly end of the connection completes the answer."""
+
+    def script(connection: socket.socket) -> None:
+        _read_head(connection)
+        connection.sendall(_HEAD + b'\r\nwhole')
+        connection.close()
+
+    with _open_server(script) as (client, address):
+        body, end = _read_all(_open(client, address))
+        assert body == b'whole'
+        assert isinstance(end, EndOfStream)
+
+
+def test_a_reset_does_not_complete_an_answer_without_length() -> None:
+    """What was cut off by a reset is not passed off as whole."""
+
+    def script(connection: socket.socket) -> None:
+        _read_head(connection)
+        connection.sendall(_HEAD + b'\r\npart')
+        eventlet.sleep(0.1)
+        _reset(connection)
+
+    with _open_server(script) as (client, address):
+        body, end = _read_all(_open(client, address))
+        assert body == b'part'
+        assert isinstance(end, MaybeRun)
+
+
+def test_short_answers_are_noticed() -> None:
+    """Missing bytes and a missing last chunk both break the answer."""
+    for framing in (
+        b'Content-Length: 9\r\n\r\nshort',
+        b'Transfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n',
+        b'Transfer-Encoding: chunked\r\n\r\n9\r\nshort',
+    ):
+
+        def script(connection: socket.socket) -> None:
+            _read_head(connection)
+            connection.sendall(_HEAD + framing)  # noqa: B023
+            connection.close()
+
+        with _open_server(script) as (client, address):
+            _, end = _read_all(_open(client, address))
+            assert isinstance(end, MaybeRun), framing
+
+
+def test_leftover_bytes_drop_the_connection() -> None:
+    """A second answer that nobody asked for is never used."""
+    accepted = []
+
+    def script(connection: socket.socket) -> None:
+        accepted.append(connection)
+        while _read_head(connection):
+            answer = _HEAD + b'Content-Length: 2\r\n\r\nok'
+            connection.sendall(answer)
+            if len(accepted) == 1:
+                eventlet.sleep(0.02)
+                connection.sendall(answer)
+
+    with _open_server(script) as (client, address):
+        for _ in range(3):
+            body, end = _read_all(_open(client, address))
+            assert body == b'ok'
+            assert isinstance(end, EndOfStream)
+            eventlet.sleep(0.05)
+        assert len(accepted) == 2
+
+
+def test_the_answer_to_another_request_is_not_passed_on() -> None:
+    """An answer with another identity drops the connection."""
+
+    def script(connection: socket.socket) -> None:
+        _read_head(connection)
+        connection.sendall(
+            b'HTTP/1.1 200 OK\r\nEgret-Request-Id: old\r\n'
+            b'Content-Length: 0\r\n\r\n'
+        )
+
+    with _open_server(script) as (client, address):
+        assert isinstance(_open(client, address), MaybeRun)
+
+
+def test_bytes_that_are_no_answer_may_follow_a_run() -> None:
+    """After nonsense or silence, the request may have run."""
+
+    def script(connection: socket.socket) -> None:
+        _read_head(connection)
+        connection.sendall(b'\x00\x01nonsense\r\n\r\n')
+        connection.close()
+
+    with _open_server(script) as (client, address):
+        assert isinstance(_open(client, address), MaybeRun)
+
+
+def test_a_refused_connection_ran_nothing() -> None:
+    """Without a connection no byte was sent."""
+    with _open_server(_reset) as (client, _):
+        assert isinstance(_open(client, '127.0.0.1:1'), NotRun)
+
+
+def test_requests_leave_as_they_came() -> None:
+    """Target and body are sent unchanged, with the length of the body."""
+    heads = []
+
+    def script(connection: socket.socket) -> None:
+        heads.append(_read_head(connection))
+        connection.sendall(_HEAD + b'Content-Length: 0\r\n\r\n')
+
+    with _open_server(script) as (client, address):
+        _read_all(_open(client, address, body=b'abc'))
+    head = heads[0].lower()
+    assert heads[0].startswith(b'POST /a%2Fb?q HTTP/1.1\r\n')
+    assert b'host: claims.example\r\n' in head
+    assert b'content-length: 3\r\n' in head
+    assert b'accept-encoding' not in head
+    assert b'user-agent' not in head
