Confirm the configuration before a denial, and end stopped processes

Processes that had drained stayed until SIGKILL, as the servers wait for open connections when their tasks are ended. While all hosts were leaving, the directory named none. Ruled out: shorter watches (twice the calls for the same effect). Change: a denial or a stale key first reads the configuration object, one read for all who wait and none for 0.4 s after it; the daemon returns without ending its servers; leaving hosts are the directory's last resort.

--- a/egretdale/coordination/admission.py
+++ b/egretdale/coordination/admission.py
@@ -81,21 +81,14 @@
         :param request: the request.
         :return: the decision, or a refusal.
         """
-        table = self._configuration.table
-        if table is None:
-            return Refused(
-                Reason.CONFIGURATION_STALE,
-                Ran.NO,
-                _STARTING_RETRY_S,
-                'this host has no configuration yet',
-            )
-        route = table.find_route(request.host_name, request.path)
-        if route is None:
-            return self._deny(Reason.NO_ROUTE, 'no route has this path')
-        admitted = self._admit(request, route, table)
-        if isinstance(admitted, Admitted):
-            return self.find_staleness(admitted) or admitted
-        return admitted
+        decision = self._decide(request)
+        stale = (
+            isinstance(decision, Refused)
+            and decision.reason == Reason.CONFIGURATION_STALE
+        )
+        if stale and self._configuration.refresh():
+            return self._decide(request)
+        return decision
 
     def find_staleness(self, admitted: Admitted) -> Refused | None:
         """Tell whether the key of a request can no longer be relied on.
@@ -127,6 +120,23 @@
         """
         return admitted.deadline_at - self._clock()
 
+    def _decide(self, request: ForwardRequest) -> Admitted | Refused:
+        table = self._configuration.table
+        if table is None:
+            return Refused(
+                Reason.CONFIGURATION_STALE,
+                Ran.NO,
+                _STARTING_RETRY_S,
+                'this host has no configuration yet',
+            )
+        route = table.find_route(request.host_name, request.path)
+        if route is None:
+            return self._deny(Reason.NO_ROUTE, 'no route has this path')
+        admitted = self._admit(request, route, table)
+        if isinstance(admitted, Admitted):
+            return self.find_staleness(admitted) or admitted
+        return admitted
+
     def _admit(
         self, request: ForwardRequest, route: Route, table: RoutingTable
     ) -> Admitted | Refused:
--- a/egretdale/coordination/configuration.py
+++ b/egretdale/coordination/configuration.py
@@ -6,9 +6,15 @@
 from collections.abc import Callable
 
 import eventlet
+from eventlet.event import Event
 
 from egretdale.coordination.mesh import MeshListener
-from egretdale.coordination.ports import Listing, Network, Platform
+from egretdale.coordination.ports import (
+    Listing,
+    Network,
+    Platform,
+    StoredObject,
+)
 from egretdale.errors import Invalid
 from egretdale.state.freshness import Confirmation
 from egretdale.state.members import MemberTable
@@ -31,6 +37,9 @@
 #: First and longest pause after a failed call, in seconds.
 _RETRY_START_S = 0.1
 _RETRY_MAXIMUM_S = 0.8
+#: Longest wait of a request for a read that confirms the configuration, and
+#: the shortest pause between two such reads, in seconds.
+_REFRESH_S = 0.4
 _JITTER_SHARE = 0.3
 _UNKNOWN_AGE_MS = -1
 _LONGEST_AGE_MS = 1000000
@@ -52,7 +61,10 @@
         '_fetching',
         '_members',
         '_network',
+        '_name',
         '_platform',
+        '_refresh',
+        '_refreshed_at',
         '_source',
         'confirmation',
         'table',
@@ -86,6 +98,10 @@
         self._clock = clock
         self._source = source
         self._fetching = False
+        # Name of the configuration object, once it has been seen.
+        self._name = ''
+        self._refresh: Event | None = None
+        self._refreshed_at = float('-inf')
 
     @property
     def version(self) -> int:
@@ -121,6 +137,30 @@
             spread = self._source.uniform(1 - _JITTER_SHARE, 1 + _JITTER_SHARE)
             eventlet.sleep(pause_s * spread)
 
+    def refresh(self) -> bool:
+        """Read the configuration now, unless that was just tried.
+
+        Requests that come while a read is under way share it.
+
+        :return: whether the configuration was confirmed.
+        """
+        if self._refresh is not None:
+            return bool(self._refresh.wait(_REFRESH_S))
+        now = self._clock()
+        if not self._name or now - self._refreshed_at < _REFRESH_S:
+            return False
+        self._refreshed_at = now
+        self._refresh = Event()
+        confirmed = False
+        try:
+            with eventlet.Timeout(_REFRESH_S, False):
+                confirmed = self._confirm(now)
+        finally:
+            done = self._refresh
+            self._refresh = None
+            done.send(confirmed)
+        return confirmed
+
     # Peers
 
     def fill(self, host: str, batch: Batch) -> None:
@@ -174,9 +214,19 @@
             return self._platform.watch(ROUTING_KIND, version, _WATCH_S)
         return self._platform.list_objects(ROUTING_KIND)
 
+    def _confirm(self, sent_at: float) -> bool:
+        entry = self._platform.read(ROUTING_KIND, self._name)
+        if not isinstance(entry, StoredObject):
+            return False
+        confirmed = self._take(entry.body, 'platform') == self.version
+        if confirmed:
+            self.confirmation.confirm(sent_at)
+        return confirmed
+
     def _take_listing(self, listing: Listing, sent_at: float) -> None:
         newest = 0
         for entry in listing.entries:
+            self._name = entry.name
             newest = max(newest, self._take(entry.body, 'platform'))
         if newest and newest == self.version:
             self.confirmation.confirm(sent_at)
--- a/egretdale/coordination/gateway.py
+++ b/egretdale/coordination/gateway.py
@@ -34,6 +34,8 @@
 from egretdale.util.tasks import TaskGroup
 
 _JOINING_CHECK_S = 0.05
+#: Statuses of hosts that callers are sent to, the preferred ones first.
+_OFFERED = (MemberStatus.ALIVE, MemberStatus.SUSPECT, MemberStatus.LEAVING)
 
 
 @dataclass(slots=True, frozen=True)
@@ -138,19 +140,17 @@
         """List the addresses that callers may connect to.
 
         :return: addresses of serving hosts; those that did not answer lately
-            only when there are no others.
+            only when there are no others, then those that are leaving.
         """
-        members = [
-            member
-            for member in self._table.list_serving()
-            if member.update.caller_address
-        ]
-        alive = [
-            member.update.caller_address
-            for member in members
-            if member.status == MemberStatus.ALIVE
-        ]
-        return alive or [member.update.caller_address for member in members]
+        by_status: dict[MemberStatus, list[str]] = {}
+        for member in self._table.list_members():
+            address = member.update.caller_address
+            if address:
+                by_status.setdefault(member.status, []).append(address)
+        for status in _OFFERED:
+            if status in by_status:
+                return by_status[status]
+        return []
 
     def _run_joining(self) -> None:
         while self.configuration.table is None:
--- a/egretdale/transport/gateway.py
+++ b/egretdale/transport/gateway.py
@@ -136,7 +136,9 @@
             peer_address=self._settings.peer_address,
         )
         status = self._stopped.wait()
-        self._tasks.stop()
+        # The servers would wait for their open connections to end.
+        for listener in self._listeners.values():
+            listener.close()
         logger.info('stopped', status=status, active=self._ingress.active)
         return status
 
--- a/tests/forwarding.py
+++ b/tests/forwarding.py
@@ -173,6 +173,10 @@
     table: RoutingTable | None
     confirmation: Confirmation
 
+    def refresh(self) -> bool:
+        """Tell that the platform does not answer."""
+        return False
+
 
 @dataclass
 class ForwardingScene:
--- a/tests/test_coordination/test_configuration.py
+++ b/tests/test_coordination/test_configuration.py
@@ -219,3 +219,28 @@
         eventlet.sleep(6)
         assert pair.first.follower.version == 3
         assert pair.first.follower.confirmation.measure_age() > 5
+
+
+def test_a_denial_may_confirm_the_configuration_first() -> None:
+    """One read for all who wait brings the age down at once."""
+    with _open_pair() as pair:
+        pair.publish(3)
+        eventlet.sleep(2.5)
+        follower = pair.first.follower
+        assert follower.confirmation.measure_age() > 1
+        waiting = [eventlet.spawn(follower.refresh) for _ in range(5)]
+        assert all(task.wait() for task in waiting)
+        assert follower.confirmation.measure_age() < 0.1
+
+
+def test_a_lost_platform_does_not_hold_up_denials() -> None:
+    """A read that fails is not repeated for each request."""
+    with _open_pair() as pair:
+        pair.publish(3)
+        eventlet.sleep(1)
+        pair.state.down = True
+        eventlet.sleep(3)
+        started_at = pair.hub.now
+        follower = pair.first.follower
+        assert not any(follower.refresh() for _ in range(20))
+        assert pair.hub.now - started_at < 0.5
