--- a/egretdale/transport/daemon.py
+++ b/egretdale/transport/daemon.py
@@ -89,7 +89,7 @@
         """
         self.node.start(self._tasks)
         self._tasks.start(
-            PeerServer(self._peer_listener, PeerHandler(self.node)).run
+            PeerServer(self._peer_listener, self._create_handler()).run
         )
         self._tasks.start(self._publish_load)
         server = eventlet.spawn(self._serve)
@@ -169,6 +169,10 @@
             return self._callers.serve(environ, start_response)
         return self._operators.serve(environ, start_response)
 
+    def _create_handler(self) -> PeerHandler:
+        node = self.node
+        return PeerHandler(node.mesh, node.replica.copy, node.issuer)
+
     def _publish_load(self) -> None:
         while True:
             eventlet.sleep(self._settings.probe_period_s)
--- a/egretdale/transport/peers.py
+++ b/egretdale/transport/peers.py
@@ -14,8 +14,8 @@
 from thrift.Thrift import TApplicationException, TException
 from thrift.transport.TTransport import TMemoryBuffer, TTransportException
 
+from egretdale.coordination.keys import KeyIssuer
 from egretdale.coordination.mesh import Mesh
-from egretdale.coordination.node import Node
 from egretdale.coordination.ports import Delivered
 from egretdale.errors import Ambiguous, Cause, Unreachable
 from egretdale.protocol.gen import Peer
@@ -259,13 +259,20 @@
 
     __slots__ = ('_issuer',)
 
-    def __init__(self, node: Node) -> None:
+    def __init__(
+        self,
+        mesh: Mesh,
+        copy: Callable[[str], DocumentCopy],
+        issuer: KeyIssuer,
+    ) -> None:
         """Create a handler.
 
-        :param node: parts of this host.
+        :param mesh: links to peers.
+        :param copy: returns the copy of a document by its name.
+        :param issuer: decides on the keys of this host.
         """
-        super().__init__(node.mesh, node.replica.copy)
-        self._issuer = node.issuer
+        super().__init__(mesh, copy)
+        self._issuer = issuer
 
     def claim(self, question: Any) -> Any:
         """Decide on a key that this host issued.
