Pass lists of backend servers between hosts

Change: hosts tell the revision of their list in their news; one that has lost the platform fetches a newer list from the peer that has it. Tests: a host that is turned away learns of leaving and new backend servers; failed before.

--- a/egretdale/coordination/configuration.py
+++ b/egretdale/coordination/configuration.py
@@ -8,16 +8,15 @@
 import eventlet
 from eventlet.event import Event
 
+from egretdale.coordination.copies import CopyFetcher, PeerAccess
 from egretdale.coordination.mesh import MeshListener
 from egretdale.coordination.ports import (
     Listing,
-    Network,
     Platform,
     StoredObject,
 )
 from egretdale.errors import Invalid
 from egretdale.state.freshness import Confirmation
-from egretdale.state.members import MemberTable
 from egretdale.state.messages import Batch, DocumentCopy, Revision
 from egretdale.state.routing import RoutingTable
 from egretdale.util.clocks import (
@@ -58,9 +57,7 @@
     __slots__ = (
         '_clock',
         '_decode',
-        '_fetching',
-        '_members',
-        '_network',
+        '_fetcher',
         '_name',
         '_platform',
         '_refresh',
@@ -73,8 +70,7 @@
     def __init__(
         self,
         platform: Platform,
-        network: Network,
-        members: MemberTable,
+        peers: PeerAccess,
         *,
         decode: RoutingDecoder,
         clock: Clock,
@@ -83,8 +79,7 @@
         """Start without a configuration.
 
         :param platform: object API.
-        :param network: calls to peers.
-        :param members: view of the hosts.
+        :param peers: how to reach other hosts.
         :param decode: decodes the text of a configuration.
         :param clock: monotonic clock that counts suspension.
         :param source: random source.
@@ -92,12 +87,10 @@
         self.table: RoutingTable | None = None
         self.confirmation = Confirmation(clock)
         self._platform = platform
-        self._network = network
-        self._members = members
+        self._fetcher = CopyFetcher(ROUTING_KIND, peers, self._take_copy)
         self._decode = decode
         self._clock = clock
         self._source = source
-        self._fetching = False
         # Name of the configuration object, once it has been seen.
         self._name = ''
         self._refresh: Event | None = None
@@ -181,7 +174,7 @@
         for revision in batch.revisions:
             newer = revision.number > self.version
             if revision.service_name == ROUTING_KIND and newer:
-                self._start_fetch(batch.sender)
+                self._fetcher.start(batch.sender)
 
     def note_answer(self, answer: Batch, sent_at: float) -> None:
         """Take over the age of a peer's equal configuration.
@@ -260,19 +253,8 @@
             self.table = table
         return table.version
 
-    def _start_fetch(self, host: str) -> None:
-        if not self._fetching:
-            self._fetching = True
-            eventlet.spawn_n(self._fetch, host)
-
-    def _fetch(self, host: str) -> None:
-        member = self._members.find(host)
-        if member is not None:
-            address = member.update.peer_address
-            outcome = self._network.fetch(address, ROUTING_KIND)
-            if isinstance(outcome, DocumentCopy) and outcome.revision:
-                self._take(outcome.source.encode(), host)
-        self._fetching = False
+    def _take_copy(self, copy: DocumentCopy, host: str) -> None:
+        self._take(copy.source.encode(), host)
 
     def _express_age(self) -> int:
         age_s = self.confirmation.measure_age()
--- a/egretdale/coordination/gateway.py
+++ b/egretdale/coordination/gateway.py
@@ -14,9 +14,11 @@
     ConfigurationFollower,
     RoutingDecoder,
 )
+from egretdale.coordination.copies import PeerAccess
 from egretdale.coordination.exchanges import ForwardClient
 from egretdale.coordination.forwarding import Forwarder
 from egretdale.coordination.instances import (
+    INSTANCE_KIND,
     LAPSE_S,
     InstanceDecoder,
     InstanceFollower,
@@ -28,7 +30,7 @@
 from egretdale.state.instances import InstanceTable
 from egretdale.state.loads import LoadTable
 from egretdale.state.members import MemberStatus, MemberTable
-from egretdale.state.messages import MemberUpdate
+from egretdale.state.messages import DocumentCopy, MemberUpdate
 from egretdale.state.routing import CallerLimits
 from egretdale.util.clocks import Clock, WallClock, convert_to_ms
 from egretdale.util.tasks import TaskGroup
@@ -104,8 +106,7 @@
         self._build_membership()
         self.configuration = ConfigurationFollower(
             outside.platform,
-            outside.network,
-            self._table,
+            PeerAccess(outside.network, self._table),
             decode=outside.decode_routing,
             clock=outside.clock,
             source=outside.source,
@@ -113,6 +114,7 @@
         self._build_forwarder()
         self.mesh.add_listener(self.membership)
         self.mesh.add_listener(self.configuration)
+        self.mesh.add_listener(self.instances)
 
     def start(self, tasks: TaskGroup) -> None:
         """Start the tasks of the host.
@@ -152,6 +154,16 @@
                 return by_status[status]
         return []
 
+    def copy(self, kind: str) -> DocumentCopy:
+        """Return a copy of stored state for a peer.
+
+        :param kind: kind of the state.
+        :return: the copy, revision 0 when there is none.
+        """
+        if kind == INSTANCE_KIND:
+            return self.instances.copy()
+        return self.configuration.copy(kind)
+
     def _run_joining(self) -> None:
         while self.configuration.table is None:
             eventlet.sleep(_JOINING_CHECK_S)
@@ -189,6 +201,7 @@
         placer = Placer(table, loads, outside.clock)
         self.instances = InstanceFollower(
             outside.platform,
+            PeerAccess(outside.network, self._table),
             table,
             decode=outside.decode_instance,
             clock=outside.clock,
--- a/egretdale/coordination/instances.py
+++ b/egretdale/coordination/instances.py
@@ -6,10 +6,18 @@
 from collections.abc import Callable
 
 import eventlet
-
-from egretdale.coordination.ports import Listing, Platform
+import msgspec
+
+from egretdale.coordination.copies import CopyFetcher, PeerAccess
+from egretdale.coordination.mesh import MeshListener
+from egretdale.coordination.ports import (
+    Listing,
+    Platform,
+    StoredObject,
+)
 from egretdale.errors import Invalid
 from egretdale.state.instances import Instance, InstanceTable
+from egretdale.state.messages import Batch, DocumentCopy, Revision
 from egretdale.util.clocks import Clock
 from egretdale.util.logs import get_logger
 
@@ -27,16 +35,23 @@
 _JITTER_SHARE = 0.3
 _EXPIRY_CHECK_S = 0.25
 
+_copy_decoder = msgspec.json.Decoder(list[tuple[str, str]])
+
 #: Decodes the entry with a name.
 InstanceDecoder = Callable[[str, bytes], Instance | Invalid]
 
 
-class InstanceFollower:
-    """Keeps the table of backend servers up to date."""
+class InstanceFollower(MeshListener):
+    """Keeps the table of backend servers up to date.
+
+    While the platform does not answer, newer lists come from peers.
+    """
 
     __slots__ = (
         '_clock',
         '_decode',
+        '_fetcher',
+        '_listing',
         '_lost_at',
         '_on_gone',
         '_platform',
@@ -48,6 +63,7 @@
     def __init__(
         self,
         platform: Platform,
+        peers: PeerAccess,
         table: InstanceTable,
         *,
         decode: InstanceDecoder,
@@ -58,6 +74,7 @@
         """Start with an empty table.
 
         :param platform: object API.
+        :param peers: how to reach other hosts.
         :param table: table to keep up to date.
         :param decode: decodes an entry.
         :param clock: monotonic clock.
@@ -70,6 +87,8 @@
         self._clock = clock
         self._source = source
         self._on_gone = on_gone
+        self._listing = Listing(0, ())
+        self._fetcher = CopyFetcher(INSTANCE_KIND, peers, self._take_copy)
         self._lost_at: float | None = None
         self._regained_at = float('-inf')
 
@@ -83,7 +102,7 @@
                 self._note_regained()
                 pause_s = 0
                 if listing.version != version:
-                    self._take(listing)
+                    self._take(listing, 'platform')
                 version = listing.version
                 continue
             self._note_lost(listing.detail)
@@ -100,12 +119,59 @@
             for instance in self.table.expire():
                 self._report_gone(instance)
 
+    # Peers
+
+    def fill(self, host: str, batch: Batch) -> None:
+        """Tell a peer which list this host has.
+
+        :param host: receiving host.
+        :param batch: the batch.
+        """
+        batch.revisions.append(Revision(INSTANCE_KIND, self._listing.version))
+
+    def receive(self, batch: Batch) -> None:
+        """Fetch a peer's newer list while the platform does not answer.
+
+        :param batch: a batch from a peer.
+        """
+        if self._lost_at is None:
+            return
+        for revision in batch.revisions:
+            newer = revision.number > self._listing.version
+            if revision.service_name == INSTANCE_KIND and newer:
+                self._fetcher.start(batch.sender)
+
+    def copy(self) -> DocumentCopy:
+        """Return the list for a peer."""
+        entries = [
+            (entry.name, entry.body.decode(errors='replace'))
+            for entry in self._listing.entries
+        ]
+        source = msgspec.json.encode(entries).decode()
+        return DocumentCopy(INSTANCE_KIND, self._listing.version, source)
+
+    def _take_copy(self, copy: DocumentCopy, host: str) -> None:
+        if self._lost_at is None or copy.revision <= self._listing.version:
+            return
+        try:
+            entries = _copy_decoder.decode(copy.source)
+        except msgspec.MsgspecError as malformed:
+            logger.warning(
+                'backend-list-malformed', origin=host, error=str(malformed)
+            )
+            return
+        listed = tuple(
+            StoredObject(name, 0, body.encode()) for name, body in entries
+        )
+        self._take(Listing(copy.revision, listed), host)
+
     def _read(self, version: int):
         if version:
             return self._platform.watch(INSTANCE_KIND, version, _WATCH_S)
         return self._platform.list_objects(INSTANCE_KIND)
 
-    def _take(self, listing: Listing) -> None:
+    def _take(self, listing: Listing, origin: str) -> None:
+        self._listing = listing
         instances = {}
         for entry in listing.entries:
             decoded = self._decode(entry.name, entry.body)
@@ -118,7 +184,7 @@
                 )
             else:
                 instances[entry.name] = decoded
-        self._log_changes(instances)
+        self._log_changes(instances, origin)
         since_outage = self._clock() - self._regained_at
         gone = self.table.replace(
             instances, after_outage=since_outage < LAPSE_S
@@ -126,7 +192,7 @@
         for instance in gone:
             self._report_gone(instance)
 
-    def _log_changes(self, instances: dict[str, Instance]) -> None:
+    def _log_changes(self, instances: dict[str, Instance], origin: str) -> None:
         for name, instance in instances.items():
             if self.table.find(name) != instance:
                 logger.info(
@@ -136,6 +202,8 @@
                     address=instance.address,
                     born_ms=instance.born_ms,
                     leaving=instance.leaving,
+                    origin=origin,
+                    revision=self._listing.version,
                 )
 
     def _report_gone(self, instance: Instance) -> None:
--- a/egretdale/transport/gateway.py
+++ b/egretdale/transport/gateway.py
@@ -160,9 +160,7 @@
 
     def _start_servers(self, interface: GatewayInterface) -> None:
         settings = self._settings
-        handler = NewsHandler(
-            self.gateway.mesh, self.gateway.configuration.copy
-        )
+        handler = NewsHandler(self.gateway.mesh, self.gateway.copy)
         peers = PeerServer(self._listeners[settings.peer_address], handler)
         self._tasks.start(peers.run)
         self._tasks.start(
--- a/tests/test_coordination/test_configuration.py
+++ b/tests/test_coordination/test_configuration.py
@@ -13,6 +13,7 @@
     ROUTING_KIND,
     ConfigurationFollower,
 )
+from egretdale.coordination.copies import PeerAccess
 from egretdale.coordination.mesh import Mesh
 from egretdale.coordination.ports import Delivered
 from egretdale.errors import Cause, Invalid, Unreachable
@@ -99,8 +100,7 @@
     mesh = Mesh(table, network, hub.read_now, 4096)
     follower = ConfigurationFollower(
         VirtualPlatform(name, state, HostFaults()),
-        network,
-        table,
+        PeerAccess(network, table),
         decode=_decode,
         clock=hub.read_now,
         source=random.Random(1),
--- /dev/null
+++ b/tests/test_coordination/test_instance_list.py
@@ -0,0 +1,146 @@
+"""Tests of how hosts follow the list of backend servers."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import eventlet
+
+from egretdale.coordination.copies import PeerAccess
+from egretdale.coordination.instances import INSTANCE_KIND, InstanceFollower
+from egretdale.errors import Invalid
+from egretdale.state.instances import Instance, InstanceTable
+from egretdale.state.members import MemberTable
+from egretdale.state.messages import Batch, MemberUpdate, Revision
+from standins.virtual.hub import VirtualHub, use_virtual_time
+from standins.virtual.network import HostFaults
+from standins.virtual.platform import PlatformState, VirtualPlatform
+from tests.functions import create_loader
+
+load_tests = create_loader(__name__)
+
+
+def _decode(name: str, source: bytes) -> Instance | Invalid:
+    if source not in {b'ready', b'leaving'}:
+        return Invalid('$', 'is no state')
+    leaving = source == b'leaving'
+    return Instance(name, 'claims', '10.0.0.1:80', leaving=leaving)
+
+
+class _Peers:
+    """Hands out the copy of one host."""
+
+    def __init__(self) -> None:
+        self.follower: InstanceFollower | None = None
+
+    def fetch(self, address: str, service: str):
+        assert service == INSTANCE_KIND
+        return self.follower.copy()
+
+
+def _create(
+    name: str, state: PlatformState, peers: _Peers, hub: VirtualHub
+) -> InstanceFollower:
+    members = MemberTable(name)
+    members.apply(MemberUpdate('first', 1, 0, 0, 'dc', '', 'first'), 0)
+    return InstanceFollower(
+        VirtualPlatform(name, state, HostFaults()),
+        PeerAccess(peers, members),
+        InstanceTable(hub.read_now, 2),
+        decode=_decode,
+        clock=hub.read_now,
+        source=random.Random(1),
+        on_gone=lambda instance: None,
+    )
+
+
+@contextmanager
+def _open_pair() -> Iterator[
+    tuple[PlatformState, InstanceFollower, InstanceFollower]
+]:
+    with use_virtual_time() as hub:
+        state = PlatformState()
+        state.store.put(INSTANCE_KIND, 'a', 'ready')
+        state.store.put(INSTANCE_KIND, 'b', 'ready')
+        peers = _Peers()
+        first = _create('first', state, peers, hub)
+        second = _create('second', state, peers, hub)
+        peers.follower = first
+        tasks = [
+            eventlet.spawn(step)
+            for follower in (first, second)
+            for step in (follower.run_watch, follower.run_expiry)
+        ]
+        eventlet.sleep(1)
+        yield state, first, second
+        for task in tasks:
+            task.kill()
+
+
+def _list_ready(follower: InstanceFollower) -> list[str]:
+    ready = follower.table.list_ready('claims')
+    return sorted(entry.name for entry in ready)
+
+
+def _tell(sender: InstanceFollower, receiver: InstanceFollower) -> None:
+    batch = Batch('first', 1)
+    sender.fill('second', batch)
+    receiver.receive(batch)
+    eventlet.sleep(0.01)
+
+
+def test_changes_arrive_at_once() -> None:
+    """Leaving and removed backend servers get no new work."""
+    with _open_pair() as (state, first, second):
+        state.store.put(INSTANCE_KIND, 'a', 'leaving')
+        eventlet.sleep(0.2)
+        assert _list_ready(first) == _list_ready(second) == ['b']
+
+
+def test_entries_that_cannot_be_read_name_no_backend_server() -> None:
+    """The others are used all the same."""
+    with _open_pair() as (state, first, _):
+        state.store.put(INSTANCE_KIND, 'c', '\x00nonsense')
+        state.store.put(INSTANCE_KIND, 'd', 'ready')
+        eventlet.sleep(0.2)
+        assert _list_ready(first) == ['a', 'b', 'd']
+
+
+def test_a_host_that_the_platform_turns_away_asks_its_peers() -> None:
+    """It learns of backend servers that leave and of new ones."""
+    with _open_pair() as (state, first, second):
+        state.cut.add('second')
+        eventlet.sleep(1)
+        state.store.put(INSTANCE_KIND, 'a', 'leaving')
+        state.store.put(INSTANCE_KIND, 'c', 'ready')
+        eventlet.sleep(0.5)
+        assert _list_ready(second) == ['a', 'b']
+        _tell(first, second)
+        assert _list_ready(second) == ['b', 'c']
+
+
+def test_a_host_in_touch_does_not_ask_its_peers() -> None:
+    """The platform's own answer is enough."""
+    with _open_pair() as (_, first, second):
+        before = second.copy().revision
+        batch = Batch('first', 1)
+        batch.revisions.append(Revision(INSTANCE_KIND, before + 9))
+        second.receive(batch)
+        eventlet.sleep(0.01)
+        assert second.copy().revision == before
+
+
+def test_lapsed_entries_are_used_until_they_could_have_returned() -> None:
+    """After an outage a missing entry is gone two seconds later."""
+    with _open_pair() as (state, first, _):
+        state.down = True
+        eventlet.sleep(3)
+        listed = state.store.read(INSTANCE_KIND, 'a')
+        state.store.delete(INSTANCE_KIND, 'a', listed.version)
+        state.down = False
+        eventlet.sleep(1.2)
+        assert _list_ready(first) == ['a', 'b']
+        eventlet.sleep(2.5)
+        assert _list_ready(first) == ['b']
