Let prompts into engines in one order for all hosts

Change: a soft allocator for each service, on a host by rendezvous, models the prompts that each engine has still to prefill, corrected by first tokens; long prompts wait there until an engine has 0.08 s ahead of it, the earliest target first and strictly by tier once one is missed; what would wait too long is denied on arrival. Hosts that get no word within 0.08 s choose by themselves.

--- a/egretdale/config.py
+++ b/egretdale/config.py
@@ -128,7 +128,7 @@
     probe_period_s: _Seconds = 0.5
     suspicion_s: _Seconds = 1.0
     peer_timeout_s: _Seconds = 0.3
-    peer_bytes_per_s: _Rate = 4096.0
+    peer_bytes_per_s: _Rate = 32768.0
     denial_age_s: _Seconds = 2.0
     key_age_s: _Seconds = 5.0
     retry_ratio: float = 0.1
--- a/egretdale/coordination/admission.py
+++ b/egretdale/coordination/admission.py
@@ -15,7 +15,8 @@
 #: When to come back to a host that cannot prove its keys, in seconds.
 _STALE_RETRY_S = 0.5
 _LOWEST_URGENCY = 9
-#: Distance of the ranks of two priorities at a backend server.
+#: Distance of the ranks of two organisations' priorities at a backend server,
+#: above the routes' priorities between them.
 _URGENCY_STEP = 3
 
 
@@ -141,7 +142,7 @@
         self, request: ForwardRequest, route: Route, table: RoutingTable
     ) -> Admitted | Refused:
         organisation = ''
-        priority = route.priority
+        urgency = route.priority
         holder = table.find_holder(request.key) if request.key else None
         keyed = table.requires_keys and not route.public
         if keyed and holder is None:
@@ -149,7 +150,7 @@
         if holder is not None:
             organisation = holder.name
             if holder.priority is not None:
-                priority = holder.priority
+                urgency += holder.priority * _URGENCY_STEP
         patience_s = route.timeout_s
         if request.patience_s is not None:
             patience_s = min(patience_s, request.patience_s)
@@ -157,7 +158,7 @@
             request,
             route,
             organisation,
-            min(_LOWEST_URGENCY, priority * _URGENCY_STEP),
+            min(_LOWEST_URGENCY, urgency),
             table.version,
             request.arrived_at + patience_s,
             keyed,
--- a/egretdale/coordination/allocators.py
+++ b/egretdale/coordination/allocators.py
@@ -13,10 +13,10 @@
 from egretdale.coordination.replica import DocumentReplica
 from egretdale.errors import Unreachable
 from egretdale.state.backends import BackendView
-from egretdale.state.members import MemberStatus, MemberTable
+from egretdale.state.members import MemberStatus, find_owner
 from egretdale.state.messages import Batch, GroupAsk, GroupReply
 from egretdale.util.clocks import Clock
-from egretdale.util.hashing import hash_text, rank_by_rendezvous
+from egretdale.util.hashing import hash_text
 from egretdale.util.logs import get_logger
 
 logger = get_logger(__name__)
@@ -28,21 +28,6 @@
 _TERM_STEP = 1024
 
 
-def find_owner(table: MemberTable, group: str) -> str:
-    """Find the host that allocates a group.
-
-    :param table: view of the entry hosts.
-    :param group: group key.
-    :return: name of the host.
-    """
-    hosts = [
-        member.update.host
-        for member in table.list_members()
-        if member.status == MemberStatus.ALIVE
-    ]
-    return rank_by_rendezvous(group, hosts or [table.own_host])[0]
-
-
 class Hosted:
     """An allocator on this host and when it may start.
 
--- a/egretdale/coordination/forwarding.py
+++ b/egretdale/coordination/forwarding.py
@@ -17,10 +17,13 @@
 from egretdale.coordination.placing import Placement, Placer
 from egretdale.coordination.ports import MaybeRun, NotRun
 from egretdale.coordination.progress import Opened, Progress
+from egretdale.coordination.prompts import PromptDesk
 from egretdale.coordination.relaying import Relay
 from egretdale.state.loads import LoadTable
+from egretdale.state.messages import Ask
 from egretdale.state.outcomes import Ran, Reason, Refused
 from egretdale.util.clocks import Clock, convert_to_ms
+from egretdale.util.hashing import fold_identity
 from egretdale.util.logs import get_logger
 
 logger = get_logger(__name__)
@@ -45,6 +48,7 @@
         '_clock',
         '_loads',
         '_placer',
+        '_prompts',
         '_source',
     )
 
@@ -55,6 +59,7 @@
         placer: Placer,
         loads: LoadTable,
         budgets: BudgetBook,
+        prompts: PromptDesk,
         client: ForwardClient,
         clock: Clock,
         source: random.Random,
@@ -65,6 +70,7 @@
         :param placer: chooses backend servers.
         :param loads: loads of backend servers.
         :param budgets: budgets for repeats by service.
+        :param prompts: gets engines for prompts.
         :param client: client of backend servers.
         :param clock: monotonic clock.
         :param source: random source.
@@ -73,6 +79,7 @@
         self._placer = placer
         self._loads = loads
         self._budgets = budgets
+        self._prompts = prompts
         self._client = client
         self._clock = clock
         self._source = source
@@ -153,12 +160,9 @@
             refusal = self._find_obstacle(progress)
             if refusal is not None:
                 return refusal
-            placement = self._placer.place(
-                progress.service,
-                progress.admitted.request.prompt,
-                progress.avoided,
-                spread_key=progress.admitted.request.request_id,
-            )
+            placement = self._place(progress)
+            if isinstance(placement, Refused):
+                return self._refuse(progress, placement.detail, placement)
             if placement is None:
                 return self._refuse(progress, 'no backend server is left')
             if progress.sent and not self._budgets.spend(progress.service):
@@ -167,6 +171,41 @@
             if outcome is not None:
                 return outcome
 
+    def _place(self, progress: Progress) -> Placement | Refused | None:
+        request = progress.admitted.request
+        if request.prompt.tokens:
+            ask = self._create_ask(progress)
+            granted = self._prompts.place(progress.service, ask)
+            if granted is not None:
+                return granted
+        return self._placer.place(
+            progress.service,
+            request.prompt,
+            progress.avoided,
+            spread_key=request.request_id,
+        )
+
+    def _create_ask(self, progress: Progress) -> Ask:
+        admitted = progress.admitted
+        prompt = admitted.request.prompt
+        part = prompt.find_affinity()
+        return Ask(
+            admitted.request.request_id,
+            admitted.route.name,
+            admitted.organisation,
+            prompt_tokens=prompt.tokens,
+            maximum_tokens=prompt.maximum_output,
+            prefix=0 if part is None else fold_identity(part.identity),
+            avoided=[
+                *progress.avoided,
+                *self._placer.list_suspended(progress.service),
+            ],
+            shared_tokens=prompt.count_shared(),
+            urgency=admitted.urgency,
+            target_ms=convert_to_ms(admitted.route.target_s),
+            left_ms=convert_to_ms(self._admission.measure_left(admitted)),
+        )
+
     def _find_obstacle(self, progress: Progress) -> Refused | None:
         route = progress.admitted.route
         stale = self._admission.find_staleness(progress.admitted)
@@ -197,7 +236,7 @@
         )
         progress.avoided.append(instance.name)
         sent_at = self._clock()
-        outcome = self._exchange(attempt, placement)
+        outcome = self._exchange(attempt, placement, progress.service)
         self._log(progress, placement, outcome, sent_at)
         match outcome:
             case NotRun():
@@ -212,16 +251,27 @@
         return None
 
     def _exchange(
-        self, attempt: ForwardAttempt, placement: Placement
+        self,
+        attempt: ForwardAttempt,
+        placement: Placement,
+        service: str,
     ) -> ForwardResponse | NotRun | MaybeRun:
         incarnation = placement.instance.incarnation
         self._loads.begin(incarnation, placement.prefill_tokens)
         opened = False
+        sent_at = self._clock()
         try:
             outcome = self._client.open(attempt)
             opened = not isinstance(outcome, NotRun | MaybeRun)
         finally:
             self._loads.note_first_byte(incarnation, placement.prefill_tokens)
+            if attempt.request.prompt.tokens:
+                first_s = self._clock() - sent_at
+                self._prompts.note_first_token(
+                    service,
+                    attempt.request.request_id,
+                    convert_to_ms(first_s) if opened else -1,
+                )
             if not opened:
                 self._loads.end(incarnation)
         return outcome
@@ -301,6 +351,10 @@
             service=progress.service,
             attempt=progress.sent + 1,
             prefill_tokens=placement.prefill_tokens,
+            urgency=progress.admitted.urgency,
+            waited_ms=convert_to_ms(
+                sent_at - progress.admitted.request.arrived_at
+            ),
             revision=progress.admitted.revision,
             outcome=ended,
             took_ms=convert_to_ms(self._clock() - sent_at),
--- a/egretdale/coordination/gateway.py
+++ b/egretdale/coordination/gateway.py
@@ -27,7 +27,9 @@
 from egretdale.coordination.mesh import Mesh
 from egretdale.coordination.placing import Placer
 from egretdale.coordination.ports import Network, Platform
-from egretdale.state.instances import InstanceTable
+from egretdale.coordination.prefill import PrefillAllocator
+from egretdale.coordination.prompts import PromptDesk
+from egretdale.state.instances import Instance, InstanceTable
 from egretdale.state.loads import LoadTable
 from egretdale.state.members import MemberStatus, MemberTable
 from egretdale.state.messages import DocumentCopy, MemberUpdate
@@ -76,7 +78,10 @@
     """
 
     __slots__ = (
+        '_allocator',
         '_outside',
+        '_placer',
+        '_prompts',
         '_table',
         'configuration',
         'forwarder',
@@ -115,6 +120,8 @@
         self.mesh.add_listener(self.membership)
         self.mesh.add_listener(self.configuration)
         self.mesh.add_listener(self.instances)
+        self.mesh.add_listener(self._prompts)
+        self.mesh.attach_handler(self._allocator.handle)
 
     def start(self, tasks: TaskGroup) -> None:
         """Start the tasks of the host.
@@ -169,6 +176,10 @@
             eventlet.sleep(_JOINING_CHECK_S)
         self.membership.join()
 
+    def _forget(self, instance: Instance) -> None:
+        self._placer.forget(instance)
+        self._allocator.forget(instance)
+
     def _build_membership(self) -> None:
         settings = self.settings
         outside = self._outside
@@ -199,6 +210,11 @@
         loads = LoadTable(outside.clock)
         table = InstanceTable(outside.clock, LAPSE_S)
         placer = Placer(table, loads, outside.clock)
+        self._allocator = PrefillAllocator(self.mesh, table, outside.clock)
+        self._placer = placer
+        self._prompts = PromptDesk(
+            self.mesh, self._allocator, table, outside.clock
+        )
         self.instances = InstanceFollower(
             outside.platform,
             PeerAccess(outside.network, self._table),
@@ -206,7 +222,7 @@
             decode=outside.decode_instance,
             clock=outside.clock,
             source=outside.source,
-            on_gone=placer.forget,
+            on_gone=self._forget,
         )
         self.forwarder = Forwarder(
             admission=Admission(
@@ -225,6 +241,7 @@
                 ),
                 outside.clock,
             ),
+            prompts=self._prompts,
             client=outside.client,
             clock=outside.clock,
             source=outside.source,
--- a/egretdale/coordination/placement.py
+++ b/egretdale/coordination/placement.py
@@ -7,7 +7,7 @@
 from egretdale.coordination.backends import BackendDirectory
 from egretdale.coordination.leases import Lease
 from egretdale.coordination.ports import EngineOrder, OrderSender, Platform
-from egretdale.coordination.allocators import find_owner
+from egretdale.state.members import find_owner
 from egretdale.state.members import MemberTable
 from egretdale.coordination.replica import DocumentReplica
 from egretdale.state.backends import BackendAddress
--- a/egretdale/coordination/placing.py
+++ b/egretdale/coordination/placing.py
@@ -87,6 +87,18 @@
             return None
         return min(placements, key=lambda entry: entry[0])[1]
 
+    def list_suspended(self, service: str) -> list[str]:
+        """List the backend servers that this host avoids at present.
+
+        :param service: service name.
+        :return: their names.
+        """
+        return [
+            instance.name
+            for instance in self._instances.list_ready(service)
+            if self._loads.is_suspended(instance.incarnation)
+        ]
+
     def note(self, placement: Placement, prompt: Prompt) -> None:
         """Remember which parts a backend server will hold.
 
--- a/egretdale/coordination/slots.py
+++ b/egretdale/coordination/slots.py
@@ -7,9 +7,10 @@
 import eventlet
 from eventlet.event import Event
 
-from egretdale.coordination.allocators import AllocatorBoard, find_owner
+from egretdale.coordination.allocators import AllocatorBoard
 from egretdale.coordination.mesh import Mesh
 from egretdale.coordination.ports import BackendClient
+from egretdale.state.members import find_owner
 from egretdale.state.messages import (
     Ask,
     Denial,
--- a/egretdale/protocol/gen/ttypes.py
+++ b/egretdale/protocol/gen/ttypes.py
@@ -28,6 +28,10 @@
      - prefix
      - returning
      - avoided
+     - shared_tokens
+     - urgency
+     - target_ms
+     - left_ms
 
     """
 
@@ -41,10 +45,14 @@
         'prefix',
         'returning',
         'avoided',
+        'shared_tokens',
+        'urgency',
+        'target_ms',
+        'left_ms',
     )
 
 
-    def __init__(self, request_id=None, class_name=None, organisation=None, age_ms=None, prompt_tokens=None, maximum_tokens=None, prefix=None, returning=None, avoided=None,):
+    def __init__(self, request_id=None, class_name=None, organisation=None, age_ms=None, prompt_tokens=None, maximum_tokens=None, prefix=None, returning=None, avoided=None, shared_tokens=None, urgency=None, target_ms=None, left_ms=None,):
         self.request_id = request_id
         self.class_name = class_name
         self.organisation = organisation
@@ -54,6 +62,10 @@
         self.prefix = prefix
         self.returning = returning
         self.avoided = avoided
+        self.shared_tokens = shared_tokens
+        self.urgency = urgency
+        self.target_ms = target_ms
+        self.left_ms = left_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -114,6 +126,26 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.shared_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I32:
+                    self.urgency = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I32:
+                    self.target_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I32:
+                    self.left_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -163,6 +195,22 @@
                 oprot.writeString(iter6.encode('utf-8') if sys.version_info[0] == 2 else iter6)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.shared_tokens is not None:
+            oprot.writeFieldBegin('shared_tokens', TType.I32, 10)
+            oprot.writeI32(self.shared_tokens)
+            oprot.writeFieldEnd()
+        if self.urgency is not None:
+            oprot.writeFieldBegin('urgency', TType.I32, 11)
+            oprot.writeI32(self.urgency)
+            oprot.writeFieldEnd()
+        if self.target_ms is not None:
+            oprot.writeFieldBegin('target_ms', TType.I32, 12)
+            oprot.writeI32(self.target_ms)
+            oprot.writeFieldEnd()
+        if self.left_ms is not None:
+            oprot.writeFieldBegin('left_ms', TType.I32, 13)
+            oprot.writeI32(self.left_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -462,18 +510,21 @@
     Attributes:
      - request_id
      - backend
+     - prefill_tokens
 
     """
 
     __slots__ = (
         'request_id',
         'backend',
+        'prefill_tokens',
     )
 
 
-    def __init__(self, request_id=None, backend=None,):
+    def __init__(self, request_id=None, backend=None, prefill_tokens=None,):
         self.request_id = request_id
         self.backend = backend
+        self.prefill_tokens = prefill_tokens
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -494,6 +545,11 @@
                     self.backend = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.prefill_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -512,6 +568,10 @@
             oprot.writeFieldBegin('backend', TType.STRING, 2)
             oprot.writeString(self.backend.encode('utf-8') if sys.version_info[0] == 2 else self.backend)
             oprot.writeFieldEnd()
+        if self.prefill_tokens is not None:
+            oprot.writeFieldBegin('prefill_tokens', TType.I32, 3)
+            oprot.writeI32(self.prefill_tokens)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1882,6 +1942,10 @@
     (7, TType.I64, 'prefix', None, None, ),  # 7
     (8, TType.BOOL, 'returning', None, None, ),  # 8
     (9, TType.LIST, 'avoided', (TType.STRING, 'UTF8', False), None, ),  # 9
+    (10, TType.I32, 'shared_tokens', None, None, ),  # 10
+    (11, TType.I32, 'urgency', None, None, ),  # 11
+    (12, TType.I32, 'target_ms', None, None, ),  # 12
+    (13, TType.I32, 'left_ms', None, None, ),  # 13
 )
 all_structs.append(Running)
 Running.thrift_spec = (
@@ -1909,6 +1973,7 @@
     None,  # 0
     (1, TType.STRING, 'request_id', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'backend', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'prefill_tokens', None, None, ),  # 3
 )
 all_structs.append(Denial)
 Denial.thrift_spec = (
--- a/egretdale/protocol/peer.thrift
+++ b/egretdale/protocol/peer.thrift
@@ -10,6 +10,10 @@
   7: i64 prefix
   8: bool returning
   9: list<string> avoided
+  10: i32 shared_tokens
+  11: i32 urgency
+  12: i32 target_ms
+  13: i32 left_ms
 }
 
 struct Running {
@@ -34,6 +38,7 @@
 struct Grant {
   1: string request_id
   2: string backend
+  3: i32 prefill_tokens
 }
 
 struct Denial {
--- a/egretdale/state/backends.py
+++ b/egretdale/state/backends.py
@@ -4,9 +4,9 @@
 
 from dataclasses import dataclass
 
-from egretdale.state.estimates import smooth
 from egretdale.state.messages import Ask
 from egretdale.state.queues import Waiting
+from egretdale.util.averages import smooth
 
 _LIMIT_DECREASE = 0.9
 _LIMIT_INCREASE = 0.5
--- a/egretdale/state/estimates.py
+++ b/egretdale/state/estimates.py
@@ -6,8 +6,8 @@
 from collections import deque
 
 from egretdale.state.documents import RequestClass
+from egretdale.util.averages import smooth
 
-_SMOOTHING = 0.1
 _LENGTH_SMOOTHING = 0.02
 _HISTORY = 256
 _QUANTILE_STEPS = 10
@@ -20,17 +20,6 @@
 _MINIMUM_HOLD_S = 0.001
 
 
-def smooth(previous: float, sample: float, weight: float = _SMOOTHING) -> float:
-    """Move an exponentially weighted mean towards a sample.
-
-    :param previous: mean so far.
-    :param sample: new sample.
-    :param weight: weight of the sample, from 0 to 1.
-    :return: the new mean.
-    """
-    return previous + weight * (sample - previous)
-
-
 class ClassEstimate:
     """What is known of the cost of a class.
 
--- a/egretdale/state/members.py
+++ b/egretdale/state/members.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from egretdale.state.messages import MemberUpdate
+from egretdale.util.hashing import rank_by_rendezvous
 
 
 class MemberStatus(enum.IntEnum):
@@ -120,3 +121,18 @@
 
 def _rank_update(update: MemberUpdate) -> tuple[int, int, int]:
     return update.incarnation, update.counter, update.status
+
+
+def find_owner(table: MemberTable, group: str) -> str:
+    """Find the host that allocates a group.
+
+    :param table: view of the entry hosts.
+    :param group: group key.
+    :return: name of the host.
+    """
+    hosts = [
+        member.update.host
+        for member in table.list_members()
+        if member.status == MemberStatus.ALIVE
+    ]
+    return rank_by_rendezvous(group, hosts or [table.own_host])[0]
--- a/egretdale/state/messages.py
+++ b/egretdale/state/messages.py
@@ -18,6 +18,10 @@
     :ivar prefix: hash of the leading part of the prompt, 0 for none.
     :ivar returning: whether the caller came back at the promised time.
     :ivar avoided: backend servers that failed for this request.
+    :ivar shared_tokens: tokens of the parts that other requests share.
+    :ivar urgency: rank at backend servers, 0 is served first.
+    :ivar target_ms: milliseconds to the first token that the caller aims for.
+    :ivar left_ms: milliseconds until the caller stops waiting.
     """
 
     request_id: str
@@ -29,6 +33,10 @@
     prefix: int = 0
     returning: bool = False
     avoided: list[str] = field(default_factory=list)
+    shared_tokens: int = 0
+    urgency: int = 0
+    target_ms: int = 0
+    left_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -79,10 +87,12 @@
 
     :ivar request_id: identity of the request.
     :ivar backend: name of the backend server.
+    :ivar prefill_tokens: prompt tokens that it probably has to prefill.
     """
 
     request_id: str
     backend: str
+    prefill_tokens: int = 0
 
 
 @dataclass(slots=True)
--- a/egretdale/state/routing.py
+++ b/egretdale/state/routing.py
@@ -75,7 +75,7 @@
 
     :ivar name: name of the organisation.
     :ivar keys: keys that its callers send.
-    :ivar priority: rank that replaces the route's, ``None`` for no rank.
+    :ivar priority: rank that goes before the route's, ``None`` for no rank.
     """
 
     name: str
--- a/egretdale/util/hashing.py
+++ b/egretdale/util/hashing.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 
 _DIGEST_BYTES = 8
+_SIGNED_LIMIT = 1 << 63  # noqa: WPS432
 
 
 def hash_text(text: str) -> int:
@@ -18,6 +19,15 @@
     return int.from_bytes(digest.digest(), 'big')
 
 
+def fold_identity(identity: int) -> int:
+    """Fold an identity of any size into a signed 64-bit number.
+
+    :param identity: number that is not negative.
+    :return: the same number for the same identity, 0 only for 0.
+    """
+    return identity % _SIGNED_LIMIT
+
+
 def rank_by_rendezvous(key: str, names: Iterable[str]) -> list[str]:
     """Order names by rendezvous hashing.
 
--- a/egretdale/util/logs.py
+++ b/egretdale/util/logs.py
@@ -156,6 +156,7 @@
     """
     handler = LineHandler(sys.stdout.fileno(), host, lines_per_s)
     # Imported libraries log nothing that an operator could act on.
+    logging.getLogger('urllib3').setLevel(logging.CRITICAL)
     target = absl_logging.get_absl_logger()
     target.handlers = [handler]
     target.propagate = False
--- a/standins/deciding.py
+++ b/standins/deciding.py
@@ -14,7 +14,7 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from egretdale.coordination.allocation import GroupAllocator
-from egretdale.coordination.allocators import find_owner
+from egretdale.state.members import find_owner
 from egretdale.coordination.backends import BackendDirectory
 from egretdale.coordination.membership import Membership
 from egretdale.coordination.mesh import Mesh
