--- a/egretdale/coordination/prefill.py
+++ b/egretdale/coordination/prefill.py
@@ -217,7 +217,7 @@
             ahead_s = predict_prefill(ahead) / max(1, len(ready))
             decision = self._decide(queue, waiting, ready, ahead_s)
             if decision is None:
-                ahead += waiting.ask.prompt_tokens
+                ahead += self._count_least(waiting.ask, ready)
                 continue
             queue.waiting.pop(waiting.ask.request_id)
             reply = replies.setdefault(waiting.host, GroupReply(service))
@@ -297,6 +297,13 @@
         held = self._is_held(ask, engine)
         return ask.prompt_tokens - ask.shared_tokens * held
 
+    def _count_least(self, ask: Ask, ready: list[Instance]) -> int:
+        engines = [name_engine(instance) for instance in ready]
+        return min(
+            (self._count_missing(ask, engine) for engine in engines),
+            default=ask.prompt_tokens,
+        )
+
     def _is_held(self, ask: Ask, engine: str) -> bool:
         return self._prefixes.is_held(engine, ask.prefix, self._clock())
 
