Take news of first tokens for lost after a second

Prompts whose news never came (their hosts had died, or had given up waiting for the allocator) counted against their engines until the callers' deadlines. Ruled out: an allocator that is overloaded (its requests of the top tier were granted within 30 ms) and slow engines (first tokens within 70 ms). Change: a prompt without news a second after it was due no longer counts, and a host that withdraws a request takes back what was granted. Tests of lost news and of withdrawn requests failed before.

--- a/egretdale/coordination/prefill.py
+++ b/egretdale/coordination/prefill.py
@@ -159,6 +159,7 @@
             self._finish(queue, done)
         for request_id in message.withdrawn:
             queue.waiting.pop(request_id, None)
+            self._finish(queue, Done(request_id, ''))
         now = self._clock()
         for ask in message.asks:
             queue.waiting[ask.request_id] = WaitingPrompt(ask, host, now)
--- a/egretdale/state/backlogs.py
+++ b/egretdale/state/backlogs.py
@@ -13,6 +13,8 @@
 _TOKENS_PER_S = 120000.0
 #: Time in seconds by which news of a first token may be late.
 _NEWS_S = 0.1
+#: Time in seconds after which news of a first token is taken for lost.
+_LOST_S = 1.0
 #: Time to the first token without any prompt to prefill, in seconds.
 _BASE_S = 0.05
 #: Time in seconds in which a delay that was seen loses most of its weight.
@@ -81,9 +83,12 @@
         :return: seconds.
         """
         backlog = self._backlogs.get(engine)
-        if backlog is None or not backlog.prompts:
+        if backlog is None:
             return 0
         now = self._clock()
+        self._drop_lost(backlog, now)
+        if not backlog.prompts:
+            return 0
         outstanding_s = predict_prefill(backlog.tokens)
         oldest = next(iter(backlog.prompts.values()))
         if now > oldest.due_at + _NEWS_S:
@@ -147,6 +152,15 @@
         backlog.tokens -= prompt.tokens
         return prompt.tokens
 
+    def _drop_lost(self, backlog: Backlog, now: float) -> None:
+        lost = [
+            request_id
+            for request_id, prompt in backlog.prompts.items()
+            if now > prompt.due_at + _LOST_S
+        ]
+        for request_id in lost:
+            backlog.tokens -= backlog.prompts.pop(request_id).tokens
+
 
 def predict_prefill(tokens: int) -> float:
     """Predict how long an engine prefills a prompt.
--- a/tests/test_coordination/test_prefill.py
+++ b/tests/test_coordination/test_prefill.py
@@ -231,6 +231,26 @@
         assert names.count('e0') < names.count('e1') / 3
 
 
+def test_lost_news_of_first_tokens_block_an_engine_only_briefly() -> None:
+    """Engines whose hosts have died are used again after a second."""
+    with _open_engines(1) as engines:
+        engines.allocator.take('dead', _message(_ask('lost', _LONG)))
+        eventlet.sleep(0.5)
+        engines.send(_ask('next', _LONG))
+        eventlet.sleep(4)
+        assert engines.first_tokens['next'] < 1.5
+
+
+def test_withdrawn_requests_free_their_engine() -> None:
+    """A host that gave up waiting takes back what was granted to it."""
+    with _open_engines(1) as engines:
+        engines.allocator.take('host', _message(_ask('r1', _LONG * 4)))
+        withdrawal = GroupAsk(_SERVICE, withdrawn=['r1'])
+        engines.allocator.take('host', withdrawal)
+        reply = engines.allocator.take('host', _message(_ask('r2', _LONG)))
+        assert [grant.request_id for grant in reply.grants] == ['r2']
+
+
 class _SilentAllocator:
     """An allocator on a host that takes messages and never answers."""
 
