Publish metrics of forwarding and split the longest modules

Change: counters of answers, refusals, attempts, repeats, calls to the platform and silent allocators, histograms of waits and first bytes, gauges of the configuration's age and of requests in progress. Records of attempts, peer calls, prompts and member news are modules of their own.

--- /dev/null
+++ b/egretdale/coordination/attempt_record.py
@@ -0,0 +1,70 @@
+"""Log lines and metrics of attempts at backend servers."""
+
+from __future__ import annotations
+
+from egretdale.coordination.exchanges import ForwardResponse
+from egretdale.coordination.placing import Placement
+from egretdale.coordination.ports import MaybeRun, NotRun
+from egretdale.coordination.progress import Progress
+from egretdale.state.gateway_figures import GatewayFigures
+from egretdale.util.clocks import Clock, convert_to_ms
+from egretdale.util.logs import get_logger
+
+logger = get_logger(__name__)
+
+
+class AttemptRecord:
+    """Records each sending of a request."""
+
+    __slots__ = ('_clock', '_figures')
+
+    def __init__(self, figures: GatewayFigures, clock: Clock) -> None:
+        """Create a record.
+
+        :param figures: metrics.
+        :param clock: monotonic clock.
+        """
+        self._figures = figures
+        self._clock = clock
+
+    def note(
+        self,
+        progress: Progress,
+        placement: Placement,
+        outcome: ForwardResponse | NotRun | MaybeRun,
+        sent_at: float,
+    ) -> None:
+        """Note how an attempt ended.
+
+        :param progress: the request.
+        :param placement: where it was sent.
+        :param outcome: the answer, or what is known of the request.
+        :param sent_at: clock time at which it was sent.
+        """
+        match outcome:
+            case NotRun(detail=detail):
+                ended = 'not-run'
+            case MaybeRun(detail=detail):
+                ended = 'may-have-run'
+            case _:
+                ended, detail = str(outcome.status), ''
+        waited_s = sent_at - progress.admitted.request.arrived_at
+        took_s = self._clock() - sent_at
+        service = progress.service
+        self._figures.attempts.labels(service, ended).inc()
+        self._figures.admission_wait.labels(service).observe(waited_s)
+        self._figures.first_byte.labels(service).observe(took_s)
+        logger.info(
+            'attempt',
+            request_id=progress.admitted.request.request_id,
+            backend=placement.instance.name,
+            service=service,
+            attempt=progress.sent + 1,
+            prefill_tokens=placement.prefill_tokens,
+            urgency=progress.admitted.urgency,
+            waited_ms=convert_to_ms(waited_s),
+            revision=progress.admitted.revision,
+            outcome=ended,
+            detail=detail,
+            took_ms=convert_to_ms(took_s),
+        )
--- /dev/null
+++ b/egretdale/coordination/counting.py
@@ -0,0 +1,82 @@
+"""Counts the calls to the platform."""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+from egretdale.coordination.ports import (
+    Listing,
+    Platform,
+    StoredObject,
+    Written,
+)
+from egretdale.errors import Ambiguous, Conflict, Missing, Unreachable
+from egretdale.state.gateway_figures import GatewayFigures
+
+_Outcome = TypeVar('_Outcome')
+
+
+class CountedPlatform:
+    """The platform's object API with a counter before it."""
+
+    __slots__ = ('_figures', '_platform')
+
+    def __init__(self, platform: Platform, figures: GatewayFigures) -> None:
+        """Wrap an object API.
+
+        :param platform: the object API.
+        :param figures: metrics.
+        """
+        self._platform = platform
+        self._figures = figures
+
+    def read(
+        self, kind: str, name: str
+    ) -> StoredObject | Missing | Unreachable:
+        """Read one object.
+
+        :param kind: kind of the object.
+        :param name: name within the kind.
+        :return: the object, or why there is none.
+        """
+        return self._count('read', self._platform.read(kind, name))
+
+    def list_objects(self, kind: str) -> Listing | Unreachable:
+        """List all objects of a kind.
+
+        :param kind: kind of the objects.
+        :return: the objects, or why they could not be read.
+        """
+        return self._count('list', self._platform.list_objects(kind))
+
+    def watch(
+        self, kind: str, version: int, timeout_s: float
+    ) -> Listing | Unreachable:
+        """Wait until a listing is newer than a version.
+
+        :param kind: kind of the objects.
+        :param version: version that the caller has.
+        :param timeout_s: longest wait in seconds.
+        :return: the listing, or why it could not be read.
+        """
+        outcome = self._platform.watch(kind, version, timeout_s)
+        return self._count('watch', outcome)
+
+    def write(
+        self, kind: str, name: str, body: bytes, expected: int
+    ) -> Written | Conflict | Unreachable | Ambiguous:
+        """Write an object if its version is the expected one.
+
+        :param kind: kind of the object.
+        :param name: name within the kind.
+        :param body: bytes to store.
+        :param expected: expected version, 0 when it must not exist.
+        :return: the new version, or what happened instead.
+        """
+        outcome = self._platform.write(kind, name, body, expected)
+        return self._count('write', outcome)
+
+    def _count(self, call: str, outcome: _Outcome) -> _Outcome:
+        ended = type(outcome).__name__.lower()
+        self._figures.platform_calls.labels(call, ended).inc()
+        return outcome
--- a/egretdale/coordination/forwarding.py
+++ b/egretdale/coordination/forwarding.py
@@ -4,6 +4,7 @@
 
 import random
 
+from egretdale.coordination.attempt_record import AttemptRecord
 from egretdale.coordination.admission import Admission, Admitted
 from egretdale.coordination.budgets import BudgetBook
 from egretdale.coordination.exchanges import (
@@ -19,14 +20,12 @@
 from egretdale.coordination.progress import Opened, Progress
 from egretdale.coordination.prompts import PromptDesk
 from egretdale.coordination.relaying import Relay
+from egretdale.state.gateway_figures import GatewayFigures
 from egretdale.state.loads import LoadTable
 from egretdale.state.messages import Ask
 from egretdale.state.outcomes import Ran, Reason, Refused
 from egretdale.util.clocks import Clock, convert_to_ms
 from egretdale.util.hashing import fold_identity
-from egretdale.util.logs import get_logger
-
-logger = get_logger(__name__)
 
 #: Least time that is left for an attempt to be worth while, in seconds.
 _WORTHWHILE_S = 0.02
@@ -46,9 +45,11 @@
         '_budgets',
         '_client',
         '_clock',
+        '_figures',
         '_loads',
         '_placer',
         '_prompts',
+        '_record',
         '_source',
     )
 
@@ -60,6 +61,7 @@
         loads: LoadTable,
         budgets: BudgetBook,
         prompts: PromptDesk,
+        figures: GatewayFigures,
         client: ForwardClient,
         clock: Clock,
         source: random.Random,
@@ -71,6 +73,7 @@
         :param loads: loads of backend servers.
         :param budgets: budgets for repeats by service.
         :param prompts: gets engines for prompts.
+        :param figures: metrics.
         :param client: client of backend servers.
         :param clock: monotonic clock.
         :param source: random source.
@@ -80,6 +83,8 @@
         self._loads = loads
         self._budgets = budgets
         self._prompts = prompts
+        self._figures = figures
+        self._record = AttemptRecord(figures, clock)
         self._client = client
         self._clock = clock
         self._source = source
@@ -165,12 +170,20 @@
                 return self._refuse(progress, placement.detail, placement)
             if placement is None:
                 return self._refuse(progress, 'no backend server is left')
-            if progress.sent and not self._budgets.spend(progress.service):
+            if progress.sent and not self._spend_repeat(progress.service):
                 return self._refuse(progress, 'the retry budget is spent')
             outcome = self._try(progress, placement, last_event_id)
             if outcome is not None:
                 return outcome
 
+    def _spend_repeat(self, service: str) -> bool:
+        allowed = self._budgets.spend(service)
+        counter = self._figures.repeats
+        if not allowed:
+            counter = self._figures.denied_repeats
+        counter.labels(service).inc()
+        return allowed
+
     def _place(self, progress: Progress) -> Placement | Refused | None:
         request = progress.admitted.request
         if request.prompt.tokens:
@@ -237,7 +250,7 @@
         progress.avoided.append(instance.name)
         sent_at = self._clock()
         outcome = self._exchange(attempt, placement, progress.service)
-        self._log(progress, placement, outcome, sent_at)
+        self._record.note(progress, placement, outcome, sent_at)
         match outcome:
             case NotRun():
                 self._loads.suspend(instance.incarnation)
@@ -329,33 +342,3 @@
             return refusal
         retry_s = _FULL_RETRY_S if progress.sent else _NO_BACKEND_RETRY_S
         return Refused(Reason.NO_BACKEND_SERVER, Ran.NO, retry_s, detail)
-
-    def _log(
-        self,
-        progress: Progress,
-        placement: Placement,
-        outcome: ForwardResponse | NotRun | MaybeRun,
-        sent_at: float,
-    ) -> None:
-        match outcome:
-            case NotRun(detail=detail):
-                ended = f'not run: {detail}'
-            case MaybeRun(detail=detail):
-                ended = f'may have run: {detail}'
-            case _:
-                ended = str(outcome.status)
-        logger.info(
-            'attempt',
-            request_id=progress.admitted.request.request_id,
-            backend=placement.instance.name,
-            service=progress.service,
-            attempt=progress.sent + 1,
-            prefill_tokens=placement.prefill_tokens,
-            urgency=progress.admitted.urgency,
-            waited_ms=convert_to_ms(
-                sent_at - progress.admitted.request.arrived_at
-            ),
-            revision=progress.admitted.revision,
-            outcome=ended,
-            took_ms=convert_to_ms(self._clock() - sent_at),
-        )
--- a/egretdale/coordination/gateway.py
+++ b/egretdale/coordination/gateway.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import eventlet
 
@@ -15,6 +15,7 @@
     RoutingDecoder,
 )
 from egretdale.coordination.copies import PeerAccess
+from egretdale.coordination.counting import CountedPlatform
 from egretdale.coordination.exchanges import ForwardClient
 from egretdale.coordination.forwarding import Forwarder
 from egretdale.coordination.instances import (
@@ -29,6 +30,7 @@
 from egretdale.coordination.ports import Network, Platform
 from egretdale.coordination.prefill import PrefillAllocator
 from egretdale.coordination.prompts import PromptDesk
+from egretdale.state.gateway_figures import GatewayFigures
 from egretdale.state.instances import Instance, InstanceTable
 from egretdale.state.loads import LoadTable
 from egretdale.state.members import MemberStatus, MemberTable
@@ -75,6 +77,7 @@
     :ivar configuration: configuration in force.
     :ivar instances: backend servers.
     :ivar forwarder: forwards requests.
+    :ivar figures: metrics.
     """
 
     __slots__ = (
@@ -84,6 +87,7 @@
         '_prompts',
         '_table',
         'configuration',
+        'figures',
         'forwarder',
         'instances',
         'membership',
@@ -100,6 +104,9 @@
         :param outside: the world outside.
         """
         self.settings = settings
+        self.figures = GatewayFigures()
+        counted = CountedPlatform(outside.platform, self.figures)
+        outside = replace(outside, platform=counted)
         self._outside = outside
         self._table = MemberTable(settings.host)
         self.mesh = Mesh(
@@ -122,6 +129,7 @@
         self.mesh.add_listener(self.instances)
         self.mesh.add_listener(self._prompts)
         self.mesh.attach_handler(self._allocator.handle)
+        self._watch_figures()
 
     def start(self, tasks: TaskGroup) -> None:
         """Start the tasks of the host.
@@ -171,6 +179,28 @@
             return self.instances.copy()
         return self.configuration.copy(kind)
 
+    def _watch_figures(self) -> None:
+        self.figures.watch(
+            'configuration_age_seconds',
+            'Seconds since the configuration was known to be the newest',
+            self.configuration.confirmation.measure_age,
+        )
+        self.figures.watch(
+            'configuration_version',
+            'Version of the configuration in force',
+            lambda: self.configuration.version,
+        )
+        self.figures.watch(
+            'backend_servers',
+            'Backend servers in the list',
+            self.instances.table.count,
+        )
+        self.figures.watch(
+            'peer_bytes',
+            'Bytes sent to peers',
+            lambda: self.mesh.sent_bytes,
+        )
+
     def _run_joining(self) -> None:
         while self.configuration.table is None:
             eventlet.sleep(_JOINING_CHECK_S)
@@ -213,7 +243,11 @@
         self._allocator = PrefillAllocator(self.mesh, table, outside.clock)
         self._placer = placer
         self._prompts = PromptDesk(
-            self.mesh, self._allocator, table, outside.clock
+            self.mesh,
+            self._allocator,
+            table,
+            outside.clock,
+            self.figures.silent_allocators,
         )
         self.instances = InstanceFollower(
             outside.platform,
@@ -242,6 +276,7 @@
                 outside.clock,
             ),
             prompts=self._prompts,
+            figures=self.figures,
             client=outside.client,
             clock=outside.clock,
             source=outside.source,
--- a/egretdale/coordination/membership.py
+++ b/egretdale/coordination/membership.py
@@ -11,6 +11,7 @@
 
 from egretdale.coordination.mesh import Mesh, MeshListener
 from egretdale.coordination.ports import Listing, Platform, Written
+from egretdale.state.member_news import News, StoredMember
 from egretdale.state.members import Member, MemberStatus, MemberTable
 from egretdale.state.messages import Batch, MemberUpdate
 from egretdale.util.clocks import Clock
@@ -31,26 +32,6 @@
 _JITTER_SHARE = 0.2
 
 
-class StoredMember(msgspec.Struct):
-    """A member object in the platform.
-
-    :ivar update: newest news that the host published about itself.
-    """
-
-    update: MemberUpdate
-
-
-class _News(msgspec.Struct):
-    """News that still has to be repeated.
-
-    :ivar host: host that the news is about.
-    :ivar left: batches that it still goes into.
-    """
-
-    host: str
-    left: int
-
-
 class Membership(MeshListener):
     """Keeps the view of entry hosts and publishes this host.
 
@@ -102,7 +83,7 @@
         self._random = source
         self._period_s = period_s
         self._suspicion_s = suspicion_s
-        self._news: deque[_News] = deque()
+        self._news: deque[News] = deque()
         self._stored_version = 0
         self.table.apply(own, clock())
         self._spread(own.host)
@@ -355,7 +336,7 @@
             if news.host == host:
                 news.left = _NEWS_REPEATS
                 return
-        self._news.append(_News(host, _NEWS_REPEATS))
+        self._news.append(News(host, _NEWS_REPEATS))
 
     def _log(self, update: MemberUpdate) -> None:
         logger.info(
--- a/egretdale/coordination/prefill.py
+++ b/egretdale/coordination/prefill.py
@@ -8,8 +8,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-
 import eventlet
 
 from egretdale.coordination.mesh import Mesh, MeshListener
@@ -25,6 +23,7 @@
     GroupReply,
 )
 from egretdale.state.prefixes import PrefixIndex
+from egretdale.state.prompts import GrantedPrompt, ServiceQueue, WaitingPrompt
 from egretdale.util.clocks import (
     Clock,
     convert_to_ms,
@@ -57,51 +56,6 @@
 _DENIED_RETRY_S = 0.3
 
 
-@dataclass(slots=True)
-class WaitingPrompt:
-    """A request that waits for an engine.
-
-    :ivar ask: the request.
-    :ivar host: entry host that holds it.
-    :ivar arrived_at: clock time of its arrival here.
-    """
-
-    ask: Ask
-    host: str
-    arrived_at: float
-
-    @property
-    def target_at(self) -> float:
-        """Clock time at which the first token is wanted."""
-        return self.arrived_at + convert_to_seconds(self.ask.target_ms)
-
-
-@dataclass(slots=True)
-class GrantedPrompt:
-    """A request that was sent to an engine and has no first token yet.
-
-    :ivar engine: name of the incarnation.
-    :ivar expires_at: clock time after which it has certainly ended.
-    :ivar short: whether it was sent without waiting for others.
-    """
-
-    engine: str
-    expires_at: float
-    short: bool
-
-
-@dataclass(slots=True)
-class ServiceQueue:
-    """Requests of one service.
-
-    :ivar waiting: requests that wait, by identity.
-    :ivar granted: requests that have no first token yet, by identity.
-    """
-
-    waiting: dict[str, WaitingPrompt] = field(default_factory=dict)
-    granted: dict[str, GrantedPrompt] = field(default_factory=dict)
-
-
 class PrefillAllocator(MeshListener):
     """Grants engines to the requests of all hosts.
 
--- a/egretdale/coordination/prompts.py
+++ b/egretdale/coordination/prompts.py
@@ -6,6 +6,7 @@
 
 import eventlet
 from eventlet.event import Event
+from prometheus_client import Counter
 
 from egretdale.coordination.mesh import Mesh, MeshListener
 from egretdale.coordination.placing import Placement
@@ -82,6 +83,7 @@
         '_instances',
         '_mesh',
         '_pending',
+        '_silent',
     )
 
     def __init__(
@@ -90,6 +92,7 @@
         allocator: PrefillAllocator,
         instances: InstanceTable,
         clock: Clock,
+        silent: Counter,
     ) -> None:
         """Create a desk without requests.
 
@@ -97,7 +100,9 @@
         :param allocator: allocator of this host.
         :param instances: backend servers.
         :param clock: monotonic clock.
+        :param silent: counts requests whose allocator gave no word.
         """
+        self._silent = silent
         self._mesh = mesh
         self._allocator = allocator
         self._instances = instances
@@ -132,7 +137,10 @@
             self._pending.pop(ask.request_id, None)
         if reply is None:
             self._avoided_until[owner] = self._clock() + _AVOID_S
-            logger.info('allocator-silent', owner=owner)
+            self._silent.inc()
+            logger.info(
+                'allocator-silent', owner=owner, request_id=ask.request_id
+            )
             self._withdraw(service, owner, ask.request_id)
         return self._translate(reply)
 
--- a/egretdale/transport/daemon.py
+++ b/egretdale/transport/daemon.py
@@ -16,12 +16,8 @@
 from egretdale.transport.backends import HttpBackendClient
 from egretdale.transport.callers import CallerInterface, StartResponse
 from egretdale.transport.operators import OperatorInterface
-from egretdale.transport.peers import (
-    PeerClient,
-    PeerHandler,
-    PeerServer,
-    listen,
-)
+from egretdale.transport.peer_calls import PeerHandler
+from egretdale.transport.peers import PeerClient, PeerServer, listen
 from egretdale.transport.platform import PlatformClient
 from egretdale.transport.refusals import RefusalBook
 from egretdale.util.clocks import read_hub_clock, read_wall_clock
--- a/egretdale/transport/gateway.py
+++ b/egretdale/transport/gateway.py
@@ -10,7 +10,7 @@
 import eventlet
 from eventlet import wsgi
 from eventlet.event import Event
-from prometheus_client import CollectorRegistry, make_wsgi_app
+from prometheus_client import make_wsgi_app
 
 from egretdale.config import GatewaySettings
 from egretdale.coordination.configuration import RoutingDecoder
@@ -20,12 +20,8 @@
 from egretdale.protocol.forwarding import HeaderCodec
 from egretdale.transport.forwarding import HttpForwardClient
 from egretdale.transport.ingress import Ingress
-from egretdale.transport.peers import (
-    NewsHandler,
-    PeerClient,
-    PeerServer,
-    listen,
-)
+from egretdale.transport.peer_calls import NewsHandler
+from egretdale.transport.peers import PeerClient, PeerServer, listen
 from egretdale.util.clocks import read_boot_clock, read_wall_clock
 from egretdale.util.logs import get_logger
 from egretdale.util.tasks import TaskGroup
@@ -117,6 +113,12 @@
             self.gateway.limits,
             clock,
             settings.maximum_connections,
+            self.gateway.figures,
+        )
+        self.gateway.figures.watch(
+            'requests_in_progress',
+            'Requests in progress',
+            lambda: self._ingress.active,
         )
         self._listeners = {
             address: listen(address) for address in self._list_addresses()
@@ -173,7 +175,9 @@
             settings.directory_address: interface.create_directory(
                 self.gateway
             ),
-            settings.metrics_address: make_wsgi_app(CollectorRegistry()),
+            settings.metrics_address: make_wsgi_app(
+                self.gateway.figures.registry
+            ),
         }
         for address, application in sides.items():
             self._tasks.start(_serve, self._listeners[address], application)
--- a/egretdale/transport/ingress.py
+++ b/egretdale/transport/ingress.py
@@ -15,6 +15,7 @@
 from egretdale.protocol.forwarding import HeaderCodec, RequestHead
 from egretdale.protocol.framing import is_framing_clear
 from egretdale.protocol.problems import choose_status
+from egretdale.state.gateway_figures import GatewayFigures
 from egretdale.state.outcomes import Ran, Reason, Refused
 from egretdale.state.routing import CallerLimits
 from egretdale.transport.exchanges import Exchange
@@ -96,6 +97,7 @@
         '_clock',
         '_closing',
         '_codec',
+        '_figures',
         '_forwarder',
         '_idle',
         '_limits',
@@ -110,6 +112,7 @@
         limits: Callable[[], CallerLimits],
         clock: Clock,
         maximum_connections: int,
+        figures: GatewayFigures,
     ) -> None:
         """Create an ingress without connections.
 
@@ -118,12 +121,14 @@
         :param limits: returns the limits in force.
         :param clock: monotonic clock.
         :param maximum_connections: connections at one time.
+        :param figures: metrics.
         """
         self.active = 0
         self._codec = codec
         self._forwarder = forwarder
         self._limits = limits
         self._clock = clock
+        self._figures = figures
         self._closing = False
         self._idle: set[Any] = set()
         self._pool = GreenPool(maximum_connections)
@@ -239,6 +244,7 @@
         :param request: the request.
         :param outcome: what the caller got.
         """
+        self._figures.ended.labels(outcome.partition(':')[0]).inc()
         logger.info(
             'request-ended',
             request_id=request.request_id,
@@ -262,6 +268,7 @@
             headers.append((self._codec.names.request_id, request_id))
         if may_retry:
             headers.append(('Retry-After', f'{refused.retry_after_s:.2f}'))
+        self._figures.refused.labels(refused.reason, refused.ran).inc()
         logger.info(
             'refused',
             request_id=request_id,
--- /dev/null
+++ b/egretdale/transport/peer_calls.py
@@ -0,0 +1,81 @@
+"""Answers to the calls of other daemons."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from egretdale.coordination.keys import KeyIssuer
+from egretdale.coordination.mesh import Mesh
+from egretdale.protocol.wire import decode_structure, encode_structure
+from egretdale.state.messages import DocumentCopy
+
+
+class NewsHandler:
+    """Answers batches and requests for copies."""
+
+    __slots__ = ('_copy', '_mesh')
+
+    def __init__(self, mesh: Mesh, copy: Callable[[str], DocumentCopy]) -> None:
+        """Create a handler.
+
+        :param mesh: links to peers.
+        :param copy: returns the copy of a document by its name.
+        """
+        self._mesh = mesh
+        self._copy = copy
+
+    def deliver(self, batch: Any) -> Any:
+        """Take in a batch.
+
+        :param batch: thrift structure of the batch.
+        :return: thrift structure of the answer.
+        """
+        return encode_structure(self._mesh.handle(decode_structure(batch)))
+
+    def fetch(self, service_name: str) -> Any:
+        """Return a copy of a document.
+
+        :param service_name: service name.
+        :return: thrift structure of the copy.
+        """
+        return encode_structure(self._copy(service_name))
+
+
+class PeerHandler(NewsHandler):
+    """Answers all calls of other daemons."""
+
+    __slots__ = ('_issuer',)
+
+    def __init__(
+        self,
+        mesh: Mesh,
+        copy: Callable[[str], DocumentCopy],
+        issuer: KeyIssuer,
+    ) -> None:
+        """Create a handler.
+
+        :param mesh: links to peers.
+        :param copy: returns the copy of a document by its name.
+        :param issuer: decides on the keys of this host.
+        """
+        super().__init__(mesh, copy)
+        self._issuer = issuer
+
+    def claim(self, question: Any) -> Any:
+        """Decide on a key that this host issued.
+
+        :param question: thrift structure of the question.
+        :return: thrift structure of the decision.
+        """
+        return encode_structure(self._issuer.decide(decode_structure(question)))
+
+    def settle(self, key: str, ran: bool) -> bool:
+        """Note how a request with a key of this host ended.
+
+        :param key: the key.
+        :param ran: whether a backend server may have run it.
+        :return: true.
+        """
+        self._issuer.settle(key, ran=ran)
+        return True
--- a/tests/forwarding.py
+++ b/tests/forwarding.py
@@ -18,6 +18,7 @@
 from egretdale.coordination.forwarding import Forwarder
 from egretdale.coordination.placing import Placer
 from egretdale.coordination.ports import EndOfStream, MaybeRun, NotRun
+from egretdale.state.gateway_figures import GatewayFigures
 from egretdale.state.freshness import Confirmation
 from egretdale.state.instances import Instance, InstanceTable
 from egretdale.state.loads import LoadTable
@@ -249,6 +250,7 @@
         loads=loads,
         budgets=BudgetBook(BudgetTerms(0.2, 40, 10, 4), clock),
         prompts=NoAllocator(),
+        figures=GatewayFigures(),
         client=client,
         clock=clock,
         source=random.Random(1),
--- a/tests/test_coordination/test_prefill.py
+++ b/tests/test_coordination/test_prefill.py
@@ -18,6 +18,7 @@
 from egretdale.coordination.prompts import PromptDesk
 from egretdale.errors import Cause, Unreachable
 from egretdale.state.backlogs import predict_prefill
+from egretdale.state.gateway_figures import GatewayFigures
 from egretdale.state.instances import Instance, InstanceTable
 from egretdale.state.members import MemberTable
 from egretdale.state.messages import (
@@ -268,7 +269,8 @@
         mesh = Mesh(members, _SilentNetwork(), hub.read_now, 4096)
         table = InstanceTable(hub.read_now, 2)
         table.replace({'e0': Instance('e0', _SERVICE, '')}, after_outage=False)
-        desk = PromptDesk(mesh, allocator, table, hub.read_now)
+        silent = GatewayFigures().silent_allocators
+        desk = PromptDesk(mesh, allocator, table, hub.read_now, silent)
         mesh.add_listener(desk)
         yield desk, hub
 
