Tell a request's story from the logs of all hosts

Cause: on call there are only logs; the way from a request's id to its cause had to be found by hand, over several hosts. Change: egretdale story REQUEST_ID reads log lines from standard input and prints how the request ended and why, what its hosts lacked at the time and its lines in order.

--- a/egretdale/cmd/egretdale.py
+++ b/egretdale/cmd/egretdale.py
@@ -4,17 +4,19 @@
 
 import sys
 from pathlib import Path
+from typing import TextIO
 
 import click
 import msgspec
 
 from egretdale.cmd.documents import document
-from egretdale.cmd.output import Context, fail, show
+from egretdale.cmd.output import REFUSED_EXIT, Context, fail, show
 from egretdale.config import parse_settings
 from egretdale.errors import Invalid, Unreachable
 from egretdale.protocol.hosts import HostsAnswer
 from egretdale.protocol.operators import Explanation, StatusAnswer
 from egretdale.state.identity import decode_refusal
+from egretdale.state.stories import tell_story
 from egretdale.transport.client import OperatorClient
 
 _INVALID_EXIT = 2
@@ -51,6 +53,35 @@
     context.obj = Context(OperatorClient(hosts), output == 'json')
 
 
+@main.command()
+@click.argument('request_id')
+@click.option(
+    '--logs',
+    type=click.File('r', errors='replace'),
+    default='-',
+    help='File with log lines of any number of hosts; standard input if not.',
+)
+@click.pass_obj
+def story(context: Context, request_id: str, logs: TextIO) -> None:
+    """Tell what the logs say of a request, across hosts.
+
+    Prints how it ended and why, what its hosts lacked at the time, and its
+    log lines in order. Exit status 1 when the logs hold nothing of it.
+
+    \f
+    :param context: form of the output.
+    :param request_id: identity of the request.
+    :param logs: log lines.
+    """
+    told = tell_story(logs, request_id)
+    lines = [told.verdict]
+    lines.extend(f'lacking: {loss.describe()}' for loss in told.circumstances)
+    lines.extend(entry.describe() for entry in told.entries)
+    show(context, told, lines)
+    if not told.entries:
+        sys.exit(REFUSED_EXIT)
+
+
 @main.command()
 @click.pass_obj
 def status(context: Context) -> None:
--- a/egretdale/coordination/forwarding.py
+++ b/egretdale/coordination/forwarding.py
@@ -328,6 +328,8 @@
             return False
         if progress.sent >= route.maximum_attempts:
             return False
+        if self._admission.find_staleness(progress.admitted) is not None:
+            return False
         left_s = self._admission.measure_left(progress.admitted)
         if left_s < route.target_s / 2:
             return False
--- a/tests/forwarding.py
+++ b/tests/forwarding.py
@@ -207,6 +207,7 @@
     placer: Placer
     forwarder: Forwarder
     client: ScriptedClient
+    figures: GatewayFigures
 
     def forward(self, request: ForwardRequest):
         """Admit and forward a request.
@@ -242,6 +243,7 @@
         },
         after_outage=False,
     )
+    figures = GatewayFigures()
     loads = LoadTable(clock)
     placer = Placer(instances, loads, clock)
     forwarder = Forwarder(
@@ -250,11 +252,18 @@
         loads=loads,
         budgets=BudgetBook(BudgetTerms(0.2, 40, 10, 4), clock),
         prompts=NoAllocator(),
-        figures=GatewayFigures(),
+        figures=figures,
         client=client,
         clock=clock,
         source=random.Random(1),
     )
     yield ForwardingScene(
-        clock, configuration, instances, loads, placer, forwarder, client
+        clock,
+        configuration,
+        instances,
+        loads,
+        placer,
+        forwarder,
+        client,
+        figures,
     )
--- a/tests/test_coordination/test_forwarding.py
+++ b/tests/test_coordination/test_forwarding.py
@@ -197,3 +197,22 @@
         with _case.assertRaises(BrokenAnswer):
             next(reply.chunks)
         assert len(client.attempts) == 1
+
+
+def test_a_failure_is_passed_on_when_keys_forbid_another_try() -> None:
+    """The signed failure is worth more than an unknown outcome."""
+    patient = create_route('/safe/', RequestKind.IDEMPOTENT, timeout_s=60.0)
+    table = create_table(patient, keys=('k',))
+    failure = ScriptedResponse(status=500)
+    client = ScriptedClient(failure)
+    with open_scene(table, client) as scene:
+        request = create_request('/safe/', key='k', patience_s=30.0)
+        admitted = scene.forwarder.admit(request)
+        scene.clock.now += 4.99
+
+        def answer_late(attempt: object) -> ScriptedResponse:
+            scene.clock.now += 0.1
+            return failure
+
+        client.open = answer_late
+        assert scene.forwarder.forward(admitted).status == 500
