--- a/tests/test_platform/test_translation.py
+++ b/tests/test_platform/test_translation.py
@@ -45,7 +45,7 @@
     'born': 1700000000123,
     'sequence': 4,
 }
-_SETTINGS = {
+SETTINGS = {
     'node_name': 'front-1',
     'ip': '10.1.0.40',
     'zone': 'z1',
@@ -126,7 +126,7 @@
 
 def test_settings_are_translated() -> None:
     """Bounds become the product's limits, with a reserve."""
-    given = parse_platform_settings(json.dumps(_SETTINGS).encode())
+    given = parse_platform_settings(json.dumps(SETTINGS).encode())
     settings = translate_settings(given)
     assert settings.host == 'front-1'
     assert settings.seeds == ('10.1.0.41:3',)
@@ -137,7 +137,7 @@
 
 def test_wrong_settings_name_the_field() -> None:
     """A missing address is told by its path."""
-    broken = {**_SETTINGS, 'bind': {'front': '10.1.0.40:1'}}
+    broken = {**SETTINGS, 'bind': {'front': '10.1.0.40:1'}}
     wrong = parse_platform_settings(json.dumps(broken).encode())
     assert isinstance(wrong, Invalid)
     assert wrong.path == '$.bind'
