Share the watch of both followers and drop what nothing reads

Cause: the last reading of the change: configuration and backend servers were followed by the same loop twice; sizes of services, a header name and a flag of attempts had no reader. Change: coordination/watches holds the one loop; the dead parts are gone. Behaviour is the same.

--- a/egretdale/coordination/configuration.py
+++ b/egretdale/coordination/configuration.py
@@ -15,7 +15,8 @@
     Platform,
     StoredObject,
 )
-from egretdale.errors import Invalid
+from egretdale.coordination.watches import KindWatch
+from egretdale.errors import Invalid, Unreachable
 from egretdale.state.freshness import Confirmation
 from egretdale.state.messages import Batch, DocumentCopy, Revision
 from egretdale.state.routing import RoutingTable
@@ -31,15 +32,9 @@
 #: Kind of the configuration object in the platform, and its name to peers.
 ROUTING_KIND = 'routing'
 
-#: Longest wait of a watch, which bounds the age of the configuration.
-_WATCH_S = 2.0
-#: First and longest pause after a failed call, in seconds.
-_RETRY_START_S = 0.1
-_RETRY_MAXIMUM_S = 0.8
 #: Longest wait of a request for a read that confirms the configuration, and
 #: the shortest pause between two such reads, in seconds.
 _REFRESH_S = 0.4
-_JITTER_SHARE = 0.3
 _UNKNOWN_AGE_MS = -1
 _LONGEST_AGE_MS = 1000000
 
@@ -58,11 +53,12 @@
         '_clock',
         '_decode',
         '_fetcher',
+        '_lost',
         '_name',
         '_platform',
         '_refresh',
         '_refreshed_at',
-        '_source',
+        '_watch',
         'confirmation',
         'table',
     )
@@ -90,7 +86,8 @@
         self._fetcher = CopyFetcher(ROUTING_KIND, peers, self._take_copy)
         self._decode = decode
         self._clock = clock
-        self._source = source
+        self._watch = KindWatch(ROUTING_KIND, platform, clock, source)
+        self._lost = False
         # Name of the configuration object, once it has been seen.
         self._name = ''
         self._refresh: Event | None = None
@@ -105,30 +102,37 @@
 
     def run_watch(self) -> None:
         """Follow the configuration object."""
-        version = 0
-        pause_s = float(0)
-        while True:
-            sent_at = self._clock()
-            listing = self._read(version)
-            if isinstance(listing, Listing):
-                if pause_s:
-                    logger.info('configuration-source-regained')
-                pause_s = 0
-                version = listing.version
-                self._take_listing(listing, sent_at)
-                continue
-            if not pause_s:
-                logger.warning(
-                    'configuration-source-lost',
-                    cause=listing.cause,
-                    detail=listing.detail,
-                    version=self.version,
-                )
-            # A plain read after the outage confirms sooner than a watch.
-            version = 0
-            pause_s = min(max(_RETRY_START_S, pause_s * 2), _RETRY_MAXIMUM_S)
-            spread = self._source.uniform(1 - _JITTER_SHARE, 1 + _JITTER_SHARE)
-            eventlet.sleep(pause_s * spread)
+        self._watch.run(self)
+
+    def take_listing(self, listing: Listing, sent_at: float) -> None:
+        """Put a newer configuration in force, and confirm an equal one.
+
+        :param listing: objects of the kind.
+        :param sent_at: when the read was sent.
+        """
+        if self._lost:
+            self._lost = False
+            logger.info('configuration-source-regained')
+        newest = 0
+        for entry in listing.entries:
+            self._name = entry.name
+            newest = max(newest, self._take(entry.body, 'platform'))
+        if newest and newest == self.version:
+            self.confirmation.confirm(sent_at)
+
+    def note_lost(self, failure: Unreachable) -> None:
+        """Log the first failure of a row.
+
+        :param failure: why the platform could not be read.
+        """
+        if not self._lost:
+            self._lost = True
+            logger.warning(
+                'configuration-source-lost',
+                cause=failure.cause,
+                detail=failure.detail,
+                version=self.version,
+            )
 
     def refresh(self) -> bool:
         """Read the configuration now, unless that was just tried.
@@ -202,11 +206,6 @@
             service, self.table.version, self.table.source.decode()
         )
 
-    def _read(self, version: int):
-        if version:
-            return self._platform.watch(ROUTING_KIND, version, _WATCH_S)
-        return self._platform.list_objects(ROUTING_KIND)
-
     def _confirm(self, sent_at: float) -> bool:
         entry = self._platform.read(ROUTING_KIND, self._name)
         if not isinstance(entry, StoredObject):
@@ -216,14 +215,6 @@
             self.confirmation.confirm(sent_at)
         return confirmed
 
-    def _take_listing(self, listing: Listing, sent_at: float) -> None:
-        newest = 0
-        for entry in listing.entries:
-            self._name = entry.name
-            newest = max(newest, self._take(entry.body, 'platform'))
-        if newest and newest == self.version:
-            self.confirmation.confirm(sent_at)
-
     def _take(self, source: bytes, origin: str) -> int:
         """Put a configuration in force if it is newer.
 
--- a/egretdale/coordination/exchanges.py
+++ b/egretdale/coordination/exchanges.py
@@ -92,8 +92,6 @@
     :ivar urgency: rank for the backend server, 0 is served first.
     :ivar last_event_id: event after which a stream goes on, empty for a new
         stream.
-    :ivar may_repeat: whether the request may run again if its fate becomes
-        unknown.
     """
 
     request: ForwardRequest
@@ -102,7 +100,6 @@
     left_s: float
     urgency: int
     last_event_id: str = ''
-    may_repeat: bool = False
 
 
 class ForwardResponse(Protocol):
--- a/egretdale/coordination/forwarding.py
+++ b/egretdale/coordination/forwarding.py
@@ -4,8 +4,8 @@
 
 import random
 
-from egretdale.coordination.attempt_record import AttemptRecord
 from egretdale.coordination.admission import Admission, Admitted
+from egretdale.coordination.attempt_record import AttemptRecord
 from egretdale.coordination.budgets import BudgetBook
 from egretdale.coordination.exchanges import (
     ForwardAttempt,
@@ -245,7 +245,6 @@
             self._admission.measure_left(admitted),
             admitted.urgency,
             last_event_id,
-            may_repeat=admitted.route.is_repeatable(),
         )
         progress.avoided.append(instance.name)
         sent_at = self._clock()
--- a/egretdale/coordination/instances.py
+++ b/egretdale/coordination/instances.py
@@ -15,7 +15,8 @@
     Platform,
     StoredObject,
 )
-from egretdale.errors import Invalid
+from egretdale.coordination.watches import KindWatch
+from egretdale.errors import Invalid, Unreachable
 from egretdale.state.instances import Instance, InstanceTable
 from egretdale.state.messages import Batch, DocumentCopy, Revision
 from egretdale.util.clocks import Clock
@@ -29,10 +30,6 @@
 #: Seconds after an outage within which live backend servers register again.
 LAPSE_S = 2.0
 
-_WATCH_S = 2.0
-_RETRY_START_S = 0.1
-_RETRY_MAXIMUM_S = 0.8
-_JITTER_SHARE = 0.3
 _EXPIRY_CHECK_S = 0.25
 
 _copy_decoder = msgspec.json.Decoder(list[tuple[str, str]])
@@ -54,9 +51,8 @@
         '_listing',
         '_lost_at',
         '_on_gone',
-        '_platform',
         '_regained_at',
-        '_source',
+        '_watch',
         'table',
     )
 
@@ -82,10 +78,9 @@
         :param on_gone: called with each backend server that has gone.
         """
         self.table = table
-        self._platform = platform
         self._decode = decode
         self._clock = clock
-        self._source = source
+        self._watch = KindWatch(INSTANCE_KIND, platform, clock, source)
         self._on_gone = on_gone
         self._listing = Listing(0, ())
         self._fetcher = CopyFetcher(INSTANCE_KIND, peers, self._take_copy)
@@ -94,23 +89,30 @@
 
     def run_watch(self) -> None:
         """Follow the entries."""
-        version = 0
-        pause_s = float(0)
-        while True:
-            listing = self._read(version)
-            if isinstance(listing, Listing):
-                self._note_regained()
-                pause_s = 0
-                if listing.version != version:
-                    self._take(listing, 'platform')
-                version = listing.version
-                continue
-            self._note_lost(listing.detail)
-            # A plain read after the outage tells sooner than a watch.
-            version = 0
-            pause_s = min(max(_RETRY_START_S, pause_s * 2), _RETRY_MAXIMUM_S)
-            spread = self._source.uniform(1 - _JITTER_SHARE, 1 + _JITTER_SHARE)
-            eventlet.sleep(pause_s * spread)
+        self._watch.run(self)
+
+    def take_listing(self, listing: Listing, sent_at: float) -> None:
+        """Take in a list that has changed.
+
+        :param listing: all entries.
+        :param sent_at: when the read was sent.
+        """
+        if self._lost_at is not None:
+            now = self._clock()
+            logger.info('backend-list-regained', lost_s=now - self._lost_at)
+            self._lost_at = None
+            self._regained_at = now
+        if listing.version != self._listing.version:
+            self._take(listing, 'platform')
+
+    def note_lost(self, failure: Unreachable) -> None:
+        """Log the first failure of a row.
+
+        :param failure: why the platform could not be read.
+        """
+        if self._lost_at is None:
+            self._lost_at = self._clock()
+            logger.warning('backend-list-lost', detail=failure.detail)
 
     def run_expiry(self) -> None:
         """Drop entries that did not come back after an outage."""
@@ -165,11 +167,6 @@
         )
         self._take(Listing(copy.revision, listed), host)
 
-    def _read(self, version: int):
-        if version:
-            return self._platform.watch(INSTANCE_KIND, version, _WATCH_S)
-        return self._platform.list_objects(INSTANCE_KIND)
-
     def _take(self, listing: Listing, origin: str) -> None:
         self._listing = listing
         instances = {}
@@ -211,15 +208,3 @@
             'backend-gone', backend=instance.name, service=instance.service
         )
         self._on_gone(instance)
-
-    def _note_lost(self, detail: str) -> None:
-        if self._lost_at is None:
-            self._lost_at = self._clock()
-            logger.warning('backend-list-lost', detail=detail)
-
-    def _note_regained(self) -> None:
-        if self._lost_at is not None:
-            now = self._clock()
-            logger.info('backend-list-regained', lost_s=now - self._lost_at)
-            self._lost_at = None
-            self._regained_at = now
--- a/egretdale/protocol/forwarding.py
+++ b/egretdale/protocol/forwarding.py
@@ -51,7 +51,6 @@
     :ivar seal: signature of the backend server.
     :ivar organisation: organisation of the caller.
     :ivar expected_instance: backend server that must run the request.
-    :ivar instance: backend server that answers.
     :ivar not_run: present when the backend server did not run the request.
     :ivar urgency: rank of the request at the backend server.
     :ivar reserved: further headers that callers must not set.
@@ -67,7 +66,6 @@
     seal: str = 'Egret-Seal'
     organisation: str = 'Egret-Organisation'
     expected_instance: str = 'Egret-Expected-Instance'
-    instance: str = 'Egret-Instance'
     not_run: str = 'Egret-Not-Run'
     urgency: str = 'Egret-Urgency'
     reserved: tuple[str, ...] = ()
--- a/egretdale/state/routing.py
+++ b/egretdale/state/routing.py
@@ -99,32 +99,6 @@
     idle_s: float = 60.0
 
 
-@dataclass(slots=True, frozen=True)
-class EngineSize:
-    """What the engines of a service can hold.
-
-    :ivar slots: requests in one batch.
-    :ivar kv_tokens: tokens in the KV cache.
-    """
-
-    slots: int
-    kv_tokens: int
-
-
-@dataclass(slots=True, frozen=True)
-class ServiceEntry:
-    """A service that routes lead to.
-
-    :ivar name: service name.
-    :ivar maximum_connections: connections that one backend server accepts.
-    :ivar engine: size of its engines, ``None`` for a plain service.
-    """
-
-    name: str
-    maximum_connections: int = 0
-    engine: EngineSize | None = None
-
-
 @dataclass(slots=True)
 class RoutingTable:
     """One version of the configuration.
@@ -132,8 +106,8 @@
     :ivar version: version; newer ones have higher numbers.
     :ivar source: text that the table was decoded from.
     :ivar routes: all routes.
-    :ivar services: services by name.
     :ivar limits: limits on what callers may send.
+    :ivar holders: organisations that hold keys.
     :ivar requires_keys: whether requests need a key on routes that are not
         public.
     """
@@ -141,7 +115,6 @@
     version: int
     source: bytes
     routes: tuple[Route, ...]
-    services: dict[str, ServiceEntry]
     limits: CallerLimits
     holders: tuple[KeyHolder, ...]
     requires_keys: bool
--- a/tests/forwarding.py
+++ b/tests/forwarding.py
@@ -89,7 +89,6 @@
         version,
         str(version).encode(),
         routes,
-        {},
         CallerLimits(),
         (KeyHolder('small', keys, holder_priority),) if keys else (),
         requires_keys=bool(keys),
