Use no grant of an engine that is known to leave

Cause, found in reading: a host that had seen an engine leave would still send to it if the allocator's host, turned away by the store, had not. Change: such a grant is not used and the host chooses by itself.

--- a/egretdale/coordination/prompts.py
+++ b/egretdale/coordination/prompts.py
@@ -212,7 +212,10 @@
         match reply:
             case Grant(backend=backend, prefill_tokens=tokens):
                 instance = self._instances.find(backend)
-                return instance and Placement(instance, tokens)
+                if instance is None or instance.leaving:
+                    # The allocator's list is older than that of this host.
+                    return None
+                return Placement(instance, tokens)
             case Denial(reason=reason, wait_ms=wait_ms):
                 if not reply.retry_after_ms:
                     return None
--- a/tests/test_coordination/test_prefill.py
+++ b/tests/test_coordination/test_prefill.py
@@ -26,6 +26,7 @@
     Batch,
     Denial,
     Done,
+    Grant,
     GroupAsk,
     GroupReply,
     MemberUpdate,
@@ -261,14 +262,15 @@
 
 @contextmanager
 def _open_desk(
-    allocator: object, own: str
+    allocator: object, own: str, *, leaving: bool = False
 ) -> Iterator[tuple[PromptDesk, VirtualHub]]:
     with use_virtual_time() as hub:
         members = MemberTable(own)
         members.apply(MemberUpdate('a', 1, 0, 0, 'dc', 'a', 'a'), 0)
         mesh = Mesh(members, _SilentNetwork(), hub.read_now, 4096)
         table = InstanceTable(hub.read_now, 2)
-        table.replace({'e0': Instance('e0', _SERVICE, '')}, after_outage=False)
+        engine = Instance('e0', _SERVICE, '', leaving=leaving)
+        table.replace({'e0': engine}, after_outage=False)
         silent = GatewayFigures().silent_allocators
         desk = PromptDesk(mesh, allocator, table, hub.read_now, silent)
         mesh.add_listener(desk)
@@ -322,3 +324,12 @@
         assert isinstance(placement, Placement)
         assert placement.instance.name == 'e0'
         assert placement.prefill_tokens == _LONG
+
+
+def test_grants_of_an_older_list_are_not_used() -> None:
+    """A host that knows better sends nothing to a leaving server."""
+    grants = [Grant('r1', 'e0'), Grant('r1', 'unknown')]
+    for grant in grants:
+        allocator = _ScriptedAllocator(GroupReply(_SERVICE, grants=[grant]))
+        with _open_desk(allocator, 'a', leaving=True) as (desk, _):
+            assert desk.place(_SERVICE, _ask('r1', _LONG)) is None
