Hold no request that has no engine left, and time out slow bodies as such

Cause, found in reading: a request that every listed engine had failed waited at the allocator for up to 0.4 of its time, though nothing could come of it; a body that stalled was answered 400, after which no caller comes back. Change: the first is told at once, so its host refuses it; the second is 408. Measured: both tests failed before.

--- a/egretdale/coordination/prefill.py
+++ b/egretdale/coordination/prefill.py
@@ -209,7 +209,7 @@
             return self._deny(ask, waited_s, ahead_s)
         usable = [entry for entry in ready if entry.name not in ask.avoided]
         if not usable:
-            return None if ready else Denial(ask.request_id, OVERLOADED)
+            return Denial(ask.request_id, OVERLOADED)
         instance = self._choose(ask, usable)
         engine = name_engine(instance)
         wait_s = self._backlogs.measure_wait(engine)
--- a/egretdale/protocol/problems.py
+++ b/egretdale/protocol/problems.py
@@ -31,6 +31,7 @@
         Reason.HOST_STOPPING: _UNAVAILABLE,
         Reason.BAD_REQUEST: '400 Bad Request',
         Reason.TOO_LARGE: '413 Content Too Large',
+        Reason.TOO_SLOW: '408 Request Timeout',
         Reason.STREAM_LOST: '410 Gone',
         Reason.CALLER_GONE: '499 Client Closed Request',
         Reason.NO_ROUTE: '404 Not Found',
--- a/egretdale/state/outcomes.py
+++ b/egretdale/state/outcomes.py
@@ -33,6 +33,7 @@
     HOST_STOPPING = 'host-stopping'
     BAD_REQUEST = 'bad-request'
     TOO_LARGE = 'too-large'
+    TOO_SLOW = 'too-slow'
     STREAM_LOST = 'stream-lost'
     CALLER_GONE = 'caller-gone'
     NO_ROUTE = 'no-route'
--- a/egretdale/transport/ingress.py
+++ b/egretdale/transport/ingress.py
@@ -307,6 +307,9 @@
             return _refuse_large(limit)
         try:
             request.body = reader.read(limit + 1 if length is None else length)
+        except TimeoutError:
+            detail = 'the body came too slowly'
+            return Refused(Reason.TOO_SLOW, Ran.NO, detail=detail)
         except (OSError, ValueError, wsgi.ChunkReadError) as broken:
             return Refused(Reason.BAD_REQUEST, Ran.NO, detail=str(broken))
         if length is not None and len(request.body) < length:
--- a/tests/test_coordination/test_prefill.py
+++ b/tests/test_coordination/test_prefill.py
@@ -333,3 +333,11 @@
         allocator = _ScriptedAllocator(GroupReply(_SERVICE, grants=[grant]))
         with _open_desk(allocator, 'a', leaving=True) as (desk, _):
             assert desk.place(_SERVICE, _ask('r1', _LONG)) is None
+
+
+def test_a_request_without_any_engine_left_is_not_held() -> None:
+    """Its host hears at once that every engine has failed it."""
+    with _open_engines(2) as engines:
+        ask = _ask('r1', _LONG, avoided=['e0', 'e1'])
+        reply = engines.allocator.take('host', _message(ask))
+        assert [denial.reason for denial in reply.denials] == ['overloaded']
--- a/tests/test_transport/test_ingress.py
+++ b/tests/test_transport/test_ingress.py
@@ -223,3 +223,11 @@
             assert b'connection: close' in _ask(address, text.decode()).lower()
             ingress.close_idle()
             assert not idle.recv(1)
+
+
+def test_a_body_that_stalls_is_a_timeout_of_the_request() -> None:
+    """The caller may come back, as nothing was run."""
+    with _open_ingress() as (script, _, address):
+        text = f'POST / HTTP/1.1\r\n{_HEAD}Content-Length: 4\r\n\r\nab'
+        assert _ask(address, text).startswith(b'HTTP/1.1 408')
+        assert not script.requests
