Take no requests late in a planned stop

A stopping host took requests for six seconds, as callers keep old answers of the directory for that long, and cut streams that it had taken after more than five seconds when its eight seconds were over. Ruled out: waiting longer (the platform ends the process). Change: requests are taken for 0.35 of the stop; then the listener is closed, and what comes on open connections is refused at once, not run, to go to another host.

--- a/egretdale/transport/gateway.py
+++ b/egretdale/transport/gateway.py
@@ -30,8 +30,11 @@
 
 _CRASH_STATUS = 70
 _DRAIN_CHECK_S = 0.05
-#: Answers of the directory that callers keep longer than told.
+#: Callers keep answers of the directory up to this much longer than told.
 _KEPT_ANSWERS = 3
+#: Part of a planned stop in which requests are still taken; what comes later
+#: could be cut off at its end.
+_TAKING_SHARE = 0.35
 #: Part of the planned stop that is left for ending the process, in seconds.
 _STOP_MARGIN_S = 0.4
 _SETTLE_S = 0.1
@@ -185,16 +188,15 @@
     def _drain(self) -> None:
         clock = read_boot_clock
         started_at = clock()
-        limit_at = started_at + self._settings.drain_limit_s - _STOP_MARGIN_S
+        taking_s, limit_s = plan_stop(self._settings)
+        limit_at = started_at + limit_s
         logger.info('drain-started', active=self._ingress.active)
         self._ingress.start_closing()
         self.gateway.membership.leave()
-        kept_s = self._settings.answer_lifetime_s * _KEPT_ANSWERS
-        answers_end = min(started_at + kept_s, limit_at)
-        while clock() < answers_end:
+        while clock() < started_at + taking_s:
             eventlet.sleep(_DRAIN_CHECK_S)
         self._listeners[self._settings.caller_address].close()
-        self._ingress.close_idle()
+        self._ingress.stop_taking()
         while self._ingress.active and clock() < limit_at:
             eventlet.sleep(_DRAIN_CHECK_S)
         eventlet.sleep(_SETTLE_S)
@@ -212,6 +214,18 @@
         """Take no account of the bytes of a message to a peer."""
 
 
+def plan_stop(settings: GatewaySettings) -> tuple[float, float]:
+    """Plan how long a planned stop takes requests and lasts.
+
+    :param settings: settings of the host.
+    :return: seconds in which requests are taken, and longest duration of the
+        stop in seconds.
+    """
+    kept_s = settings.answer_lifetime_s * _KEPT_ANSWERS
+    taking_s = min(kept_s, settings.drain_limit_s * _TAKING_SHARE)
+    return taking_s, settings.drain_limit_s - _STOP_MARGIN_S
+
+
 def _serve(listener: Any, application: Application) -> None:
     wsgi.server(
         listener,
--- a/egretdale/transport/ingress.py
+++ b/egretdale/transport/ingress.py
@@ -30,6 +30,9 @@
 #: Connections outlive the announced idle time by this much, in seconds.
 _IDLE_GRACE_S = 1.0
 
+#: When to come back, to another host, from one that is stopping.
+_STOPPING_RETRY_S = 0.05
+
 
 class RequestForwarder(Protocol):
     """Decides on requests and forwards them."""
@@ -102,6 +105,7 @@
         '_idle',
         '_limits',
         '_pool',
+        '_taking',
         'active',
     )
 
@@ -130,6 +134,7 @@
         self._clock = clock
         self._figures = figures
         self._closing = False
+        self._taking = True
         self._idle: set[Any] = set()
         self._pool = GreenPool(maximum_connections)
 
@@ -172,8 +177,9 @@
         """Announce on each answer that its connection ends."""
         self._closing = True
 
-    def close_idle(self) -> None:
-        """Close the connections that wait for a request."""
+    def stop_taking(self) -> None:
+        """Refuse further requests and close connections without any."""
+        self._taking = False
         for connection in list(self._idle):
             try:
                 connection.shutdown(sockets.SHUT_RDWR)
@@ -197,7 +203,7 @@
             # What is left of the request must not be taken for another.
             environ['egretdale.connection'].end_after_answer()
             return self._refuse(start_response, request, '')
-        admitted = self._forwarder.admit(request)
+        admitted = self._admit(request)
         if isinstance(admitted, Refused):
             return self._refuse(start_response, admitted, request.request_id)
         connection = environ['eventlet.input'].get_socket()
@@ -205,6 +211,16 @@
         exchange = Exchange(self, connection, admitted, start_response)
         return exchange.answer()
 
+    def _admit(self, request: ForwardRequest) -> Admitted | Refused:
+        if self._taking:
+            return self._forwarder.admit(request)
+        return Refused(
+            Reason.HOST_STOPPING,
+            Ran.NO,
+            _STOPPING_RETRY_S,
+            'this host is stopping; others are not',
+        )
+
     def _read(self, environ: dict[str, Any]) -> ForwardRequest | Refused:
         if not is_framing_clear(environ['headers_raw']):
             return Refused(
--- a/tests/test_transport/test_ingress.py
+++ b/tests/test_transport/test_ingress.py
@@ -221,10 +221,22 @@
             eventlet.sleep(0.05)
             ingress.start_closing()
             assert b'connection: close' in _ask(address, text.decode()).lower()
-            ingress.close_idle()
+            ingress.stop_taking()
             assert not idle.recv(1)
 
 
+def test_a_host_at_the_end_of_its_stop_takes_no_requests() -> None:
+    """What could be cut off is refused at once, to go elsewhere."""
+    text = f'GET / HTTP/1.1\r\n{_HEAD}\r\n'
+    with _open_ingress() as (script, ingress, address):
+        ingress.start_closing()
+        ingress.stop_taking()
+        answer = _ask(address, text)
+        assert answer.startswith(b'HTTP/1.1 503')
+        assert b'Retry-After: 0.05\r\n' in answer
+        assert not script.requests
+
+
 def test_a_body_that_stalls_is_a_timeout_of_the_request() -> None:
     """The caller may come back, as nothing was run."""
     with _open_ingress() as (script, _, address):
