Leave fields out of messages that hold their defaults

Ruled out: a larger bound, as it comes from the budget of bytes to peers. Change: a field that holds its default is not sent; the receiver fills it in.

--- a/egretdale/protocol/wire.py
+++ b/egretdale/protocol/wire.py
@@ -18,13 +18,17 @@
 def encode_structure(message: Any) -> Any:
     """Convert a message, with all messages inside it.
 
+    Fields that hold their default are left out.
+
     :param message: an instance of a class of ``state.messages``.
     :return: the thrift structure of the same name.
     """
     wire_class = getattr(ttypes, type(message).__name__)
     structure = wire_class()
-    for name in _list_fields(type(message)):
-        setattr(structure, name, _convert_out(getattr(message, name)))
+    for name, default in _list_defaults(type(message)):
+        field_value = getattr(message, name)
+        if field_value != default:
+            setattr(structure, name, _convert_out(field_value))
     return structure
 
 
@@ -65,6 +69,23 @@
     return tuple(field.name for field in dataclasses.fields(message_class))
 
 
+@functools.cache
+def _list_defaults(
+    message_class: type[Any],
+) -> tuple[tuple[str, object], ...]:
+    return tuple(
+        (field.name, _find_default(field))
+        for field in dataclasses.fields(message_class)
+    )
+
+
+def _find_default(field: dataclasses.Field[Any]) -> object:
+    if field.default_factory is not dataclasses.MISSING:
+        return field.default_factory()
+    # A field without a default equals no value and is always sent.
+    return field.default
+
+
 def _convert_out(field_value: Any) -> Any:
     if dataclasses.is_dataclass(field_value):
         return encode_structure(field_value)
