Name a start of a backend server in one place

Cause: the last reading of the change: the allocator and the placer each had a function for the same name, and the ingress handed a log that nothing writes to a server whose output is off. Change: the name is a property of the instance; the unused log is gone. Behaviour is the same.

--- a/egretdale/coordination/placing.py
+++ b/egretdale/coordination/placing.py
@@ -107,7 +107,7 @@
         """
         part = prompt.find_affinity()
         if part is not None:
-            name = _name_incarnation(placement.instance)
+            name = placement.instance.start_name
             self._prefixes.note(name, part.identity, self._clock())
 
     def forget(self, instance: Instance) -> None:
@@ -115,7 +115,7 @@
 
         :param instance: the backend server.
         """
-        self._prefixes.clear(_name_incarnation(instance))
+        self._prefixes.clear(instance.start_name)
         self._loads.forget(instance.incarnation)
 
     def _weigh(
@@ -144,7 +144,7 @@
         if part is None or len(prompt.parts) < 2:
             return prompt.tokens
         cached = not rank or self._prefixes.is_held(
-            _name_incarnation(instance), part.identity, self._clock()
+            instance.start_name, part.identity, self._clock()
         )
         return prompt.tokens - cached * prompt.count_shared()
 
@@ -157,7 +157,3 @@
         + load.running * _TOKENS_PER_RUNNING
         + failing * _TOKENS_PER_FAILURE
     )
-
-
-def _name_incarnation(instance: Instance) -> str:
-    return f'{instance.name}.{instance.born_ms}'
--- a/egretdale/coordination/prefill.py
+++ b/egretdale/coordination/prefill.py
@@ -132,7 +132,7 @@
 
         :param instance: the engine.
         """
-        engine = name_engine(instance)
+        engine = instance.start_name
         self._prefixes.clear(engine)
         self._backlogs.forget(engine)
 
@@ -211,7 +211,7 @@
         if not usable:
             return Denial(ask.request_id, OVERLOADED)
         instance = self._choose(ask, usable)
-        engine = name_engine(instance)
+        engine = instance.start_name
         wait_s = self._backlogs.measure_wait(engine)
         if wait_s > _AHEAD_S and not _is_short(ask):
             return None
@@ -237,7 +237,7 @@
         )
 
     def _score(self, ask: Ask, instance: Instance, *, preferred: bool) -> float:
-        engine = name_engine(instance)
+        engine = instance.start_name
         tokens = ask.prompt_tokens - ask.shared_tokens
         if not self._is_held(ask, engine):
             weight = _PREFERRED_WEIGHT if preferred else _COPY_WEIGHT
@@ -253,7 +253,7 @@
         return ask.prompt_tokens - ask.shared_tokens * held
 
     def _count_least(self, ask: Ask, ready: list[Instance]) -> int:
-        engines = [name_engine(instance) for instance in ready]
+        engines = [instance.start_name for instance in ready]
         return min(
             (self._count_missing(ask, engine) for engine in engines),
             default=ask.prompt_tokens,
@@ -297,15 +297,6 @@
             self._finish(queue, Done(request_id, ''))
 
 
-def name_engine(instance: Instance) -> str:
-    """Name one start of an engine.
-
-    :param instance: the engine.
-    :return: a name that no other start has.
-    """
-    return f'{instance.name}.{instance.born_ms}'
-
-
 def _is_short(ask: Ask) -> bool:
     return convert_to_seconds(ask.target_ms) <= _SHORT_TARGET_S
 
--- a/egretdale/state/instances.py
+++ b/egretdale/state/instances.py
@@ -33,6 +33,11 @@
         """Identity of this start, different after a restart."""
         return self.name, self.born_ms
 
+    @property
+    def start_name(self) -> str:
+        """Name of this start, different after a restart."""
+        return f'{self.name}.{self.born_ms}'
+
 
 class InstanceTable:
     """Backend servers by service.
--- a/egretdale/transport/ingress.py
+++ b/egretdale/transport/ingress.py
@@ -50,16 +50,6 @@
         """
 
 
-class _DiscardedLog:
-    """Swallows the access log of the WSGI server."""
-
-    def write(self, line: str) -> None:
-        """Ignore a line.
-
-        :param line: access log line.
-        """
-
-
 class _CallerConnection(wsgi.HttpProtocol):
     """A connection of a caller, with limits that may change."""
 
@@ -146,7 +136,6 @@
         wsgi.server(
             listener,
             self,
-            log=_DiscardedLog(),
             log_output=False,
             custom_pool=self._pool,
             protocol=_CallerConnection,
