Let real time go on when a task outlives virtual time

Cause: a task that was started on virtual time and is woken after it ends in its old hub. That hub runs its timers without waiting, for ever, so the test that is under way never goes on. Change: a hub that was left gives way to the one in its place. Test: tests/test_virtual_time.py, which stalled before.

--- a/standins/virtual/hub.py
+++ b/standins/virtual/hub.py
@@ -38,6 +38,9 @@
 
     Timers that are due together run in the order in which they were set, so
     that a run depends on nothing but its seeds.
+
+    :ivar now: virtual time in seconds.
+    :ivar is_left: whether another hub has taken its place.
     """
 
     def __init__(self, clock: Any = None) -> None:
@@ -46,6 +49,7 @@
         :param clock: ignored; the hub keeps its own time.
         """
         self.now = float(0)
+        self.is_left = False
         self._sequence = itertools.count()
         super().__init__(self.read_now)
 
@@ -58,6 +62,10 @@
 
         :param seconds: seconds until the next timer.
         """
+        if self.is_left:
+            # A task of this hub has ended after its time; without this its
+            # timers would run for ever, and real time would never go on.
+            hubs.get_hub().switch()
         if seconds:
             self.now += seconds
 
@@ -86,4 +94,5 @@
     try:
         yield hub
     finally:
+        hub.is_left = True
         hubs.use_hub(previous)
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -12,6 +12,8 @@
 
 from absl import logging as absl_logging
 
+from tests.stalls import StallResult
+
 _ROOT = Path(__file__).resolve().parent.parent
 _COUNTS = re.compile(r'^(\d+) passed, (\d+) failed$', re.MULTILINE)
 _KNOWN_RED = _ROOT / 'KNOWN-RED.txt'
@@ -87,7 +89,9 @@
         for case in _flatten(suite)
         if not wanted or any(part in _describe(case) for part in wanted)
     )
-    outcome = unittest.TextTestRunner(verbosity=1).run(chosen)
+    outcome = unittest.TextTestRunner(verbosity=1, resultclass=StallResult).run(
+        chosen
+    )
     failed = {
         _describe(case) for case, _ in (*outcome.failures, *outcome.errors)
     }
