Give free slots to requests before they are given up

Cause: the tick of an allocator refused requests whose patience ended before it gave out slots. Slots that had become free since the last tick then went to a lower tier, in the same tick. test_nothing_breaks_under_faults found it (refused after 722 ms of patience, eight grants to a lower tier at that time) when its examples changed with the constants of the code, from which hypothesis draws. Ruled out: the cached rank of live hosts of this change (the example passes and fails alike with and without the cache). Change: slots are given out first, then patience is looked at. Measured: the example fails before and passes after, in the same tree.

--- a/egretdale/coordination/allocators.py
+++ b/egretdale/coordination/allocators.py
@@ -163,6 +163,8 @@
             self._drop_gone_hosts()
             for board in (self._hosted, self._local):
                 for group, hosted in list(board.items()):
+                    # A free slot goes to a request before it is given up.
+                    self._dispatch(hosted)
                     hosted.allocator.expire()
                     self._run(hosted, None)
                     self._drop_idle(board, group, hosted)
@@ -228,13 +230,16 @@
         )
 
     def _run(self, hosted: Hosted, asker: str | None) -> GroupReply | None:
-        if self._clock() >= hosted.ready_at:
-            hosted.allocator.dispatch()
+        self._dispatch(hosted)
         replies = hosted.allocator.take_replies()
         own = replies.pop(asker, None) if asker else None
         self._post(replies)
         return own
 
+    def _dispatch(self, hosted: Hosted) -> None:
+        if self._clock() >= hosted.ready_at:
+            hosted.allocator.dispatch()
+
     def _post(self, replies: dict[str, GroupReply]) -> None:
         for host, reply in replies.items():
             self._mesh.post_reply(host, reply)
--- /dev/null
+++ b/egretdale/coordination/engine_choice.py
@@ -0,0 +1,167 @@
+"""Chooses the engine of a prompt by cached parts and outstanding prefill.
+
+The load that this answers: prompts of which most is shared. A part is kept
+on few engines, and a prompt leaves them only when the wait there is longer
+than reading the part anew.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from egretdale.state.backlogs import BacklogTable, predict_prefill
+from egretdale.state.instances import Instance
+from egretdale.state.messages import Ask
+from egretdale.state.pauses import (
+    EngineMixture,
+    MixtureTable,
+    measure_fragility,
+)
+from egretdale.state.prefixes import PrefixIndex
+from egretdale.util.clocks import Clock, convert_to_seconds
+from egretdale.util.hashing import rank_by_rendezvous
+
+#: Weight of shared tokens that an engine does not hold: a second copy also
+#: drives out parts that other requests need.
+_COPY_WEIGHT = 3.0
+#: The same for the engine that all hosts prefer for a part.
+_PREFERRED_WEIGHT = 1.0
+#: Weight of the pauses that a prompt makes in streams beside it, in s² for
+#: each second of prefill and unit of fragility.
+_HARM_WEIGHT = 0.02
+
+
+@dataclass(slots=True)
+class EngineState:
+    """An engine as it is at one time.
+
+    :ivar instance: its entry.
+    :ivar name: name of its incarnation.
+    :ivar wait_s: seconds of prefill that it has ahead of it.
+    :ivar delay_s: seconds by which its first tokens came late.
+    :ivar held: prefixes that it probably holds.
+    :ivar mixture: what it was sent lately.
+    """
+
+    instance: Instance
+    name: str
+    wait_s: float
+    delay_s: float
+    held: Mapping[int, float]
+    mixture: EngineMixture
+
+
+class EngineChooser:
+    """Knows what engines hold and what they have to prefill."""
+
+    __slots__ = ('_clock', '_mixtures', '_prefixes', 'backlogs')
+
+    def __init__(self, clock: Clock) -> None:
+        """Create a chooser that thinks all engines idle and empty.
+
+        :param clock: monotonic clock.
+        """
+        self.backlogs = BacklogTable(clock)
+        self._clock = clock
+        self._mixtures = MixtureTable(clock)
+        self._prefixes = PrefixIndex()
+
+    def measure(self, ready: list[Instance]) -> list[EngineState]:
+        """Measure the engines for decisions that are taken together.
+
+        :param ready: engines that take new work.
+        :return: their states.
+        """
+        states = []
+        for instance in ready:
+            name = instance.start_name
+            wait_s = self.backlogs.measure_wait(name)
+            delay_s = self.backlogs.measure_delay(name)
+            held = self._prefixes.list_held(name)
+            mixture = self._mixtures.find(name)
+            states.append(
+                EngineState(instance, name, wait_s, delay_s, held, mixture)
+            )
+        return states
+
+    def choose(
+        self, ask: Ask, usable: list[EngineState], preferred: str
+    ) -> EngineState:
+        """Choose the engine with the earliest first token.
+
+        :param ask: the request.
+        :param usable: engines that it may go to.
+        :param preferred: name of the engine that all hosts prefer.
+        :return: the engine, also when others wait there.
+        """
+        own_tokens = ask.prompt_tokens - ask.shared_tokens
+        own_s = predict_prefill(own_tokens)
+        shared_s = predict_prefill(ask.shared_tokens)
+
+        fragility = measure_fragility(convert_to_seconds(ask.pause_ms))
+
+        def predict(state: EngineState) -> float:
+            prefill_s = own_s
+            copy_s = float(0)
+            if ask.prefix not in state.held:
+                is_preferred = state.instance.name == preferred
+                weight = _PREFERRED_WEIGHT if is_preferred else _COPY_WEIGHT
+                prefill_s += shared_s
+                copy_s = shared_s * (weight - 1)
+            mixture = state.mixture
+            harm = prefill_s * mixture.fragility + mixture.prefill_s * fragility
+            first_token_s = state.wait_s + state.delay_s + prefill_s
+            return first_token_s + copy_s + harm * _HARM_WEIGHT
+
+        return min(usable, key=predict)
+
+    def reserve(self, ask: Ask, state: EngineState) -> int:
+        """Note that a request goes to an engine.
+
+        :param ask: the request.
+        :param state: the engine; its wait is brought up to date.
+        :return: prompt tokens that it probably has to prefill.
+        """
+        tokens = self.count_missing(ask, state.name)
+        self.backlogs.add(state.name, ask.request_id, tokens)
+        self._mixtures.note(
+            state.name,
+            predict_prefill(tokens),
+            convert_to_seconds(ask.pause_ms),
+        )
+        self._prefixes.note(state.name, ask.prefix, self._clock())
+        state.wait_s = self.backlogs.measure_wait(state.name)
+        state.held = self._prefixes.list_held(state.name)
+        return tokens
+
+    def count_missing(self, ask: Ask, engine: str) -> int:
+        """Count the prompt tokens that an engine does not hold.
+
+        :param ask: the request.
+        :param engine: name of the incarnation.
+        :return: tokens.
+        """
+        held = ask.prefix in self._prefixes.list_held(engine)
+        return ask.prompt_tokens - ask.shared_tokens * held
+
+    def forget(self, engine: str) -> None:
+        """Drop what is known of an engine that has gone.
+
+        :param engine: name of the incarnation.
+        """
+        self._prefixes.clear(engine)
+        self.backlogs.forget(engine)
+        self._mixtures.forget(engine)
+
+
+def find_preferred(ask: Ask, ready: list[Instance]) -> str:
+    """Find the engine that all hosts prefer for the shared part of a prompt.
+
+    :param ask: the request.
+    :param ready: engines that take new work.
+    :return: name of the engine, empty when there is none.
+    """
+    names = [entry.name for entry in ready if entry.name not in ask.avoided]
+    ranked = rank_by_rendezvous(str(ask.prefix), names)
+    return ranked[0] if ranked else ''
--- /dev/null
+++ b/egretdale/coordination/readers.py
@@ -0,0 +1,146 @@
+"""Reads the platform through the hosts that watch it for all."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from egretdale.coordination.ports import Listing, Network, StoredObject
+from egretdale.coordination.relays import FRESH_S
+from egretdale.errors import Ambiguous, Unreachable
+from egretdale.state.members import MemberTable, list_owners
+from egretdale.state.messages import ChangeAsk, Changes
+from egretdale.util.clocks import (
+    Clock,
+    convert_to_ms,
+    convert_to_seconds,
+)
+from egretdale.util.hashing import rank_by_rendezvous
+from egretdale.util.logs import get_logger
+
+logger = get_logger(__name__)
+
+#: Hosts that watch the platform for the others.
+_READERS = 2
+#: Number of hosts from which on they share readers; with fewer, every host
+#: watches the platform itself.
+_SHARED_FROM = 12
+#: Longest wait for a change at a reader, in seconds.
+_WAIT_S = 1.0
+#: Time without questions to a reader that gave no fresh answer, in seconds.
+_AVOID_S = 2.0
+#: Longest wait of a watch of the platform in seconds, with readers for all
+#: and without.
+_READER_WATCH_S = 0.5
+_OWN_WATCH_S = 2.0
+
+
+@dataclass(slots=True, frozen=True)
+class Reading:
+    """A listing and the time up to which it holds all changes.
+
+    :ivar listing: all objects of a kind.
+    :ivar confirmed_at: clock time.
+    """
+
+    listing: Listing
+    confirmed_at: float
+
+
+class PeerReaders:
+    """Finds the readers and asks them for changes."""
+
+    __slots__ = ('_avoided_until', '_clock', '_members', '_network')
+
+    def __init__(
+        self, members: MemberTable, network: Network, clock: Clock
+    ) -> None:
+        """Create a client of readers.
+
+        :param members: view of the hosts.
+        :param network: calls to peers.
+        :param clock: monotonic clock.
+        """
+        self._members = members
+        self._network = network
+        self._clock = clock
+        self._avoided_until: dict[str, float] = {}
+
+    def watch_s(self) -> float:
+        """Return how long a watch of the platform waits, in seconds.
+
+        Readers confirm often, as their answers grow older on the way.
+        """
+        return _READER_WATCH_S if self._list() else _OWN_WATCH_S
+
+    def read(self, kind: str, listing: Listing) -> Reading | None:
+        """Wait at a reader for a change.
+
+        :param kind: kind of the objects.
+        :param listing: the listing that this host has.
+        :return: the new listing; ``None`` when this host has to ask the
+            platform itself.
+        """
+        reader = self._choose()
+        member = self._members.find(reader)
+        if member is None or not listing.version:
+            return None
+        sent_at = self._clock()
+        ask = ChangeAsk(kind, listing.version, convert_to_ms(_WAIT_S))
+        outcome = self._network.follow(member.update.peer_address, ask)
+        if isinstance(outcome, Unreachable | Ambiguous):
+            return self._avoid(reader, kind, outcome.cause)
+        age_s = convert_to_seconds(outcome.age_ms)
+        if not outcome.revision or age_s > FRESH_S:
+            return self._avoid(reader, kind, 'stale')
+        if outcome.large:
+            return None
+        waited_s = convert_to_seconds(outcome.waited_ms)
+        confirmed_at = sent_at + waited_s - age_s
+        return Reading(apply_changes(listing, outcome), confirmed_at)
+
+    def _choose(self) -> str:
+        """Choose the reader of this host.
+
+        :return: its name, empty when this host reads by itself.
+        """
+        own = self._members.own_host
+        readers = self._list()
+        if own in readers:
+            return ''
+        now = self._clock()
+        usable = [
+            reader
+            for reader in readers
+            if self._avoided_until.get(reader, 0) <= now
+        ]
+        return rank_by_rendezvous(own, usable)[0] if usable else ''
+
+    def _list(self) -> list[str]:
+        return list_owners(
+            self._members, 'reader', _READERS, hosts_from=_SHARED_FROM
+        )
+
+    def _avoid(self, reader: str, kind: str, cause: str) -> None:
+        logger.info('reader-avoided', reader=reader, kind=kind, cause=cause)
+        self._avoided_until[reader] = self._clock() + _AVOID_S
+
+
+def apply_changes(listing: Listing, changes: Changes) -> Listing:
+    """Bring a listing up to the one of a reader.
+
+    :param listing: the listing before.
+    :param changes: what the reader told; nothing when its listing is older.
+    :return: the listing after.
+    """
+    if changes.revision <= listing.version:
+        return listing
+    objects: dict[str, StoredObject] = {}
+    if not changes.whole:
+        objects.update((entry.name, entry) for entry in listing.entries)
+    for name in changes.gone:
+        objects.pop(name, None)
+    for entry in changes.entries:
+        objects[entry.name] = StoredObject(
+            entry.name, entry.version, entry.body.encode()
+        )
+    return Listing(changes.revision, tuple(objects.values()))
--- /dev/null
+++ b/egretdale/state/groups.py
@@ -0,0 +1,121 @@
+"""Groups of backend servers that share one allocator.
+
+One allocator is enough for some dozen engines. More engines are split, so
+that no host decides on the requests of all.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from egretdale.state.instances import Instance, InstanceTable
+from egretdale.util.hashing import hash_text, rank_by_rendezvous
+
+#: Engines of a service from which on there are two groups; each doubling
+#: doubles the groups.
+_SPLIT_FROM = 24
+#: Affinity keys whose engine is remembered until the list changes.
+_REMEMBERED_KEYS = 4096
+
+
+@dataclass(slots=True)
+class ServiceGroups:
+    """The groups of one service for one list of its engines.
+
+    :ivar ready: the list; another one makes these groups invalid.
+    :ivar count: number of groups.
+    :ivar members: engines by group key.
+    :ivar orders: group keys by affinity key, the preferred one first.
+    """
+
+    ready: list[Instance]
+    count: int
+    members: dict[str, list[Instance]]
+    orders: dict[str, tuple[str, ...]] = field(default_factory=dict)
+
+
+class GroupMap:
+    """Finds the group of a request and the engines of a group."""
+
+    __slots__ = ('_by_service', '_instances')
+
+    def __init__(self, instances: InstanceTable) -> None:
+        """Create a map.
+
+        :param instances: backend servers.
+        """
+        self._instances = instances
+        self._by_service: dict[str, ServiceGroups] = {}
+
+    def list_engines(self, group: str) -> list[Instance]:
+        """List the engines of a group that take new work.
+
+        :param group: group key, ``service/groups/index``.
+        :return: the engines.
+        """
+        service, count, _ = group.rsplit('/', 2)
+        groups = self._find(service)
+        if groups.count == int(count):
+            return groups.members.get(group, [])
+        # The host that asks has another list of engines.
+        return _split(service, int(count), groups.ready).get(group, [])
+
+    def rank(self, service: str, key: str) -> tuple[str, ...]:
+        """Rank the groups for a request.
+
+        The first group holds the engine that all hosts prefer for the key,
+        so groups get requests in proportion to their engines.
+
+        :param service: service name.
+        :param key: affinity key of the request.
+        :return: group keys, the preferred one first.
+        """
+        groups = self._find(service)
+        if groups.count == 1:
+            return tuple(groups.members)
+        order = groups.orders.get(key)
+        if order is None:
+            order = _rank_groups(service, groups, key)
+            if len(groups.orders) < _REMEMBERED_KEYS:
+                groups.orders[key] = order
+        return order
+
+    def _find(self, service: str) -> ServiceGroups:
+        ready = self._instances.list_ready(service)
+        groups = self._by_service.get(service)
+        if groups is None or groups.ready is not ready:
+            count = _count_groups(len(ready))
+            groups = ServiceGroups(ready, count, _split(service, count, ready))
+            self._by_service[service] = groups
+        return groups
+
+
+def _rank_groups(
+    service: str, groups: ServiceGroups, key: str
+) -> tuple[str, ...]:
+    names = [entry.name for entry in groups.ready]
+    ranked = rank_by_rendezvous(key, names)
+    keys = (_name_group(service, groups.count, name) for name in ranked)
+    return tuple(dict.fromkeys(keys))
+
+
+def _count_groups(engines: int) -> int:
+    count = 1
+    while engines >= _SPLIT_FROM * count:
+        count *= 2
+    return count
+
+
+def _split(
+    service: str, count: int, ready: list[Instance]
+) -> dict[str, list[Instance]]:
+    members: dict[str, list[Instance]] = {}
+    for instance in ready:
+        key = _name_group(service, count, instance.name)
+        members.setdefault(key, []).append(instance)
+    return members
+
+
+def _name_group(service: str, count: int, engine: str) -> str:
+    index = hash_text(engine) % count
+    return f'{service}/{count}/{index}'
--- /dev/null
+++ b/tests/test_coordination/test_readers.py
@@ -0,0 +1,282 @@
+"""Tests of hosts that read the platform through a few of them."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+import eventlet
+
+from egretdale.coordination.configuration import (
+    ROUTING_KIND,
+    ConfigurationFollower,
+)
+from egretdale.coordination.copies import PeerAccess
+from egretdale.coordination.ports import Listing, StoredObject
+from egretdale.coordination.readers import apply_changes
+from egretdale.coordination.relays import ListingRelay
+from egretdale.errors import Ambiguous, Cause, Invalid, Unreachable
+from egretdale.state.members import MemberTable, list_owners
+from egretdale.state.messages import (
+    ChangeAsk,
+    Changes,
+    MemberUpdate,
+    ObjectCopy,
+)
+from egretdale.state.routing import RoutingTable
+from standins.virtual.hub import VirtualHub, use_virtual_time
+from standins.virtual.network import HostFaults
+from standins.virtual.platform import PlatformState, VirtualPlatform
+from tests.forwarding import ManualClock, create_table
+from tests.functions import create_loader
+
+load_tests = create_loader(__name__)
+
+_HOSTS = tuple(f'host-{index:02d}' for index in range(20))
+_REQUEST_S = 0.001
+_TIMEOUT_S = 0.3
+#: Time until a change must be known everywhere, in seconds.
+_APPLY_S = 2.0
+
+
+class _CountedPlatform:
+    """Counts the calls of a host."""
+
+    def __init__(self, platform: VirtualPlatform, calls: Counter[str]) -> None:
+        self._platform = platform
+        self._calls = calls
+
+    def list_objects(self, kind: str) -> Listing | Unreachable:
+        self._calls['list'] += 1
+        return self._platform.list_objects(kind)
+
+    def watch(
+        self, kind: str, version: int, timeout_s: float
+    ) -> Listing | Unreachable:
+        self._calls['watch'] += 1
+        return self._platform.watch(kind, version, timeout_s)
+
+
+def _decode(source: bytes) -> RoutingTable | Invalid:
+    return create_table(version=int(source))
+
+
+@dataclass
+class _Fleet:
+    """Hosts, the platform, and the calls between them.
+
+    :ivar silent: hosts that do not answer others.
+    :ivar calls: calls to the platform.
+    """
+
+    hub: VirtualHub
+    state: PlatformState = field(default_factory=PlatformState)
+    followers: dict[str, ConfigurationFollower] = field(default_factory=dict)
+    silent: set[str] = field(default_factory=set)
+    calls: Counter[str] = field(default_factory=Counter)
+    written_at: dict[int, float] = field(default_factory=dict)
+
+    def follow(
+        self, address: str, ask: ChangeAsk
+    ) -> Changes | Unreachable | Ambiguous:
+        """Deliver a question, as the network does."""
+        eventlet.sleep(_REQUEST_S)
+        if address in self.silent:
+            eventlet.sleep(ask.wait_ms / 1000 + _TIMEOUT_S)
+            return Ambiguous(Cause.SILENT)
+        changes = self.followers[address].follow(ask)
+        eventlet.sleep(_REQUEST_S)
+        return changes
+
+    def publish(self, version: int) -> None:
+        """Write a configuration as the operator does."""
+        known = self.state.store.read(ROUTING_KIND, 'main')
+        expected = 0 if known is None else known.version
+        self.state.store.write(ROUTING_KIND, 'main', str(version), expected)
+        self.written_at[version] = self.hub.now
+
+    def list_readers(self) -> list[str]:
+        """List the hosts that watch the platform."""
+        members = _create_members(_HOSTS[0])
+        return list_owners(members, 'reader', 2, hosts_from=12)
+
+    def find_slowest(self) -> int:
+        """Return the oldest version that is in force anywhere."""
+        return min(follower.version for follower in self.followers.values())
+
+
+def _create_members(own: str) -> MemberTable:
+    members = MemberTable(own)
+    for host in _HOSTS:
+        members.apply(MemberUpdate(host, 1, 0, 0, 'dc', '', host), 0)
+    return members
+
+
+@contextmanager
+def _open_fleet() -> Iterator[_Fleet]:
+    with use_virtual_time() as hub:
+        fleet = _Fleet(hub)
+        fleet.publish(1)
+        tasks = []
+        for host in _HOSTS:
+            platform = VirtualPlatform(host, fleet.state, HostFaults())
+            follower = ConfigurationFollower(
+                _CountedPlatform(platform, fleet.calls),
+                PeerAccess(fleet, _create_members(host)),
+                decode=_decode,
+                clock=hub.read_now,
+                source=random.Random(host),
+            )
+            fleet.followers[host] = follower
+            tasks.append(eventlet.spawn(follower.run_watch))
+        eventlet.sleep(3)
+        yield fleet
+        for task in tasks:
+            task.kill()
+
+
+def test_quiet_hosts_leave_the_platform_alone() -> None:
+    """Only the readers call it, however many hosts there are."""
+    with _open_fleet() as fleet:
+        fleet.calls.clear()
+        eventlet.sleep(20)
+        # Two readers, with a watch of half a second each.
+        assert fleet.calls.total() <= 2 * 20 / 0.5 + 2
+
+
+def test_a_change_is_in_force_at_once_everywhere() -> None:
+    """Readers pass a change on when they see it, and the age is small."""
+    with _open_fleet() as fleet:
+        fleet.publish(2)
+        eventlet.sleep(0.2)
+        assert fleet.find_slowest() == 2
+        eventlet.sleep(3)
+        ages = [
+            follower.confirmation.measure_age()
+            for follower in fleet.followers.values()
+        ]
+        assert max(ages) < 2.5
+
+
+def test_a_silent_reader_does_not_hide_a_change() -> None:
+    """Hosts that wait at it read the platform in time."""
+    with _open_fleet() as fleet:
+        fleet.silent.update(fleet.list_readers())
+        fleet.publish(2)
+        eventlet.sleep(_APPLY_S)
+        assert fleet.find_slowest() == 2
+
+
+def test_a_reader_without_the_platform_does_not_hide_a_change() -> None:
+    """Hosts notice that its listing grows old."""
+    with _open_fleet() as fleet:
+        readers = fleet.list_readers()
+        fleet.state.cut.update(readers)
+        fleet.publish(2)
+        eventlet.sleep(_APPLY_S)
+        versions = {
+            follower.version
+            for host, follower in fleet.followers.items()
+            if host not in readers
+        }
+        assert versions == {2}
+
+
+def test_the_age_is_never_too_small() -> None:
+    """A host that lacks a version has an age from before its writing."""
+    source = random.Random(5)
+    with _open_fleet() as fleet:
+        for version in range(2, 60):
+            fleet.publish(version)
+            fleet.silent = set(source.sample(_HOSTS, source.choice((0, 9))))
+            fleet.state.cut = set(source.sample(_HOSTS, source.choice((0, 9))))
+            fleet.state.slow_s = source.choice((0.002, 0.3))
+            for _ in range(source.randrange(30)):
+                eventlet.sleep(0.1)
+                _check_ages(fleet)
+
+
+def _check_ages(fleet: _Fleet) -> None:
+    for follower in fleet.followers.values():
+        missing_at = fleet.written_at.get(follower.version + 1)
+        if missing_at is not None:
+            age_s = follower.confirmation.measure_age()
+            assert age_s >= fleet.hub.now - missing_at
+
+
+def _create_listing(version: int, **versions: int) -> Listing:
+    return Listing(
+        version,
+        tuple(
+            StoredObject(name, changed, str(changed).encode())
+            for name, changed in versions.items()
+        ),
+    )
+
+
+def _exchange(relay: ListingRelay, before: Listing) -> Listing:
+    changes = relay.answer(ChangeAsk('kind', before.version, 0))
+    return apply_changes(before, changes)
+
+
+def test_changes_bring_any_listing_up_to_date() -> None:
+    """From each version that a relay has seen, all objects agree."""
+    relay = ListingRelay('kind', ManualClock())
+    listings = (
+        _create_listing(5, a=3, b=5),
+        _create_listing(7, a=3, b=7, c=6),
+        _create_listing(9, b=7, c=6),
+        _create_listing(12, a=11, b=7),
+        _create_listing(14, a=11, b=7),
+    )
+    for listing in listings:
+        relay.note(listing, 100)
+    for before in (Listing(2, ()), *listings):
+        after = _exchange(relay, before)
+        assert after.version == 14
+        assert set(after.entries) == set(listings[-1].entries)
+
+
+def test_an_older_relay_changes_nothing() -> None:
+    """A listing never goes back."""
+    relay = ListingRelay('kind', ManualClock())
+    relay.note(_create_listing(5, a=3), 100)
+    newer = _create_listing(8, a=8)
+    assert _exchange(relay, newer) == newer
+
+
+def test_large_changes_are_left_to_the_platform() -> None:
+    """A relay says that there are some and does not send them."""
+    relay = ListingRelay('kind', ManualClock())
+    relay.note(_create_listing(5, a=3), 100)
+    relay.note(Listing(6, (StoredObject('a', 6, b'x' * 40000),)), 100)
+    changes = relay.answer(ChangeAsk('kind', 5, 0))
+    assert changes.large
+    assert not changes.entries
+
+
+def test_hosts_with_little_capacity_have_no_duties() -> None:
+    """They stand in when the large ones are gone."""
+    members = MemberTable('small-0')
+    for index in range(12):
+        size = 'large' if index < 2 else 'small'
+        capacity = 215 if index < 2 else 52
+        name = f'{size}-{index}'
+        update = MemberUpdate(name, 1, 0, 0, 'dc', '', name, capacity=capacity)
+        members.apply(update, 0)
+    assert sorted(list_owners(members, 'reader', 5)) == ['large-0', 'large-1']
+    for name in ('large-0', 'large-1'):
+        gone = MemberUpdate(name, 1, 1, 4, 'dc', '', name, capacity=215)
+        members.apply(gone, 0)
+    assert len(list_owners(members, 'reader', 5)) == 5
+
+
+def test_entries_keep_their_names() -> None:
+    """What a relay sends is what the platform holds."""
+    relay = ListingRelay('kind', ManualClock())
+    relay.note(_create_listing(5, a=3), 100)
+    changes = relay.answer(ChangeAsk('kind', 1, 0))
+    assert changes.entries == [ObjectCopy('a', 3, '3')]
--- /dev/null
+++ b/tests/test_transport/test_peers.py
@@ -0,0 +1,53 @@
+"""Tests of calls between daemons."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+import eventlet
+
+from egretdale.errors import Ambiguous
+from egretdale.state.messages import ChangeAsk, Changes, ObjectCopy
+from egretdale.transport.peer_calls import GatewayHandler
+from egretdale.transport.peers import PeerClient, PeerServer, listen
+from tests.functions import create_loader
+
+load_tests = create_loader(__name__)
+
+_TIMEOUT_S = 0.2
+
+
+@contextmanager
+def _open_peer(
+    follow: Callable[[ChangeAsk], Changes],
+) -> Iterator[tuple[PeerClient, str]]:
+    listener = listen('127.0.0.1:0')
+    server = PeerServer(listener, GatewayHandler(None, None, follow))
+    task = eventlet.spawn(server.run)
+    address = f'127.0.0.1:{listener.getsockname()[1]}'
+    yield PeerClient(_TIMEOUT_S, lambda size: None), address
+    task.kill()
+
+
+def test_a_question_may_wait_longer_than_other_calls() -> None:
+    """The wait that was asked for comes on top of the usual limit."""
+
+    def follow(ask: ChangeAsk) -> Changes:
+        eventlet.sleep(2 * _TIMEOUT_S)
+        copy = ObjectCopy('a', 7, '{}')
+        return Changes(ask.kind, 7, 30, 400, whole=True, entries=[copy])
+
+    with _open_peer(follow) as (client, address):
+        for _ in range(2):
+            changes = client.follow(address, ChangeAsk('kind', 5, 1000))
+            assert isinstance(changes, Changes)
+            assert changes.entries == [ObjectCopy('a', 7, '{}')]
+            assert (changes.age_ms, changes.waited_ms) == (30, 400)
+
+
+def test_a_silent_reader_ends_the_wait() -> None:
+    """The limit still holds after the wait that was asked for."""
+    with _open_peer(lambda ask: eventlet.sleep(5)) as (client, address):
+        outcome = client.follow(address, ChangeAsk('kind', 5, 100))
+        assert isinstance(outcome, Ambiguous)
