--- a/egretdale/cmd/egretdale.py
+++ b/egretdale/cmd/egretdale.py
@@ -11,7 +11,7 @@
 
 from egretdale.cmd.documents import document
 from egretdale.cmd.output import REFUSED_EXIT, Context, fail, show
-from egretdale.config import parse_settings
+from egretdale.config import parse_gateway_settings, parse_settings
 from egretdale.errors import Invalid, Unreachable
 from egretdale.protocol.hosts import HostsAnswer
 from egretdale.protocol.operators import Explanation, StatusAnswer
@@ -19,8 +19,6 @@
 from egretdale.state.stories import tell_story
 from egretdale.transport.client import OperatorClient
 
-_INVALID_EXIT = 2
-
 
 @click.group()
 @click.option(
@@ -200,18 +198,31 @@
 
 
 @settings.command()
+@click.option(
+    '--form',
+    type=click.Choice(('daemon', 'gateway')),
+    default='daemon',
+    help='Settings of a daemon or of a host that forwards by routes.',
+)
 @click.argument('path', type=click.Path(exists=True, path_type=Path))
-def check(path: Path) -> None:
+@click.pass_obj
+def check(context: Context, form: str, path: Path) -> None:
     """Check a settings file without starting anything.
 
+    Prints all settings with their defaults. Exit status 2 and the path of
+    the first wrong field when something is wrong.
+
     \f
+    :param context: form of the output.
+    :param form: which settings the file holds.
     :param path: YAML file.
     """
-    checked = parse_settings(path.read_bytes())
+    parse = parse_gateway_settings if form == 'gateway' else parse_settings
+    checked = parse(path.read_bytes())
     if isinstance(checked, Invalid):
-        click.echo(f'{checked.path}: {checked.message}', err=True)
-        sys.exit(_INVALID_EXIT)
-    click.echo(msgspec.yaml.encode(checked).decode(), nl=False)
+        fail(checked)
+    lines = msgspec.yaml.encode(checked).decode().splitlines()
+    show(context, checked, lines)
 
 
 main.add_command(document)
--- a/egretdale/config.py
+++ b/egretdale/config.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Literal
+from typing import Annotated, Literal, TypeVar
 
 import msgspec
 
@@ -14,6 +14,9 @@
 _Seconds = Annotated[float, msgspec.Meta(gt=0)]
 _Rate = Annotated[float, msgspec.Meta(gt=0)]
 
+#: Type of the settings that are decoded.
+_Kind = TypeVar('_Kind')
+
 
 class Seed(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A peer that is known before the platform has answered.
@@ -110,7 +113,9 @@
     :ivar retry_allowance: repeats of a service in each window besides, by
         all hosts together.
     :ivar retry_window_s: length of the window in seconds.
-    :ivar expected_hosts: hosts that share the allowance.
+    :ivar expected_hosts: least number of hosts that share the allowance.
+    :ivar capacity: share of a processor that this host has, in percent; 0
+        when it is not known.
     :ivar maximum_connections: connections of callers at one time.
     :ivar log_lines_per_s: log lines a second above which lines are left out.
     """
@@ -135,32 +140,56 @@
     retry_allowance: float = 20.0
     retry_window_s: _Seconds = 10.0
     expected_hosts: int = 8
+    capacity: int = 0
     maximum_connections: Annotated[int, msgspec.Meta(ge=8)] = 2048
     log_lines_per_s: _Rate = 200.0
 
 
 def parse_settings(source: bytes) -> Settings | Invalid:
-    """Decode and check settings.
+    """Decode and check settings of a daemon.
 
     :param source: YAML text.
     :return: the settings, or the path of the first wrong field.
     """
-    try:
-        settings = msgspec.yaml.decode(source, type=Settings)
-    except msgspec.ValidationError as wrong:
-        return split_validation_error(wrong)
-    except (msgspec.DecodeError, ValueError) as malformed:
-        return Invalid('$', f'not well formed: {malformed}')
-    return _find_clash(settings) or settings
+    settings = _decode(source, Settings)
+    if isinstance(settings, Invalid):
+        return settings
+    if not settings.platform_url.startswith('http://'):
+        return Invalid('$.platform_url', 'must start with http://')
+    return find_clash(settings) or settings
+
+
+def parse_gateway_settings(source: bytes) -> GatewaySettings | Invalid:
+    """Decode and check settings of a host that forwards requests.
 
+    :param source: YAML text.
+    :return: the settings, or the path of the first wrong field.
+    """
+    settings = _decode(source, GatewaySettings)
+    if isinstance(settings, Invalid):
+        return settings
+    return find_clash(settings) or settings
 
-def _find_clash(settings: Settings) -> Invalid | None:
+
+def find_clash(settings: Settings | GatewaySettings) -> Invalid | None:
+    """Find settings that contradict each other.
+
+    :param settings: settings of well-formed fields.
+    :return: the path of the first of them, or ``None``.
+    """
     if settings.caller_address == settings.peer_address:
         return Invalid('$.peer_address', 'must differ from caller_address')
     if settings.drain_limit_s < settings.answer_lifetime_s:
         return Invalid('$.drain_limit_s', 'must not be below answer_lifetime_s')
-    if not settings.platform_url.startswith('http://'):
-        return Invalid('$.platform_url', 'must start with http://')
     if settings.suspicion_s < settings.probe_period_s:
         return Invalid('$.suspicion_s', 'must not be below probe_period_s')
     return None
+
+
+def _decode(source: bytes, kind: type[_Kind]) -> _Kind | Invalid:
+    try:
+        return msgspec.yaml.decode(source, type=kind)
+    except msgspec.ValidationError as wrong:
+        return split_validation_error(wrong)
+    except (msgspec.DecodeError, ValueError) as malformed:
+        return Invalid('$', f'not well formed: {malformed}')
--- a/egretdale/coordination/budgets.py
+++ b/egretdale/coordination/budgets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from egretdale.state.retries import RetryBudget
@@ -15,7 +16,7 @@
     :ivar ratio: repeats for each first attempt.
     :ivar allowance: repeats of all hosts in each window besides.
     :ivar window_s: length of the window in seconds.
-    :ivar hosts: hosts that share the allowance.
+    :ivar hosts: least number of hosts that share the allowance.
     """
 
     ratio: float = 0.1
@@ -27,14 +28,18 @@
 class BudgetBook:
     """One budget for each service."""
 
-    __slots__ = ('_budgets', '_clock', '_terms')
+    __slots__ = ('_budgets', '_clock', '_count_hosts', '_terms')
 
-    def __init__(self, terms: BudgetTerms, clock: Clock) -> None:
+    def __init__(
+        self, terms: BudgetTerms, clock: Clock, count_hosts: Callable[[], int]
+    ) -> None:
         """Create an empty book.
 
         :param terms: terms of every budget.
         :param clock: monotonic clock.
+        :param count_hosts: counts the hosts that are known.
         """
+        self._count_hosts = count_hosts
         self._terms = terms
         self._clock = clock
         self._budgets: dict[str, RetryBudget] = {}
@@ -44,7 +49,9 @@
 
         :param service: service name.
         """
-        self._find(service).earn()
+        budget = self._find(service)
+        budget.share(self._share())
+        budget.earn()
 
     def spend(self, service: str) -> bool:
         """Take a repeat out of the budget of a service.
@@ -67,9 +74,13 @@
             terms = self._terms
             budget = RetryBudget(
                 ratio=terms.ratio,
-                allowance=terms.allowance / terms.hosts,
+                allowance=self._share(),
                 window_s=terms.window_s,
                 clock=self._clock,
             )
             self._budgets[service] = budget
         return budget
+
+    def _share(self) -> float:
+        hosts = max(self._terms.hosts, self._count_hosts())
+        return self._terms.allowance / hosts
--- a/egretdale/coordination/configuration.py
+++ b/egretdale/coordination/configuration.py
@@ -15,10 +15,17 @@
     Platform,
     StoredObject,
 )
+from egretdale.coordination.readers import PeerReaders
 from egretdale.coordination.watches import KindWatch
 from egretdale.errors import Invalid, Unreachable
 from egretdale.state.freshness import Confirmation
-from egretdale.state.messages import Batch, DocumentCopy, Revision
+from egretdale.state.messages import (
+    Batch,
+    ChangeAsk,
+    Changes,
+    DocumentCopy,
+    Revision,
+)
 from egretdale.state.routing import RoutingTable
 from egretdale.util.clocks import (
     Clock,
@@ -86,7 +93,13 @@
         self._fetcher = CopyFetcher(ROUTING_KIND, peers, self._take_copy)
         self._decode = decode
         self._clock = clock
-        self._watch = KindWatch(ROUTING_KIND, platform, clock, source)
+        self._watch = KindWatch(
+            ROUTING_KIND,
+            platform,
+            PeerReaders(peers.members, peers.network, clock),
+            clock=clock,
+            source=source,
+        )
         self._lost = False
         # Name of the configuration object, once it has been seen.
         self._name = ''
@@ -104,11 +117,19 @@
         """Follow the configuration object."""
         self._watch.run(self)
 
-    def take_listing(self, listing: Listing, sent_at: float) -> None:
+    def follow(self, ask: ChangeAsk) -> Changes:
+        """Answer a host that waits for changes.
+
+        :param ask: its question.
+        :return: the changes.
+        """
+        return self._watch.relay.answer(ask)
+
+    def take_listing(self, listing: Listing, confirmed_at: float) -> None:
         """Put a newer configuration in force, and confirm an equal one.
 
         :param listing: objects of the kind.
-        :param sent_at: when the read was sent.
+        :param confirmed_at: clock time up to which it holds all changes.
         """
         if self._lost:
             self._lost = False
@@ -118,7 +139,7 @@
             self._name = entry.name
             newest = max(newest, self._take(entry.body, 'platform'))
         if newest and newest == self.version:
-            self.confirmation.confirm(sent_at)
+            self.confirmation.confirm(confirmed_at)
 
     def note_lost(self, failure: Unreachable) -> None:
         """Log the first failure of a row.
--- a/egretdale/coordination/gateway.py
+++ b/egretdale/coordination/gateway.py
@@ -34,7 +34,12 @@
 from egretdale.state.instances import Instance, InstanceTable
 from egretdale.state.loads import LoadTable
 from egretdale.state.members import MemberStatus, MemberTable
-from egretdale.state.messages import DocumentCopy, MemberUpdate
+from egretdale.state.messages import (
+    ChangeAsk,
+    Changes,
+    DocumentCopy,
+    MemberUpdate,
+)
 from egretdale.state.routing import CallerLimits
 from egretdale.util.clocks import Clock, WallClock, convert_to_ms
 from egretdale.util.tasks import TaskGroup
@@ -179,6 +184,16 @@
             return self.instances.copy()
         return self.configuration.copy(kind)
 
+    def follow(self, ask: ChangeAsk) -> Changes:
+        """Answer a host that waits for changes in the platform.
+
+        :param ask: its question.
+        :return: the changes.
+        """
+        if ask.kind == INSTANCE_KIND:
+            return self.instances.follow(ask)
+        return self.configuration.follow(ask)
+
     def _watch_figures(self) -> None:
         self.figures.watch(
             'configuration_age_seconds',
@@ -221,6 +236,7 @@
             settings.data_centre,
             settings.caller_address,
             settings.peer_address,
+            capacity=settings.capacity,
         )
         self.membership = Membership(
             own,
@@ -274,6 +290,7 @@
                     settings.expected_hosts,
                 ),
                 outside.clock,
+                lambda: len(self._table.list_reachable()) + 1,
             ),
             prompts=self._prompts,
             figures=self.figures,
--- a/egretdale/coordination/instances.py
+++ b/egretdale/coordination/instances.py
@@ -15,10 +15,17 @@
     Platform,
     StoredObject,
 )
+from egretdale.coordination.readers import PeerReaders
 from egretdale.coordination.watches import KindWatch
 from egretdale.errors import Invalid, Unreachable
 from egretdale.state.instances import Instance, InstanceTable
-from egretdale.state.messages import Batch, DocumentCopy, Revision
+from egretdale.state.messages import (
+    Batch,
+    ChangeAsk,
+    Changes,
+    DocumentCopy,
+    Revision,
+)
 from egretdale.util.clocks import Clock
 from egretdale.util.logs import get_logger
 
@@ -80,7 +87,13 @@
         self.table = table
         self._decode = decode
         self._clock = clock
-        self._watch = KindWatch(INSTANCE_KIND, platform, clock, source)
+        self._watch = KindWatch(
+            INSTANCE_KIND,
+            platform,
+            PeerReaders(peers.members, peers.network, clock),
+            clock=clock,
+            source=source,
+        )
         self._on_gone = on_gone
         self._listing = Listing(0, ())
         self._fetcher = CopyFetcher(INSTANCE_KIND, peers, self._take_copy)
@@ -91,11 +104,19 @@
         """Follow the entries."""
         self._watch.run(self)
 
-    def take_listing(self, listing: Listing, sent_at: float) -> None:
+    def follow(self, ask: ChangeAsk) -> Changes:
+        """Answer a host that waits for changes.
+
+        :param ask: its question.
+        :return: the changes.
+        """
+        return self._watch.relay.answer(ask)
+
+    def take_listing(self, listing: Listing, confirmed_at: float) -> None:
         """Take in a list that has changed.
 
         :param listing: all entries.
-        :param sent_at: when the read was sent.
+        :param confirmed_at: clock time up to which it holds all changes.
         """
         if self._lost_at is not None:
             now = self._clock()
--- a/egretdale/coordination/membership.py
+++ b/egretdale/coordination/membership.py
@@ -11,6 +11,7 @@
 
 from egretdale.coordination.mesh import Mesh, MeshListener
 from egretdale.coordination.ports import Listing, Platform, Written
+from egretdale.errors import Unreachable
 from egretdale.state.member_news import News, StoredMember
 from egretdale.state.members import Member, MemberStatus, MemberTable
 from egretdale.state.messages import Batch, MemberUpdate
@@ -238,7 +239,8 @@
         """Publish this host in the platform and read first addresses."""
         while True:
             stored = self.store_own()
-            self.read_stored()
+            if stored:
+                self.read_stored()
             period_s = _PUBLISH_S if stored else _PUBLISH_RETRY_S
             jitter = self._random.uniform(1 - _JITTER_SHARE, 1 + _JITTER_SHARE)
             eventlet.sleep(period_s * jitter)
@@ -257,17 +259,23 @@
                 self._stored_version = version
                 self.platform_seen_at = self._clock()
                 return True
+            case Unreachable():
+                # Nothing was written, so there is no version to look for.
+                return False
             case _:
-                self._find_stored_version()
+                self.read_stored()
                 return False
 
     def read_stored(self) -> None:
-        """Learn of other hosts from the platform."""
+        """Learn of other hosts and of the own object from the platform."""
         listing = self._platform.list_objects(MEMBER_KIND)
         if not isinstance(listing, Listing):
             return
         self.platform_seen_at = self._clock()
         for entry in listing.entries:
+            if entry.name == self.own.host:
+                self._stored_version = entry.version
+                continue
             try:
                 stored = msgspec.json.decode(entry.body, type=StoredMember)
             except msgspec.MsgspecError as malformed:
@@ -275,16 +283,7 @@
                     'member-malformed', host=entry.name, error=str(malformed)
                 )
                 continue
-            if stored.update.host != self.own.host:
-                self.learn(stored.update)
-
-    def _find_stored_version(self) -> None:
-        listing = self._platform.list_objects(MEMBER_KIND)
-        if not isinstance(listing, Listing):
-            return
-        for entry in listing.entries:
-            if entry.name == self.own.host:
-                self._stored_version = entry.version
+            self.learn(stored.update)
 
     def _publish(self, **changes: int) -> None:
         changes.setdefault('counter', self.own.counter + 1)
--- a/egretdale/coordination/ports.py
+++ b/egretdale/coordination/ports.py
@@ -10,6 +10,8 @@
 from egretdale.state.backends import LoadReport
 from egretdale.state.messages import (
     Batch,
+    ChangeAsk,
+    Changes,
     ClaimAsk,
     ClaimReply,
     DocumentCopy,
@@ -144,6 +146,15 @@
         :param service: service name.
         """
 
+    def follow(
+        self, address: str, ask: ChangeAsk
+    ) -> Changes | Unreachable | Ambiguous:
+        """Wait at a peer for changes of a kind of the platform.
+
+        :param address: ``address:port`` of the peer.
+        :param ask: the question.
+        """
+
 
 @dataclass(slots=True, frozen=True)
 class BackendCall:
--- a/egretdale/coordination/readers.py
+++ b/egretdale/coordination/readers.py
@@ -28,10 +28,14 @@
 _WAIT_S = 1.0
 #: Time without questions to a reader that gave no fresh answer, in seconds.
 _AVOID_S = 2.0
-#: Longest wait of a watch of the platform in seconds, with readers for all
-#: and without.
+#: Longest wait of a watch of the platform in seconds, for a reader and for a
+#: host that nobody waits at.
 _READER_WATCH_S = 0.5
 _OWN_WATCH_S = 2.0
+#: Longest pause after failed calls in seconds, for a host that would see the
+#: return of the platform first, and for one that readers tell of it.
+_OWN_PAUSE_S = 0.8
+_TOLD_PAUSE_S = 1.6
 
 
 @dataclass(slots=True, frozen=True)
@@ -70,7 +74,14 @@
 
         Readers confirm often, as their answers grow older on the way.
         """
-        return _READER_WATCH_S if self._list() else _OWN_WATCH_S
+        reading = self._members.own_host in self._list()
+        return _READER_WATCH_S if reading else _OWN_WATCH_S
+
+    def pause_s(self) -> float:
+        """Return the longest pause after failed calls, in seconds."""
+        readers = self._list()
+        told = readers and self._members.own_host not in readers
+        return _TOLD_PAUSE_S if told else _OWN_PAUSE_S
 
     def read(self, kind: str, listing: Listing) -> Reading | None:
         """Wait at a reader for a change.
--- a/egretdale/coordination/watches.py
+++ b/egretdale/coordination/watches.py
@@ -8,26 +8,25 @@
 import eventlet
 
 from egretdale.coordination.ports import Listing, Platform
+from egretdale.coordination.readers import PeerReaders, Reading
+from egretdale.coordination.relays import ListingRelay
 from egretdale.errors import Unreachable
 from egretdale.util.clocks import Clock
 
-#: Longest wait of a watch, which bounds the age of what is known.
-_WATCH_S = 2.0
-#: First and longest pause after a failed call, in seconds.
+#: First pause after a failed call, in seconds.
 _RETRY_START_S = 0.1
-_RETRY_MAXIMUM_S = 0.8
 _JITTER_SHARE = 0.3
 
 
 class WatchReceiver(Protocol):
     """Takes in what a watch brings."""
 
-    def take_listing(self, listing: Listing, sent_at: float) -> None:
+    def take_listing(self, listing: Listing, confirmed_at: float) -> None:
         """Take in the objects, also when they have not changed.
 
         :param listing: all objects of the kind.
-        :param sent_at: when the call was sent; the listing holds all changes
-            up to then.
+        :param confirmed_at: clock time up to which the listing holds all
+            changes.
         """
 
     def note_lost(self, failure: Unreachable) -> None:
@@ -38,14 +37,19 @@
 
 
 class KindWatch:
-    """Watches a kind, with plain reads after failures."""
+    """Watches a kind, with plain reads after failures.
 
-    __slots__ = ('_clock', '_kind', '_platform', '_source')
+    :ivar relay: answers other hosts that ask for changes.
+    """
+
+    __slots__ = ('_clock', '_kind', '_platform', '_readers', '_source', 'relay')
 
     def __init__(
         self,
         kind: str,
         platform: Platform,
+        readers: PeerReaders,
+        *,
         clock: Clock,
         source: random.Random,
     ) -> None:
@@ -53,11 +57,14 @@
 
         :param kind: kind of the objects.
         :param platform: object API.
+        :param readers: hosts that watch the platform for this one.
         :param clock: monotonic clock.
         :param source: random source.
         """
+        self.relay = ListingRelay(kind, clock)
         self._kind = kind
         self._platform = platform
+        self._readers = readers
         self._clock = clock
         self._source = source
 
@@ -66,24 +73,34 @@
 
         :param receiver: takes in what comes.
         """
-        version = 0
+        listing = Listing(0, ())
         pause_s = float(0)
         while True:
-            sent_at = self._clock()
-            listing = self._read(version)
-            if isinstance(listing, Listing):
+            reading = self._readers.read(self._kind, listing)
+            if reading is None:
+                # A plain read after an outage tells sooner than a watch.
+                version = 0 if pause_s else listing.version
+                reading = self._ask_platform(version)
+            if isinstance(reading, Reading):
                 pause_s = 0
-                version = listing.version
-                receiver.take_listing(listing, sent_at)
+                listing = reading.listing
+                self.relay.note(listing, reading.confirmed_at)
+                receiver.take_listing(listing, reading.confirmed_at)
                 continue
-            receiver.note_lost(listing)
-            # A plain read after the outage tells sooner than a watch.
-            version = 0
-            pause_s = min(max(_RETRY_START_S, pause_s * 2), _RETRY_MAXIMUM_S)
+            receiver.note_lost(reading)
+            longest_s = self._readers.pause_s()
+            pause_s = min(max(_RETRY_START_S, pause_s * 2), longest_s)
             spread = self._source.uniform(1 - _JITTER_SHARE, 1 + _JITTER_SHARE)
             eventlet.sleep(pause_s * spread)
 
-    def _read(self, version: int) -> Listing | Unreachable:
+    def _ask_platform(self, version: int) -> Reading | Unreachable:
+        sent_at = self._clock()
         if version:
-            return self._platform.watch(self._kind, version, _WATCH_S)
-        return self._platform.list_objects(self._kind)
+            listing = self._platform.watch(
+                self._kind, version, self._readers.watch_s()
+            )
+        else:
+            listing = self._platform.list_objects(self._kind)
+        if isinstance(listing, Unreachable):
+            return listing
+        return Reading(listing, sent_at)
--- a/egretdale/protocol/gen/ttypes.py
+++ b/egretdale/protocol/gen/ttypes.py
@@ -32,6 +32,7 @@
      - urgency
      - target_ms
      - left_ms
+     - pause_ms
 
     """
 
@@ -49,10 +50,11 @@
         'urgency',
         'target_ms',
         'left_ms',
+        'pause_ms',
     )
 
 
-    def __init__(self, request_id=None, class_name=None, organisation=None, age_ms=None, prompt_tokens=None, maximum_tokens=None, prefix=None, returning=None, avoided=None, shared_tokens=None, urgency=None, target_ms=None, left_ms=None,):
+    def __init__(self, request_id=None, class_name=None, organisation=None, age_ms=None, prompt_tokens=None, maximum_tokens=None, prefix=None, returning=None, avoided=None, shared_tokens=None, urgency=None, target_ms=None, left_ms=None, pause_ms=None,):
         self.request_id = request_id
         self.class_name = class_name
         self.organisation = organisation
@@ -66,6 +68,7 @@
         self.urgency = urgency
         self.target_ms = target_ms
         self.left_ms = left_ms
+        self.pause_ms = pause_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -146,6 +149,11 @@
                     self.left_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.I32:
+                    self.pause_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -211,6 +219,10 @@
             oprot.writeFieldBegin('left_ms', TType.I32, 13)
             oprot.writeI32(self.left_ms)
             oprot.writeFieldEnd()
+        if self.pause_ms is not None:
+            oprot.writeFieldBegin('pause_ms', TType.I32, 14)
+            oprot.writeI32(self.pause_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1122,6 +1134,7 @@
      - caller_address
      - peer_address
      - load
+     - capacity
 
     """
 
@@ -1134,10 +1147,11 @@
         'caller_address',
         'peer_address',
         'load',
+        'capacity',
     )
 
 
-    def __init__(self, host=None, incarnation=None, counter=None, status=None, data_centre=None, caller_address=None, peer_address=None, load=None,):
+    def __init__(self, host=None, incarnation=None, counter=None, status=None, data_centre=None, caller_address=None, peer_address=None, load=None, capacity=None,):
         self.host = host
         self.incarnation = incarnation
         self.counter = counter
@@ -1146,6 +1160,7 @@
         self.caller_address = caller_address
         self.peer_address = peer_address
         self.load = load
+        self.capacity = capacity
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1196,6 +1211,11 @@
                     self.load = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.capacity = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1238,6 +1258,10 @@
             oprot.writeFieldBegin('load', TType.I32, 8)
             oprot.writeI32(self.load)
             oprot.writeFieldEnd()
+        if self.capacity is not None:
+            oprot.writeFieldBegin('capacity', TType.I32, 9)
+            oprot.writeI32(self.capacity)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1930,6 +1954,359 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class ObjectCopy(object):
+    """
+    Attributes:
+     - name
+     - version
+     - body
+
+    """
+
+    __slots__ = (
+        'name',
+        'version',
+        'body',
+    )
+
+
+    def __init__(self, name=None, version=None, body=None,):
+        self.name = name
+        self.version = version
+        self.body = body
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.body = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ObjectCopy')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 2)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.body is not None:
+            oprot.writeFieldBegin('body', TType.STRING, 3)
+            oprot.writeString(self.body.encode('utf-8') if sys.version_info[0] == 2 else self.body)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ChangeAsk(object):
+    """
+    Attributes:
+     - kind
+     - known
+     - wait_ms
+
+    """
+
+    __slots__ = (
+        'kind',
+        'known',
+        'wait_ms',
+    )
+
+
+    def __init__(self, kind=None, known=None, wait_ms=None,):
+        self.kind = kind
+        self.known = known
+        self.wait_ms = wait_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.kind = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.known = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ChangeAsk')
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.STRING, 1)
+            oprot.writeString(self.kind.encode('utf-8') if sys.version_info[0] == 2 else self.kind)
+            oprot.writeFieldEnd()
+        if self.known is not None:
+            oprot.writeFieldBegin('known', TType.I64, 2)
+            oprot.writeI64(self.known)
+            oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 3)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Changes(object):
+    """
+    Attributes:
+     - kind
+     - revision
+     - age_ms
+     - waited_ms
+     - whole
+     - large
+     - entries
+     - gone
+
+    """
+
+    __slots__ = (
+        'kind',
+        'revision',
+        'age_ms',
+        'waited_ms',
+        'whole',
+        'large',
+        'entries',
+        'gone',
+    )
+
+
+    def __init__(self, kind=None, revision=None, age_ms=None, waited_ms=None, whole=None, large=None, entries=None, gone=None,):
+        self.kind = kind
+        self.revision = revision
+        self.age_ms = age_ms
+        self.waited_ms = waited_ms
+        self.whole = whole
+        self.large = large
+        self.entries = entries
+        self.gone = gone
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.kind = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.waited_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.whole = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.large = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.entries = []
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = ObjectCopy()
+                        _elem96.read(iprot)
+                        self.entries.append(_elem96)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.gone = []
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gone.append(_elem102)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Changes')
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.STRING, 1)
+            oprot.writeString(self.kind.encode('utf-8') if sys.version_info[0] == 2 else self.kind)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.waited_ms is not None:
+            oprot.writeFieldBegin('waited_ms', TType.I32, 4)
+            oprot.writeI32(self.waited_ms)
+            oprot.writeFieldEnd()
+        if self.whole is not None:
+            oprot.writeFieldBegin('whole', TType.BOOL, 5)
+            oprot.writeBool(self.whole)
+            oprot.writeFieldEnd()
+        if self.large is not None:
+            oprot.writeFieldBegin('large', TType.BOOL, 6)
+            oprot.writeBool(self.large)
+            oprot.writeFieldEnd()
+        if self.entries is not None:
+            oprot.writeFieldBegin('entries', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.entries))
+            for iter103 in self.entries:
+                iter103.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.gone is not None:
+            oprot.writeFieldBegin('gone', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRING, len(self.gone))
+            for iter104 in self.gone:
+                oprot.writeString(iter104.encode('utf-8') if sys.version_info[0] == 2 else iter104)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Ask)
 Ask.thrift_spec = (
     None,  # 0
@@ -1946,6 +2323,7 @@
     (11, TType.I32, 'urgency', None, None, ),  # 11
     (12, TType.I32, 'target_ms', None, None, ),  # 12
     (13, TType.I32, 'left_ms', None, None, ),  # 13
+    (14, TType.I32, 'pause_ms', None, None, ),  # 14
 )
 all_structs.append(Running)
 Running.thrift_spec = (
@@ -2021,6 +2399,7 @@
     (6, TType.STRING, 'caller_address', 'UTF8', None, ),  # 6
     (7, TType.STRING, 'peer_address', 'UTF8', None, ),  # 7
     (8, TType.I32, 'load', None, None, ),  # 8
+    (9, TType.I32, 'capacity', None, None, ),  # 9
 )
 all_structs.append(BackendUpdate)
 BackendUpdate.thrift_spec = (
@@ -2070,5 +2449,31 @@
     (2, TType.I64, 'revision', None, None, ),  # 2
     (3, TType.STRING, 'source', 'UTF8', None, ),  # 3
 )
+all_structs.append(ObjectCopy)
+ObjectCopy.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.STRING, 'body', 'UTF8', None, ),  # 3
+)
+all_structs.append(ChangeAsk)
+ChangeAsk.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'kind', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'known', None, None, ),  # 2
+    (3, TType.I32, 'wait_ms', None, None, ),  # 3
+)
+all_structs.append(Changes)
+Changes.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'kind', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'revision', None, None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+    (4, TType.I32, 'waited_ms', None, None, ),  # 4
+    (5, TType.BOOL, 'whole', None, None, ),  # 5
+    (6, TType.BOOL, 'large', None, None, ),  # 6
+    (7, TType.LIST, 'entries', (TType.STRUCT, [ObjectCopy, None], False), None, ),  # 7
+    (8, TType.LIST, 'gone', (TType.STRING, 'UTF8', False), None, ),  # 8
+)
 fix_spec(all_structs)
 del all_structs
--- a/egretdale/protocol/peer.thrift
+++ b/egretdale/protocol/peer.thrift
@@ -14,6 +14,7 @@
   11: i32 urgency
   12: i32 target_ms
   13: i32 left_ms
+  14: i32 pause_ms
 }
 
 struct Running {
@@ -81,6 +82,7 @@
   6: string caller_address
   7: string peer_address
   8: i32 load
+  9: i32 capacity
 }
 
 struct BackendUpdate {
@@ -125,9 +127,33 @@
   3: string source
 }
 
+struct ObjectCopy {
+  1: string name
+  2: i64 version
+  3: string body
+}
+
+struct ChangeAsk {
+  1: string kind
+  2: i64 known
+  3: i32 wait_ms
+}
+
+struct Changes {
+  1: string kind
+  2: i64 revision
+  3: i32 age_ms
+  4: i32 waited_ms
+  5: bool whole
+  6: bool large
+  7: list<ObjectCopy> entries
+  8: list<string> gone
+}
+
 service Peer {
   Batch deliver(1: Batch batch)
   ClaimReply claim(1: ClaimAsk question)
   bool settle(1: string key, 2: bool ran)
   DocumentCopy fetch(1: string service_name)
+  Changes follow(1: ChangeAsk ask)
 }
--- a/egretdale/state/members.py
+++ b/egretdale/state/members.py
@@ -8,6 +8,9 @@
 from egretdale.state.messages import MemberUpdate
 from egretdale.util.hashing import rank_by_rendezvous
 
+#: Part of the largest host's capacity that a host with duties has.
+_DUTY_CAPACITY_SHARE = 0.7
+
 
 class MemberStatus(enum.IntEnum):
     """Status of an entry host, in order of precedence."""
@@ -48,7 +51,13 @@
     :ivar version: number that grows when a host or its status changes.
     """
 
-    __slots__ = ('_members', 'own_host', 'version')
+    __slots__ = (
+        '_members',
+        '_ranked',
+        '_ranked_version',
+        'own_host',
+        'version',
+    )
 
     def __init__(self, own_host: str) -> None:
         """Create an empty table.
@@ -58,6 +67,9 @@
         self.own_host = own_host
         self.version = 0
         self._members: dict[str, Member] = {}
+        # Ranks of live hosts by duty, for one version of the table.
+        self._ranked: dict[str, list[str]] = {}
+        self._ranked_version = 0
 
     def find(self, host: str) -> Member | None:
         """Find a host.
@@ -110,6 +122,20 @@
             and member.update.host != self.own_host
         ]
 
+    def rank_live(self, duty: str, hosts_from: int) -> list[str]:
+        """Rank live hosts with enough capacity for a duty.
+
+        :param duty: key of the duty.
+        :param hosts_from: number of live hosts below which there are none.
+        :return: names of the hosts, the preferred one first.
+        """
+        if self._ranked_version != self.version:
+            self._ranked_version = self.version
+            self._ranked = {}
+        if duty not in self._ranked:
+            self._ranked[duty] = self._rank_live(duty, hosts_from)
+        return self._ranked[duty]
+
     def list_serving(self) -> list[Member]:
         """List hosts that callers may be sent to, with this host."""
         return [
@@ -118,6 +144,19 @@
             if member.status in {MemberStatus.ALIVE, MemberStatus.SUSPECT}
         ]
 
+    def _rank_live(self, duty: str, hosts_from: int) -> list[str]:
+        live = [
+            member.update
+            for member in self._members.values()
+            if member.status == MemberStatus.ALIVE
+        ]
+        if len(live) < hosts_from:
+            return []
+        largest = max((update.capacity for update in live), default=0)
+        enough = largest * _DUTY_CAPACITY_SHARE
+        hosts = [update.host for update in live if update.capacity >= enough]
+        return rank_by_rendezvous(duty, hosts)
+
 
 def _rank_update(update: MemberUpdate) -> tuple[int, int, int]:
     return update.incarnation, update.counter, update.status
@@ -130,9 +169,21 @@
     :param group: group key.
     :return: name of the host.
     """
-    hosts = [
-        member.update.host
-        for member in table.list_members()
-        if member.status == MemberStatus.ALIVE
-    ]
-    return rank_by_rendezvous(group, hosts or [table.own_host])[0]
+    owners = list_owners(table, group, 1)
+    return owners[0] if owners else table.own_host
+
+
+def list_owners(
+    table: MemberTable, duty: str, count: int, hosts_from: int = 1
+) -> list[str]:
+    """List the hosts that have a duty for all hosts.
+
+    Hosts with little capacity have duties only when there are no others.
+
+    :param table: view of the entry hosts.
+    :param duty: key of the duty.
+    :param count: number of hosts wanted.
+    :param hosts_from: number of live hosts below which there are none.
+    :return: names of the hosts, the preferred one first.
+    """
+    return table.rank_live(duty, hosts_from)[:count]
--- a/egretdale/state/messages.py
+++ b/egretdale/state/messages.py
@@ -22,6 +22,8 @@
     :ivar urgency: rank at backend servers, 0 is served first.
     :ivar target_ms: milliseconds to the first token that the caller aims for.
     :ivar left_ms: milliseconds until the caller stops waiting.
+    :ivar pause_ms: longest pause between events that is wanted in
+        milliseconds, 0 for any.
     """
 
     request_id: str
@@ -37,6 +39,7 @@
     urgency: int = 0
     target_ms: int = 0
     left_ms: int = 0
+    pause_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -177,6 +180,8 @@
     :ivar caller_address: ``address:port`` for callers.
     :ivar peer_address: ``address:port`` for other daemons.
     :ivar load: requests in progress.
+    :ivar capacity: share of a processor that the host has, in percent; 0 when
+        it is not known.
     """
 
     host: str
@@ -187,6 +192,7 @@
     caller_address: str
     peer_address: str
     load: int = 0
+    capacity: int = 0
 
 
 @dataclass(slots=True)
@@ -284,3 +290,55 @@
     service_name: str
     revision: int
     source: str
+
+
+@dataclass(slots=True)
+class ObjectCopy:
+    """A copy of an object of the platform.
+
+    :ivar name: name within its kind.
+    :ivar version: version of the object.
+    :ivar body: stored text.
+    """
+
+    name: str
+    version: int
+    body: str
+
+
+@dataclass(slots=True)
+class ChangeAsk:
+    """A question to a reader of the platform for changes of a kind.
+
+    :ivar kind: kind of the objects.
+    :ivar known: version of the listing that the asking host has.
+    :ivar wait_ms: longest wait for a change in milliseconds.
+    """
+
+    kind: str
+    known: int
+    wait_ms: int
+
+
+@dataclass(slots=True)
+class Changes:
+    """What a reader of the platform knows of a kind.
+
+    :ivar kind: kind of the objects.
+    :ivar revision: version of the reader's listing, 0 when it has none.
+    :ivar age_ms: milliseconds since the reader sent the read that showed it.
+    :ivar waited_ms: milliseconds that the answer waited for a change.
+    :ivar whole: whether the entries are all objects of the kind.
+    :ivar large: whether there are changes that were left out for their size.
+    :ivar entries: objects that are new or have changed.
+    :ivar gone: names of objects that were removed.
+    """
+
+    kind: str
+    revision: int
+    age_ms: int = 0
+    waited_ms: int = 0
+    whole: bool = False
+    large: bool = False
+    entries: list[ObjectCopy] = field(default_factory=list)
+    gone: list[str] = field(default_factory=list)
--- a/egretdale/state/retries.py
+++ b/egretdale/state/retries.py
@@ -5,6 +5,10 @@
 from egretdale.util.buckets import TokenBucket
 from egretdale.util.clocks import Clock
 
+#: Repeats that can always be saved up; with less than one, what the first
+#: attempts of a small part earn would be lost.
+_MINIMUM_BURST = 1.25
+
 
 class RetryBudget:
     """This host's part of a service's budget for repeated requests.
@@ -14,7 +18,7 @@
     budget without messages between them.
     """
 
-    __slots__ = ('_bucket', '_ratio')
+    __slots__ = ('_bucket', '_ratio', '_window_s')
 
     def __init__(
         self, *, ratio: float, allowance: float, window_s: float, clock: Clock
@@ -28,9 +32,18 @@
         :param clock: monotonic clock.
         """
         self._ratio = ratio
+        self._window_s = window_s
+        self._bucket = TokenBucket(0, _split(allowance), clock)
+        self.share(allowance)
+
+    def share(self, allowance: float) -> None:
+        """Change this host's part of the allowance.
+
+        :param allowance: repeats that are allowed in each window.
+        """
         # A window may see the saved-up burst and what is added during it.
-        burst = allowance / 2
-        self._bucket = TokenBucket(burst / window_s, burst, clock)
+        self._bucket.rate = allowance / 2 / self._window_s
+        self._bucket.burst = _split(allowance)
 
     def earn(self) -> None:
         """Note a first attempt."""
@@ -46,3 +59,8 @@
     def has_room(self) -> bool:
         """Tell whether the budget allows a repeat."""
         return self._bucket.has(1)
+
+
+def _split(allowance: float) -> float:
+    """Return the part of an allowance that may be saved up."""
+    return max(_MINIMUM_BURST, allowance / 2)
--- a/egretdale/transport/gateway.py
+++ b/egretdale/transport/gateway.py
@@ -20,7 +20,7 @@
 from egretdale.protocol.forwarding import HeaderCodec
 from egretdale.transport.forwarding import HttpForwardClient
 from egretdale.transport.ingress import Ingress
-from egretdale.transport.peer_calls import NewsHandler
+from egretdale.transport.peer_calls import GatewayHandler
 from egretdale.transport.peers import PeerClient, PeerServer, listen
 from egretdale.util.clocks import read_boot_clock, read_wall_clock
 from egretdale.util.logs import get_logger
@@ -165,7 +165,9 @@
 
     def _start_servers(self, interface: GatewayInterface) -> None:
         settings = self._settings
-        handler = NewsHandler(self.gateway.mesh, self.gateway.copy)
+        handler = GatewayHandler(
+            self.gateway.mesh, self.gateway.copy, self.gateway.follow
+        )
         peers = PeerServer(self._listeners[settings.peer_address], handler)
         self._tasks.start(peers.run)
         self._tasks.start(
--- a/egretdale/transport/peer_calls.py
+++ b/egretdale/transport/peer_calls.py
@@ -8,7 +8,7 @@
 from egretdale.coordination.keys import KeyIssuer
 from egretdale.coordination.mesh import Mesh
 from egretdale.protocol.wire import decode_structure, encode_structure
-from egretdale.state.messages import DocumentCopy
+from egretdale.state.messages import ChangeAsk, Changes, DocumentCopy
 
 
 class NewsHandler:
@@ -42,6 +42,35 @@
         return encode_structure(self._copy(service_name))
 
 
+class GatewayHandler(NewsHandler):
+    """Answers the calls of other hosts that forward requests."""
+
+    __slots__ = ('_follow',)
+
+    def __init__(
+        self,
+        mesh: Mesh,
+        copy: Callable[[str], DocumentCopy],
+        follow: Callable[[ChangeAsk], Changes],
+    ) -> None:
+        """Create a handler.
+
+        :param mesh: links to peers.
+        :param copy: returns the copy of a document by its name.
+        :param follow: waits for changes of a kind of the platform.
+        """
+        super().__init__(mesh, copy)
+        self._follow = follow
+
+    def follow(self, ask: Any) -> Any:
+        """Wait for changes of a kind of the platform.
+
+        :param ask: thrift structure of the question.
+        :return: thrift structure of the changes.
+        """
+        return encode_structure(self._follow(decode_structure(ask)))
+
+
 class PeerHandler(NewsHandler):
     """Answers all calls of other daemons."""
 
--- a/egretdale/transport/peers.py
+++ b/egretdale/transport/peers.py
@@ -24,6 +24,8 @@
 )
 from egretdale.state.messages import (
     Batch,
+    ChangeAsk,
+    Changes,
     ClaimAsk,
     ClaimReply,
     DocumentCopy,
@@ -34,6 +36,7 @@
     send_frame,
 )
 from egretdale.transport.peer_calls import NewsHandler
+from egretdale.util.clocks import convert_to_seconds
 from egretdale.util.logs import get_logger
 
 logger = get_logger(__name__)
@@ -160,13 +163,40 @@
             return outcome
         return decode_structure(outcome)
 
+    def follow(
+        self, address: str, ask: ChangeAsk
+    ) -> Changes | Unreachable | Ambiguous:
+        """Wait at a peer for changes of a kind of the platform.
+
+        :param address: ``address:port`` of the peer.
+        :param ask: the question.
+        :return: the changes, or why there is no answer.
+        """
+        call = _BufferedCall()
+        call.client.send_follow(encode_structure(ask))
+        outcome = self._exchange(
+            address,
+            call,
+            call.client.recv_follow,
+            wait_s=convert_to_seconds(ask.wait_ms),
+        )
+        if isinstance(outcome, Unreachable | Ambiguous):
+            return outcome
+        return decode_structure(outcome)
+
     def _exchange(
-        self, address: str, call: _BufferedCall, receive: Callable[[], Any]
+        self,
+        address: str,
+        call: _BufferedCall,
+        receive: Callable[[], Any],
+        wait_s: float = 0,
     ) -> Any:
         connection = self._connect(address)
         if isinstance(connection, Unreachable):
             return connection
-        payload = self._transfer(connection, call.sent.getvalue())
+        payload = self._transfer(
+            connection, call.sent.getvalue(), self.timeout_s + wait_s
+        )
         if isinstance(payload, Ambiguous):
             connection.close()
             # Other connections to a silent peer are suspect as well.
@@ -192,14 +222,16 @@
             return Unreachable(Cause.SILENT, str(slow))
         except OSError as refused:
             return Unreachable(Cause.REFUSED, str(refused))
+        # Each transfer has a timer of its own.
+        connection.settimeout(None)
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return connection
 
     def _transfer(
-        self, connection: socket.socket, payload: bytes
+        self, connection: socket.socket, payload: bytes, timeout_s: float
     ) -> bytes | Ambiguous:
         try:
-            with eventlet.Timeout(self.timeout_s):
+            with eventlet.Timeout(timeout_s):
                 self._on_sent(send_frame(connection, payload))
                 answer = receive_frame(connection)
         except (TimeoutError, eventlet.Timeout):
--- a/tests/test_cmd/test_commands.py
+++ b/tests/test_cmd/test_commands.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import tempfile
 from pathlib import Path
 
@@ -24,11 +25,23 @@
 """
 
 
-def _check(source: str) -> tuple[int, str]:
+_GATEWAY_SETTINGS = """
+host: host-0
+data_centre: dc-0
+caller_address: 127.0.0.1:8080
+peer_address: 127.0.0.1:8081
+readiness_address: 127.0.0.1:8082
+directory_address: 127.0.0.1:8083
+metrics_address: 127.0.0.1:8084
+"""
+
+
+def _check(source: str, *options: str) -> tuple[int, str]:
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / 'settings.yaml'
         path.write_text(source)
-        outcome = CliRunner().invoke(main, ['settings', 'check', str(path)])
+        command = ['settings', 'check', *options, str(path)]
+        outcome = CliRunner().invoke(main, command)
     return outcome.exit_code, outcome.output
 
 
@@ -63,6 +76,34 @@
         assert output.startswith(path), output
 
 
+def test_settings_of_a_forwarding_host_are_checked() -> None:
+    """The other form has fields and clashes of its own."""
+    status, output = _check(_GATEWAY_SETTINGS, '--form', 'gateway')
+    assert status == 0
+    assert 'key_age_s: 5.0' in output
+    for line, path in (
+        ('platform_url: http://x', '$'),
+        ('key_age_s: -1', '$.key_age_s'),
+        ('suspicion_s: 0.1', '$.suspicion_s'),
+    ):
+        status, output = _check(
+            f'{_GATEWAY_SETTINGS}{line}\n', '--form', 'gateway'
+        )
+        assert status == 2, line
+        assert output.startswith(path), output
+
+
+def test_checked_settings_can_be_json() -> None:
+    """The form of the output is chosen as for all commands."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / 'settings.yaml'
+        path.write_text(_SETTINGS)
+        outcome = CliRunner().invoke(
+            main, ['--output', 'json', 'settings', 'check', str(path)]
+        )
+    assert json.loads(outcome.output)['answer_lifetime_s'] == 10
+
+
 def test_settings_have_documented_defaults() -> None:
     """A file with only the required fields is complete."""
     settings = parse_settings(_SETTINGS.encode())
--- a/tests/test_coordination/test_gateway.py
+++ b/tests/test_coordination/test_gateway.py
@@ -7,9 +7,14 @@
 from contextlib import contextmanager
 from dataclasses import replace
 
+import eventlet
+import msgspec
+
 from egretdale.config import GatewaySettings
 from egretdale.coordination.gateway import Gateway, GatewaySurroundings
-from egretdale.errors import Invalid
+from egretdale.coordination.ports import Listing, StoredObject, Written
+from egretdale.errors import Cause, Conflict, Invalid, Unreachable
+from egretdale.state.member_news import StoredMember
 from egretdale.state.members import MemberStatus
 from egretdale.state.messages import MemberUpdate
 from standins.virtual.hub import use_virtual_time
@@ -26,7 +31,7 @@
 
 
 @contextmanager
-def _open_gateway() -> Iterator[Gateway]:
+def _open_gateway(platform: object = None) -> Iterator[Gateway]:
     settings = GatewaySettings(
         host='own',
         data_centre='dc',
@@ -39,7 +44,7 @@
     )
     with use_virtual_time() as hub:
         outside = GatewaySurroundings(
-            VirtualPlatform('own', PlatformState(), HostFaults()),
+            platform or VirtualPlatform('own', PlatformState(), HostFaults()),
             None,
             ScriptedClient(),
             hub.read_now,
@@ -97,3 +102,43 @@
     with _open_gateway() as gateway:
         assert not gateway.is_ready()
         assert gateway.limits().idle_s > 0
+
+
+class _ScriptedPlatform:
+    """Answers writes from a script and counts the calls."""
+
+    def __init__(self, *writes: Written | Conflict | Unreachable) -> None:
+        self.calls: list[str] = []
+        self._writes = list(writes)
+
+    def write(self, kind: str, name: str, body: bytes, expected: int):
+        self.calls.append(f'write after {expected}')
+        return self._writes.pop(0)
+
+    def list_objects(self, kind: str) -> Listing:
+        self.calls.append('list')
+        body = msgspec.json.encode(StoredMember(_update('a', MemberStatus(0))))
+        stored = StoredObject('a', 3, body)
+        return Listing(9, (stored, StoredObject('own', 7, b'{}')))
+
+
+def _publish(*writes: Written | Conflict | Unreachable) -> list[str]:
+    platform = _ScriptedPlatform(*writes)
+    with _open_gateway(platform) as gateway:
+        task = eventlet.spawn(gateway.membership.run_publishing)
+        eventlet.sleep(3)
+        task.kill()
+        return platform.calls
+
+
+def test_an_unreachable_platform_costs_one_call_a_try() -> None:
+    """Nothing is looked up while nothing can have been written."""
+    refused = Unreachable(Cause.THROTTLED, '503')
+    calls = _publish(refused, refused, Written(2))
+    assert calls == ['write after 0', 'write after 0']
+
+
+def test_an_own_object_of_an_earlier_start_is_replaced() -> None:
+    """The version that is stored is found, then written over."""
+    calls = _publish(Conflict(7), Written(10))
+    assert calls == ['write after 0', 'list', 'write after 7', 'list']
--- a/tests/test_platform/test_translation.py
+++ b/tests/test_platform/test_translation.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import io
 import json
+import tempfile
+from contextlib import redirect_stderr, redirect_stdout
+from pathlib import Path
 
+from egretdale.config import GatewaySettings, parse_gateway_settings
 from egretdale.errors import Invalid
 from egretdale.state.instances import Instance
 from egretdale.state.routing import RequestKind, RoutingTable
@@ -14,6 +19,7 @@
     decode_configuration,
     decode_engine,
 )
+from egretdale_platform.daemon import check_settings  # isort: skip
 from egretdale_platform.settings import (  # isort: skip
     parse_platform_settings,
     translate_settings,
@@ -141,3 +147,32 @@
     wrong = parse_platform_settings(json.dumps(broken).encode())
     assert isinstance(wrong, Invalid)
     assert wrong.path == '$.bind'
+
+
+def _check_file(fields: dict[str, object]) -> tuple[int, str, str]:
+    out, wrong = io.StringIO(), io.StringIO()
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / 'node.json'
+        path.write_text(json.dumps(fields))
+        with redirect_stdout(out), redirect_stderr(wrong):
+            status = check_settings(path)
+    return status, out.getvalue(), wrong.getvalue()
+
+
+def test_settings_of_the_platform_are_checked() -> None:
+    """They are shown as the product's, or the wrong field is named."""
+    status, shown, _ = _check_file(SETTINGS)
+    assert status == 0
+    assert isinstance(parse_gateway_settings(shown.encode()), GatewaySettings)
+    status, _, wrong = _check_file({**SETTINGS, 'zone': 7})
+    assert status == 2
+    assert wrong.startswith('$.zone')
+
+
+def test_capacity_is_the_share_of_all_cores() -> None:
+    """Large machines are told apart from small ones."""
+    limits = {'memory_mb': 552, 'max_fds': 8192, 'cpu_share': 0.717, 'cores': 3}
+    given = parse_platform_settings(
+        json.dumps({**SETTINGS, 'limits': limits}).encode()
+    )
+    assert translate_settings(given).capacity == 215
--- a/tests/test_state/test_retries.py
+++ b/tests/test_state/test_retries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from egretdale.coordination.budgets import BudgetBook, BudgetTerms
 from egretdale.state.retries import RetryBudget
 from tests.forwarding import ManualClock
 from tests.functions import create_loader
@@ -15,21 +16,26 @@
 
 def test_all_hosts_together_keep_to_the_budget() -> None:
     """No window sees more repeats than the terms allow."""
+    for hosts, allowance in ((_HOSTS, _ALLOWANCE), (81, 202.0)):
+        _check_all_hosts(hosts, allowance)
+
+
+def _check_all_hosts(hosts: int, allowance: float) -> None:
     clock = ManualClock()
     budgets = [
         RetryBudget(
             ratio=0.2,
-            allowance=_ALLOWANCE / _HOSTS,
+            allowance=allowance / hosts,
             window_s=_WINDOW_S,
             clock=clock,
         )
-        for _ in range(_HOSTS)
+        for _ in range(hosts)
     ]
     spent: list[float] = []
     firsts: list[float] = []
     for step in range(6000):
         clock.now += 0.01
-        budget = budgets[step % _HOSTS]
+        budget = budgets[step % hosts]
         if step % 10 == 0:
             budget.earn()
             firsts.append(clock.now)
@@ -38,7 +44,7 @@
     for start in spent:
         window = [at for at in spent if start <= at < start + _WINDOW_S]
         earned = [at for at in firsts if start <= at < start + _WINDOW_S]
-        assert len(window) <= 0.2 * len(earned) + _ALLOWANCE + 1
+        assert len(window) <= 0.2 * len(earned) + allowance + 1
 
 
 def test_a_spent_budget_is_refilled() -> None:
@@ -54,3 +60,25 @@
     assert budget.spend()
     clock.now += 10
     assert budget.spend()
+
+
+def test_a_small_part_still_repeats_what_it_earns() -> None:
+    """A host among hundreds saves its earnings up until they are one."""
+    clock = ManualClock()
+    budget = RetryBudget(ratio=0.2, allowance=0.1, window_s=10, clock=clock)
+    assert budget.spend()
+    for _ in range(6):
+        clock.now += 1
+        budget.earn()
+    assert budget.spend()
+
+
+def test_the_part_follows_the_number_of_hosts() -> None:
+    """More hosts than expected make the part of each smaller."""
+    clock = ManualClock()
+    hosts = [8]
+    terms = BudgetTerms(0.2, 160, 10, 8)
+    book = BudgetBook(terms, clock, lambda: hosts[0])
+    hosts[0] = 80
+    book.earn('claims')
+    assert [book.spend('claims') for _ in range(3)] == [True, False, False]
