Split engines into groups and keep streams apart from long prompts

Change: groups of up to 23 engines, each with its allocator; engines are measured once a look; harm of prefill to pauses counts beside wait and copies.

--- a/egretdale/coordination/engine_choice.py
+++ b/egretdale/coordination/engine_choice.py
@@ -29,7 +29,9 @@
 _PREFERRED_WEIGHT = 1.0
 #: Weight of the pauses that a prompt makes in streams beside it, in s² for
 #: each second of prefill and unit of fragility.
-_HARM_WEIGHT = 0.02
+_HARM_WEIGHT = 0.01
+#: Prefill in seconds that waits for each engine at which that weight halves.
+_CROWDED_S = 0.1
 
 
 @dataclass(slots=True)
@@ -86,19 +88,26 @@
         return states
 
     def choose(
-        self, ask: Ask, usable: list[EngineState], preferred: str
+        self,
+        ask: Ask,
+        usable: list[EngineState],
+        preferred: str,
+        ahead_s: float,
     ) -> EngineState:
         """Choose the engine with the earliest first token.
 
         :param ask: the request.
         :param usable: engines that it may go to.
         :param preferred: name of the engine that all hosts prefer.
+        :param ahead_s: seconds of prefill that wait for each engine.
         :return: the engine, also when others wait there.
         """
         own_tokens = ask.prompt_tokens - ask.shared_tokens
         own_s = predict_prefill(own_tokens)
         shared_s = predict_prefill(ask.shared_tokens)
 
+        # Engines are not left idle for their streams while others wait.
+        harm_weight = _HARM_WEIGHT / (1 + ahead_s / _CROWDED_S)
         fragility = measure_fragility(convert_to_seconds(ask.pause_ms))
 
         def predict(state: EngineState) -> float:
@@ -112,7 +121,7 @@
             mixture = state.mixture
             harm = prefill_s * mixture.fragility + mixture.prefill_s * fragility
             first_token_s = state.wait_s + state.delay_s + prefill_s
-            return first_token_s + copy_s + harm * _HARM_WEIGHT
+            return first_token_s + copy_s + harm * harm_weight
 
         return min(usable, key=predict)
 
--- a/egretdale/coordination/forwarding.py
+++ b/egretdale/coordination/forwarding.py
@@ -217,6 +217,7 @@
             urgency=admitted.urgency,
             target_ms=convert_to_ms(admitted.route.target_s),
             left_ms=convert_to_ms(self._admission.measure_left(admitted)),
+            pause_ms=convert_to_ms(admitted.route.pause_target_s),
         )
 
     def _find_obstacle(self, progress: Progress) -> Refused | None:
@@ -248,7 +249,7 @@
         )
         progress.avoided.append(instance.name)
         sent_at = self._clock()
-        outcome = self._exchange(attempt, placement, progress.service)
+        outcome = self._exchange(attempt, placement)
         self._record.note(progress, placement, outcome, sent_at)
         match outcome:
             case NotRun():
@@ -266,7 +267,6 @@
         self,
         attempt: ForwardAttempt,
         placement: Placement,
-        service: str,
     ) -> ForwardResponse | NotRun | MaybeRun:
         incarnation = placement.instance.incarnation
         self._loads.begin(incarnation, placement.prefill_tokens)
@@ -280,7 +280,6 @@
             if attempt.request.prompt.tokens:
                 first_s = self._clock() - sent_at
                 self._prompts.note_first_token(
-                    service,
                     attempt.request.request_id,
                     convert_to_ms(first_s) if opened else -1,
                 )
--- a/egretdale/coordination/prefill.py
+++ b/egretdale/coordination/prefill.py
@@ -1,4 +1,4 @@
-"""Admission of prompts to the engines of a service, for all hosts.
+"""Admission of prompts to the engines of a group, for all hosts.
 
 The load that this answers: long prompts of lower tiers that arrive together.
 An engine prefills what it was sent in turn, so a short prompt of the top tier
@@ -10,8 +10,14 @@
 
 import eventlet
 
+from egretdale.coordination.engine_choice import (
+    EngineChooser,
+    EngineState,
+    find_preferred,
+)
 from egretdale.coordination.mesh import Mesh, MeshListener
-from egretdale.state.backlogs import BacklogTable, predict_prefill
+from egretdale.state.backlogs import predict_prefill
+from egretdale.state.groups import GroupMap
 from egretdale.state.instances import Instance, InstanceTable
 from egretdale.state.messages import (
     Ask,
@@ -22,14 +28,12 @@
     GroupAsk,
     GroupReply,
 )
-from egretdale.state.prefixes import PrefixIndex
-from egretdale.state.prompts import GrantedPrompt, ServiceQueue, WaitingPrompt
+from egretdale.state.prompts import GrantedPrompt, GroupQueue, WaitingPrompt
 from egretdale.util.clocks import (
     Clock,
     convert_to_ms,
     convert_to_seconds,
 )
-from egretdale.util.hashing import rank_by_rendezvous
 from egretdale.util.logs import get_logger
 
 logger = get_logger(__name__)
@@ -40,6 +44,8 @@
 OVERLOADED = 'overloaded'
 
 _TICK_S = 0.01
+#: Shortest time between two looks at all waiting requests of a group.
+_PAUSE_S = 0.005
 #: Requests with a shorter target in seconds go to an engine at once.
 _SHORT_TARGET_S = 0.3
 #: Prefill in seconds that an engine has ahead of it when it gets the next
@@ -47,11 +53,6 @@
 _AHEAD_S = 0.08
 #: Part of the time left that a request may spend waiting.
 _WAIT_SHARE = 0.4
-#: Weight of shared tokens that an engine does not hold: a second copy also
-#: drives out parts that other requests need.
-_COPY_WEIGHT = 3.0
-#: The same for the engine that all hosts prefer for a part.
-_PREFERRED_WEIGHT = 1.0
 #: Shortest time after which a denied request may come back, in seconds.
 _DENIED_RETRY_S = 0.3
 
@@ -64,11 +65,10 @@
     """
 
     __slots__ = (
-        '_backlogs',
+        '_chooser',
         '_clock',
-        '_instances',
+        '_groups',
         '_mesh',
-        '_prefixes',
         '_queues',
         '_ticking',
     )
@@ -83,11 +83,10 @@
         :param clock: monotonic clock.
         """
         self._mesh = mesh
-        self._instances = instances
+        self._groups = GroupMap(instances)
         self._clock = clock
-        self._backlogs = BacklogTable(clock)
-        self._prefixes = PrefixIndex()
-        self._queues: dict[str, ServiceQueue] = {}
+        self._chooser = EngineChooser(clock)
+        self._queues: dict[str, GroupQueue] = {}
         self._ticking = False
 
     def handle(self, batch: Batch) -> Batch:
@@ -102,13 +101,13 @@
         return answer
 
     def take(self, host: str, message: GroupAsk) -> GroupReply:
-        """Handle the requests of a host for one service.
+        """Handle the requests of a host for one group.
 
         :param host: name of the host.
         :param message: its requests.
         :return: grants, and word of the requests that wait.
         """
-        queue = self._queues.setdefault(message.group, ServiceQueue())
+        queue = self._queues.setdefault(message.group, GroupQueue())
         for done in message.done:
             self._finish(queue, done)
         for request_id in message.withdrawn:
@@ -117,9 +116,7 @@
         now = self._clock()
         for ask in message.asks:
             queue.waiting[ask.request_id] = WaitingPrompt(ask, host, now)
-        replies = self._serve(message.group, queue)
-        own = replies.pop(host, GroupReply(message.group))
-        self._post(replies)
+        own = self._serve_now(message, queue, host)
         for ask in message.asks:
             if ask.request_id in queue.waiting:
                 own.denials.append(Denial(ask.request_id, HELD))
@@ -132,9 +129,7 @@
 
         :param instance: the engine.
         """
-        engine = instance.start_name
-        self._prefixes.clear(engine)
-        self._backlogs.forget(engine)
+        self._chooser.forget(instance.start_name)
 
     # Grants
 
@@ -146,44 +141,78 @@
     def _run_ticks(self) -> None:
         while any(queue.waiting for queue in self._queues.values()):
             eventlet.sleep(_TICK_S)
-            for service, queue in list(self._queues.items()):
+            for group, queue in list(self._queues.items()):
                 if queue.waiting:
-                    self._post(self._serve(service, queue))
+                    self._post(self._serve(group, queue))
         self._ticking = False
 
     def _post(self, replies: dict[str, GroupReply]) -> None:
         for host, reply in replies.items():
             self._mesh.post_reply(host, reply)
 
-    def _serve(
-        self, service: str, queue: ServiceQueue
-    ) -> dict[str, GroupReply]:
-        """Decide on the waiting requests of a service.
+    def _serve_now(
+        self, message: GroupAsk, queue: GroupQueue, host: str
+    ) -> GroupReply:
+        """Decide on requests that have just arrived.
+
+        While requests come faster than all can be looked at, only those that
+        never wait are decided on; the others follow with the next tick.
+
+        :param message: the new requests.
+        :param queue: all requests of the group.
+        :param host: the host that sent them.
+        :return: the reply to this host.
+        """
+        only_new = len(queue.waiting) <= len(message.asks)
+        if only_new or self._clock() >= queue.served_at + _PAUSE_S:
+            replies = self._serve(message.group, queue)
+        else:
+            short = [
+                queue.waiting[ask.request_id]
+                for ask in message.asks
+                if _is_short(ask)
+            ]
+            replies = self._decide_all(message.group, queue, short)
+        own = replies.pop(host, GroupReply(message.group))
+        self._post(replies)
+        return own
+
+    def _serve(self, group: str, queue: GroupQueue) -> dict[str, GroupReply]:
+        """Decide on the waiting requests of a group.
 
-        :param service: service name.
+        :param group: group key.
         :param queue: its requests.
         :return: replies by host.
         """
-        replies: dict[str, GroupReply] = {}
+        queue.served_at = self._clock()
         self._expire(queue)
-        ready = self._instances.list_ready(service)
+        return self._decide_all(group, queue, self._order(queue))
+
+    def _decide_all(
+        self, group: str, queue: GroupQueue, ordered: list[WaitingPrompt]
+    ) -> dict[str, GroupReply]:
+        replies: dict[str, GroupReply] = {}
+        if not ordered:
+            return replies
+        ready = self._groups.list_engines(group)
+        states = self._chooser.measure(ready)
         ahead = 0
-        for waiting in self._order(queue):
+        for waiting in ordered:
             ahead_s = predict_prefill(ahead) / max(1, len(ready))
-            decision = self._decide(queue, waiting, ready, ahead_s)
+            decision = self._decide(queue, waiting, states, ahead_s)
             if decision is None:
-                ahead += self._count_least(waiting.ask, ready)
+                ahead += waiting.least_tokens
                 continue
             queue.waiting.pop(waiting.ask.request_id)
-            reply = replies.setdefault(waiting.host, GroupReply(service))
+            reply = replies.setdefault(waiting.host, GroupReply(group))
             if isinstance(decision, Grant):
                 reply.grants.append(decision)
             else:
                 reply.denials.append(decision)
         return replies
 
-    def _order(self, queue: ServiceQueue) -> list[WaitingPrompt]:
-        """Order the waiting requests of a service.
+    def _order(self, queue: GroupQueue) -> list[WaitingPrompt]:
+        """Order the waiting requests of a group.
 
         While all targets are met, the earliest goes first, so that no tier
         waits without need. Once one is missed, tiers go strictly first.
@@ -198,69 +227,44 @@
 
     def _decide(
         self,
-        queue: ServiceQueue,
+        queue: GroupQueue,
         waiting: WaitingPrompt,
-        ready: list[Instance],
+        states: list[EngineState],
         ahead_s: float,
     ) -> Grant | Denial | None:
         ask = waiting.ask
         waited_s = self._clock() - waiting.arrived_at
         if waited_s + ahead_s > convert_to_seconds(ask.left_ms) * _WAIT_SHARE:
             return self._deny(ask, waited_s, ahead_s)
-        usable = [entry for entry in ready if entry.name not in ask.avoided]
+        usable = _list_usable(ask, states)
         if not usable:
             return Denial(ask.request_id, OVERLOADED)
-        instance = self._choose(ask, usable)
-        engine = instance.start_name
-        wait_s = self._backlogs.measure_wait(engine)
-        if wait_s > _AHEAD_S and not _is_short(ask):
+        if not _is_short(ask) and not _has_room(usable):
+            self._note_least(waiting, usable)
             return None
-        tokens = self._count_missing(ask, engine)
-        queue.granted[ask.request_id] = self._reserve(ask, engine, tokens)
-        return Grant(ask.request_id, instance.name, tokens)
-
-    def _reserve(self, ask: Ask, engine: str, tokens: int) -> GrantedPrompt:
-        self._backlogs.add(engine, ask.request_id, tokens)
-        now = self._clock()
-        self._prefixes.note(engine, ask.prefix, now)
-        expires_at = now + convert_to_seconds(ask.left_ms)
-        return GrantedPrompt(engine, expires_at, _is_short(ask))
-
-    def _choose(self, ask: Ask, usable: list[Instance]) -> Instance:
-        by_name = {entry.name: entry for entry in usable}
-        ranked = rank_by_rendezvous(str(ask.prefix), by_name)
-        return min(
-            usable,
-            key=lambda entry: self._score(
-                ask, entry, preferred=entry.name == ranked[0]
-            ),
-        )
-
-    def _score(self, ask: Ask, instance: Instance, *, preferred: bool) -> float:
-        engine = instance.start_name
-        tokens = ask.prompt_tokens - ask.shared_tokens
-        if not self._is_held(ask, engine):
-            weight = _PREFERRED_WEIGHT if preferred else _COPY_WEIGHT
-            tokens += int(ask.shared_tokens * weight)
-        return (
-            self._backlogs.measure_wait(engine)
-            + self._backlogs.measure_delay(engine)
-            + predict_prefill(tokens)
-        )
-
-    def _count_missing(self, ask: Ask, engine: str) -> int:
-        held = self._is_held(ask, engine)
-        return ask.prompt_tokens - ask.shared_tokens * held
-
-    def _count_least(self, ask: Ask, ready: list[Instance]) -> int:
-        engines = [instance.start_name for instance in ready]
-        return min(
-            (self._count_missing(ask, engine) for engine in engines),
-            default=ask.prompt_tokens,
+        if not waiting.preferred:
+            ready = [state.instance for state in usable]
+            waiting.preferred = find_preferred(ask, ready)
+        state = self._chooser.choose(ask, usable, waiting.preferred, ahead_s)
+        if state.wait_s > _AHEAD_S and not _is_short(ask):
+            self._note_least(waiting, usable)
+            return None
+        tokens = self._chooser.reserve(ask, state)
+        queue.granted[ask.request_id] = GrantedPrompt(
+            state.name,
+            self._clock() + convert_to_seconds(ask.left_ms),
+            _is_short(ask),
         )
+        return Grant(ask.request_id, state.instance.name, tokens)
 
-    def _is_held(self, ask: Ask, engine: str) -> bool:
-        return self._prefixes.is_held(engine, ask.prefix, self._clock())
+    def _note_least(
+        self, waiting: WaitingPrompt, usable: list[EngineState]
+    ) -> None:
+        if not waiting.least_tokens:
+            waiting.least_tokens = min(
+                self._chooser.count_missing(waiting.ask, state.name)
+                for state in usable
+            )
 
     def _deny(self, ask: Ask, waited_s: float, ahead_s: float) -> Denial:
         logger.info(
@@ -277,16 +281,18 @@
             convert_to_ms(waited_s),
         )
 
-    def _finish(self, queue: ServiceQueue, done: Done) -> None:
+    def _finish(self, queue: GroupQueue, done: Done) -> None:
         granted = queue.granted.pop(done.request_id, None)
         if granted is None:
             return
-        tokens = self._backlogs.finish(granted.engine, done.request_id)
+        tokens = self._chooser.backlogs.finish(granted.engine, done.request_id)
         if granted.short and done.first_token_ms >= 0:
             first_token_s = convert_to_seconds(done.first_token_ms)
-            self._backlogs.learn_delay(granted.engine, tokens, first_token_s)
+            self._chooser.backlogs.learn_delay(
+                granted.engine, tokens, first_token_s
+            )
 
-    def _expire(self, queue: ServiceQueue) -> None:
+    def _expire(self, queue: GroupQueue) -> None:
         now = self._clock()
         expired = [
             request_id
@@ -297,6 +303,16 @@
             self._finish(queue, Done(request_id, ''))
 
 
+def _list_usable(ask: Ask, states: list[EngineState]) -> list[EngineState]:
+    if not ask.avoided:
+        return states
+    return [state for state in states if state.instance.name not in ask.avoided]
+
+
+def _has_room(usable: list[EngineState]) -> bool:
+    return any(state.wait_s <= _AHEAD_S for state in usable)
+
+
 def _is_short(ask: Ask) -> bool:
     return convert_to_seconds(ask.target_ms) <= _SHORT_TARGET_S
 
--- a/egretdale/coordination/prompts.py
+++ b/egretdale/coordination/prompts.py
@@ -11,6 +11,7 @@
 from egretdale.coordination.mesh import Mesh, MeshListener
 from egretdale.coordination.placing import Placement
 from egretdale.coordination.prefill import HELD, PrefillAllocator
+from egretdale.state.groups import GroupMap
 from egretdale.state.instances import InstanceTable
 from egretdale.state.members import find_owner
 from egretdale.state.messages import (
@@ -23,7 +24,7 @@
     GroupReply,
 )
 from egretdale.state.outcomes import Ran, Reason, Refused
-from egretdale.util.clocks import Clock, convert_to_seconds
+from egretdale.util.clocks import Clock, convert_to_ms, convert_to_seconds
 from egretdale.util.logs import get_logger
 
 logger = get_logger(__name__)
@@ -32,6 +33,11 @@
 _REPLY_S = 0.08
 #: How long an allocator that gave no word is not asked again, in seconds.
 _AVOID_S = 1.0
+#: Groups that are asked for an engine when the first one is overloaded.
+_GROUPS = 2
+#: Part of the time left within which a denial is early enough to ask another
+#: group.
+_QUICK_SHARE = 0.05
 #: Longest delay of news of first tokens, in seconds.
 _FLUSH_S = 0.04
 
@@ -80,6 +86,8 @@
         '_avoided_until',
         '_clock',
         '_done',
+        '_granted',
+        '_groups',
         '_instances',
         '_mesh',
         '_pending',
@@ -106,6 +114,9 @@
         self._mesh = mesh
         self._allocator = allocator
         self._instances = instances
+        self._groups = GroupMap(instances)
+        # Groups of the requests whose first token is awaited.
+        self._granted: dict[str, str] = {}
         self._clock = clock
         self._pending: dict[str, PendingAsk] = {}
         self._done: dict[str, list[Done]] = {}
@@ -119,19 +130,31 @@
         :return: the engine or a refusal; ``None`` when the allocator gives
             no word.
         """
-        owner = find_owner(self._mesh.table, f'prefill/{service}')
+        key = str(ask.prefix) if ask.prefix else ask.request_id
+        outcome: Placement | Refused | None = None
+        for group in self._groups.rank(service, key)[:_GROUPS]:
+            asked_at = self._clock()
+            outcome = self._place_in(group, ask)
+            waited_ms = convert_to_ms(self._clock() - asked_at)
+            hurried = waited_ms > ask.left_ms * _QUICK_SHARE
+            if hurried or not isinstance(outcome, Refused):
+                break
+        return outcome
+
+    def _place_in(self, group: str, ask: Ask) -> Placement | Refused | None:
+        owner = self._find_owner(group)
         if self._is_avoided(owner):
             return None
         pending = PendingAsk(owner)
         self._pending[ask.request_id] = pending
         reply: Grant | Denial | None = None
         try:
-            self._send(owner, GroupAsk(service, asks=[ask]))
+            self._send(owner, GroupAsk(group, asks=[ask]))
             reply = pending.take(_REPLY_S)
             if isinstance(reply, Denial) and reply.reason == HELD:
                 reply = pending.take(convert_to_seconds(ask.left_ms))
         except BaseException:
-            self._withdraw(service, owner, ask.request_id)
+            self._withdraw(group, owner, ask.request_id)
             raise
         finally:
             self._pending.pop(ask.request_id, None)
@@ -141,25 +164,28 @@
             logger.info(
                 'allocator-silent', owner=owner, request_id=ask.request_id
             )
-            self._withdraw(service, owner, ask.request_id)
+            self._withdraw(group, owner, ask.request_id)
+        if isinstance(reply, Grant):
+            self._granted[ask.request_id] = group
         return self._translate(reply)
 
-    def note_first_token(
-        self, service: str, request_id: str, first_token_ms: int
-    ) -> None:
+    def note_first_token(self, request_id: str, first_token_ms: int) -> None:
         """Note that a request has its first token, or never will have.
 
-        :param service: service name.
         :param request_id: identity of the request.
         :param first_token_ms: milliseconds from sending it to the first
             token, -1 without one.
         """
+        group = self._granted.pop(request_id, None)
+        if group is None:
+            # This host has chosen the engine by itself.
+            return
         done = Done(request_id, '', first_token_ms=first_token_ms)
-        if service in self._done:
-            self._done[service].append(done)
+        if group in self._done:
+            self._done[group].append(done)
         else:
-            self._done[service] = [done]
-            eventlet.spawn_after(_FLUSH_S, self._flush, service)
+            self._done[group] = [done]
+            eventlet.spawn_after(_FLUSH_S, self._flush, group)
 
     def receive(self, batch: Batch) -> None:
         """Take in replies of allocators.
@@ -178,11 +204,13 @@
             if pending.owner == host:
                 pending.put(None)
 
-    def _flush(self, service: str) -> None:
+    def _flush(self, group: str) -> None:
         # An ask that was sent meanwhile has taken the news along.
-        if service in self._done:
-            owner = find_owner(self._mesh.table, f'prefill/{service}')
-            self._send(owner, GroupAsk(service))
+        if group in self._done:
+            self._send(self._find_owner(group), GroupAsk(group))
+
+    def _find_owner(self, group: str) -> str:
+        return find_owner(self._mesh.table, f'prefill/{group}')
 
     def _is_avoided(self, owner: str) -> bool:
         if owner == self._mesh.table.own_host:
@@ -197,8 +225,8 @@
         else:
             self._mesh.post_ask(owner, message)
 
-    def _withdraw(self, service: str, owner: str, request_id: str) -> None:
-        self._send(owner, GroupAsk(service, withdrawn=[request_id]))
+    def _withdraw(self, group: str, owner: str, request_id: str) -> None:
+        self._send(owner, GroupAsk(group, withdrawn=[request_id]))
 
     def _take_reply(self, reply: GroupReply) -> None:
         for entry in (*reply.grants, *reply.denials):
--- a/egretdale/state/backlogs.py
+++ b/egretdale/state/backlogs.py
@@ -153,13 +153,12 @@
         return prompt.tokens
 
     def _drop_lost(self, backlog: Backlog, now: float) -> None:
-        lost = [
-            request_id
-            for request_id, prompt in backlog.prompts.items()
-            if now > prompt.due_at + _LOST_S
-        ]
-        for request_id in lost:
-            backlog.tokens -= backlog.prompts.pop(request_id).tokens
+        while backlog.prompts:
+            request_id, oldest = next(iter(backlog.prompts.items()))
+            if now <= oldest.due_at + _LOST_S:
+                break
+            backlog.tokens -= oldest.tokens
+            backlog.prompts.pop(request_id)
 
 
 def predict_prefill(tokens: int) -> float:
--- a/egretdale/state/prefixes.py
+++ b/egretdale/state/prefixes.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Mapping
+from types import MappingProxyType
 
 _LIFETIME_S = 300.0
 _ENTRIES_PER_BACKEND = 2048
+_NOTHING: Mapping[int, float] = MappingProxyType({})
 
 
 class PrefixIndex:
@@ -43,6 +46,14 @@
         """
         self._by_backend.pop(backend, None)
 
+    def list_held(self, backend: str) -> Mapping[int, float]:
+        """List the prefixes that a backend server has seen.
+
+        :param backend: name of the backend server.
+        :return: monotonic seconds of the last use by prefix.
+        """
+        return self._by_backend.get(backend, _NOTHING)
+
     def is_held(self, backend: str, prefix: int, now: float) -> bool:
         """Tell whether a backend server probably holds a prefix.
 
--- a/egretdale/state/prompts.py
+++ b/egretdale/state/prompts.py
@@ -15,11 +15,17 @@
     :ivar ask: the request.
     :ivar host: entry host that holds it.
     :ivar arrived_at: clock time of its arrival here.
+    :ivar preferred: name of the engine that all hosts prefer for it, once it
+        was needed.
+    :ivar least_tokens: least tokens that any engine had to prefill when that
+        was looked at.
     """
 
     ask: Ask
     host: str
     arrived_at: float
+    preferred: str = ''
+    least_tokens: int = 0
 
     @property
     def target_at(self) -> float:
@@ -42,12 +48,14 @@
 
 
 @dataclass(slots=True)
-class ServiceQueue:
-    """Requests of one service.
+class GroupQueue:
+    """Requests of one group of engines.
 
     :ivar waiting: requests that wait, by identity.
     :ivar granted: requests that have no first token yet, by identity.
+    :ivar served_at: clock time of the last look at all that wait.
     """
 
     waiting: dict[str, WaitingPrompt] = field(default_factory=dict)
     granted: dict[str, GrantedPrompt] = field(default_factory=dict)
+    served_at: float = float('-inf')
--- a/tests/forwarding.py
+++ b/tests/forwarding.py
@@ -159,9 +159,7 @@
     def place(self, service: str, ask: Ask) -> None:
         """Return nothing."""
 
-    def note_first_token(
-        self, service: str, request_id: str, first_token_ms: int
-    ) -> None:
+    def note_first_token(self, request_id: str, first_token_ms: int) -> None:
         """Ignore news."""
 
 
@@ -249,7 +247,7 @@
         admission=Admission(configuration, FreshnessTerms(2, 5), clock),
         placer=placer,
         loads=loads,
-        budgets=BudgetBook(BudgetTerms(0.2, 40, 10, 4), clock),
+        budgets=BudgetBook(BudgetTerms(0.2, 40, 10, 4), clock, lambda: 1),
         prompts=NoAllocator(),
         figures=figures,
         client=client,
--- a/tests/test_coordination/test_prefill.py
+++ b/tests/test_coordination/test_prefill.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -38,8 +39,11 @@
 load_tests = create_loader(__name__)
 
 _SERVICE = 'claims'
+_GROUP = 'claims/1/0'
 _LONG = 24000
 _SHORT = 600
+#: Length of a stream of the top tier in seconds.
+_STREAM_S = 1.5
 
 
 class _SilentNetwork:
@@ -57,6 +61,10 @@
     :ivar free_at: time at which each has prefilled everything.
     :ivar first_tokens: seconds from arrival to first token by request.
     :ivar refused: requests that were denied.
+    :ivar slowness: factors of the time that engines take.
+    :ivar names: engines by request.
+    :ivar granted_at: times of grants by request.
+    :ivar busy: starts and ends of uninterrupted prefill by engine.
     """
 
     hub: VirtualHub
@@ -67,6 +75,8 @@
     refused: list[str] = field(default_factory=list)
     slowness: dict[str, float] = field(default_factory=dict)
     names: dict[str, str] = field(default_factory=dict)
+    granted_at: dict[str, float] = field(default_factory=dict)
+    busy: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
 
     def send(self, *asks: Ask) -> None:
         """Let requests of one host arrive."""
@@ -89,15 +99,24 @@
         prefill_s = predict_prefill(tokens) * self.slowness.get(engine, 1)
         self.free_at[engine] = start + prefill_s
         self.names[request_id] = engine
+        self.granted_at[request_id] = self.hub.now
+        runs = self.busy.setdefault(engine, [])
+        if runs and runs[-1][1] >= start:
+            start = runs.pop()[0]
+        runs.append((start, self.free_at[engine]))
         eventlet.spawn_after(
             self.free_at[engine] - self.hub.now, self._finish, request_id
         )
 
+    def list_busy(self, engine: str) -> list[tuple[float, float]]:
+        """List the times in which an engine prefilled without a break."""
+        return self.busy[engine]
+
     def _finish(self, request_id: str) -> None:
         took_s = self.hub.now - self.arrivals[request_id]
         self.first_tokens[request_id] = took_s
         done = Done(request_id, '', first_token_ms=round(took_s * 1000))
-        message = GroupAsk(_SERVICE, done=[done])
+        message = GroupAsk(_GROUP, done=[done])
         self.take(self.allocator.take('host', message))
 
 
@@ -111,7 +130,7 @@
 
 
 def _message(*asks: Ask) -> GroupAsk:
-    return GroupAsk(_SERVICE, asks=list(asks))
+    return GroupAsk(_GROUP, asks=list(asks))
 
 
 def _ask(name: str, tokens: int, **changes: object) -> Ask:
@@ -247,7 +266,7 @@
     """A host that gave up waiting takes back what was granted to it."""
     with _open_engines(1) as engines:
         engines.allocator.take('host', _message(_ask('r1', _LONG * 4)))
-        withdrawal = GroupAsk(_SERVICE, withdrawn=['r1'])
+        withdrawal = GroupAsk(_GROUP, withdrawn=['r1'])
         engines.allocator.take('host', withdrawal)
         reply = engines.allocator.take('host', _message(_ask('r2', _LONG)))
         assert [grant.request_id for grant in reply.grants] == ['r2']
@@ -262,15 +281,18 @@
 
 @contextmanager
 def _open_desk(
-    allocator: object, own: str, *, leaving: bool = False
+    allocator: object, own: str, *, leaving: bool = False, count: int = 1
 ) -> Iterator[tuple[PromptDesk, VirtualHub]]:
     with use_virtual_time() as hub:
         members = MemberTable(own)
         members.apply(MemberUpdate('a', 1, 0, 0, 'dc', 'a', 'a'), 0)
         mesh = Mesh(members, _SilentNetwork(), hub.read_now, 4096)
         table = InstanceTable(hub.read_now, 2)
-        engine = Instance('e0', _SERVICE, '', leaving=leaving)
-        table.replace({'e0': engine}, after_outage=False)
+        engines = {
+            f'e{index}': Instance(f'e{index}', _SERVICE, '', leaving=leaving)
+            for index in range(count)
+        }
+        table.replace(engines, after_outage=False)
         silent = GatewayFigures().silent_allocators
         desk = PromptDesk(mesh, allocator, table, hub.read_now, silent)
         mesh.add_listener(desk)
@@ -284,7 +306,7 @@
         self._reply = reply
 
     def take(self, host: str, message: GroupAsk) -> GroupReply:
-        return self._reply if message.asks else GroupReply(_SERVICE)
+        return self._reply if message.asks else GroupReply(_GROUP)
 
 
 def test_a_silent_allocator_is_passed_over() -> None:
@@ -307,7 +329,7 @@
 def test_denials_become_refusals_that_ran_nothing() -> None:
     """A denied request was not sent anywhere."""
     denial = Denial('r1', 'overloaded', 900, 10)
-    allocator = _ScriptedAllocator(GroupReply(_SERVICE, denials=[denial]))
+    allocator = _ScriptedAllocator(GroupReply(_GROUP, denials=[denial]))
     with _open_desk(allocator, 'a') as (desk, _):
         refused = desk.place(_SERVICE, _ask('r1', _LONG))
         assert isinstance(refused, Refused)
@@ -330,7 +352,7 @@
     """A host that knows better sends nothing to a leaving server."""
     grants = [Grant('r1', 'e0'), Grant('r1', 'unknown')]
     for grant in grants:
-        allocator = _ScriptedAllocator(GroupReply(_SERVICE, grants=[grant]))
+        allocator = _ScriptedAllocator(GroupReply(_GROUP, grants=[grant]))
         with _open_desk(allocator, 'a', leaving=True) as (desk, _):
             assert desk.place(_SERVICE, _ask('r1', _LONG)) is None
 
@@ -341,3 +363,82 @@
         ask = _ask('r1', _LONG, avoided=['e0', 'e1'])
         reply = engines.allocator.take('host', _message(ask))
         assert [denial.reason for denial in reply.denials] == ['overloaded']
+
+
+class _GroupedAllocator:
+    """Denies requests in all groups but one.
+
+    :ivar asked: groups that were asked.
+    """
+
+    def __init__(self, wait_ms: int) -> None:
+        self.asked: list[str] = []
+        self._wait_ms = wait_ms
+
+    def take(self, host: str, message: GroupAsk) -> GroupReply:
+        if not message.asks:
+            return GroupReply(message.group)
+        self.asked.append(message.group)
+        if len(self.asked) > 1:
+            return GroupReply(message.group, grants=[Grant('r1', 'e0')])
+        eventlet.sleep(self._wait_ms / 1000)
+        denial = Denial('r1', 'overloaded', 900, self._wait_ms)
+        return GroupReply(message.group, denials=[denial])
+
+
+def _place_among_groups(wait_ms: int) -> Placement | Refused | None:
+    allocator = _GroupedAllocator(wait_ms)
+    with _open_desk(allocator, 'a', count=60) as (desk, _):
+        outcome = desk.place(_SERVICE, _ask('r1', _LONG))
+    assert len(set(allocator.asked)) == len(allocator.asked)
+    return outcome
+
+
+def test_an_overloaded_group_passes_requests_on_to_another() -> None:
+    """Nobody is refused while another group has room."""
+    outcome = _place_among_groups(0)
+    assert isinstance(outcome, Placement)
+
+
+def test_a_request_that_has_waited_is_not_passed_on() -> None:
+    """It hears at once that it was denied instead of waiting twice."""
+    outcome = _place_among_groups(2000)
+    assert isinstance(outcome, Refused)
+
+
+def _count_stretched(engines: _Engines, pause_s: float) -> int:
+    """Count streams beside which an engine prefilled for a whole pause."""
+    stretched = 0
+    for name, granted_at in engines.granted_at.items():
+        if not name.startswith('short'):
+            continue
+        ends_at = granted_at + _STREAM_S
+        runs = engines.list_busy(engines.names[name])
+        stretched += any(
+            min(end, ends_at) - max(start, granted_at) >= pause_s
+            for start, end in runs
+        )
+    return stretched
+
+
+def test_streams_with_short_pauses_run_beside_little_prefill() -> None:
+    """Long prompts at half load rarely stretch the pauses of the top tier."""
+    source = random.Random(3)
+    with _open_engines(6) as engines:
+        for index in range(600):
+            eventlet.sleep(0.03)
+            long = _ask(
+                f'long{index}',
+                source.choice((15000, 17000, 30000)),
+                prefix=source.randrange(1, 60),
+                shared_tokens=13000,
+                pause_ms=800,
+            )
+            short = _ask(
+                f'short{index}', _SHORT, urgency=0, target_ms=250, pause_ms=200
+            )
+            engines.send(long, short)
+        eventlet.sleep(8)
+        assert len(engines.first_tokens) == 1200
+        # One in twenty may be late for any reason.
+        assert _count_stretched(engines, 0.2) <= 600 / 20
