Test that free slots are given out before requests are given up

The order of both in one tick was only seen by the fuzz test, whose examples change with the constants of the code.

--- a/tests/test_coordination/test_failover.py
+++ b/tests/test_coordination/test_failover.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+from typing import ClassVar
+
 import eventlet
 
+from egretdale.coordination.allocation import GroupAllocator
+from egretdale.util.clocks import read_hub_clock
 from standins.virtual.world import World
 from tests.fixtures import create_demand, open_world
 from tests.functions import create_loader
@@ -119,3 +123,38 @@
         for name in world.list_alive():
             for allocator in world.nodes[name].board.list_allocators():
                 assert not allocator.pool.held, name
+
+
+class _RecordingAllocator(GroupAllocator):
+    """Notes when it gives slots out and when it gives requests up."""
+
+    __slots__ = ()
+
+    calls: ClassVar[list[tuple[str, float]]] = []
+
+    def dispatch(self) -> None:
+        """Give slots out."""
+        self.calls.append(('dispatch', read_hub_clock()))
+        super().dispatch()
+
+    def expire(self) -> None:
+        """Give requests up."""
+        self.calls.append(('expire', read_hub_clock()))
+        super().expire()
+
+
+def test_free_slots_are_given_out_before_requests_are_given_up() -> None:
+    """Patience that ends in a tick still gets what has become free."""
+    _RecordingAllocator.calls.clear()
+    with open_world() as world:
+        for node in world.nodes.values():
+            node.board.allocator_class = _RecordingAllocator
+        world.make(create_demand('after'))
+        eventlet.sleep(3)
+    calls = _RecordingAllocator.calls
+    given_up = [
+        index for index, (name, _) in enumerate(calls) if name == 'expire'
+    ]
+    assert given_up
+    for index in given_up[-10:]:
+        assert calls[index - 1] == ('dispatch', calls[index][1])
