Keep a newer list of backend servers when a reader is behind

Cause: a list that another peer passed on during an outage may be newer than the one of a reader that is asked next; the older one was taken over until the reader caught up, and a leaving server looked ready again for up to a second. Change: only newer lists are taken. Test: test_instance_list, failed before.

--- a/egretdale/coordination/instances.py
+++ b/egretdale/coordination/instances.py
@@ -123,7 +123,8 @@
             logger.info('backend-list-regained', lost_s=now - self._lost_at)
             self._lost_at = None
             self._regained_at = now
-        if listing.version != self._listing.version:
+        # A reader may be behind a copy that came from another peer.
+        if listing.version > self._listing.version:
             self._take(listing, 'platform')
 
     def note_lost(self, failure: Unreachable) -> None:
--- a/tests/test_coordination/test_instance_list.py
+++ b/tests/test_coordination/test_instance_list.py
@@ -144,3 +144,15 @@
         assert _list_ready(first) == ['a', 'b']
         eventlet.sleep(2.5)
         assert _list_ready(first) == ['b']
+
+
+def test_an_older_list_of_a_reader_is_not_taken() -> None:
+    """A server that is known to be leaving is not used again."""
+    with _open_pair() as (state, first, _):
+        older = VirtualPlatform('x', state, HostFaults()).list_objects(
+            INSTANCE_KIND
+        )
+        state.store.put(INSTANCE_KIND, 'a', 'leaving')
+        eventlet.sleep(0.2)
+        first.take_listing(older, 0)
+        assert _list_ready(first) == ['b']
