--- a/egretdale/coordination/readers.py
+++ b/egretdale/coordination/readers.py
@@ -99,10 +99,12 @@
         ask = ChangeAsk(kind, listing.version, convert_to_ms(_WAIT_S))
         outcome = self._network.follow(member.update.peer_address, ask)
         if isinstance(outcome, Unreachable | Ambiguous):
-            return self._avoid(reader, kind, outcome.cause)
+            return self._avoid(reader, kind, outcome.cause, 0)
         age_s = convert_to_seconds(outcome.age_ms)
-        if not outcome.revision or age_s > FRESH_S:
-            return self._avoid(reader, kind, 'stale')
+        if not outcome.revision:
+            return self._avoid(reader, kind, 'empty', 0)
+        if age_s > FRESH_S:
+            return self._avoid(reader, kind, 'stale', outcome.age_ms)
         if outcome.large:
             return None
         waited_s = convert_to_seconds(outcome.waited_ms)
@@ -131,8 +133,14 @@
             self._members, 'reader', _READERS, hosts_from=_SHARED_FROM
         )
 
-    def _avoid(self, reader: str, kind: str, cause: str) -> None:
-        logger.info('reader-avoided', reader=reader, kind=kind, cause=cause)
+    def _avoid(self, reader: str, kind: str, cause: str, age_ms: int) -> None:
+        logger.info(
+            'reader-avoided',
+            reader=reader,
+            kind=kind,
+            cause=cause,
+            age_ms=age_ms,
+        )
         self._avoided_until[reader] = self._clock() + _AVOID_S
 
 
