Add a soak of real daemons under faults from outside

Daemons of the platform run as processes; a loopback proxy harms their links, signals stop, pause and kill them, the stand-in store refuses and forgets, keys change.

--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,160 @@
+"""Runs a soak from a seed."""
+
+from __future__ import annotations
+
+from egretdale.util import greening  # noqa: F401, I001
+
+import sys
+import tempfile
+import time
+from pathlib import Path
+from types import MappingProxyType
+
+import click
+import eventlet
+
+from egretdale.util.clocks import read_hub_clock
+from soak.checks import Record, Violation, find_violations
+from soak.faults import Fault, draw_timeline
+from soak.reports import Outcome, describe, write_reports
+from soak.servers import count_runs
+from soak.world import LARGE, SMALL, SoakWorld
+
+_SIZES = MappingProxyType({'small': SMALL, 'large': LARGE})
+_SECONDS_PER_MINUTE = 60
+_CHECK_S = 0.1
+#: Longest wait for every client to be served again, in seconds.
+_RECOVERY_S = 60.0
+#: Seconds after that in which requests must be served.
+_STEADY_S = 4.0
+#: Seconds that requests in progress get to end.
+_SETTLE_S = 7.0
+
+
+def run_soak(
+    seed: int, length_s: float, size: str, folder: Path, broken: str = ''
+) -> tuple[Record, Outcome]:
+    """Run a soak.
+
+    :param seed: seed of faults and clients.
+    :param length_s: seconds in which faults start.
+    :param size: name of the size.
+    :param folder: folder for settings and logs of the daemons.
+    :param broken: break of the daemons, empty for none.
+    :return: what was seen, and how it ended.
+    """
+    faults = draw_timeline(seed, length_s, _SIZES[size].daemons)
+    world = SoakWorld(_SIZES[size], folder, seed)
+    if broken:
+        world.break_daemons(broken)
+    try:
+        world.start()
+        began_at = read_hub_clock()
+        _play(world, faults)
+        recovered_s = _wait_until_served(world)
+        steady_at = read_hub_clock()
+        eventlet.sleep(_STEADY_S)
+        world.dismiss()
+        eventlet.sleep(_SETTLE_S)
+    finally:
+        world.close()
+    record = Record(
+        began_at,
+        faults,
+        world.list_attempts(),
+        count_runs(world.servers),
+        world.evidence,
+        steady_at,
+    )
+    violations = find_violations(record)
+    if recovered_s < 0:
+        violations.append(Violation('recovery', 'a client is not served'))
+    return record, Outcome(seed, size, recovered_s, violations)
+
+
+def _play(world: SoakWorld, faults: list[Fault]) -> None:
+    began_at = read_hub_clock()
+    pool = eventlet.GreenPool(len(faults) + 1)
+    for fault in faults:
+        pool.spawn(
+            _play_later, world, fault, began_at + fault.at_s - read_hub_clock()
+        )
+    while pool.running():
+        world.find_own_ends()
+        eventlet.sleep(_CHECK_S)
+    world.find_own_ends()
+
+
+def _play_later(world: SoakWorld, fault: Fault, delay_s: float) -> None:
+    eventlet.sleep(max(0, delay_s))
+    world.play(fault)
+
+
+def _wait_until_served(world: SoakWorld) -> float:
+    ended_at = read_hub_clock()
+    while read_hub_clock() < ended_at + _RECOVERY_S:
+        waiting = [
+            client
+            for client in world.clients
+            if not any(
+                attempt.sent_at > ended_at and attempt.is_served()
+                for attempt in reversed(client.attempts)
+            )
+        ]
+        if not waiting:
+            return read_hub_clock() - ended_at
+        eventlet.sleep(_CHECK_S)
+    return -1
+
+
+@click.command()
+@click.option('--seed', default=1, help='Seed of faults and clients.')
+@click.option('--seeds', default=1, help='Number of seeds, from --seed on.')
+@click.option('--fresh', is_flag=True, help='Take a seed from the clock.')
+@click.option('--minutes', default=0.5, help='Minutes in which faults start.')
+@click.option('--size', type=click.Choice(tuple(_SIZES)), default='small')
+@click.option('--broken', default='', help='Deliberate break of the daemons.')
+@click.option('--output', type=click.Path(path_type=Path), default=None)
+def main(
+    seed: int,
+    seeds: int,
+    minutes: float,
+    size: str,
+    output: Path | None,
+    broken: str,
+    *,
+    fresh: bool,
+) -> None:
+    """Run real daemons under faults and check what callers see.
+
+    Exit status 1 when a promise was broken.
+
+    \f
+    :param seed: first seed.
+    :param seeds: number of seeds.
+    :param minutes: minutes of faults for each seed.
+    :param size: name of the size.
+    :param output: folder for reports.
+    :param broken: break of the daemons, empty for none.
+    :param fresh: whether the first seed comes from the clock.
+    """
+    first = int(time.time()) if fresh else seed
+    failed = 0
+    for current in range(first, first + seeds):
+        with tempfile.TemporaryDirectory() as folder:
+            record, outcome = run_soak(
+                current,
+                minutes * _SECONDS_PER_MINUTE,
+                size,
+                Path(folder),
+                broken,
+            )
+            if output is not None:
+                write_reports(record, outcome, output)
+        click.echo('\n'.join(describe(record, outcome)))
+        failed += bool(outcome.violations)
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/soak/daemons.py
@@ -0,0 +1,259 @@
+"""Daemons of the users' platform as processes of their own."""
+
+from __future__ import annotations
+
+import itertools
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import eventlet
+import urllib3
+
+from standins.objects import ObjectStoreProgram
+
+HOST_NAME = 'claims.example'
+ORGANISATION = 'small'
+_ROOT = Path(__file__).resolve().parent.parent
+_START_S = 60
+_STEP_S = 0.05
+_PORTS = ('front', 'ready', 'control', 'directory')
+#: Daemons of one process of tests, and values of a part of an address.
+_DAEMONS = 64
+_PARTS = 250
+_KB_PER_MB = 1024
+_CONNECTIONS = 256
+_OK = 200
+_numbers = itertools.count()
+
+
+@dataclass(slots=True, frozen=True)
+class DaemonPlace:
+    """Where a daemon runs.
+
+    :ivar name: name of its host.
+    :ivar ip: its address.
+    :ivar addresses: its listening addresses by purpose.
+    """
+
+    name: str
+    ip: str
+    addresses: dict[str, str]
+
+
+@dataclass
+class Daemon:
+    """A daemon that may be stopped, paused, killed and started again.
+
+    :ivar place: where it runs.
+    :ivar settings: its settings file.
+    :ivar program: the program and its arguments.
+    :ivar process: its process, ``None`` before the first start.
+    """
+
+    place: DaemonPlace
+    settings: Path
+    program: tuple[str, ...] = ('platform/daemon.py',)
+    process: subprocess.Popen[bytes] | None = None
+    pool: urllib3.PoolManager = field(
+        default_factory=lambda: urllib3.PoolManager(
+            maxsize=_CONNECTIONS, retries=False, timeout=_START_S
+        )
+    )
+
+    def start(self) -> None:
+        """Start the process."""
+        log = self.settings.with_suffix('.log').open('ab')
+        self.process = subprocess.Popen(
+            (sys.executable, *self.program),
+            cwd=_ROOT,
+            env={**os.environ, 'EGRETDALE_BOOT': str(self.settings)},
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process.
+
+        :param number: the signal.
+        """
+        if self.process is not None:
+            self.process.send_signal(number)
+
+    def stop(self) -> None:
+        """Ask for a planned stop."""
+        self.signal(signal.SIGTERM)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait()
+
+    def wait(self) -> int:
+        """Wait for the end of the process.
+
+        :return: its exit status.
+        """
+        while self.process.poll() is None:
+            eventlet.sleep(_STEP_S)
+        return self.process.returncode
+
+    def is_running(self) -> bool:
+        """Tell whether the process runs."""
+        return self.process is not None and self.process.poll() is None
+
+    def is_ready(self) -> bool:
+        """Tell whether the daemon says that it takes requests."""
+        url = f'http://{self.place.addresses["ready"]}/api/ready'
+        try:
+            return self.pool.request('GET', url).status == _OK
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def wait_until_ready(self) -> None:
+        """Wait until the daemon takes requests."""
+        with eventlet.Timeout(_START_S):
+            while not self.is_ready():
+                assert self.is_running(), 'the daemon has ended'
+                eventlet.sleep(_STEP_S)
+
+    def count_descriptors(self) -> int:
+        """Count the open descriptors of the process."""
+        return len(os.listdir(f'/proc/{self.process.pid}/fd'))
+
+    def read_memory_mb(self) -> float:
+        """Read the peak of the resident memory of the process in MB."""
+        status = Path(f'/proc/{self.process.pid}/status').read_text()
+        peak = next(
+            line for line in status.splitlines() if line.startswith('VmHWM')
+        )
+        return int(peak.split()[1]) / _KB_PER_MB
+
+
+def choose_place(name: str) -> DaemonPlace:
+    """Choose addresses that no other daemon has.
+
+    The port of the metrics is the same for all daemons, so each gets a
+    loopback address of its own.
+
+    :param name: name of the host.
+    :return: the place.
+    """
+    number = os.getpid() * _DAEMONS + next(_numbers) % _DAEMONS
+    first, rest = divmod(number, _PARTS**2)
+    second, third = divmod(rest, _PARTS)
+    ip = f'127.{1 + first % _PARTS}.{second}.{third}'
+    addresses = {purpose: _choose_address(ip) for purpose in _PORTS}
+    return DaemonPlace(name, ip, addresses)
+
+
+def create_daemon(
+    place: DaemonPlace,
+    folder: Path,
+    store_address: str,
+    *,
+    seeds: tuple[str, ...] = (),
+    **limits: object,
+) -> Daemon:
+    """Write the settings of a daemon.
+
+    :param place: where it runs.
+    :param folder: folder for its settings and logs.
+    :param store_address: ``address:port`` of the platform's store.
+    :param seeds: addresses of other daemons for peers.
+    :param limits: limits of the machine, as its settings name them.
+    :return: the daemon, not started.
+    """
+    settings = {
+        'node_name': place.name,
+        'ip': place.ip,
+        'zone': 'z1',
+        'bind': place.addresses,
+        'provider': {'address': store_address},
+        'seeds': seeds,
+        'bounds': {'grace_s': 8},
+        'limits': {'memory_mb': 300, 'max_fds': 4100, **limits},
+    }
+    path = folder / f'{place.name}.json'
+    path.write_text(json.dumps(settings))
+    return Daemon(place, path)
+
+
+def put_configuration(
+    store: ObjectStoreProgram, version: int, keys: tuple[str, ...] = ()
+) -> None:
+    """Write a configuration with one route of each kind.
+
+    :param store: the platform's store.
+    :param version: version of the configuration.
+    :param keys: keys of the only organisation; none are needed when empty.
+    """
+    kinds = ('non_idempotent', 'idempotent', 'streaming')
+    routes = [_create_route(kind) for kind in kinds]
+    body: dict[str, object] = {
+        'version': version,
+        'routes': routes,
+        'services': [],
+        'limits': {},
+    }
+    if keys:
+        body['tenants'] = [{'name': ORGANISATION, 'api_keys': keys}]
+    store.put('config', 'main', body)
+
+
+def put_server(store: ObjectStoreProgram, name: str, address: str) -> None:
+    """Register a backend server.
+
+    :param store: the platform's store.
+    :param name: name of the server.
+    :param address: its ``address:port``.
+    """
+    entry = {
+        'backend': 's1',
+        'address': address,
+        'zone': 'z1',
+        'state': 'ready',
+        'slots': 64,
+        'born': 1700000000000,
+        'sequence': 1,
+    }
+    store.put('servers', name, entry)
+
+
+def name_path(kind: str) -> str:
+    """Name the path of a route.
+
+    :param kind: kind of its requests.
+    :return: path prefix.
+    """
+    return '/stream/' if kind == 'streaming' else f'/{kind}/'
+
+
+def _create_route(kind: str) -> dict[str, object]:
+    route: dict[str, object] = {
+        'name': kind,
+        'host': HOST_NAME,
+        'path_prefix': name_path(kind),
+        'kind': kind,
+        'timeout_ms': 20000,
+        'target_latency_ms': 1000,
+        'priority': 1,
+        'backend': 's1',
+        'max_attempts': 1 if kind == 'non_idempotent' else 2,
+    }
+    if kind == 'streaming':
+        route['resumable'] = True
+        route['gap_aim_ms'] = 800
+    return route
+
+
+def _choose_address(ip: str) -> str:
+    with socket.create_server((ip, 0)) as chosen:
+        return f'{ip}:{chosen.getsockname()[1]}'
--- /dev/null
+++ b/soak/platform_path.py
@@ -0,0 +1,8 @@
+"""Makes the adapter in ``platform/`` importable."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+sys.path.append(str(Path(__file__).resolve().parent.parent / 'platform'))
--- /dev/null
+++ b/soak/reports.py
@@ -0,0 +1,112 @@
+"""Reports of a soak as text, JSON and a plot."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+from soak.checks import Record, Violation
+
+_WIDTH = 900
+_HEIGHT = 200
+_MARGIN = 40
+_PERCENT = 100
+
+
+@dataclass(slots=True, frozen=True)
+class Outcome:
+    """How a soak ended.
+
+    :ivar seed: its seed.
+    :ivar size: name of its size.
+    :ivar recovered_s: seconds from the last fault until every client was
+        served again, -1 when that never happened.
+    :ivar violations: promises that were broken.
+    """
+
+    seed: int
+    size: str
+    recovered_s: float
+    violations: list[Violation]
+
+
+def describe(record: Record, outcome: Outcome) -> list[str]:
+    """Describe a soak in lines of text.
+
+    :param record: what was seen.
+    :param outcome: how it ended.
+    :return: the lines.
+    """
+    lines = [fault.describe() for fault in record.faults]
+    served = sum(attempt.is_served() for attempt in record.attempts)
+    lines.append(
+        f'seed {outcome.seed} {outcome.size}: {len(record.faults)} faults,'
+        f' {served} of {len(record.attempts)} requests served,'
+        f' {len(record.evidence.stops)} planned stops,'
+        f' served again after {outcome.recovered_s:.1f} s'
+    )
+    lines.extend(
+        f'BROKEN {violation.promise}: {violation.detail}'
+        for violation in outcome.violations
+    )
+    return lines
+
+
+def write_reports(record: Record, outcome: Outcome, folder: Path) -> None:
+    """Write the reports of a soak.
+
+    :param record: what was seen.
+    :param outcome: how it ended.
+    :param folder: folder for them.
+    """
+    folder.mkdir(parents=True, exist_ok=True)
+    name = f'soak-{outcome.size}-{outcome.seed}'
+    fields = {
+        'outcome': asdict(outcome),
+        'timeline': [asdict(fault) for fault in record.faults],
+        'attainment': measure_attainment(record),
+    }
+    text = '\n'.join(describe(record, outcome))
+    (folder / f'{name}.txt').write_text(f'{text}\n')
+    (folder / f'{name}.json').write_text(json.dumps(fields, indent=1))
+    (folder / f'{name}.svg').write_text(_plot(record))
+
+
+def measure_attainment(record: Record) -> list[float]:
+    """Measure which part of the requests was served.
+
+    :param record: what was seen.
+    :return: the part for each second of the soak, 1 where none was sent.
+    """
+    sent: dict[int, list[bool]] = {}
+    for attempt in record.attempts:
+        second = int(attempt.sent_at - record.began_at)
+        sent.setdefault(second, []).append(attempt.is_served())
+    last = max(sent, default=0)
+    whole = [sent.get(second, [True]) for second in range(last + 1)]
+    return [sum(served) / len(served) for served in whole]
+
+
+def _plot(record: Record) -> str:
+    attainment = measure_attainment(record)
+    step = (_WIDTH - 2 * _MARGIN) / max(1, len(attainment) - 1)
+    points = ' '.join(
+        f'{_MARGIN + second * step:.1f},'
+        f'{_MARGIN + (1 - part) * (_HEIGHT - 2 * _MARGIN):.1f}'
+        for second, part in enumerate(attainment)
+    )
+    bars = ''.join(
+        f'<rect x="{_MARGIN + fault.at_s * step:.1f}" y="{_MARGIN}"'
+        f' width="{max(1, fault.for_s * step):.1f}"'
+        f' height="{_HEIGHT - 2 * _MARGIN}" fill="red" opacity="0.08">'
+        f'<title>{fault.describe()}</title></rect>'
+        for fault in record.faults
+    )
+    return (
+        f'<svg xmlns="http://www.w3.org/2000/svg" width="{_WIDTH}"'
+        f' height="{_HEIGHT}">{bars}<polyline points="{points}" fill="none"'
+        f' stroke="black"/><text x="{_MARGIN}" y="{_MARGIN - 10}">part of the'
+        f' requests that was served, by second; {_PERCENT}% at the top'
+        f'</text></svg>\n'
+    )
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,282 @@
+"""The processes of a soak and how faults act on them."""
+
+from __future__ import annotations
+
+import random
+import signal
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import eventlet
+
+from egretdale.util.clocks import read_hub_clock
+from soak.clients import Attempt, Client
+from soak.daemons import (
+    Daemon,
+    choose_place,
+    create_daemon,
+    put_configuration,
+    put_server,
+)
+from soak.faults import Fault, Kind
+from soak.proxies import FaultProxy, Harm
+from soak.servers import SealedServer
+from standins.objects import ObjectStoreProgram
+from standins.web import listen, serve
+
+
+@dataclass(slots=True, frozen=True)
+class Size:
+    """Numbers of a soak.
+
+    :ivar daemons: daemons.
+    :ivar servers: backend servers.
+    :ivar clients: clients.
+    """
+
+    daemons: int = 3
+    servers: int = 3
+    clients: int = 12
+
+
+#: Seconds for which some clients go on with a key that was taken away.
+_OLD_KEY_S = 8.0
+_LARGE_DAEMONS = 40
+_LARGE_SERVERS = 12
+_LARGE_CLIENTS = 200
+
+#: A few processes, for every day.
+SMALL = Size()
+#: As many as a small machine bears.
+LARGE = Size(_LARGE_DAEMONS, _LARGE_SERVERS, _LARGE_CLIENTS)
+
+
+@dataclass(slots=True)
+class Stop:
+    """A planned stop and how it ended.
+
+    :ivar daemon: index of the daemon.
+    :ivar began_at: clock time of the signal.
+    :ivar ended_at: clock time of the end of the process.
+    :ivar status: exit status.
+    """
+
+    daemon: int
+    began_at: float
+    ended_at: float
+    status: int
+
+
+@dataclass(slots=True)
+class Evidence:
+    """What was seen beside the answers of clients.
+
+    :ivar stops: planned stops.
+    :ivar revoked_at: clock times at which keys were taken away.
+    :ivar own_ends: ends of processes that nothing had asked for.
+    """
+
+    stops: list[Stop] = field(default_factory=list)
+    revoked_at: dict[str, float] = field(default_factory=dict)
+    own_ends: list[str] = field(default_factory=list)
+
+
+class SoakWorld:
+    """Daemons, backend servers, a store and clients."""
+
+    def __init__(self, size: Size, folder: Path, seed: int) -> None:
+        """Start everything.
+
+        :param size: numbers of processes.
+        :param folder: folder for settings and logs.
+        :param seed: seed of the clients.
+        """
+        self.evidence = Evidence()
+        self.servers = [SealedServer() for _ in range(size.servers)]
+        self.store = ObjectStoreProgram()
+        self._version = 1
+        self._key = 'key-0'
+        self._expected_ends: set[int] = set()
+        self._server_links = [
+            FaultProxy(serve_program(server)) for server in self.servers
+        ]
+        for number in range(size.servers):
+            self._list_server(number)
+        put_configuration(self.store, self._version, (self._key,))
+        store_address = serve_program(self.store)
+        self._store_links = [
+            FaultProxy(store_address) for _ in range(size.daemons)
+        ]
+        self.daemons = self._create_daemons(folder)
+        self._caller_links = [
+            FaultProxy(daemon.place.addresses['front'])
+            for daemon in self.daemons
+        ]
+        self.clients = self._create_clients(size.clients, seed)
+
+    def start(self) -> None:
+        """Start the daemons, then the clients."""
+        for daemon in self.daemons:
+            daemon.start()
+        for daemon in self.daemons:
+            daemon.wait_until_ready()
+        for client in self.clients:
+            client.key = self._key
+            eventlet.spawn(client.run)
+
+    def break_daemons(self, name: str) -> None:
+        """Let the daemons run with a deliberate break.
+
+        :param name: name of the break.
+        """
+        for daemon in self.daemons:
+            daemon.program = ('-m', 'soak.broken_daemon', name)
+
+    def close(self) -> None:
+        """End the daemons that this soak has started."""
+        self.dismiss()
+        for daemon in self.daemons:
+            daemon.kill()
+
+    def dismiss(self) -> None:
+        """Tell the clients to leave after their present request."""
+        for client in self.clients:
+            client.leaving = True
+
+    def list_attempts(self) -> list[Attempt]:
+        """List the requests of all clients."""
+        return [
+            attempt for client in self.clients for attempt in client.attempts
+        ]
+
+    def play(self, fault: Fault) -> None:
+        """Let a fault happen and end.
+
+        :param fault: the fault.
+        """
+        number = fault.target % len(self.daemons)
+        server = fault.target % len(self.servers)
+        match fault.kind:
+            case Kind.STOP:
+                self._stop(number)
+            case Kind.KILL:
+                self._expected_ends.add(number)
+                self.daemons[number].kill()
+                eventlet.sleep(fault.for_s)
+                self._restart(number)
+            case Kind.PAUSE:
+                self.daemons[number].signal(signal.SIGSTOP)
+                eventlet.sleep(fault.for_s)
+                self.daemons[number].signal(signal.SIGCONT)
+            case Kind.RELOAD:
+                self.daemons[number].signal(signal.SIGHUP)
+            case Kind.CALLER_LINK:
+                _harm(self._caller_links[number], fault)
+            case Kind.SERVER_LINK:
+                _harm(self._server_links[server], fault)
+            case Kind.STORE_LINK:
+                _harm(self._store_links[number], fault)
+            case _:
+                self._play_at_store(fault, server)
+
+    def find_own_ends(self) -> None:
+        """Note processes that have ended though nothing asked for it."""
+        for number, daemon in enumerate(self.daemons):
+            if not daemon.is_running() and number not in self._expected_ends:
+                status = daemon.process.returncode if daemon.process else None
+                self.evidence.own_ends.append(
+                    f'{daemon.place.name} ended with {status}'
+                )
+                self._restart(number)
+
+    def _play_at_store(self, fault: Fault, server: int) -> None:
+        match fault.kind:
+            case Kind.STORE_REFUSES:
+                self.store.refusing = '503 Service Unavailable'
+                eventlet.sleep(fault.for_s)
+                self.store.refusing = ''
+            case Kind.STORE_FORGETS:
+                self.store.forget_history()
+            case Kind.SERVER_LEAVES:
+                self._unlist_server(server)
+                eventlet.sleep(fault.for_s)
+                self._list_server(server)
+            case Kind.KEY_CHANGE:
+                self._change_key()
+
+    def _stop(self, number: int) -> None:
+        daemon = self.daemons[number]
+        if not daemon.is_running() or number in self._expected_ends:
+            return
+        self._expected_ends.add(number)
+        began_at = read_hub_clock()
+        daemon.stop()
+        status = daemon.wait()
+        stop = Stop(number, began_at, read_hub_clock(), status)
+        self.evidence.stops.append(stop)
+        self._restart(number)
+
+    def _restart(self, number: int) -> None:
+        daemon = self.daemons[number]
+        if not daemon.is_running():
+            daemon.start()
+        self._expected_ends.discard(number)
+
+    def _change_key(self) -> None:
+        before = self._key
+        self._version += 1
+        self._key = f'key-{self._version}'
+        put_configuration(self.store, self._version, (self._key,))
+        self.evidence.revoked_at[before] = read_hub_clock()
+        # Half of the clients go on with the key that was taken away.
+        for client in self.clients[::2]:
+            client.key = self._key
+        eventlet.spawn_after(_OLD_KEY_S, self._hand_out_key)
+
+    def _hand_out_key(self) -> None:
+        for client in self.clients:
+            client.key = self._key
+
+    def _list_server(self, number: int) -> None:
+        if f'i-{number}' not in self.store.list_names('servers'):
+            address = self._server_links[number].address
+            put_server(self.store, f'i-{number}', address)
+
+    def _unlist_server(self, number: int) -> None:
+        if f'i-{number}' in self.store.list_names('servers'):
+            self.store.remove('servers', f'i-{number}')
+
+    def _create_daemons(self, folder: Path) -> list[Daemon]:
+        places = [
+            choose_place(f'front-{number}')
+            for number in range(len(self._store_links))
+        ]
+        seeds = tuple(place.addresses['control'] for place in places[:3])
+        return [
+            create_daemon(place, folder, link.address, seeds=seeds)
+            for place, link in zip(places, self._store_links, strict=True)
+        ]
+
+    def _create_clients(self, count: int, seed: int) -> list[Client]:
+        addresses = [link.address for link in self._caller_links]
+        return [
+            Client(f'c{number}', addresses, random.Random(f'{seed}.{number}'))
+            for number in range(count)
+        ]
+
+
+def serve_program(program: object) -> str:
+    """Serve a WSGI program for as long as this process runs.
+
+    :param program: the program.
+    :return: its ``address:port``.
+    """
+    listener = listen('127.0.0.1:0')
+    eventlet.spawn(serve, listener, program)
+    return f'127.0.0.1:{listener.getsockname()[1]}'
+
+
+def _harm(link: FaultProxy, fault: Fault) -> None:
+    link.harm = fault.harm
+    eventlet.sleep(fault.for_s)
+    link.harm = Harm.NONE
--- a/standins/objects.py
+++ b/standins/objects.py
@@ -77,6 +77,14 @@
         body = self._objects[kind].pop(name)
         self._events.append(ObjectEvent(self.revision, kind, body, True))
 
+    def list_names(self, kind: str) -> list[str]:
+        """List the names of the objects of a kind.
+
+        :param kind: kind of the objects.
+        :return: their names.
+        """
+        return list(self._objects.get(kind, {}))
+
     def forget_history(self) -> None:
         """Drop the events so far, as the history is bounded."""
         self._oldest = self.revision
--- a/tests/test_platform/test_whole_path.py
+++ b/tests/test_platform/test_whole_path.py
@@ -2,16 +2,30 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+import random
+import tempfile
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
 
 import eventlet
-from urllib3.exceptions import HTTPError
 
+from soak.clients import Client
+from soak.daemons import (
+    Daemon,
+    choose_place,
+    create_daemon,
+    put_configuration,
+    put_server,
+)
+from soak.servers import SealedServer
+from soak.world import serve_program
+from standins.objects import ObjectStoreProgram
 from tests.functions import create_loader
-from tests.processes import RunningDaemon, open_daemon
 
 load_tests = create_loader(__name__)
 
+_STEP_S = 0.02
 _CLIENTS = 24
 #: Connections for which the daemon of the second test has room.
 _ROOM = 32
@@ -20,75 +34,72 @@
 _MEMORY_MB = 80
 
 
-@dataclass
-class _Client:
-    """A client that sends until it is not served any more.
-
-    :ivar whole: identities of the requests that were answered whole.
-    :ivar statuses: statuses of the others.
-    :ivar broken: identities of those without an answer.
-    """
-
-    name: str
-    whole: list[str] = field(default_factory=list)
-    statuses: list[int] = field(default_factory=list)
-    broken: list[str] = field(default_factory=list)
+@contextmanager
+def _open_daemon(**limits: object) -> Iterator[tuple[Daemon, SealedServer]]:
+    server = SealedServer()
+    store = ObjectStoreProgram()
+    put_configuration(store, 1)
+    put_server(store, 'i-1', serve_program(server))
+    with tempfile.TemporaryDirectory() as folder:
+        daemon = create_daemon(
+            choose_place('front-1'),
+            Path(folder),
+            serve_program(store),
+            **limits,
+        )
+        daemon.start()
+        try:
+            daemon.wait_until_ready()
+            yield daemon, server
+        finally:
+            daemon.kill()
 
-    def run(self, daemon: RunningDaemon) -> None:
-        """Send one request after the other until one is not answered."""
-        while not self.broken:
-            identity = f'{self.name}-{len(self.whole) + len(self.statuses)}'
-            self.send(daemon, identity, keep=True)
 
-    def send(self, daemon: RunningDaemon, identity: str, *, keep: bool) -> None:
-        """Send a request and note what comes of it."""
-        try:
-            answer = daemon.ask(identity, keep=keep)
-        except HTTPError:
-            self.broken.append(identity)
-            return
-        expected = f'answer to {identity}'.encode() * 20
-        if answer.status == 200 and answer.data == expected:
-            self.whole.append(identity)
-        else:
-            self.statuses.append(answer.status)
+def _create_clients(count: int, daemon: Daemon) -> list[Client]:
+    address = daemon.place.addresses['front']
+    return [
+        Client(f'c{index}', [address], random.Random(index))
+        for index in range(count)
+    ]
 
 
-def _list_whole(clients: list[_Client]) -> set[str]:
-    return {identity for client in clients for identity in client.whole}
+def _run_until_broken(client: Client) -> None:
+    while not client.attempts or client.attempts[-1].is_served():
+        client.send(0)
 
 
 def test_a_planned_stop_answers_everything_that_ran() -> None:
     """Clients that keep sending lose nothing that reached a server."""
-    with open_daemon() as daemon:
-        clients = [_Client(f'c{index}') for index in range(_CLIENTS)]
-        tasks = [eventlet.spawn(client.run, daemon) for client in clients]
-        while len(daemon.server.runs) < _CLIENTS * 4:
-            eventlet.sleep(0.02)
+    with _open_daemon() as (daemon, server):
+        clients = _create_clients(_CLIENTS, daemon)
+        tasks = [eventlet.spawn(_run_until_broken, one) for one in clients]
+        while len(server.runs) < _CLIENTS * 4:
+            eventlet.sleep(_STEP_S)
         daemon.stop()
         assert daemon.wait() == 0
         for task in tasks:
             task.wait()
-        assert len(set(daemon.server.runs)) == len(daemon.server.runs)
-        assert set(daemon.server.runs) == _list_whole(clients)
-        assert not any(client.statuses for client in clients)
+        attempts = [entry for one in clients for entry in one.attempts]
+        served = [entry.identity for entry in attempts if entry.is_served()]
+        assert sorted(server.runs) == sorted(served)
+        # What was not served was not answered at all.
+        assert not any(
+            entry.status for entry in attempts if not entry.is_served()
+        )
 
 
 def test_connections_beyond_the_limit_wait_their_turn() -> None:
     """Four times the connections cost neither descriptors nor memory."""
-    with open_daemon(max_fds=_ROOM * 3) as daemon:
-        clients = [_Client(f'c{index}') for index in range(_ROOM * 4)]
-        tasks = [
-            eventlet.spawn(client.send, daemon, client.name, keep=False)
-            for client in clients
-        ]
+    with _open_daemon(max_fds=_ROOM * 3) as (daemon, server):
+        clients = _create_clients(_ROOM * 4, daemon)
+        tasks = [eventlet.spawn(one.send, 0, keep=False) for one in clients]
         most = 0
-        while len(daemon.server.runs) < len(clients):
+        while len(server.runs) < len(clients):
             most = max(most, daemon.count_descriptors())
-            eventlet.sleep(0.02)
+            eventlet.sleep(_STEP_S)
         for task in tasks:
             task.wait()
-        assert len(_list_whole(clients)) == len(clients)
+        assert all(one.attempts[0].is_served() for one in clients)
         # A connection of a caller may need one to a server.
         assert most <= 2 * _ROOM + _OTHER_DESCRIPTORS
         assert daemon.read_memory_mb() < _MEMORY_MB
--- /dev/null
+++ b/tests/test_soak/test_checks.py
@@ -0,0 +1,139 @@
+"""Tests of the checks of the soak: each promise bites."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from soak.checks import Record, find_violations
+from soak.clients import Attempt
+from soak.faults import Fault, Kind, draw_timeline
+from soak.proxies import Harm
+from soak.reports import Outcome, describe, measure_attainment
+from soak.world import Evidence, Stop
+from tests.functions import create_loader
+
+load_tests = create_loader(__name__)
+
+_IDENTITY = 'c0-1'
+
+
+def _attempt(kind: str = 'non_idempotent', **changes: object) -> Attempt:
+    attempt = Attempt(_IDENTITY, kind, 'key-0', 0, 110, 111)
+    attempt.status = 200
+    attempt.sealed = True
+    attempt.complete = True
+    attempt.body = attempt.create_answer()
+    for name, changed in changes.items():
+        setattr(attempt, name, changed)
+    return attempt
+
+
+def _find(
+    attempt: Attempt,
+    runs: int = 1,
+    *,
+    faults: tuple[Fault, ...] = (),
+    steady_at: float = 200,
+    **seen: object,
+) -> list[str]:
+    record = Record(
+        100,
+        list(faults),
+        [attempt],
+        Counter({_IDENTITY: runs}),
+        Evidence(**seen),
+        steady_at,
+    )
+    return [violation.promise for violation in find_violations(record)]
+
+
+def test_a_whole_answer_breaks_nothing() -> None:
+    """Right answers of all kinds pass."""
+    for kind in ('non_idempotent', 'idempotent', 'streaming'):
+        assert not _find(_attempt(kind))
+
+
+def test_a_second_run_is_found() -> None:
+    """Only what may be repeated may run twice."""
+    assert _find(_attempt(), runs=2) == ['twice']
+    assert not _find(_attempt('idempotent'), runs=2)
+
+
+def test_an_untrue_refusal_is_found() -> None:
+    """A refusal promises that the request has not run."""
+    for status in (408, 421, 429, 503):
+        refused = _attempt(status=status, body=b'', sealed=False)
+        assert _find(refused) == ['refused']
+        assert not _find(refused, runs=0)
+
+
+def test_wrong_answers_are_found() -> None:
+    """Answers without a seal, cut short or of others do not pass."""
+    assert _find(_attempt(sealed=False)) == ['mixed']
+    assert 'mixed' in _find(_attempt(body=b'answer'))
+    other = Attempt('c0-2', 'non_idempotent', '', 0, 0).create_answer()
+    assert 'mixed' in _find(_attempt(body=other))
+    assert not _find(_attempt(body=b'answer', complete=False))
+
+
+def test_streams_out_of_order_are_found() -> None:
+    """A stream that broke off may end early and not skip events."""
+    whole = _attempt('streaming').body
+    assert not _find(_attempt('streaming', body=whole[:100], complete=False))
+    skipped = whole[:20] + whole[60:]
+    assert 'order' in _find(_attempt('streaming', body=skipped, complete=False))
+
+
+def test_a_run_with_a_revoked_key_is_found() -> None:
+    """Five seconds after the acknowledgement nothing runs."""
+    assert _find(_attempt(), revoked_at={'key-0': 104.0}) == ['revoked']
+    assert not _find(_attempt(), revoked_at={'key-0': 106.0})
+
+
+def test_runs_that_nobody_asked_for_are_found() -> None:
+    """Servers run only what clients have sent."""
+    assert 'unasked' in _find(_attempt(identity='c0-9'))
+
+
+def test_ends_of_their_own_are_found() -> None:
+    """A process ends only when told to."""
+    assert _find(_attempt(), own_ends=['front-0']) == ['own-end']
+
+
+def test_a_planned_stop_that_cuts_is_found() -> None:
+    """Answers are whole and the status is 0, unless a fault excuses it."""
+    cut = _attempt(complete=False, body=b'')
+    stops = [Stop(0, 110.5, 112, 1)]
+    assert _find(cut, stops=stops) == ['stop', 'lost']
+    assert _find(_attempt(), stops=[Stop(0, 110, 119, 0)]) == ['stop']
+    fault = Fault(9, 1, Kind.SERVER_LINK, 0, Harm.RESET)
+    assert not _find(cut, stops=stops, faults=(fault,))
+    reload = Fault(9, 1, Kind.RELOAD, 0)
+    assert _find(cut, stops=stops, faults=(reload,)) == ['stop', 'lost']
+
+
+def test_a_system_that_does_not_recover_is_found() -> None:
+    """A quarter of the requests is served after the faults."""
+    refused = _attempt(status=503, body=b'', sealed=False)
+    assert _find(refused, runs=0, steady_at=105) == ['recovery']
+    assert not _find(_attempt(), steady_at=105)
+
+
+def test_a_seed_draws_one_timeline() -> None:
+    """Faults overlap, come in series, and depend on the seed alone."""
+    faults = draw_timeline(4, 60, 3)
+    assert faults == draw_timeline(4, 60, 3)
+    assert faults != draw_timeline(5, 60, 3)
+    assert {fault.kind for fault in draw_timeline(4, 600, 3)} == set(Kind)
+    pairs = zip(faults, faults[1:], strict=False)
+    assert any(first.end_s > second.at_s for first, second in pairs)
+
+
+def test_reports_tell_what_was_broken() -> None:
+    """The text names the promise and the request."""
+    runs = Counter({_IDENTITY: 2})
+    record = Record(100, [], [_attempt()], runs, Evidence(), 200)
+    violations = find_violations(record)
+    lines = describe(record, Outcome(4, 'small', 0.5, violations))
+    assert lines[-1] == f'BROKEN twice: {_IDENTITY} ran 2 times'
+    assert measure_attainment(record)[10] == 1
