--- a/tests/test_platform/test_reload.py
+++ b/tests/test_platform/test_reload.py
@@ -3,7 +3,12 @@
 from __future__ import annotations
 
 import json
+import os
+import signal
+import subprocess
+import sys
 import tempfile
+import time
 from pathlib import Path
 from types import SimpleNamespace
 
@@ -15,6 +20,10 @@
 
 load_tests = create_loader(__name__)
 
+_ROOT = Path(__file__).resolve().parents[2]
+_START_S = 20
+_STEP_S = 0.02
+
 
 def _reload(text: str) -> list[str]:
     learned: list[str] = []
@@ -23,7 +32,7 @@
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / 'node.json'
         path.write_text(text)
-        reload_settings(path, daemon)
+        reload_settings(path, [daemon])
     return learned
 
 
@@ -35,3 +44,43 @@
 def test_a_wrong_file_changes_nothing() -> None:
     """The process goes on with the settings that it has."""
     assert _reload('{"node_name": 1') == []
+
+
+def _handles_hangup(process: subprocess.Popen[bytes]) -> bool:
+    """Tell whether a process ignores or catches SIGHUP."""
+    status = Path(f'/proc/{process.pid}/status').read_text()
+    masks = [
+        int(line.split()[1], 16)
+        for line in status.splitlines()
+        if line.startswith(('SigIgn', 'SigCgt'))
+    ]
+    return any(mask & (1 << (signal.SIGHUP - 1)) for mask in masks)
+
+
+def test_a_change_during_the_start_does_not_end_the_process() -> None:
+    """SIGHUP is handled before the settings are read.
+
+    Found by seed 1039 of the soak: a daemon that was started 0.3 s before
+    was ended by the signal.
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / 'node.json'
+        # Reading the settings waits for a writer, which never comes.
+        os.mkfifo(path)
+        process = subprocess.Popen(
+            (sys.executable, 'platform/daemon.py'),
+            cwd=_ROOT,
+            env={**os.environ, 'EGRETDALE_BOOT': str(path)},
+            stdout=subprocess.DEVNULL,
+        )
+        try:
+            until = time.monotonic() + _START_S
+            while not _handles_hangup(process):
+                assert time.monotonic() < until, 'SIGHUP is not handled'
+                time.sleep(_STEP_S)
+            process.send_signal(signal.SIGHUP)
+            time.sleep(1)
+            assert process.poll() is None
+        finally:
+            process.kill()
+            process.wait()
