Derive ranks and counts of hosts once for each version of the table

Cause, found by rereading the change: three places kept or recomputed what follows from one version of the member table. The slot client cached its owner beside the table's new cache of ranks; the retry budget listed all members for every request; and the cache of ranks ignored the least number of hosts that it was asked with, so two askers with different numbers would have shared a rank. Change: the table keeps one view of a version with live hosts, the number of reachable ones and ranks; the threshold stands where it is used, in readers. Behaviour is the same.

--- a/egretdale/coordination/gateway.py
+++ b/egretdale/coordination/gateway.py
@@ -290,7 +290,7 @@
                     settings.expected_hosts,
                 ),
                 outside.clock,
-                lambda: len(self._table.list_reachable()) + 1,
+                lambda: self._table.count_reachable() + 1,
             ),
             prompts=self._prompts,
             figures=self.figures,
--- a/egretdale/coordination/readers.py
+++ b/egretdale/coordination/readers.py
@@ -129,9 +129,9 @@
         return rank_by_rendezvous(own, usable)[0] if usable else ''
 
     def _list(self) -> list[str]:
-        return list_owners(
-            self._members, 'reader', _READERS, hosts_from=_SHARED_FROM
-        )
+        if self._members.count_live() < _SHARED_FROM:
+            return []
+        return list_owners(self._members, 'reader', _READERS)
 
     def _avoid(self, reader: str, kind: str, cause: str, age_ms: int) -> None:
         logger.info(
--- a/egretdale/coordination/slots.py
+++ b/egretdale/coordination/slots.py
@@ -110,8 +110,6 @@
         '_owner',
         '_pending',
         '_presented_at',
-        '_ranked_owner',
-        '_ranked_version',
         '_term',
         'group',
         'load_permille',
@@ -143,8 +141,6 @@
         self._active: dict[str, Active] = {}
         self._presented_at = float('-inf')
         self._owner = ''
-        self._ranked_owner = ''
-        self._ranked_version = -1
         self._term = 0
 
     def acquire(
@@ -296,11 +292,7 @@
         pending.decision.send(active)
 
     def _choose_owner(self) -> str:
-        version = self._mesh.table.version
-        if version != self._ranked_version:
-            self._ranked_owner = find_owner(self._mesh.table, self.group)
-            self._ranked_version = version
-        owner = self._ranked_owner
+        owner = find_owner(self._mesh.table, self.group)
         return '' if self._mesh.is_failing(owner) else owner
 
     def _send(self, message: GroupAsk) -> None:
--- a/egretdale/state/members.py
+++ b/egretdale/state/members.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from egretdale.state.messages import MemberUpdate
 from egretdale.util.hashing import rank_by_rendezvous
@@ -41,6 +41,22 @@
         return MemberStatus(self.update.status)
 
 
+@dataclass(slots=True)
+class MemberView:
+    """What follows from one version of a member table.
+
+    :ivar version: the version.
+    :ivar live: news about the hosts that are alive.
+    :ivar reachable: number of hosts that are not gone, without the own one.
+    :ivar ranked: names of live hosts by duty, the preferred one first.
+    """
+
+    version: int
+    live: list[MemberUpdate]
+    reachable: int
+    ranked: dict[str, list[str]] = field(default_factory=dict)
+
+
 class MemberTable:
     """Newest news about every entry host.
 
@@ -53,8 +69,7 @@
 
     __slots__ = (
         '_members',
-        '_ranked',
-        '_ranked_version',
+        '_view',
         'own_host',
         'version',
     )
@@ -67,9 +82,7 @@
         self.own_host = own_host
         self.version = 0
         self._members: dict[str, Member] = {}
-        # Ranks of live hosts by duty, for one version of the table.
-        self._ranked: dict[str, list[str]] = {}
-        self._ranked_version = 0
+        self._view = MemberView(0, [], 0)
 
     def find(self, host: str) -> Member | None:
         """Find a host.
@@ -122,19 +135,24 @@
             and member.update.host != self.own_host
         ]
 
-    def rank_live(self, duty: str, hosts_from: int) -> list[str]:
+    def count_live(self) -> int:
+        """Count the hosts that are alive."""
+        return len(self._read_view().live)
+
+    def count_reachable(self) -> int:
+        """Count the hosts that are not gone, without this host."""
+        return self._read_view().reachable
+
+    def rank_live(self, duty: str) -> list[str]:
         """Rank live hosts with enough capacity for a duty.
 
         :param duty: key of the duty.
-        :param hosts_from: number of live hosts below which there are none.
         :return: names of the hosts, the preferred one first.
         """
-        if self._ranked_version != self.version:
-            self._ranked_version = self.version
-            self._ranked = {}
-        if duty not in self._ranked:
-            self._ranked[duty] = self._rank_live(duty, hosts_from)
-        return self._ranked[duty]
+        view = self._read_view()
+        if duty not in view.ranked:
+            view.ranked[duty] = _rank(duty, view.live)
+        return view.ranked[duty]
 
     def list_serving(self) -> list[Member]:
         """List hosts that callers may be sent to, with this host."""
@@ -144,18 +162,23 @@
             if member.status in {MemberStatus.ALIVE, MemberStatus.SUSPECT}
         ]
 
-    def _rank_live(self, duty: str, hosts_from: int) -> list[str]:
-        live = [
-            member.update
-            for member in self._members.values()
-            if member.status == MemberStatus.ALIVE
-        ]
-        if len(live) < hosts_from:
-            return []
-        largest = max((update.capacity for update in live), default=0)
-        enough = largest * _DUTY_CAPACITY_SHARE
-        hosts = [update.host for update in live if update.capacity >= enough]
-        return rank_by_rendezvous(duty, hosts)
+    def _read_view(self) -> MemberView:
+        if self._view.version != self.version:
+            live = [
+                member.update
+                for member in self._members.values()
+                if member.status == MemberStatus.ALIVE
+            ]
+            reachable = len(self.list_reachable())
+            self._view = MemberView(self.version, live, reachable)
+        return self._view
+
+
+def _rank(duty: str, live: list[MemberUpdate]) -> list[str]:
+    largest = max((update.capacity for update in live), default=0)
+    enough = largest * _DUTY_CAPACITY_SHARE
+    hosts = [update.host for update in live if update.capacity >= enough]
+    return rank_by_rendezvous(duty, hosts)
 
 
 def _rank_update(update: MemberUpdate) -> tuple[int, int, int]:
@@ -173,9 +196,7 @@
     return owners[0] if owners else table.own_host
 
 
-def list_owners(
-    table: MemberTable, duty: str, count: int, hosts_from: int = 1
-) -> list[str]:
+def list_owners(table: MemberTable, duty: str, count: int) -> list[str]:
     """List the hosts that have a duty for all hosts.
 
     Hosts with little capacity have duties only when there are no others.
@@ -183,7 +204,6 @@
     :param table: view of the entry hosts.
     :param duty: key of the duty.
     :param count: number of hosts wanted.
-    :param hosts_from: number of live hosts below which there are none.
     :return: names of the hosts, the preferred one first.
     """
-    return table.rank_live(duty, hosts_from)[:count]
+    return table.rank_live(duty)[:count]
--- a/tests/test_coordination/test_readers.py
+++ b/tests/test_coordination/test_readers.py
@@ -101,7 +101,7 @@
     def list_readers(self) -> list[str]:
         """List the hosts that watch the platform."""
         members = _create_members(_HOSTS[0])
-        return list_owners(members, 'reader', 2, hosts_from=12)
+        return list_owners(members, 'reader', 2)
 
     def find_slowest(self) -> int:
         """Return the oldest version that is in force anywhere."""
