Let a watch build its readers, and ask relays directly

Found by rereading: both followers built the same readers for their watch and had the same method that passed a question on to its relay; the relay went through all objects for each answer to leave out names that had come back. Change: the watch takes the access to peers; followers show their relay; names that are back are dropped from the removals when the listing is noted. Behaviour is the same: test_readers brings listings with a name that was removed and came back up to date from every version.

--- a/egretdale/coordination/configuration.py
+++ b/egretdale/coordination/configuration.py
@@ -15,17 +15,10 @@
     Platform,
     StoredObject,
 )
-from egretdale.coordination.readers import PeerReaders
 from egretdale.coordination.watches import KindWatch
 from egretdale.errors import Invalid, Unreachable
 from egretdale.state.freshness import Confirmation
-from egretdale.state.messages import (
-    Batch,
-    ChangeAsk,
-    Changes,
-    DocumentCopy,
-    Revision,
-)
+from egretdale.state.messages import Batch, DocumentCopy, Revision
 from egretdale.state.routing import RoutingTable
 from egretdale.util.clocks import (
     Clock,
@@ -54,6 +47,7 @@
 
     :ivar table: routing table in force, ``None`` before the first one.
     :ivar confirmation: when the table was last known to be the newest.
+    :ivar relay: answers hosts that wait for changes.
     """
 
     __slots__ = (
@@ -67,6 +61,7 @@
         '_refreshed_at',
         '_watch',
         'confirmation',
+        'relay',
         'table',
     )
 
@@ -94,12 +89,9 @@
         self._decode = decode
         self._clock = clock
         self._watch = KindWatch(
-            ROUTING_KIND,
-            platform,
-            PeerReaders(peers.members, peers.network, clock),
-            clock=clock,
-            source=source,
+            ROUTING_KIND, platform, peers, clock=clock, source=source
         )
+        self.relay = self._watch.relay
         self._lost = False
         # Name of the configuration object, once it has been seen.
         self._name = ''
@@ -117,14 +109,6 @@
         """Follow the configuration object."""
         self._watch.run(self)
 
-    def follow(self, ask: ChangeAsk) -> Changes:
-        """Answer a host that waits for changes.
-
-        :param ask: its question.
-        :return: the changes.
-        """
-        return self._watch.relay.answer(ask)
-
     def take_listing(self, listing: Listing, confirmed_at: float) -> None:
         """Put a newer configuration in force, and confirm an equal one.
 
--- a/egretdale/coordination/gateway.py
+++ b/egretdale/coordination/gateway.py
@@ -191,8 +191,8 @@
         :return: the changes.
         """
         if ask.kind == INSTANCE_KIND:
-            return self.instances.follow(ask)
-        return self.configuration.follow(ask)
+            return self.instances.relay.answer(ask)
+        return self.configuration.relay.answer(ask)
 
     def _watch_figures(self) -> None:
         self.figures.watch(
--- a/egretdale/coordination/instances.py
+++ b/egretdale/coordination/instances.py
@@ -15,17 +15,10 @@
     Platform,
     StoredObject,
 )
-from egretdale.coordination.readers import PeerReaders
 from egretdale.coordination.watches import KindWatch
 from egretdale.errors import Invalid, Unreachable
 from egretdale.state.instances import Instance, InstanceTable
-from egretdale.state.messages import (
-    Batch,
-    ChangeAsk,
-    Changes,
-    DocumentCopy,
-    Revision,
-)
+from egretdale.state.messages import Batch, DocumentCopy, Revision
 from egretdale.util.clocks import Clock
 from egretdale.util.logs import get_logger
 
@@ -49,6 +42,9 @@
     """Keeps the table of backend servers up to date.
 
     While the platform does not answer, newer lists come from peers.
+
+    :ivar table: backend servers.
+    :ivar relay: answers hosts that wait for changes.
     """
 
     __slots__ = (
@@ -60,6 +56,7 @@
         '_on_gone',
         '_regained_at',
         '_watch',
+        'relay',
         'table',
     )
 
@@ -88,12 +85,9 @@
         self._decode = decode
         self._clock = clock
         self._watch = KindWatch(
-            INSTANCE_KIND,
-            platform,
-            PeerReaders(peers.members, peers.network, clock),
-            clock=clock,
-            source=source,
+            INSTANCE_KIND, platform, peers, clock=clock, source=source
         )
+        self.relay = self._watch.relay
         self._on_gone = on_gone
         self._listing = Listing(0, ())
         self._fetcher = CopyFetcher(INSTANCE_KIND, peers, self._take_copy)
@@ -104,14 +98,6 @@
         """Follow the entries."""
         self._watch.run(self)
 
-    def follow(self, ask: ChangeAsk) -> Changes:
-        """Answer a host that waits for changes.
-
-        :param ask: its question.
-        :return: the changes.
-        """
-        return self._watch.relay.answer(ask)
-
     def take_listing(self, listing: Listing, confirmed_at: float) -> None:
         """Take in a list that has changed.
 
--- a/egretdale/coordination/relays.py
+++ b/egretdale/coordination/relays.py
@@ -129,16 +129,17 @@
             )
             for entry in entries
         ]
-        present = {entry.name for entry in listing.entries}
         changes.gone = [
-            name
-            for version, name in self._removals
-            if version > known and name not in present
+            name for version, name in self._removals if version > known
         ]
         return changes
 
     def _note_removals(self, before: Listing, listing: Listing) -> None:
         present = {entry.name for entry in listing.entries}
+        # Names that are back are sent with the entries.
+        self._removals = deque(
+            removal for removal in self._removals if removal[1] not in present
+        )
         for entry in before.entries:
             if entry.name not in present:
                 self._removals.append((listing.version, entry.name))
--- a/egretdale/coordination/watches.py
+++ b/egretdale/coordination/watches.py
@@ -7,6 +7,7 @@
 
 import eventlet
 
+from egretdale.coordination.copies import PeerAccess
 from egretdale.coordination.ports import Listing, Platform
 from egretdale.coordination.readers import PeerReaders, Reading
 from egretdale.coordination.relays import ListingRelay
@@ -48,7 +49,7 @@
         self,
         kind: str,
         platform: Platform,
-        readers: PeerReaders,
+        peers: PeerAccess,
         *,
         clock: Clock,
         source: random.Random,
@@ -57,14 +58,14 @@
 
         :param kind: kind of the objects.
         :param platform: object API.
-        :param readers: hosts that watch the platform for this one.
+        :param peers: hosts that may watch the platform for this one.
         :param clock: monotonic clock.
         :param source: random source.
         """
         self.relay = ListingRelay(kind, clock)
         self._kind = kind
         self._platform = platform
-        self._readers = readers
+        self._readers = PeerReaders(peers.members, peers.network, clock)
         self._clock = clock
         self._source = source
 
--- a/tests/test_coordination/test_readers.py
+++ b/tests/test_coordination/test_readers.py
@@ -87,7 +87,7 @@
         if address in self.silent:
             eventlet.sleep(ask.wait_ms / 1000 + _TIMEOUT_S)
             return Ambiguous(Cause.SILENT)
-        changes = self.followers[address].follow(ask)
+        changes = self.followers[address].relay.answer(ask)
         eventlet.sleep(_REQUEST_S)
         return changes
 
