Join and refuse in one place each, and take the time of sending once

Found by rereading: the gateway built its own news and its membership as the node does; the ingress had a public method that only called a private twin with the identity of the request; an attempt read the clock for its sending twice. Change: coordination/joining.py builds the membership of both kinds of host; one refuse; one time of sending. Behaviour is the same, but for first-token times, which now start some microseconds earlier. 80 tests of these parts pass.

--- a/egretdale/coordination/forwarding.py
+++ b/egretdale/coordination/forwarding.py
@@ -249,7 +249,7 @@
         )
         progress.avoided.append(instance.name)
         sent_at = self._clock()
-        outcome = self._exchange(attempt, placement)
+        outcome = self._exchange(attempt, placement, sent_at)
         self._record.note(progress, placement, outcome, sent_at)
         match outcome:
             case NotRun():
@@ -267,11 +267,11 @@
         self,
         attempt: ForwardAttempt,
         placement: Placement,
+        sent_at: float,
     ) -> ForwardResponse | NotRun | MaybeRun:
         incarnation = placement.instance.incarnation
         self._loads.begin(incarnation, placement.prefill_tokens)
         opened = False
-        sent_at = self._clock()
         try:
             outcome = self._client.open(attempt)
             opened = not isinstance(outcome, NotRun | MaybeRun)
--- a/egretdale/coordination/gateway.py
+++ b/egretdale/coordination/gateway.py
@@ -24,7 +24,7 @@
     InstanceDecoder,
     InstanceFollower,
 )
-from egretdale.coordination.membership import Membership
+from egretdale.coordination.joining import create_membership
 from egretdale.coordination.mesh import Mesh
 from egretdale.coordination.placing import Placer
 from egretdale.coordination.ports import Network, Platform
@@ -38,7 +38,6 @@
     ChangeAsk,
     Changes,
     DocumentCopy,
-    MemberUpdate,
 )
 from egretdale.state.routing import CallerLimits
 from egretdale.util.clocks import Clock, WallClock, convert_to_ms
@@ -120,7 +119,15 @@
             outside.clock,
             settings.peer_bytes_per_s,
         )
-        self._build_membership()
+        self.membership = create_membership(
+            settings,
+            outside,
+            self.mesh,
+            incarnation=convert_to_ms(outside.wall_clock()),
+            capacity=settings.capacity,
+        )
+        for seed in settings.seeds:
+            self.membership.learn_seed(seed)
         self.configuration = ConfigurationFollower(
             outside.platform,
             PeerAccess(outside.network, self._table),
@@ -225,31 +232,6 @@
         self._placer.forget(instance)
         self._allocator.forget(instance)
 
-    def _build_membership(self) -> None:
-        settings = self.settings
-        outside = self._outside
-        own = MemberUpdate(
-            settings.host,
-            convert_to_ms(outside.wall_clock()),
-            0,
-            int(MemberStatus.JOINING),
-            settings.data_centre,
-            settings.caller_address,
-            settings.peer_address,
-            capacity=settings.capacity,
-        )
-        self.membership = Membership(
-            own,
-            self.mesh,
-            outside.platform,
-            clock=outside.clock,
-            source=outside.source,
-            period_s=settings.probe_period_s,
-            suspicion_s=settings.suspicion_s,
-        )
-        for seed in settings.seeds:
-            self.membership.learn_seed(seed)
-
     def _build_forwarder(self) -> None:
         settings = self.settings
         outside = self._outside
--- a/egretdale/coordination/node.py
+++ b/egretdale/coordination/node.py
@@ -13,7 +13,7 @@
 from egretdale.coordination.backends import BackendDirectory
 from egretdale.coordination.claims import ClaimDesk
 from egretdale.coordination.keys import KeyIssuer
-from egretdale.coordination.membership import Membership
+from egretdale.coordination.joining import create_membership
 from egretdale.coordination.mesh import Mesh
 from egretdale.coordination.placement import PlacementBoard
 from egretdale.coordination.ports import BackendClient, Network, Platform
@@ -23,7 +23,7 @@
 from egretdale.coordination.submission import DocumentStore
 from egretdale.state.figures import Figures
 from egretdale.state.identity import RequestNumbers
-from egretdale.state.members import MemberStatus, MemberTable
+from egretdale.state.members import MemberTable
 from egretdale.state.messages import MemberUpdate
 from egretdale.state.outcomes import Ran, Reason, Refused
 from egretdale.util.clocks import Clock, WallClock, convert_to_ms
@@ -199,29 +199,14 @@
     def _build_membership(self, incarnation: int) -> None:
         settings = self.settings
         outside = self.surroundings
-        own = MemberUpdate(
-            settings.host,
-            incarnation,
-            0,
-            int(MemberStatus.JOINING),
-            settings.data_centre,
-            settings.caller_address,
-            settings.peer_address,
-        )
         self.mesh = Mesh(
             self.table,
             outside.network,
             outside.clock,
             settings.peer_bytes_per_s,
         )
-        self.membership = Membership(
-            own,
-            self.mesh,
-            outside.platform,
-            clock=outside.clock,
-            source=outside.source,
-            period_s=settings.probe_period_s,
-            suspicion_s=settings.suspicion_s,
+        self.membership = create_membership(
+            settings, outside, self.mesh, incarnation=incarnation
         )
         for seed in settings.seeds:
             if seed.host != settings.host:
--- a/egretdale/transport/exchanges.py
+++ b/egretdale/transport/exchanges.py
@@ -43,13 +43,13 @@
         self,
         start_response: Callable[..., Any],
         refused: Refused,
-        request: ForwardRequest,
+        request_id: str,
     ) -> Iterable[bytes]:
         """Refuse a request.
 
         :param start_response: WSGI callable.
         :param refused: why.
-        :param request: the request.
+        :param request_id: identity of the request.
         """
 
     def log_end(self, request: ForwardRequest, outcome: str) -> None:
@@ -120,7 +120,9 @@
         if isinstance(outcome, Refused):
             self.close()
             return self._owner.refuse(
-                self._start_response, outcome, self._admitted.request
+                self._start_response,
+                outcome,
+                self._admitted.request.request_id,
             )
         return self._start(outcome)
 
--- a/egretdale/transport/ingress.py
+++ b/egretdale/transport/ingress.py
@@ -191,10 +191,10 @@
         if isinstance(request, Refused):
             # What is left of the request must not be taken for another.
             environ['egretdale.connection'].end_after_answer()
-            return self._refuse(start_response, request, '')
+            return self.refuse(start_response, request, '')
         admitted = self._admit(request)
         if isinstance(admitted, Refused):
-            return self._refuse(start_response, admitted, request.request_id)
+            return self.refuse(start_response, admitted, request.request_id)
         connection = environ['eventlet.input'].get_socket()
         connection.settimeout(_WRITE_S)
         exchange = Exchange(self, connection, admitted, start_response)
@@ -257,12 +257,19 @@
             took_ms=convert_to_ms(self._clock() - request.arrived_at),
         )
 
-    def _refuse(
+    def refuse(
         self,
         start_response: Callable[..., Any],
         refused: Refused,
         request_id: str,
     ) -> Iterable[bytes]:
+        """Refuse a request.
+
+        :param start_response: WSGI callable.
+        :param refused: why.
+        :param request_id: identity of the request, empty when not known.
+        :return: chunks of the response.
+        """
         body = f'{refused.reason}: {refused.detail}\n'.encode()
         may_retry = refused.retry_after_s is not None
         headers = [
@@ -287,21 +294,6 @@
         )
         return [body]
 
-    def refuse(
-        self,
-        start_response: Callable[..., Any],
-        refused: Refused,
-        request: ForwardRequest,
-    ) -> Iterable[bytes]:
-        """Refuse a request.
-
-        :param start_response: WSGI callable.
-        :param refused: why.
-        :param request: the request.
-        :return: chunks of the response.
-        """
-        return self._refuse(start_response, refused, request.request_id)
-
     def _read_body(
         self, environ: dict[str, Any], request: ForwardRequest
     ) -> Refused | None:
