--- a/soak/broken_daemon.py
+++ b/soak/broken_daemon.py
@@ -19,7 +19,7 @@
 from egretdale.transport.forwarding import ForwardedAnswer
 from egretdale.transport.gateway import GatewayDaemon
 from egretdale.transport.ingress import Ingress
-from soak import platform_path  # noqa: F401
+from standins import platform_path  # noqa: F401
 
 from egretdale_platform.daemon import main  # isort: skip
 
--- a/soak/platform_path.py
+++ b/standins/platform_path.py
@@ -1,4 +1,4 @@
-"""Makes the adapter in ``platform/`` importable."""
+"""Makes the adapter in ``platform/`` importable for tests and the soak."""
 
 from __future__ import annotations
 
--- a/tests/platform_path.py
+++ /dev/null
@@ -1,8 +0,0 @@
-"""Makes the adapter in ``platform/`` importable for its tests."""
-
-from __future__ import annotations
-
-import sys
-from pathlib import Path
-
-sys.path.append(str(Path(__file__).resolve().parent.parent / 'platform'))
--- a/tests/test_platform/test_reload.py
+++ b/tests/test_platform/test_reload.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from types import SimpleNamespace
 
-from tests import platform_path  # noqa: F401
+from standins import platform_path  # noqa: F401
 from tests.functions import create_loader
 from tests.test_platform.test_translation import SETTINGS
 
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -11,7 +11,7 @@
 from egretdale.errors import Ambiguous, Conflict, Missing, Unreachable
 from standins.objects import ObjectStoreProgram
 from standins.web import listen, serve
-from tests import platform_path  # noqa: F401
+from standins import platform_path  # noqa: F401
 from tests.functions import create_loader
 
 from egretdale_platform.store import StoreClient  # isort: skip
--- a/tests/test_platform/test_translation.py
+++ b/tests/test_platform/test_translation.py
@@ -12,7 +12,7 @@
 from egretdale.errors import Invalid
 from egretdale.state.instances import Instance
 from egretdale.state.routing import RequestKind, RoutingTable
-from tests import platform_path  # noqa: F401
+from standins import platform_path  # noqa: F401
 from tests.functions import create_loader
 
 from egretdale_platform.configuration import (  # isort: skip
