--- /dev/null
+++ b/tests/prompts.py
@@ -0,0 +1,171 @@
+"""Fixtures of the tests of the order of prompts.
+
+An engine here prefills what it was sent in turn, as fast as the allocator
+expects, so waits can be counted without a network.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+import eventlet
+
+from egretdale.coordination.mesh import Mesh
+from egretdale.coordination.prefill import HELD, PrefillAllocator
+from egretdale.errors import Cause, Unreachable
+from egretdale.state.backlogs import predict_prefill
+from egretdale.state.instances import Instance, InstanceTable
+from egretdale.state.members import MemberTable
+from egretdale.state.messages import Ask, Batch, Done, GroupAsk, GroupReply
+from standins.virtual.hub import VirtualHub, use_virtual_time
+
+SERVICE = 'claims'
+GROUP = 'claims/1/0'
+#: Prompt tokens of long and of short prompts.
+LONG = 24000
+SHORT = 600
+
+
+class SilentNetwork:
+    """Calls to peers that reach nobody."""
+
+    def deliver(self, address: str, batch: Batch) -> Unreachable:
+        eventlet.sleep(0.01)
+        return Unreachable(Cause.REFUSED)
+
+
+@dataclass
+class Engines:
+    """Engines that prefill in turn.
+
+    :ivar free_at: time at which each has prefilled everything.
+    :ivar first_tokens: seconds from arrival to first token by request.
+    :ivar refused: requests that were denied.
+    :ivar slowness: factors of the time that engines take.
+    :ivar names: engines by request.
+    :ivar granted_at: times of grants by request.
+    :ivar busy: starts and ends of uninterrupted prefill by engine.
+    """
+
+    hub: VirtualHub
+    allocator: PrefillAllocator
+    free_at: dict[str, float] = field(default_factory=dict)
+    first_tokens: dict[str, float] = field(default_factory=dict)
+    arrivals: dict[str, float] = field(default_factory=dict)
+    refused: list[str] = field(default_factory=list)
+    slowness: dict[str, float] = field(default_factory=dict)
+    names: dict[str, str] = field(default_factory=dict)
+    granted_at: dict[str, float] = field(default_factory=dict)
+    busy: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
+
+    def send(self, *asks: Ask) -> None:
+        """Let requests of one host arrive."""
+        for ask in asks:
+            self.arrivals[ask.request_id] = self.hub.now
+        self.take(self.allocator.take('host', create_message(*asks)))
+
+    def take(self, reply: GroupReply) -> None:
+        """Run what was granted."""
+        for grant in reply.grants:
+            self._run(grant.request_id, grant.backend, grant.prefill_tokens)
+        self.refused.extend(
+            denial.request_id
+            for denial in reply.denials
+            if denial.reason != HELD
+        )
+
+    def _run(self, request_id: str, engine: str, tokens: int) -> None:
+        start = max(self.hub.now, self.free_at.get(engine, 0))
+        prefill_s = predict_prefill(tokens) * self.slowness.get(engine, 1)
+        self.free_at[engine] = start + prefill_s
+        self.names[request_id] = engine
+        self.granted_at[request_id] = self.hub.now
+        runs = self.busy.setdefault(engine, [])
+        if runs and runs[-1][1] >= start:
+            start = runs.pop()[0]
+        runs.append((start, self.free_at[engine]))
+        eventlet.spawn_after(
+            self.free_at[engine] - self.hub.now, self._finish, request_id
+        )
+
+    def list_busy(self, engine: str) -> list[tuple[float, float]]:
+        """List the times in which an engine prefilled without a break."""
+        return self.busy[engine]
+
+    def _finish(self, request_id: str) -> None:
+        took_s = self.hub.now - self.arrivals[request_id]
+        self.first_tokens[request_id] = took_s
+        done = Done(request_id, '', first_token_ms=round(took_s * 1000))
+        message = GroupAsk(GROUP, done=[done])
+        self.take(self.allocator.take('host', message))
+
+
+class LoopbackMesh(Mesh):
+    """Hands replies straight to the engines of the test."""
+
+    engines: Engines
+
+    def post_reply(self, host: str, message: GroupReply) -> None:
+        self.engines.take(message)
+
+
+def create_message(*asks: Ask) -> GroupAsk:
+    """Create the message that brings requests.
+
+    :param asks: the requests.
+    :return: the message.
+    """
+    return GroupAsk(GROUP, asks=list(asks))
+
+
+def create_ask(name: str, tokens: int, **changes: object) -> Ask:
+    """Create a request.
+
+    :param name: its identity.
+    :param tokens: tokens of its prompt.
+    :param changes: fields that differ.
+    :return: the request.
+    """
+    fields = {
+        'prompt_tokens': tokens,
+        'prefix': 0,
+        'urgency': 2,
+        'target_ms': 1000,
+        'left_ms': 8000,
+    }
+    return Ask(name, 'route', '', **{**fields, **changes})
+
+
+def create_short_ask(name: str) -> Ask:
+    """Create a short request of the top tier.
+
+    :param name: its identity.
+    :return: the request.
+    """
+    return create_ask(name, SHORT, urgency=0, target_ms=250)
+
+
+@contextmanager
+def open_engines(count: int) -> Iterator[Engines]:
+    """Run an allocator with engines on virtual time.
+
+    :param count: number of engines.
+    :return: the engines.
+    """
+    with use_virtual_time() as hub:
+        mesh = LoopbackMesh(
+            MemberTable('own'), SilentNetwork(), hub.read_now, 4096
+        )
+        table = InstanceTable(hub.read_now, 2)
+        table.replace(
+            {
+                f'e{index}': Instance(f'e{index}', SERVICE, '')
+                for index in range(count)
+            },
+            after_outage=False,
+        )
+        allocator = PrefillAllocator(mesh, table, hub.read_now)
+        mesh.engines = Engines(hub, allocator)
+        yield mesh.engines
