End both kinds of daemon through one piece of code

Found by rereading: the gateway's daemon had the event, the finish and the crash handling of the other daemon once more, with the same exit status; the failure rate of backend servers was smoothed by hand beside util/averages. Change: transport/endings.py for both daemons; smooth for the rate, with the same weight. Behaviour is the same; the logger's name of a crash line changes.

--- a/egretdale/state/loads.py
+++ b/egretdale/state/loads.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from egretdale.util.averages import smooth
 from egretdale.util.clocks import Clock
 
 #: Weight of a new outcome in the failure rate of a backend server.
@@ -104,8 +105,9 @@
         :param failed: whether the backend server failed it.
         """
         load = self.find(incarnation)
-        seen = float(failed)
-        load.failure_rate += (seen - load.failure_rate) * _FAILURE_SMOOTHING
+        load.failure_rate = smooth(
+            load.failure_rate, float(failed), _FAILURE_SMOOTHING
+        )
         if not failed:
             load.suspension_s = 0
 
--- a/egretdale/transport/daemon.py
+++ b/egretdale/transport/daemon.py
@@ -8,13 +8,13 @@
 
 import eventlet
 from eventlet import wsgi
-from eventlet.event import Event
 
 from egretdale.config import Settings
 from egretdale.coordination.node import Node, Surroundings
 from egretdale.protocol.completions import continue_body
 from egretdale.transport.backends import HttpBackendClient
 from egretdale.transport.callers import CallerInterface, StartResponse
+from egretdale.transport.endings import ProcessEnd
 from egretdale.transport.operators import OperatorInterface
 from egretdale.transport.peer_calls import PeerHandler
 from egretdale.transport.peers import PeerClient, PeerServer, listen
@@ -29,7 +29,6 @@
 _DRAIN_CHECK_S = 0.05
 _SETTLE_S = 0.2
 _URL_LIMIT = 16384
-_CRASH_STATUS = 70
 
 
 class _DiscardedLog:
@@ -50,11 +49,11 @@
 
     __slots__ = (
         '_callers',
+        '_end',
         '_listener',
         '_operators',
         '_peer_listener',
         '_settings',
-        '_stopped',
         '_stopping',
         '_tasks',
         'node',
@@ -68,9 +67,9 @@
         self._settings = settings
         self._listener = listen(settings.caller_address)
         self._peer_listener = listen(settings.peer_address)
-        self._stopped = Event()
+        self._end = ProcessEnd()
         self._stopping = False
-        self._tasks = TaskGroup(self._crash)
+        self._tasks = TaskGroup(self._end.crash)
         self.node = Node(settings, self._create_surroundings())
         refusals = RefusalBook(self.node)
         self._callers = CallerInterface(self.node, refusals)
@@ -95,7 +94,7 @@
             caller_address=self._settings.caller_address,
             peer_address=self._settings.peer_address,
         )
-        status = self._stopped.wait()
+        status = self._end.wait()
         server.kill()
         self._tasks.stop()
         return status
@@ -104,7 +103,7 @@
         """Begin a planned stop; a second call ends it at once."""
         if self._stopping:
             logger.warning('stop-forced', cut_off=self._callers.active.count)
-            self._finish(1 if self._callers.active.count else 0)
+            self._end.finish(1 if self._callers.active.count else 0)
             return
         self._stopping = True
         eventlet.spawn(self._drain)
@@ -135,15 +134,7 @@
         )
         if not self.node.claims.leave_decisions():
             logger.warning('decisions-not-stored')
-        self._finish(1 if cut_off else 0)
-
-    def _finish(self, status: int) -> None:
-        if not self._stopped.ready():
-            self._stopped.send(status)
-
-    def _crash(self, error: BaseException) -> None:
-        logger.warning('stopped-by-broken-invariant', error=repr(error))
-        self._finish(_CRASH_STATUS)
+        self._end.finish(1 if cut_off else 0)
 
     def _serve(self) -> None:
         wsgi.server(
--- a/egretdale/transport/gateway.py
+++ b/egretdale/transport/gateway.py
@@ -9,7 +9,6 @@
 
 import eventlet
 from eventlet import wsgi
-from eventlet.event import Event
 from prometheus_client import make_wsgi_app
 
 from egretdale.config import GatewaySettings
@@ -18,6 +17,7 @@
 from egretdale.coordination.instances import InstanceDecoder
 from egretdale.coordination.ports import Platform
 from egretdale.protocol.forwarding import HeaderCodec
+from egretdale.transport.endings import ProcessEnd
 from egretdale.transport.forwarding import HttpForwardClient
 from egretdale.transport.ingress import Ingress
 from egretdale.transport.peer_calls import GatewayHandler
@@ -28,7 +28,6 @@
 
 logger = get_logger(__name__)
 
-_CRASH_STATUS = 70
 _DRAIN_CHECK_S = 0.05
 #: Callers keep answers of the directory up to this much longer than told.
 _KEPT_ANSWERS = 3
@@ -75,10 +74,10 @@
     """
 
     __slots__ = (
+        '_end',
         '_ingress',
         '_listeners',
         '_settings',
-        '_stopped',
         '_stopping',
         '_tasks',
         'gateway',
@@ -93,9 +92,9 @@
         :param interface: the world outside on the wire.
         """
         self._settings = settings
-        self._stopped = Event()
+        self._end = ProcessEnd()
         self._stopping = False
-        self._tasks = TaskGroup(self._crash)
+        self._tasks = TaskGroup(self._end.crash)
         clock = read_boot_clock
         self.gateway = Gateway(
             settings,
@@ -140,7 +139,7 @@
             caller_address=self._settings.caller_address,
             peer_address=self._settings.peer_address,
         )
-        status = self._stopped.wait()
+        status = self._end.wait()
         # The servers would wait for their open connections to end.
         for listener in self._listeners.values():
             listener.close()
@@ -202,15 +201,7 @@
         while self._ingress.active and clock() < limit_at:
             eventlet.sleep(_DRAIN_CHECK_S)
         eventlet.sleep(_SETTLE_S)
-        self._finish(1 if self._ingress.active else 0)
-
-    def _finish(self, status: int) -> None:
-        if not self._stopped.ready():
-            self._stopped.send(status)
-
-    def _crash(self, error: BaseException) -> None:
-        logger.warning('stopped-by-broken-invariant', error=repr(error))
-        self._finish(_CRASH_STATUS)
+        self._end.finish(1 if self._ingress.active else 0)
 
     def _ignore_bytes(self, size: int) -> None:
         """Take no account of the bytes of a message to a peer."""
--- a/soak/broken_daemon.py
+++ b/soak/broken_daemon.py
@@ -65,8 +65,11 @@
 
 def break_stop() -> None:
     """End at once when a planned stop begins."""
-    finish = getattr(GatewayDaemon, '_finish')
-    setattr(GatewayDaemon, '_drain', lambda daemon: finish(daemon, 0))
+
+    def end(daemon: GatewayDaemon) -> None:
+        getattr(daemon, '_end').finish(0)
+
+    setattr(GatewayDaemon, '_drain', end)
 
 
 def break_revoked() -> None:
