Allow a true refusal at the end of a planned stop in its test

A trace under load (8 busy processes) shows a request that was read in the instant in which the host stops taking requests: it gets a whole 503 host-stopping with Retry-After and never runs, which is allowed and covered by test_a_host_at_the_end_of_its_stop_takes_no_requests. The check said that nothing but served requests is answered, so it was wrong.

Ruled out: a lost or doubled run; in all plays the runs at the server are exactly the requests served.

Change: an answer that is no service must now be that refusal, complete, without the seal of a server, with a time to come back; before, its status alone was looked at.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -18,6 +18,7 @@
 _TIMEOUT_S = 6.0
 _DEADLINE_MS = 5000
 _OK = 200
+_UNAVAILABLE = 503
 
 
 @dataclass(slots=True)
@@ -34,6 +35,8 @@
     :ivar sealed: whether a backend server signed the answer.
     :ivar complete: whether the answer ended as its framing says.
     :ivar body: body of the answer as far as it came.
+    :ivar retry_after_s: seconds after which the client may come back, as the
+        answer states them; ``None`` when it does not.
     """
 
     identity: str
@@ -46,6 +49,7 @@
     sealed: bool = False
     complete: bool = False
     body: bytes = b''
+    retry_after_s: float | None = None
 
     def is_right(self) -> bool:
         """Tell whether the body is the whole answer to this request."""
@@ -64,6 +68,16 @@
         """Tell whether the client got what it asked for."""
         return self.status == _OK and self.complete and self.is_right()
 
+    def is_refused_by(self, reason: str) -> bool:
+        """Tell whether a daemon refused in full, with a time to come back.
+
+        :param reason: the only reason that counts.
+        """
+        refused = self.status == _UNAVAILABLE and not self.sealed
+        may_return = self.complete and self.retry_after_s is not None
+        text = f'{reason}: '.encode()
+        return refused and may_return and self.body.startswith(text)
+
 
 class Client:
     """Sends one request after the other, on connections that it keeps."""
@@ -135,6 +149,8 @@
         )
         attempt.status = answer.status
         attempt.sealed = 'Server-Seal' in answer.headers
+        if 'Retry-After' in answer.headers:
+            attempt.retry_after_s = float(answer.headers['Retry-After'])
         for chunk in answer.stream(1024):
             attempt.body += chunk
         attempt.complete = True
