Emulate the users' engines on virtual time to compare policies

Change: standins/models/batches.py steps an engine (continuous batching, prefill in chunks, prompt parts cached until their memory is needed, preemption by urgency); standins/emulation runs the product's forwarders, desks and allocators on several hosts against such engines on virtual time, with loads in the shape of both sheets at 1x to 3x, a lost engine and a cold start. tools/measure policy plays them, beside the traces, under the product, the product without its allocator, placing by prompt part, and least own connections.

--- /dev/null
+++ b/standins/emulation/__init__.py
@@ -0,0 +1,1 @@
+"""Hosts and model engines on virtual time, for decisions on prompts."""
--- /dev/null
+++ b/standins/emulation/hosts.py
@@ -0,0 +1,219 @@
+"""Hosts of the product on virtual time, without processes or sockets."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+import eventlet
+
+from egretdale.coordination.admission import Admission, FreshnessTerms
+from egretdale.coordination.budgets import BudgetBook, BudgetTerms
+from egretdale.coordination.exchanges import ForwardClient
+from egretdale.coordination.forwarding import Forwarder
+from egretdale.coordination.mesh import Mesh
+from egretdale.coordination.ports import Delivered
+from egretdale.coordination.prefill import PrefillAllocator
+from egretdale.coordination.prompts import PromptDesk
+from egretdale.errors import Cause, Unreachable
+from egretdale.state.freshness import Confirmation
+from egretdale.state.gateway_figures import GatewayFigures
+from egretdale.state.instances import Instance, InstanceTable
+from egretdale.state.loads import LoadTable
+from egretdale.state.members import MemberStatus, MemberTable
+from egretdale.state.messages import Batch, MemberUpdate
+from egretdale.state.routing import (
+    CallerLimits,
+    RequestKind,
+    Route,
+    RoutingTable,
+    WeightedService,
+)
+from egretdale.util.clocks import Clock
+from standins.emulation.loads import Load, PromptClass
+from standins.emulation.policies import Policy
+
+SERVICE = 'prompts'
+HOST_NAME = 'prompts.example'
+#: Rank that engines assume when they are told none.
+_USUAL_URGENCY = 5
+_LATENCY_S = 0.001
+_BYTES_PER_S = 4096.0
+_RETRY_RATIO = 0.2
+_RETRY_ALLOWANCE = 40
+_RETRY_WINDOW_S = 10.0
+
+
+@dataclass(slots=True)
+class FixedConfiguration:
+    """A configuration that does not change.
+
+    :ivar table: the routing table.
+    :ivar confirmation: its age.
+    """
+
+    table: RoutingTable
+    confirmation: Confirmation
+
+    def refresh(self) -> bool:
+        """Tell that there is nothing newer."""
+        return False
+
+
+class EmulatedNetwork:
+    """Calls between the hosts."""
+
+    __slots__ = ('_hosts',)
+
+    def __init__(self, hosts: dict[str, EmulatedHost]) -> None:
+        """Create the calls.
+
+        :param hosts: hosts by peer address.
+        """
+        self._hosts = hosts
+
+    def deliver(self, address: str, batch: Batch) -> Delivered | Unreachable:
+        """Deliver a batch.
+
+        :param address: address of the peer.
+        :param batch: the batch.
+        """
+        eventlet.sleep(_LATENCY_S)
+        host = self._hosts.get(address)
+        if host is None:
+            return Unreachable(Cause.REFUSED)
+        answer = host.mesh.handle(batch)
+        eventlet.sleep(_LATENCY_S)
+        return Delivered(answer, 0)
+
+
+class EmulatedHost:
+    """The parts of a host that decide on prompts.
+
+    :ivar mesh: links to the other hosts.
+    :ivar forwarder: forwards requests.
+    """
+
+    __slots__ = ('_allocator', '_instances', '_placer', 'forwarder', 'mesh')
+
+    def __init__(
+        self,
+        name: str,
+        load: Load,
+        policy: Policy,
+        client: ForwardClient,
+        hosts: dict[str, EmulatedHost],
+        clock: Clock,
+    ) -> None:
+        """Build a host.
+
+        :param name: its name, also its address.
+        :param load: load that it serves.
+        :param policy: way to place prompts.
+        :param client: calls to the engines.
+        :param hosts: all hosts by name.
+        :param clock: monotonic clock.
+        """
+        members = _create_members(name, load.hosts, clock)
+        self.mesh = Mesh(members, EmulatedNetwork(hosts), clock, _BYTES_PER_S)
+        self._instances = InstanceTable(clock, 2)
+        loads = LoadTable(clock)
+        self._placer = policy.create_placer(self._instances, loads, clock)
+        self._allocator = PrefillAllocator(self.mesh, self._instances, clock)
+        figures = GatewayFigures()
+        desk = PromptDesk(
+            self.mesh,
+            self._allocator,
+            self._instances,
+            clock,
+            figures.silent_allocators,
+        )
+        self.mesh.add_listener(desk)
+        self.mesh.attach_handler(self._allocator.handle)
+        self.forwarder = Forwarder(
+            admission=_create_admission(load, policy, clock),
+            placer=self._placer,
+            loads=loads,
+            budgets=BudgetBook(
+                BudgetTerms(
+                    _RETRY_RATIO,
+                    _RETRY_ALLOWANCE,
+                    _RETRY_WINDOW_S,
+                    load.hosts,
+                ),
+                clock,
+                members.count_live,
+            ),
+            prompts=policy.choose_desk(desk),
+            figures=figures,
+            client=client,
+            clock=clock,
+            source=random.Random(name),
+        )
+
+    def replace_instances(self, instances: dict[str, Instance]) -> None:
+        """Take in a newer list of engines.
+
+        :param instances: engines by name.
+        """
+        gone = self._instances.replace(instances, after_outage=False)
+        for instance in gone:
+            self._placer.forget(instance)
+            self._allocator.forget(instance)
+
+
+def create_hosts(
+    load: Load, policy: Policy, client: ForwardClient, clock: Clock
+) -> list[EmulatedHost]:
+    """Build the hosts of a load.
+
+    :param load: the load.
+    :param policy: way to place prompts.
+    :param client: calls to the engines.
+    :param clock: monotonic clock.
+    :return: the hosts.
+    """
+    hosts: dict[str, EmulatedHost] = {}
+    for index in range(load.hosts):
+        name = f'h{index}'
+        hosts[name] = EmulatedHost(name, load, policy, client, hosts, clock)
+    return list(hosts.values())
+
+
+def _create_members(own: str, count: int, clock: Clock) -> MemberTable:
+    members = MemberTable(own)
+    for index in range(count):
+        name = f'h{index}'
+        alive = int(MemberStatus.ALIVE)
+        update = MemberUpdate(name, 1, 0, alive, 'dc', name, name)
+        members.apply(update, clock())
+    return members
+
+
+def _create_admission(load: Load, policy: Policy, clock: Clock) -> Admission:
+    routes = tuple(_create_route(entry, policy) for entry in load.classes)
+    table = RoutingTable(
+        1, b'', routes, CallerLimits(), (), requires_keys=False
+    )
+    confirmation = Confirmation(clock)
+    confirmation.confirm(clock())
+    configuration = FixedConfiguration(table, confirmation)
+    return Admission(configuration, FreshnessTerms(), clock)
+
+
+def _create_route(request_class: PromptClass, policy: Policy) -> Route:
+    return Route(
+        name=request_class.name,
+        host_name=HOST_NAME,
+        path_prefix=f'/{request_class.name}/',
+        services=(WeightedService(SERVICE, 1),),
+        kind=RequestKind.STREAM,
+        timeout_s=request_class.patience_s,
+        target_s=request_class.target_s,
+        pause_target_s=request_class.pause_s,
+        maximum_attempts=request_class.attempts,
+        priority=(
+            request_class.priority if policy.uses_urgency else _USUAL_URGENCY
+        ),
+        resumable=request_class.may_resume(),
+    )
--- /dev/null
+++ b/standins/emulation/policies.py
@@ -0,0 +1,158 @@
+"""Ways to place prompts, to compare the product with."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+from types import MappingProxyType
+
+from egretdale.coordination.exchanges import Prompt
+from egretdale.coordination.placing import Placement, Placer
+from egretdale.coordination.prompts import PromptDesk
+from egretdale.state.instances import Instance, InstanceTable
+from egretdale.state.loads import LoadTable
+from egretdale.state.messages import Ask
+from egretdale.util.clocks import Clock
+from egretdale.util.hashing import rank_by_rendezvous
+
+#: Bound of the load at the preferred engine: factor of the mean, and
+#: requests beside it.
+_BOUND_FACTOR = 1.5
+_BOUND_REQUESTS = 2
+
+
+class NoDesk:
+    """Gives no word, so that each host chooses by itself."""
+
+    def place(self, service: str, ask: Ask) -> None:
+        """Return nothing.
+
+        :param service: service name.
+        :param ask: the request.
+        """
+
+    def note_first_token(self, request_id: str, first_token_ms: int) -> None:
+        """Ignore news.
+
+        :param request_id: identity of the request.
+        :param first_token_ms: milliseconds to the first token.
+        """
+
+
+class LeastConnectionsPlacer(Placer):
+    """Chooses the engine with the fewest requests of this host."""
+
+    __slots__ = ()
+
+    def place(
+        self,
+        service: str,
+        prompt: Prompt,
+        avoided: Collection[str],
+        *,
+        spread_key: str,
+    ) -> Placement | None:
+        """Choose an engine."""
+        usable = self._list_usable(service, avoided)
+        if not usable:
+            return None
+        by_name = {entry.name: entry for entry in usable}
+        ranked = rank_by_rendezvous(spread_key, by_name)
+        counts = {name: self._count(by_name[name]) for name in ranked}
+        chosen = min(ranked, key=counts.__getitem__)
+        return Placement(by_name[chosen], prompt.tokens)
+
+    def _list_usable(
+        self, service: str, avoided: Collection[str]
+    ) -> list[Instance]:
+        suspended = set(self.list_suspended(service))
+        return [
+            entry
+            for entry in self._instances.list_ready(service)
+            if entry.name not in avoided and entry.name not in suspended
+        ]
+
+    def _count(self, instance: Instance) -> int:
+        return self._loads.find(instance.incarnation).running
+
+
+class PartPlacer(LeastConnectionsPlacer):
+    """Prefers one engine for a shared part while its load is bounded."""
+
+    __slots__ = ()
+
+    def place(
+        self,
+        service: str,
+        prompt: Prompt,
+        avoided: Collection[str],
+        *,
+        spread_key: str,
+    ) -> Placement | None:
+        """Choose an engine."""
+        usable = self._list_usable(service, avoided)
+        if not usable:
+            return None
+        part = prompt.find_affinity()
+        key = spread_key if part is None else str(part.identity)
+        by_name = {entry.name: entry for entry in usable}
+        mean = sum(self._count(entry) for entry in usable) / len(usable)
+        bound = mean * _BOUND_FACTOR + _BOUND_REQUESTS
+        for name in rank_by_rendezvous(key, by_name):
+            if self._count(by_name[name]) <= bound:
+                return Placement(by_name[name], prompt.tokens)
+        return None
+
+
+class Policy:
+    """A way to place prompts.
+
+    :ivar uses_urgency: whether engines are told the rank of a request.
+    """
+
+    __slots__ = ('_create_placer', 'uses_allocator', 'uses_urgency')
+
+    def __init__(
+        self,
+        create_placer: Callable[[InstanceTable, LoadTable, Clock], Placer],
+        *,
+        uses_allocator: bool = False,
+        uses_urgency: bool = False,
+    ) -> None:
+        """Describe a policy.
+
+        :param create_placer: creates what a host chooses engines with.
+        :param uses_allocator: whether one allocator decides for all hosts.
+        :param uses_urgency: whether engines are told the rank of a request.
+        """
+        self._create_placer = create_placer
+        self.uses_allocator = uses_allocator
+        self.uses_urgency = uses_urgency
+
+    def create_placer(
+        self, instances: InstanceTable, loads: LoadTable, clock: Clock
+    ) -> Placer:
+        """Create what a host chooses engines with.
+
+        :param instances: engines.
+        :param loads: their loads.
+        :param clock: monotonic clock.
+        """
+        return self._create_placer(instances, loads, clock)
+
+    def choose_desk(self, desk: PromptDesk) -> PromptDesk | NoDesk:
+        """Choose what a host asks for engines.
+
+        :param desk: the product's own desk.
+        """
+        return desk if self.uses_allocator else NoDesk()
+
+
+#: Policies by name; ``alone`` is the product without its allocator.
+PROMPT_POLICIES = MappingProxyType(
+    {
+        'product': Policy(Placer, uses_allocator=True, uses_urgency=True),
+        'alone': Policy(Placer, uses_urgency=True),
+        'parts': Policy(PartPlacer),
+        'least-connections': Policy(LeastConnectionsPlacer),
+    }
+)
--- a/standins/measure.py
+++ b/standins/measure.py
@@ -5,7 +5,9 @@
 from egretdale.util import greening  # noqa: F401, I001
 
 import sys
+from collections.abc import Iterable, Sequence
 from concurrent.futures import ProcessPoolExecutor
+from itertools import product
 from multiprocessing import get_context
 from pathlib import Path
 
@@ -16,6 +18,10 @@
 from standins.baselines import POLICIES
 from standins.controlling import measure_control
 from standins.deciding import measure_decisions
+from standins.emulation.comparing import format_comparison, run_play
+from standins.emulation.loads import LOADS
+from standins.emulation.policies import PROMPT_POLICIES
+from standins.emulation.replay import PromptReport
 from standins.relaying import measure_relay
 from standins.replay import Report, find_misses, format_report, replay
 from standins.traces import list_traces, load_trace
@@ -29,13 +35,13 @@
 
 
 @main.command()
-@click.argument('traces', nargs=-1)
+@click.argument('names', nargs=-1)
 @click.option(
     '--policy',
     'policies',
     multiple=True,
-    type=click.Choice(tuple(POLICIES)),
-    help='Way to allocate slots; all when absent.',
+    type=click.Choice(tuple({**POLICIES, **PROMPT_POLICIES})),
+    help='Way to allocate slots or to place prompts; all when absent.',
 )
 @click.option(
     '--json',
@@ -46,32 +52,71 @@
 @click.option(
     '--comes-back',
     is_flag=True,
-    help='Refused callers come back once, when they were told to.',
+    help='Callers refused in a trace come back once, when they were told to.',
+)
+@click.option(
+    '--seeds',
+    default=1,
+    type=click.IntRange(min=1),
+    help='Seeds with which each load of prompts is played.',
 )
 def policy(
-    traces: tuple[str, ...],
+    names: tuple[str, ...],
     policies: tuple[str, ...],
     json_path: Path | None,
+    seeds: int,
     *,
     comes_back: bool,
 ) -> None:
-    """Replay traces under policies and compare with the stated outcomes.
+    """Replay traces and loads of prompts under policies.
+
+    The outcomes of traces are compared with the stated ones.
 
     \f
-    :param traces: names of traces, all when empty.
+    :param names: names of traces and of loads of prompts, all when empty.
     :param policies: names of policies, all when empty.
     :param json_path: file for the reports as JSON.
-    :param comes_back: whether refused callers come back.
+    :param seeds: number of seeds of each load of prompts.
+    :param comes_back: whether callers refused in a trace come back.
     """
-    names = traces or tuple(list_traces())
-    pairs = [
-        (name, chosen, comes_back)
-        for name in names
-        for chosen in policies or tuple(POLICIES)
-    ]
+    wanted = names or (*list_traces(), *LOADS)
+    traces = [name for name in wanted if name not in LOADS]
+    loads = [name for name in wanted if name in LOADS]
     context = get_context('spawn')
     with ProcessPoolExecutor(_WORKERS, mp_context=context) as executor:
-        reports = list(executor.map(run_replay, pairs))
+        reports = list(
+            executor.map(
+                run_replay,
+                product(traces, _choose(POLICIES, policies), (comes_back,)),
+            )
+        )
+        plays = list(
+            executor.map(
+                run_play,
+                product(
+                    loads,
+                    _choose(PROMPT_POLICIES, policies),
+                    range(1, seeds + 1),
+                ),
+            )
+        )
+    missed = show_replays(reports)
+    show_plays(plays)
+    if json_path is not None:
+        json_path.write_bytes(msgspec.json.encode([*reports, *plays]))
+    sys.exit(1 if missed else 0)
+
+
+def _choose(known: Iterable[str], wanted: Sequence[str]) -> list[str]:
+    return [name for name in known if name in wanted or not wanted]
+
+
+def show_replays(reports: list[Report]) -> int:
+    """Print the reports of traces and what they miss.
+
+    :param reports: reports of all policies.
+    :return: number of outcomes that the product misses.
+    """
     missed = 0
     for report in reports:
         click.echo(format_report(report))
@@ -81,9 +126,16 @@
                 missed += 1
     for line in compare_baselines(reports):
         click.echo(line)
-    if json_path is not None:
-        json_path.write_bytes(msgspec.json.encode(reports))
-    sys.exit(1 if missed else 0)
+    return missed
+
+
+def show_plays(plays: list[PromptReport]) -> None:
+    """Print the reports of loads of prompts.
+
+    :param plays: reports of all policies.
+    """
+    if plays:
+        click.echo(format_comparison(plays))
 
 
 @main.command()
