--- a/standins/emulation/engines.py
+++ b/standins/emulation/engines.py
@@ -30,7 +30,8 @@
     :ivar run: the request.
     :ivar arrived: numbers of events that became complete together, ``None``
         when the engine was lost.
-    :ivar sent: events that have been read.
+    :ivar sent: number of the last event that was read.
+    :ivar pending: events that have come and were not read.
     """
 
     engine: EmulatedEngine
@@ -78,6 +79,9 @@
     :ivar profile: its speed and limits.
     :ivar slowness: factor of the time that its steps take.
     :ivar prefilled: prompt tokens that it prefilled before its last start.
+    :ivar model: its state.
+    :ivar running: whether it takes requests.
+    :ivar born_ms: time of its last start in milliseconds.
     """
 
     profile: BatchProfile
@@ -85,6 +89,7 @@
     prefilled: int = 0
     model: BatchEngine = field(init=False)
     running: bool = True
+    born_ms: int = 0
     _listening: dict[str, LightQueue[int | None]] = field(default_factory=dict)
     _work: Event = field(default_factory=Event)
 
@@ -113,9 +118,13 @@
             queue.put(None)
         self._listening.clear()
 
-    def start(self) -> None:
-        """Start again, with an empty cache."""
+    def start(self, now_ms: int) -> None:
+        """Start again, with an empty cache.
+
+        :param now_ms: time in milliseconds.
+        """
         self.running = True
+        self.born_ms = now_ms
 
     def count_prefilled(self) -> int:
         """Count the prompt tokens that were prefilled."""
@@ -201,19 +210,16 @@
 
 
 def list_instances(
-    engines: dict[str, EmulatedEngine], service: str, born_ms: int
+    engines: dict[str, EmulatedEngine], service: str
 ) -> dict[str, Instance]:
     """List the engines that run as entries of backend servers.
 
     :param engines: engines by name.
     :param service: service name.
-    :param born_ms: start of the engines that were lost before.
     :return: entries by name.
     """
     return {
-        name: Instance(
-            name, service, '', born_ms=born_ms if engine.prefilled else 0
-        )
+        name: Instance(name, service, '', born_ms=engine.born_ms)
         for name, engine in engines.items()
         if engine.running
     }
--- a/standins/emulation/policies.py
+++ b/standins/emulation/policies.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 from types import MappingProxyType
 
 from egretdale.coordination.exchanges import Prompt
@@ -52,24 +52,23 @@
         spread_key: str,
     ) -> Placement | None:
         """Choose an engine."""
-        usable = self._list_usable(service, avoided)
+        unusable = {*avoided, *self.list_suspended(service)}
+        usable = {
+            entry.name: entry
+            for entry in self._instances.list_ready(service)
+            if entry.name not in unusable
+        }
         if not usable:
             return None
-        by_name = {entry.name: entry for entry in usable}
-        ranked = rank_by_rendezvous(spread_key, by_name)
-        counts = {name: self._count(by_name[name]) for name in ranked}
-        chosen = min(ranked, key=counts.__getitem__)
-        return Placement(by_name[chosen], prompt.tokens)
-
-    def _list_usable(
-        self, service: str, avoided: Collection[str]
-    ) -> list[Instance]:
-        suspended = set(self.list_suspended(service))
-        return [
-            entry
-            for entry in self._instances.list_ready(service)
-            if entry.name not in avoided and entry.name not in suspended
-        ]
+        counts = {name: self._count(entry) for name, entry in usable.items()}
+        chosen = self._choose(counts, prompt, spread_key)
+        return Placement(usable[chosen], prompt.tokens)
+
+    def _choose(
+        self, counts: Mapping[str, int], prompt: Prompt, spread_key: str
+    ) -> str:
+        ranked = rank_by_rendezvous(spread_key, counts)
+        return min(ranked, key=counts.__getitem__)
 
     def _count(self, instance: Instance) -> int:
         return self._loads.find(instance.incarnation).running
@@ -80,32 +79,21 @@
 
     __slots__ = ()
 
-    def place(
-        self,
-        service: str,
-        prompt: Prompt,
-        avoided: Collection[str],
-        *,
-        spread_key: str,
-    ) -> Placement | None:
-        """Choose an engine."""
-        usable = self._list_usable(service, avoided)
-        if not usable:
-            return None
+    def _choose(
+        self, counts: Mapping[str, int], prompt: Prompt, spread_key: str
+    ) -> str:
         part = prompt.find_affinity()
         key = spread_key if part is None else str(part.identity)
-        by_name = {entry.name: entry for entry in usable}
-        mean = sum(self._count(entry) for entry in usable) / len(usable)
+        mean = sum(counts.values()) / len(counts)
         bound = mean * _BOUND_FACTOR + _BOUND_REQUESTS
-        for name in rank_by_rendezvous(key, by_name):
-            if self._count(by_name[name]) <= bound:
-                return Placement(by_name[name], prompt.tokens)
-        return None
+        ranked = rank_by_rendezvous(key, counts)
+        return next(name for name in ranked if counts[name] <= bound)
 
 
 class Policy:
     """A way to place prompts.
 
+    :ivar uses_allocator: whether one allocator decides for all hosts.
     :ivar uses_urgency: whether engines are told the rank of a request.
     """
 
--- a/standins/emulation/replay.py
+++ b/standins/emulation/replay.py
@@ -140,13 +140,12 @@
         eventlet.sleep(_LIST_LAG_S)
         self._publish()
         eventlet.sleep(length_s)
-        engine.start()
+        engine.start(int(self.hub.now * _MS))
         eventlet.sleep(_LIST_LAG_S)
         self._publish()
 
     def _publish(self) -> None:
-        born_ms = int(self.hub.now * _MS)
-        instances = list_instances(self.engines, SERVICE, born_ms)
+        instances = list_instances(self.engines, SERVICE)
         for host in self.hosts:
             host.replace_instances(instances)
 
