--- a/standins/deciding.py
+++ b/standins/deciding.py
@@ -30,11 +30,14 @@
     GroupAsk,
     MemberUpdate,
 )
+from standins.emulation.costs import measure_asks
 
 _ENGINES = 6200
 _MEMBERS = 400
 _ORGANISATIONS = 830
 _GROUP_ENGINES = 16
+_PROMPT_ENGINES = 16
+_WAITING_PROMPTS = (0, 50, 200)
 _ROUNDS = 2000
 _MICROSECONDS = 1_000_000
 
@@ -67,12 +70,20 @@
 def measure_decisions() -> None:
     """Print processor time, bytes and memory of each kind of state."""
     _measure_allocation()
+    _measure_prompts()
     _measure_messages()
     _measure_members()
     _measure_backends()
     _measure_document()
 
 
+def _measure_prompts() -> None:
+    for waiting in _WAITING_PROMPTS:
+        cost_s = measure_asks(_PROMPT_ENGINES, waiting)
+        name = f'ask for an engine of {_PROMPT_ENGINES}, {waiting} waiting'
+        _report(name, cost_s * _MICROSECONDS, 'us')
+
+
 def _report(name: str, figure: float, unit: str) -> None:
     click.echo(f'{name:52} {figure:10.1f} {unit}')
 
--- /dev/null
+++ b/standins/emulation/costs.py
@@ -0,0 +1,84 @@
+"""Measures what a decision on a prompt costs an allocator."""
+
+from __future__ import annotations
+
+import time
+
+from egretdale.coordination.mesh import Mesh
+from egretdale.coordination.prefill import PrefillAllocator
+from egretdale.errors import Cause, Unreachable
+from egretdale.state.instances import Instance, InstanceTable
+from egretdale.state.members import MemberTable
+from egretdale.state.messages import Ask, Batch, GroupAsk
+
+_SERVICE = 'prompts'
+_GROUP = f'{_SERVICE}/1/0'
+_BYTES_PER_S = 4096.0
+_ROUNDS = 200
+#: Seconds between two asks: enough for a look at all that wait.
+_STEP_S = 0.005
+_PROMPT_TOKENS = 17000
+_SHARED_TOKENS = 13000
+#: Shared parts of the prompts, and prompts that keep an engine busy.
+_PARTS = 60
+_BUSY = 2
+_TARGET_MS = 1000
+_LEFT_MS = 1000000
+
+
+class _NoNetwork:
+    """Calls to peers that reach nobody."""
+
+    def deliver(self, address: str, batch: Batch) -> Unreachable:
+        return Unreachable(Cause.REFUSED)
+
+
+class _Clock:
+    def __init__(self) -> None:
+        self.now = float(100)
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def measure_asks(engines: int, waiting: int) -> float:
+    """Measure an ask and its withdrawal while others wait.
+
+    :param engines: engines of the group.
+    :param waiting: requests that wait.
+    :return: seconds of processor time.
+    """
+    clock = _Clock()
+    mesh = Mesh(MemberTable('own'), _NoNetwork(), clock, _BYTES_PER_S)
+    table = InstanceTable(clock, 2)
+    table.replace(
+        {
+            f'e{index}': Instance(f'e{index}', _SERVICE, '')
+            for index in range(engines)
+        },
+        after_outage=False,
+    )
+    allocator = PrefillAllocator(mesh, table, clock)
+    for index in range(engines * _BUSY + waiting):
+        allocator.take('own', GroupAsk(_GROUP, asks=[_create_ask(index)]))
+    started_at = time.process_time()
+    for number in range(_ROUNDS):
+        clock.now += _STEP_S
+        ask = _create_ask(-number - 1)
+        allocator.take('own', GroupAsk(_GROUP, asks=[ask]))
+        allocator.take('own', GroupAsk(_GROUP, withdrawn=[ask.request_id]))
+    return (time.process_time() - started_at) / _ROUNDS
+
+
+def _create_ask(number: int) -> Ask:
+    return Ask(
+        f'request {number}',
+        'route',
+        '',
+        prompt_tokens=_PROMPT_TOKENS,
+        prefix=number % _PARTS + 1,
+        shared_tokens=_SHARED_TOKENS,
+        urgency=2,
+        target_ms=_TARGET_MS,
+        left_ms=_LEFT_MS,
+    )
