Order prompts of a tier by their own tokens alone

Cause: an allocator that has just started does not know what engines hold, so prompts whose shared part is held look long and go last.

Change: shared parts do not count in the order and in the work ahead; what was noted of them for each waiting prompt is gone.

--- a/egretdale/coordination/prefill.py
+++ b/egretdale/coordination/prefill.py
@@ -194,7 +194,7 @@
         if not queue.waiting:
             return {}
         states = self._measure(group)
-        return self._decide_all(group, queue, _order(queue, states), states)
+        return self._decide_all(group, queue, _order(queue), states)
 
     def _measure(self, group: str) -> list[EngineState]:
         return self._chooser.measure(self._groups.list_engines(group))
@@ -212,7 +212,7 @@
             ahead_s = predict_prefill(ahead) / max(1, len(states))
             decision = self._decide(queue, waiting, states, ahead_s)
             if decision is None:
-                ahead += waiting.least_tokens
+                ahead += waiting.own_tokens
                 continue
             queue.waiting.pop(waiting.ask.request_id)
             reply = replies.setdefault(waiting.host, GroupReply(group))
@@ -305,23 +305,18 @@
     return convert_to_seconds(ask.target_ms) <= _SHORT_TARGET_S
 
 
-def _order(queue: GroupQueue, states: list[EngineState]) -> list[WaitingPrompt]:
+def _order(queue: GroupQueue) -> list[WaitingPrompt]:
     """Order the waiting requests of a group.
 
-    Tiers go strictly first. Within one, the prompt with the least to prefill
-    goes first: in a burst most requests are then served in time, and those
-    that are not are the few that take the most of the engines. A part of the
-    prefill goes to the oldest.
+    Tiers go strictly first. Within one, the prompt with the fewest tokens of
+    its own goes first: in a burst most requests are then served in time, and
+    those that are not are the few that take the most of the engines. Shared
+    parts do not count, as an allocator that has just started does not know
+    which are held. A part of the prefill goes to the oldest.
 
     :param queue: the requests.
-    :param states: the engines.
     :return: the requests, the next one first.
     """
-    for waiting in queue.waiting.values():
-        prefix = waiting.ask.prefix
-        waiting.held = waiting.held or any(
-            prefix in state.held for state in states
-        )
     owed = {
         oldest.ask.request_id
         for oldest in queue.list_oldest().values()
@@ -333,7 +328,7 @@
         return (
             ask.urgency,
             ask.request_id not in owed,
-            waiting.least_tokens,
+            waiting.own_tokens,
         )
 
     return sorted(queue.waiting.values(), key=rank)
--- a/egretdale/state/prompts.py
+++ b/egretdale/state/prompts.py
@@ -16,19 +16,17 @@
     :ivar arrived_at: clock time of its arrival here.
     :ivar preferred: name of the engine that all hosts prefer for it, once it
         was needed.
-    :ivar held: whether an engine was seen to hold its shared part.
     """
 
     ask: Ask
     host: str
     arrived_at: float
     preferred: str = ''
-    held: bool = False
 
     @property
-    def least_tokens(self) -> int:
-        """Least prompt tokens that an engine has to prefill for it."""
-        return self.ask.prompt_tokens - self.ask.shared_tokens * self.held
+    def own_tokens(self) -> int:
+        """Prompt tokens that an engine has to prefill in any case."""
+        return self.ask.prompt_tokens - self.ask.shared_tokens
 
 
 @dataclass(slots=True)
@@ -74,7 +72,7 @@
         :param oldest: the request.
         """
         owed = self.owed.get(oldest.ask.urgency, 0)
-        return owed >= oldest.least_tokens
+        return owed >= oldest.own_tokens
 
     def note_turn(self, granted: WaitingPrompt, share: float) -> None:
         """Note that a request, which still waits, gets an engine.
@@ -85,6 +83,6 @@
         urgency = granted.ask.urgency
         owed = self.owed.get(urgency, 0)
         if self.list_oldest()[urgency] is granted:
-            self.owed[urgency] = max(0, owed - granted.least_tokens)
+            self.owed[urgency] = max(0, owed - granted.own_tokens)
         else:
-            self.owed[urgency] = owed + granted.least_tokens * share
+            self.owed[urgency] = owed + granted.own_tokens * share
