Measure engines only when there is a prompt to decide on

Cause: since the order of prompts needed the state of engines, it was measured before the order was made, also in the path for prompts that never wait, where there is often none. The order no longer needs it.

Ruled out: any change of a decision; the same engines are measured at the same time wherever a prompt is decided on.

Change: the measurement is back behind the check for an empty order, and its parameter is gone.

--- a/egretdale/coordination/prefill.py
+++ b/egretdale/coordination/prefill.py
@@ -175,9 +175,7 @@
                 for ask in message.asks
                 if _is_short(ask)
             ]
-            replies = self._decide_all(
-                message.group, queue, short, self._measure(message.group)
-            )
+            replies = self._decide_all(message.group, queue, short)
         own = replies.pop(host, GroupReply(message.group))
         self._post(replies)
         return own
@@ -191,22 +189,15 @@
         """
         queue.served_at = self._clock()
         self._expire(queue)
-        if not queue.waiting:
-            return {}
-        states = self._measure(group)
-        return self._decide_all(group, queue, _order(queue), states)
-
-    def _measure(self, group: str) -> list[EngineState]:
-        return self._chooser.measure(self._groups.list_engines(group))
+        return self._decide_all(group, queue, _order(queue))
 
     def _decide_all(
-        self,
-        group: str,
-        queue: GroupQueue,
-        ordered: list[WaitingPrompt],
-        states: list[EngineState],
+        self, group: str, queue: GroupQueue, ordered: list[WaitingPrompt]
     ) -> dict[str, GroupReply]:
         replies: dict[str, GroupReply] = {}
+        if not ordered:
+            return replies
+        states = self._chooser.measure(self._groups.list_engines(group))
         ahead = 0
         for waiting in ordered:
             ahead_s = predict_prefill(ahead) / max(1, len(states))
