Use the project's own types in the emulation

Cause: the emulation had a copy of the type of prompt parts, a report that nothing prints, a slowness that nothing sets, and the length of an answer twice; its fixed configuration and its desk that gives no word stood in tests/forwarding.py too.

--- a/standins/emulation/engines.py
+++ b/standins/emulation/engines.py
@@ -13,7 +13,6 @@
 from egretdale.coordination.ports import EndOfStream, MaybeRun, NotRun
 from egretdale.state.instances import Instance
 from standins.models.batches import BatchEngine, BatchProfile, BatchRun
-from standins.models.parts import PromptChunk
 
 #: One way between a host and an engine in seconds.
 _LATENCY_S = 0.001
@@ -77,7 +76,6 @@
     """An engine that runs, is lost and starts again.
 
     :ivar profile: its speed and limits.
-    :ivar slowness: factor of the time that its steps take.
     :ivar prefilled: prompt tokens that it prefilled before its last start.
     :ivar model: its state.
     :ivar running: whether it takes requests.
@@ -85,7 +83,6 @@
     """
 
     profile: BatchProfile
-    slowness: float = 1
     prefilled: int = 0
     model: BatchEngine = field(init=False)
     running: bool = True
@@ -105,7 +102,7 @@
                 self._work.wait()
                 continue
             model = self.model
-            eventlet.sleep(model.begin_step() * self.slowness)
+            eventlet.sleep(model.begin_step())
             if model is self.model:
                 model.end_step()
 
@@ -141,9 +138,7 @@
         skipped = int(attempt.last_event_id or 0)
         run = BatchRun(
             attempt.request.request_id,
-            tuple(
-                PromptChunk(part.identity, part.tokens) for part in prompt.parts
-            ),
+            prompt.parts,
             max(1, prompt.maximum_output - skipped) * self.profile.stride,
             attempt.urgency,
             arrived.put,
--- a/standins/emulation/hosts.py
+++ b/standins/emulation/hosts.py
@@ -48,11 +48,11 @@
 class FixedConfiguration:
     """A configuration that does not change.
 
-    :ivar table: the routing table.
+    :ivar table: the routing table, ``None`` when none is known.
     :ivar confirmation: its age.
     """
 
-    table: RoutingTable
+    table: RoutingTable | None
     confirmation: Confirmation
 
     def refresh(self) -> bool:
--- a/standins/emulation/loads.py
+++ b/standins/emulation/loads.py
@@ -141,15 +141,13 @@
     :ivar at: seconds since the start.
     :ivar request_id: its identity.
     :ivar request_class: its class.
-    :ivar prompt: its prompt.
-    :ivar events: events of its answer.
+    :ivar prompt: its prompt, with the events of its answer as its output.
     """
 
     at: float
     request_id: str
     request_class: PromptClass
     prompt: Prompt
-    events: int
 
 
 class PartDrawer:
@@ -223,7 +221,6 @@
             f'{request_class.name}-{number}',
             request_class,
             Prompt(tokens, events, parts),
-            events,
         )
 
 
--- a/standins/emulation/policies.py
+++ b/standins/emulation/policies.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection, Mapping
+from dataclasses import dataclass
 from types import MappingProxyType
 
 from egretdale.coordination.exchanges import Prompt
@@ -90,42 +91,18 @@
         return next(name for name in ranked if counts[name] <= bound)
 
 
+@dataclass(slots=True, frozen=True)
 class Policy:
     """A way to place prompts.
 
+    :ivar create_placer: creates what a host chooses engines with.
     :ivar uses_allocator: whether one allocator decides for all hosts.
     :ivar uses_urgency: whether engines are told the rank of a request.
     """
 
-    __slots__ = ('_create_placer', 'uses_allocator', 'uses_urgency')
-
-    def __init__(
-        self,
-        create_placer: Callable[[InstanceTable, LoadTable, Clock], Placer],
-        *,
-        uses_allocator: bool = False,
-        uses_urgency: bool = False,
-    ) -> None:
-        """Describe a policy.
-
-        :param create_placer: creates what a host chooses engines with.
-        :param uses_allocator: whether one allocator decides for all hosts.
-        :param uses_urgency: whether engines are told the rank of a request.
-        """
-        self._create_placer = create_placer
-        self.uses_allocator = uses_allocator
-        self.uses_urgency = uses_urgency
-
-    def create_placer(
-        self, instances: InstanceTable, loads: LoadTable, clock: Clock
-    ) -> Placer:
-        """Create what a host chooses engines with.
-
-        :param instances: engines.
-        :param loads: their loads.
-        :param clock: monotonic clock.
-        """
-        return self._create_placer(instances, loads, clock)
+    create_placer: Callable[[InstanceTable, LoadTable, Clock], Placer]
+    uses_allocator: bool = False
+    uses_urgency: bool = False
 
     def choose_desk(self, desk: PromptDesk) -> PromptDesk | NoDesk:
         """Choose what a host asks for engines.
--- a/standins/emulation/replay.py
+++ b/standins/emulation/replay.py
@@ -220,26 +220,6 @@
         return _report(play, policy, seed)
 
 
-def format_report(report: PromptReport) -> str:
-    """Format a report as text.
-
-    :param report: the report.
-    :return: lines of text.
-    """
-    lines = [
-        f'{report.load} {report.policy} seed {report.seed}: '
-        f'worth {report.worth:.3f}, refusals a request {report.refused:.3f}, '
-        f'{report.prefilled:.2f} M tokens prefilled'
-    ]
-    lines.extend(
-        f'  {name}: {entry.asked} asked, on time {entry.on_time:.3f}, '
-        f'late {entry.late:.3f}, first event {entry.first_ms[0]} ms, '
-        f'95 in 100 within {entry.first_ms[1]} ms'
-        for name, entry in report.classes.items()
-    )
-    return '\n'.join(lines)
-
-
 def _report(play: _Play, policy: str, seed: int) -> PromptReport:
     calls = play.calls
     owed = sum(call.arrival.request_class.worth for call in calls)
--- a/standins/models/batches.py
+++ b/standins/models/batches.py
@@ -10,7 +10,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from standins.models.parts import PartCache, PromptChunk
+from egretdale.coordination.exchanges import PromptPart
+from standins.models.parts import PartCache
 
 _TOKENS_PER_K = 1000.0
 _PAIRS_PER_M = 1000000.0
@@ -59,7 +60,7 @@
     """
 
     request_id: str
-    parts: tuple[PromptChunk, ...]
+    parts: tuple[PromptPart, ...]
     output_tokens: int
     urgency: int
     notify: Callable[[int], None]
--- a/standins/models/parts.py
+++ b/standins/models/parts.py
@@ -6,17 +6,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-
-@dataclass(slots=True, frozen=True)
-class PromptChunk:
-    """A part of a prompt.
-
-    :ivar identity: identity of the part.
-    :ivar tokens: its length in tokens.
-    """
-
-    identity: int
-    tokens: int
+from egretdale.coordination.exchanges import PromptPart
 
 
 @dataclass(slots=True)
@@ -35,7 +25,7 @@
         self._parts: OrderedDict[int, _Cached] = OrderedDict()
         self._tokens = 0
 
-    def use(self, user: str, parts: Sequence[PromptChunk]) -> int:
+    def use(self, user: str, parts: Sequence[PromptPart]) -> int:
         """Find the leading parts that are cached, and keep them for a user.
 
         :param user: identity of the request.
@@ -55,7 +45,7 @@
             tokens += cached.tokens * whole
         return tokens
 
-    def add(self, user: str, parts: Sequence[PromptChunk]) -> int:
+    def add(self, user: str, parts: Sequence[PromptPart]) -> int:
         """Add parts that a user has just prefilled.
 
         :param user: identity of the request.
@@ -71,7 +61,7 @@
         self._tokens += added
         return added
 
-    def release(self, user: str, parts: Sequence[PromptChunk]) -> None:
+    def release(self, user: str, parts: Sequence[PromptPart]) -> None:
         """End the use of parts, which stay cached.
 
         :param user: identity of the request.
--- a/tests/forwarding.py
+++ b/tests/forwarding.py
@@ -22,7 +22,6 @@
 from egretdale.state.freshness import Confirmation
 from egretdale.state.instances import Instance, InstanceTable
 from egretdale.state.loads import LoadTable
-from egretdale.state.messages import Ask
 from egretdale.state.routing import (
     CallerLimits,
     KeyHolder,
@@ -31,6 +30,8 @@
     RoutingTable,
     WeightedService,
 )
+from standins.emulation.hosts import FixedConfiguration
+from standins.emulation.policies import NoDesk
 
 HOST_NAME = 'claims.example'
 
@@ -153,16 +154,6 @@
         self.closed = True
 
 
-class NoAllocator:
-    """Gives no word, so that each host chooses by itself."""
-
-    def place(self, service: str, ask: Ask) -> None:
-        """Return nothing."""
-
-    def note_first_token(self, request_id: str, first_token_ms: int) -> None:
-        """Ignore news."""
-
-
 class ScriptedClient:
     """Answers attempts from a script.
 
@@ -181,24 +172,12 @@
         return self._outcomes.pop(0)
 
 
-@dataclass
-class KnownConfiguration:
-    """A configuration that does not change by itself."""
-
-    table: RoutingTable | None
-    confirmation: Confirmation
-
-    def refresh(self) -> bool:
-        """Tell that the platform does not answer."""
-        return False
-
-
 @dataclass
 class ForwardingScene:
     """A forwarder and what it works with."""
 
     clock: ManualClock
-    configuration: KnownConfiguration
+    configuration: FixedConfiguration
     instances: InstanceTable
     loads: LoadTable
     placer: Placer
@@ -231,7 +210,7 @@
     clock = ManualClock()
     confirmation = Confirmation(clock)
     confirmation.confirm(clock.now)
-    configuration = KnownConfiguration(table, confirmation)
+    configuration = FixedConfiguration(table, confirmation)
     instances = InstanceTable(clock, 2)
     instances.replace(
         {
@@ -248,7 +227,7 @@
         placer=placer,
         loads=loads,
         budgets=BudgetBook(BudgetTerms(0.2, 40, 10, 4), clock, lambda: 1),
-        prompts=NoAllocator(),
+        prompts=NoDesk(),
         figures=figures,
         client=client,
         clock=clock,
--- a/tests/test_standins/test_batches.py
+++ b/tests/test_standins/test_batches.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
+from egretdale.coordination.exchanges import PromptPart
 from standins.models.batches import BatchEngine, BatchProfile, BatchRun
-from standins.models.parts import PromptChunk
 from tests.functions import create_loader
 
 load_tests = create_loader(__name__)
 
-_SHARED = PromptChunk(7, 8000)
+_SHARED = PromptPart(7, 8000)
 
 
 class _Engine:
@@ -30,7 +30,7 @@
     def submit(
         self,
         name: str,
-        *parts: PromptChunk,
+        *parts: PromptPart,
         output: int = 50,
         urgency: int = 5,
     ) -> BatchRun:
@@ -55,8 +55,8 @@
             self.step()
 
 
-def _own(tokens: int, identity: int = 100) -> PromptChunk:
-    return PromptChunk(identity, tokens)
+def _own(tokens: int, identity: int = 100) -> PromptPart:
+    return PromptPart(identity, tokens)
 
 
 def test_every_token_arrives_in_events() -> None:
@@ -80,9 +80,9 @@
 def test_a_part_counts_only_behind_cached_parts() -> None:
     """What follows another beginning is read anew."""
     engine = _Engine()
-    engine.submit('a', PromptChunk(1, 1000), _SHARED, _own(100))
+    engine.submit('a', PromptPart(1, 1000), _SHARED, _own(100))
     engine.run()
-    engine.submit('b', PromptChunk(2, 1000), _SHARED, _own(100, 101))
+    engine.submit('b', PromptPart(2, 1000), _SHARED, _own(100, 101))
     engine.run()
     assert engine.model.counts.prefilled == 2 * (1000 + 8000 + 100)
 
@@ -91,10 +91,10 @@
     """A part that was used since is still cached."""
     engine = _Engine(kv_tokens=20000)
     for identity in (1, 2, 1, 3):
-        engine.submit('a', PromptChunk(identity, 8000), _own(100, identity))
+        engine.submit('a', PromptPart(identity, 8000), _own(100, identity))
         engine.run()
     before = engine.model.counts.prefilled
-    engine.submit('b', PromptChunk(1, 8000), _own(100, 200))
+    engine.submit('b', PromptPart(1, 8000), _own(100, 200))
     engine.run()
     assert engine.model.counts.prefilled == before + 100
 
