--- a/egretdale/coordination/engine_choice.py
+++ b/egretdale/coordination/engine_choice.py
@@ -10,7 +10,13 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from egretdale.state.backlogs import BacklogTable, predict_prefill
+from egretdale.state.backlogs import BacklogTable
+from egretdale.state.engine_slots import (
+    EngineSlots,
+    HeldSlot,
+    SlotTable,
+    StreamTime,
+)
 from egretdale.state.instances import Instance
 from egretdale.state.messages import Ask
 from egretdale.state.recent_work import (
@@ -19,6 +25,8 @@
     compute_gap_sensitivity,
 )
 from egretdale.state.prefixes import PrefixIndex
+from egretdale.state.prompts import GrantedPrompt
+from egretdale.state.speeds import EngineSpeed, measure_work
 from egretdale.util.clocks import Clock, convert_to_seconds
 from egretdale.util.hashing import rank_by_rendezvous
 
@@ -44,6 +52,8 @@
     :ivar delay_s: seconds by which its first tokens were late recently.
     :ivar held: prefixes that it probably has in its cache.
     :ivar recent: prefill and streams that it was sent recently.
+    :ivar speed: its prefill speed.
+    :ivar slots: its slots.
     """
 
     instance: Instance
@@ -52,12 +62,14 @@
     delay_s: float
     held: Mapping[int, float]
     recent: RecentWork
+    speed: EngineSpeed
+    slots: EngineSlots
 
 
 class EngineChooser:
     """Tracks what engines have cached and have to prefill, and chooses one."""
 
-    __slots__ = ('_clock', '_prefixes', '_recent_work', 'backlogs')
+    __slots__ = ('_clock', '_prefixes', '_recent_work', 'backlogs', 'slots')
 
     def __init__(self, clock: Clock) -> None:
         """Create a chooser that assumes all engines to be idle and empty.
@@ -65,6 +77,7 @@
         :param clock: monotonic clock.
         """
         self.backlogs = BacklogTable(clock)
+        self.slots = SlotTable(clock)
         self._clock = clock
         self._recent_work = RecentWorkTable(clock)
         self._prefixes = PrefixIndex()
@@ -83,7 +96,16 @@
             held = self._prefixes.list_held(name)
             recent = self._recent_work.find(name)
             states.append(
-                EngineState(instance, name, wait_s, delay_s, held, recent)
+                EngineState(
+                    instance,
+                    name,
+                    wait_s,
+                    delay_s,
+                    held,
+                    recent,
+                    self.backlogs.speeds.find(instance),
+                    self.slots.find(instance),
+                )
             )
         return states
 
@@ -93,7 +115,9 @@
         usable: list[EngineState],
         preferred: str,
         ahead_s: float,
-    ) -> EngineState:
+        *,
+        immediate: bool,
+    ) -> tuple[EngineState, float]:
         """Choose the engine with the earliest expected first token.
 
         The expected time is increased by penalties for another copy of the
@@ -103,11 +127,11 @@
         :param usable: engines that it may go to.
         :param preferred: name of the engine that all hosts prefer.
         :param ahead_s: seconds of prefill that wait for each engine.
-        :return: the engine, which may have outstanding prefill.
+        :param immediate: whether the request may preempt others.
+        :return: the engine, which may have outstanding prefill, and the
+            seconds after which it has a slot for the request.
         """
-        own_tokens = ask.prompt_tokens - ask.shared_tokens
-        own_s = predict_prefill(own_tokens)
-        shared_s = predict_prefill(ask.shared_tokens)
+        full_work = measure_work(ask.prompt_tokens, ask.prompt_tokens)
 
         # Avoiding gaps counts less the more prompts wait, so that no engine
         # is left idle for the sake of its streams.
@@ -117,11 +141,12 @@
         sensitivity = compute_gap_sensitivity(convert_to_seconds(ask.pause_ms))
 
         def predict(state: EngineState) -> float:
-            prefill_s = own_s
+            prefill_s = self.predict_own_prefill(ask, state)
             copy_penalty_s = float(0)
             if ask.prefix not in state.held:
                 is_preferred = state.instance.name == preferred
                 weight = _PREFERRED_WEIGHT if is_preferred else _COPY_WEIGHT
+                shared_s = state.speed.predict(full_work) - prefill_s
                 prefill_s += shared_s
                 copy_penalty_s = shared_s * (weight - 1)
             recent = state.recent
@@ -129,14 +154,44 @@
                 prefill_s * recent.gap_sensitivity
                 + recent.prefill_s * sensitivity
             )
-            first_token_s = state.wait_s + state.delay_s + prefill_s
+            slot_wait_s = self._predict_slot_wait(
+                ask, state, immediate=immediate
+            )
+            first_token_s = (
+                max(state.wait_s, slot_wait_s) + state.delay_s + prefill_s
+            )
             return (
                 first_token_s
                 + copy_penalty_s
                 + interference * interference_weight
             )
 
-        return min(usable, key=predict)
+        chosen = min(usable, key=predict)
+        slot_wait_s = self._predict_slot_wait(ask, chosen, immediate=immediate)
+        return chosen, slot_wait_s
+
+    def has_capacity(
+        self, ask: Ask, state: EngineState, maximum_wait_s: float
+    ) -> bool:
+        """Tell whether an engine can take a request that does not preempt.
+
+        :param ask: the request.
+        :param state: the engine.
+        :param maximum_wait_s: outstanding prefill in seconds that it may have.
+        """
+        if state.wait_s > maximum_wait_s:
+            return False
+        return not self._predict_slot_wait(ask, state, immediate=False)
+
+    def predict_own_prefill(self, ask: Ask, state: EngineState) -> float:
+        """Predict the prefill of a request whose shared parts are cached.
+
+        :param ask: the request.
+        :param state: an engine.
+        :return: seconds.
+        """
+        own_tokens = ask.prompt_tokens - ask.shared_tokens
+        return state.speed.predict(measure_work(own_tokens, ask.prompt_tokens))
 
     def reserve(self, ask: Ask, state: EngineState) -> int:
         """Record that a request is sent to an engine.
@@ -147,17 +202,46 @@
         :return: prompt tokens that it probably has to prefill.
         """
         tokens = self.count_uncached_tokens(ask, state.name)
-        self.backlogs.add(state.name, ask.request_id, tokens)
+        work = measure_work(tokens, ask.prompt_tokens)
+        self.backlogs.add(state.instance, ask.request_id, work)
+        prefill_s = state.speed.predict(work)
+        state.slots.use.note_request(ask.maximum_tokens, prefill_s)
         self._recent_work.note(
-            state.name,
-            predict_prefill(tokens),
-            convert_to_seconds(ask.pause_ms),
+            state.name, prefill_s, convert_to_seconds(ask.pause_ms)
         )
         self._prefixes.note(state.name, ask.prefix, self._clock())
         state.wait_s = self.backlogs.measure_wait(state.name)
         state.held = self._prefixes.list_held(state.name)
         return tokens
 
+    def hold_slot(self, ask: Ask, state: EngineState) -> None:
+        """Record that a request holds a slot until it is released.
+
+        :param ask: the request.
+        :param state: the engine.
+        """
+        expires_at = self._clock() + convert_to_seconds(ask.left_ms)
+        slot = HeldSlot(ask.urgency, expires_at)
+        self.slots.begin(state.instance, ask.request_id, slot)
+
+    def note_stream(self, granted: GrantedPrompt, held_s: float) -> None:
+        """Record that a request with a first token has ended.
+
+        :param granted: the request.
+        :param held_s: seconds for which it held a slot.
+        """
+        slots = self.slots.find_known(granted.engine)
+        if slots is None or granted.first_token_s is None:
+            return
+        prefilled_s = self.backlogs.measure_prefilled(granted.engine)
+        sample = StreamTime(
+            granted.maximum_tokens,
+            held_s,
+            held_s - granted.first_token_s,
+            prefilled_s - granted.prefilled_s,
+        )
+        slots.use.learn_stream(granted.class_name, sample)
+
     def count_uncached_tokens(self, ask: Ask, engine: str) -> int:
         """Count the prompt tokens that an engine probably has to prefill.
 
@@ -175,8 +259,17 @@
         """
         self._prefixes.clear(engine)
         self.backlogs.forget(engine)
+        self.slots.forget(engine)
         self._recent_work.forget(engine)
 
+    def _predict_slot_wait(
+        self, ask: Ask, state: EngineState, *, immediate: bool
+    ) -> float:
+        own_s = self.predict_own_prefill(ask, state)
+        return self.slots.predict_wait(
+            state.slots, ask.urgency, own_s, immediate=immediate
+        )
+
 
 def find_preferred_engine(ask: Ask, ready: list[Instance]) -> str:
     """Find the engine that all hosts prefer for the shared part of a prompt.
--- a/egretdale/coordination/forwarding.py
+++ b/egretdale/coordination/forwarding.py
@@ -133,7 +133,7 @@
             return None
         if outcome.response.status >= _REDIRECTION:
             outcome.response.close()
-            self._loads.end(outcome.choice.instance.incarnation)
+            self._end(progress, outcome.choice)
             return None
         return outcome
 
@@ -147,7 +147,7 @@
         :param failed: whether the backend server failed to complete it.
         """
         incarnation = choice.instance.incarnation
-        self._loads.end(incarnation)
+        self._end(progress, choice)
         self._loads.note_outcome(incarnation, failed=failed)
         if failed:
             progress.may_have_run = True
@@ -251,7 +251,7 @@
         )
         progress.avoided.append(instance.name)
         sent_at = self._clock()
-        outcome = self._send(attempt, choice, sent_at)
+        outcome = self._send(progress, attempt, choice, sent_at)
         self._recorder.record(progress, choice, outcome, sent_at)
         match outcome:
             case NotRun():
@@ -267,6 +267,7 @@
 
     def _send(
         self,
+        progress: Progress,
         attempt: ForwardAttempt,
         choice: BackendChoice,
         sent_at: float,
@@ -274,21 +275,33 @@
         incarnation = choice.instance.incarnation
         self._loads.begin(incarnation, choice.prefill_tokens)
         opened = False
+        first_token_ms = -1
         try:
             outcome = self._client.open(attempt)
-            opened = not isinstance(outcome, NotRun | MaybeRun)
+            if not isinstance(outcome, NotRun | MaybeRun):
+                opened = True
+                if outcome.status < _REDIRECTION:
+                    first_token_ms = convert_to_ms(self._clock() - sent_at)
         finally:
             self._loads.note_first_byte(incarnation, choice.prefill_tokens)
-            if attempt.request.prompt.tokens:
-                first_byte_s = self._clock() - sent_at
-                self._prefill_client.note_first_token(
-                    attempt.request.request_id,
-                    convert_to_ms(first_byte_s) if opened else -1,
-                )
+            request_id = attempt.request.request_id
+            self._prefill_client.note_first_token(request_id, first_token_ms)
             if not opened:
-                self._loads.end(incarnation)
+                self._end(progress, choice)
         return outcome
 
+    def _end(
+        self,
+        progress: Progress,
+        choice: BackendChoice,
+        *,
+        rejected: bool = False,
+    ) -> None:
+        """Record that a request no longer runs at a backend server."""
+        self._loads.end(choice.instance.incarnation)
+        request_id = progress.admitted.request.request_id
+        self._prefill_client.note_end(request_id, rejected=rejected)
+
     def _accept_response(
         self,
         progress: Progress,
@@ -305,18 +318,18 @@
         incarnation = choice.instance.incarnation
         if response.not_run:
             response.close()
-            self._loads.end(incarnation)
+            self._end(progress, choice, rejected=True)
             return None
         progress.may_have_run = True
         if not response.sealed:
             response.close()
-            self._loads.end(incarnation)
+            self._end(progress, choice)
             self._loads.note_outcome(incarnation, failed=True)
             return None
         failed = response.status >= _SERVER_ERROR
         if failed and self._may_retry(progress):
             response.close()
-            self._loads.end(incarnation)
+            self._end(progress, choice)
             self._loads.note_outcome(incarnation, failed=True)
             return None
         self._chooser.note(choice, progress.admitted.request.prompt)
--- a/egretdale/coordination/prefill.py
+++ b/egretdale/coordination/prefill.py
@@ -10,55 +10,33 @@
 
 import eventlet
 
-from egretdale.coordination.engine_choice import (
-    EngineChooser,
-    EngineState,
-    find_preferred_engine,
-)
+from egretdale.coordination.engine_choice import EngineChooser
 from egretdale.coordination.mesh import Mesh, MeshListener
-from egretdale.state.backlogs import predict_prefill
+from egretdale.coordination.prefill_policy import ChosenEngine, PrefillPolicy
 from egretdale.state.groups import GroupMap
 from egretdale.state.instances import Instance, InstanceTable
 from egretdale.state.messages import (
-    Ask,
     Batch,
     Denial,
     Done,
     Grant,
     GroupAsk,
     GroupReply,
+    Release,
 )
 from egretdale.state.prompts import GrantedPrompt, GroupQueue, WaitingPrompt
-from egretdale.util.clocks import (
-    Clock,
-    convert_to_ms,
-    convert_to_seconds,
-)
-from egretdale.util.logs import get_logger
-
-logger = get_logger(__name__)
+from egretdale.util.clocks import Clock, convert_to_seconds
 
 #: Reason of a denial that only confirms that the request is queued.
 QUEUED = 'held'
-#: Reason of a denial for a request that no engine can serve in time.
-OVERLOADED = 'overloaded'
 
 _TICK_S = 0.01
 #: Minimum time in seconds between two scans of a group's waiting requests
 #: when new ones arrive.
 _SCAN_INTERVAL_S = 0.005
-#: Requests with at most this target in seconds go to an engine at once.
-_SHORT_TARGET_S = 0.3
-#: Maximum outstanding prefill in seconds of an engine that gets another
-#: prompt: enough to keep it busy, little for a short prompt to wait for.
-_MAXIMUM_BACKLOG_S = 0.08
-#: Part of the time until its deadline that a request may spend waiting.
-_WAIT_SHARE = 0.4
 #: Part of the prefill of a tier that goes to its oldest request, so that long
 #: prompts are not starved in a lasting overload.
 _OLDEST_SHARE = 0.1
-#: Minimum retry time in seconds of a denied request.
-_DENIED_RETRY_S = 0.3
 
 
 class PrefillAllocator(MeshListener):
@@ -73,7 +51,9 @@
         '_clock',
         '_groups',
         '_mesh',
+        '_policy',
         '_queues',
+        '_releasing_hosts',
         '_ticking',
     )
 
@@ -90,6 +70,10 @@
         self._groups = GroupMap(instances)
         self._clock = clock
         self._chooser = EngineChooser(clock)
+        self._policy = PrefillPolicy(self._chooser, clock)
+        # Hosts of earlier versions do not tell when prompts end, so the slots
+        # that these hold are not known.
+        self._releasing_hosts: set[str] = set()
         self._queues: dict[str, GroupQueue] = {}
         self._ticking = False
 
@@ -108,19 +92,22 @@
         """Handle a message of a host for one group.
 
         :param host: name of the host.
-        :param message: its new and withdrawn requests and the granted ones that
-            no longer wait for a first token.
+        :param message: its new and withdrawn requests, the granted ones that
+            no longer wait for a first token, and those that have ended.
         :return: grants and denials, also those that only confirm a wait.
         """
         queue = self._queues.setdefault(message.group, GroupQueue())
         for done in message.done:
-            self._finish(queue, done)
+            self._note_first_token(queue, done)
+        for release in message.released:
+            self._releasing_hosts.add(host)
+            self._release(queue, release)
         for request_id in message.withdrawn:
             queue.waiting.pop(request_id, None)
-            self._finish(queue, Done(request_id, ''))
+            self._release(queue, Release(request_id))
         now = self._clock()
         for ask in message.asks:
-            queue.waiting[ask.request_id] = WaitingPrompt(ask, host, now)
+            queue.note_arrival(WaitingPrompt(ask, host, now))
         reply = self._decide_on_arrival(message, queue, host)
         for ask in message.asks:
             if ask.request_id in queue.waiting:
@@ -160,8 +147,8 @@
     ) -> GroupReply:
         """Decide on requests that have just arrived.
 
-        When the group was scanned only just before, only requests that never
-        wait are decided on; the others follow with the next tick.
+        When the group was scanned only just before, only urgent requests are
+        decided on; the others follow with the next tick.
 
         :param message: the new requests.
         :param queue: all requests of the group.
@@ -172,12 +159,12 @@
         if only_new or self._clock() >= queue.scanned_at + _SCAN_INTERVAL_S:
             replies = self._decide_waiting(message.group, queue)
         else:
-            short = [
+            urgent = [
                 queue.waiting[ask.request_id]
                 for ask in message.asks
-                if _is_short(ask)
+                if queue.is_urgent(ask)
             ]
-            replies = self._decide_all(message.group, queue, short)
+            replies = self._decide_all(message.group, queue, urgent)
         reply = replies.pop(host, GroupReply(message.group))
         self._post(replies)
         return reply
@@ -202,78 +189,65 @@
         if not ordered:
             return replies
         states = self._chooser.measure(self._groups.list_engines(group))
-        waiting_tokens = 0
+        scan = self._policy.begin_scan(queue, states)
         for waiting in ordered:
-            ahead_s = predict_prefill(waiting_tokens) / max(1, len(states))
-            decision = self._decide(queue, waiting, states, ahead_s)
+            decision = self._policy.decide(scan, waiting)
             if decision is None:
-                waiting_tokens += waiting.own_tokens
                 continue
-            queue.waiting.pop(waiting.ask.request_id)
             reply = replies.setdefault(waiting.host, GroupReply(group))
-            if isinstance(decision, Grant):
-                reply.grants.append(decision)
+            if isinstance(decision, ChosenEngine):
+                reply.grants.append(self._grant(queue, waiting, decision))
             else:
                 reply.denials.append(decision)
+            queue.waiting.pop(waiting.ask.request_id)
         return replies
 
-    def _decide(
-        self,
-        queue: GroupQueue,
-        waiting: WaitingPrompt,
-        states: list[EngineState],
-        ahead_s: float,
-    ) -> Grant | Denial | None:
+    def _grant(
+        self, queue: GroupQueue, waiting: WaitingPrompt, chosen: ChosenEngine
+    ) -> Grant:
         ask = waiting.ask
-        waited_s = self._clock() - waiting.arrived_at
-        if waited_s + ahead_s > convert_to_seconds(ask.left_ms) * _WAIT_SHARE:
-            return self._deny(ask, waited_s, ahead_s)
-        usable = _exclude_avoided(ask, states)
-        if not usable:
-            return Denial(ask.request_id, OVERLOADED)
-        if not _is_short(ask) and not _has_free_engine(usable):
-            return None
-        if not waiting.preferred:
-            ready = [state.instance for state in usable]
-            waiting.preferred = find_preferred_engine(ask, ready)
-        state = self._chooser.choose(ask, usable, waiting.preferred, ahead_s)
-        if state.wait_s > _MAXIMUM_BACKLOG_S and not _is_short(ask):
-            return None
+        state = chosen.state
         tokens = self._chooser.reserve(ask, state)
-        if not _is_short(ask):
+        if waiting.host in self._releasing_hosts:
+            self._chooser.hold_slot(ask, state)
+        if not chosen.immediate:
             queue.note_grant(waiting, _OLDEST_SHARE)
         queue.granted[ask.request_id] = GrantedPrompt(
             state.name,
+            ask.class_name,
+            ask.maximum_tokens,
             self._clock() + convert_to_seconds(ask.left_ms),
-            _is_short(ask),
+            chosen.immediate,
         )
         return Grant(ask.request_id, state.instance.name, tokens)
 
-    def _deny(self, ask: Ask, waited_s: float, ahead_s: float) -> Denial:
-        logger.info(
-            'prompt-denied',
-            request_id=ask.request_id,
-            urgency=ask.urgency,
-            waited_ms=convert_to_ms(waited_s),
-            ahead_ms=convert_to_ms(ahead_s),
-        )
-        return Denial(
-            ask.request_id,
-            OVERLOADED,
-            convert_to_ms(max(_DENIED_RETRY_S, ahead_s)),
-            convert_to_ms(waited_s),
-        )
-
-    def _finish(self, queue: GroupQueue, done: Done) -> None:
-        granted = queue.granted.pop(done.request_id, None)
+    def _note_first_token(self, queue: GroupQueue, done: Done) -> None:
+        granted = queue.granted.get(done.request_id)
         if granted is None:
             return
-        tokens = self._chooser.backlogs.finish(granted.engine, done.request_id)
-        if granted.short and done.first_token_ms >= 0:
-            first_token_s = convert_to_seconds(done.first_token_ms)
-            self._chooser.backlogs.learn_delay(
-                granted.engine, tokens, first_token_s
-            )
+        backlogs = self._chooser.backlogs
+        if done.first_token_ms < 0:
+            backlogs.finish(granted.engine, done.request_id)
+            return
+        first_token_s = convert_to_seconds(done.first_token_ms)
+        work = backlogs.finish(granted.engine, done.request_id, first_token_s)
+        granted.first_token_s = first_token_s
+        granted.prefilled_s = backlogs.measure_prefilled(granted.engine)
+        if granted.immediate:
+            backlogs.learn_delay(granted.engine, work, first_token_s)
+
+    def _release(self, queue: GroupQueue, release: Release) -> None:
+        granted = queue.granted.pop(release.request_id, None)
+        if granted is None:
+            return
+        chooser = self._chooser
+        chooser.backlogs.finish(granted.engine, release.request_id)
+        chooser.slots.end(granted.engine, release.request_id)
+        if release.rejected:
+            chooser.slots.note_rejection(granted.engine)
+        elif granted.first_token_s is not None and release.held_ms:
+            held_s = convert_to_seconds(release.held_ms)
+            chooser.note_stream(granted, held_s)
 
     def _expire(self, queue: GroupQueue) -> None:
         now = self._clock()
@@ -283,21 +257,7 @@
             if granted.expires_at <= now
         ]
         for request_id in expired:
-            self._finish(queue, Done(request_id, ''))
-
-
-def _exclude_avoided(ask: Ask, states: list[EngineState]) -> list[EngineState]:
-    if not ask.avoided:
-        return states
-    return [state for state in states if state.instance.name not in ask.avoided]
-
-
-def _has_free_engine(usable: list[EngineState]) -> bool:
-    return any(state.wait_s <= _MAXIMUM_BACKLOG_S for state in usable)
-
-
-def _is_short(ask: Ask) -> bool:
-    return convert_to_seconds(ask.target_ms) <= _SHORT_TARGET_S
+            self._release(queue, Release(request_id))
 
 
 def _order(queue: GroupQueue) -> list[WaitingPrompt]:
--- a/egretdale/coordination/prefill_client.py
+++ b/egretdale/coordination/prefill_client.py
@@ -22,6 +22,7 @@
     Grant,
     GroupAsk,
     GroupReply,
+    Release,
 )
 from egretdale.state.outcomes import Ran, Reason, Refused
 from egretdale.util.clocks import Clock, convert_to_ms, convert_to_seconds
@@ -38,7 +39,8 @@
 #: Part of the time until the deadline within which a denial comes early enough
 #: to ask another group.
 _EARLY_DENIAL_SHARE = 0.05
-#: Maximum delay in seconds of reports of first tokens, which are sent together.
+#: Maximum delay in seconds of reports of first tokens and ends, which are sent
+#: together.
 _FLUSH_S = 0.04
 
 
@@ -78,6 +80,18 @@
         return self.replies.pop(0) if self.replies else None
 
 
+@dataclass(slots=True, frozen=True)
+class GrantedEngine:
+    """An engine that was granted to a request.
+
+    :ivar group: group of the engine.
+    :ivar granted_at: clock time of the grant.
+    """
+
+    group: str
+    granted_at: float
+
+
 class PrefillClient(MeshListener):
     """Requests engines for the prompts of this host.
 
@@ -94,6 +108,7 @@
         '_instances',
         '_mesh',
         '_pending',
+        '_released',
         '_silent',
     )
 
@@ -118,11 +133,11 @@
         self._allocator = allocator
         self._instances = instances
         self._groups = GroupMap(instances)
-        # Groups by request, for granted requests without a first token.
-        self._granted: dict[str, str] = {}
+        self._granted: dict[str, GrantedEngine] = {}
         self._clock = clock
         self._pending: dict[str, PendingAsk] = {}
         self._done: dict[str, list[Done]] = {}
+        self._released: dict[str, list[Release]] = {}
         self._avoided_until: dict[str, float] = {}
 
     def request_engine(
@@ -173,7 +188,7 @@
             )
             self._withdraw(group, owner, ask.request_id)
         if isinstance(reply, Grant):
-            self._granted[ask.request_id] = group
+            self._granted[ask.request_id] = GrantedEngine(group, self._clock())
         return self._interpret_reply(reply)
 
     def note_first_token(self, request_id: str, first_token_ms: int) -> None:
@@ -183,16 +198,27 @@
         :param first_token_ms: milliseconds from sending it to the first
             token, -1 without one.
         """
-        group = self._granted.pop(request_id, None)
-        if group is None:
+        granted = self._granted.get(request_id)
+        if granted is None:
             # This host chose the engine by itself.
             return
         done = Done(request_id, '', first_token_ms=first_token_ms)
-        if group in self._done:
-            self._done[group].append(done)
-        else:
-            self._done[group] = [done]
-            eventlet.spawn_after(_FLUSH_S, self._flush, group)
+        self._schedule_flush(granted.group)
+        self._done.setdefault(granted.group, []).append(done)
+
+    def note_end(self, request_id: str, *, rejected: bool = False) -> None:
+        """Record that a request no longer runs at the engine granted to it.
+
+        :param request_id: identity of the request.
+        :param rejected: whether the engine rejected it without running it.
+        """
+        granted = self._granted.pop(request_id, None)
+        if granted is None:
+            return
+        held_ms = convert_to_ms(self._clock() - granted.granted_at)
+        release = Release(request_id, held_ms, rejected)
+        self._schedule_flush(granted.group)
+        self._released.setdefault(granted.group, []).append(release)
 
     def receive(self, batch: Batch) -> None:
         """Pass replies of allocators to the requests that wait for them.
@@ -211,9 +237,13 @@
             if pending.owner == host:
                 pending.put(None)
 
+    def _schedule_flush(self, group: str) -> None:
+        if group not in self._done and group not in self._released:
+            eventlet.spawn_after(_FLUSH_S, self._flush, group)
+
     def _flush(self, group: str) -> None:
         # A message sent in the meantime has already carried the reports.
-        if group in self._done:
+        if group in self._done or group in self._released:
             self._send(self._find_owner(group), GroupAsk(group))
 
     def _find_owner(self, group: str) -> str:
@@ -227,6 +257,7 @@
 
     def _send(self, owner: str, message: GroupAsk) -> None:
         message.done = self._done.pop(message.group, [])
+        message.released = self._released.pop(message.group, [])
         if owner == self._mesh.table.own_host:
             self._accept_reply(self._allocator.handle_message(owner, message))
         else:
--- a/egretdale/protocol/gen/ttypes.py
+++ b/egretdale/protocol/gen/ttypes.py
@@ -517,6 +517,98 @@
         return not (self == other)
 
 
+class Release(object):
+    """
+    Attributes:
+     - request_id
+     - held_ms
+     - rejected
+
+    """
+
+    __slots__ = (
+        'request_id',
+        'held_ms',
+        'rejected',
+    )
+
+
+    def __init__(self, request_id=None, held_ms=None, rejected=None,):
+        self.request_id = request_id
+        self.held_ms = held_ms
+        self.rejected = rejected
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.held_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.rejected = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Release')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 1)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
+        if self.held_ms is not None:
+            oprot.writeFieldBegin('held_ms', TType.I32, 2)
+            oprot.writeI32(self.held_ms)
+            oprot.writeFieldEnd()
+        if self.rejected is not None:
+            oprot.writeFieldBegin('rejected', TType.BOOL, 3)
+            oprot.writeBool(self.rejected)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Grant(object):
     """
     Attributes:
@@ -814,6 +906,7 @@
      - running
      - done
      - withdrawn
+     - released
 
     """
 
@@ -824,16 +917,18 @@
         'running',
         'done',
         'withdrawn',
+        'released',
     )
 
 
-    def __init__(self, group=None, full=None, asks=None, running=None, done=None, withdrawn=None,):
+    def __init__(self, group=None, full=None, asks=None, running=None, done=None, withdrawn=None, released=None,):
         self.group = group
         self.full = full
         self.asks = asks
         self.running = running
         self.done = done
         self.withdrawn = withdrawn
+        self.released = released
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -897,6 +992,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.released = []
+                    (_etype34, _size31) = iprot.readListBegin()
+                    for _i35 in range(_size31):
+                        _elem36 = Release()
+                        _elem36.read(iprot)
+                        self.released.append(_elem36)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -918,29 +1024,36 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter31 in self.asks:
-                iter31.write(oprot)
+            for iter37 in self.asks:
+                iter37.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.running is not None:
             oprot.writeFieldBegin('running', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.running))
-            for iter32 in self.running:
-                iter32.write(oprot)
+            for iter38 in self.running:
+                iter38.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.done is not None:
             oprot.writeFieldBegin('done', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.done))
-            for iter33 in self.done:
-                iter33.write(oprot)
+            for iter39 in self.done:
+                iter39.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.withdrawn is not None:
             oprot.writeFieldBegin('withdrawn', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.withdrawn))
-            for iter34 in self.withdrawn:
-                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
+            for iter40 in self.withdrawn:
+                oprot.writeString(iter40.encode('utf-8') if sys.version_info[0] == 2 else iter40)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.released is not None:
+            oprot.writeFieldBegin('released', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.released))
+            for iter41 in self.released:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1020,33 +1133,33 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.grants = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = Grant()
-                        _elem40.read(iprot)
-                        self.grants.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = Grant()
+                        _elem47.read(iprot)
+                        self.grants.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.denials = []
-                    (_etype44, _size41) = iprot.readListBegin()
-                    for _i45 in range(_size41):
-                        _elem46 = Denial()
-                        _elem46.read(iprot)
-                        self.denials.append(_elem46)
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = Denial()
+                        _elem53.read(iprot)
+                        self.denials.append(_elem53)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.pauses = []
-                    (_etype50, _size47) = iprot.readListBegin()
-                    for _i51 in range(_size47):
-                        _elem52 = Pause()
-                        _elem52.read(iprot)
-                        self.pauses.append(_elem52)
+                    (_etype57, _size54) = iprot.readListBegin()
+                    for _i58 in range(_size54):
+                        _elem59 = Pause()
+                        _elem59.read(iprot)
+                        self.pauses.append(_elem59)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1076,22 +1189,22 @@
         if self.grants is not None:
             oprot.writeFieldBegin('grants', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.grants))
-            for iter53 in self.grants:
-                iter53.write(oprot)
+            for iter60 in self.grants:
+                iter60.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.denials is not None:
             oprot.writeFieldBegin('denials', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.denials))
-            for iter54 in self.denials:
-                iter54.write(oprot)
+            for iter61 in self.denials:
+                iter61.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pauses is not None:
             oprot.writeFieldBegin('pauses', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.pauses))
-            for iter55 in self.pauses:
-                iter55.write(oprot)
+            for iter62 in self.pauses:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.load_permille is not None:
@@ -1541,55 +1654,55 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.asks = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = GroupAsk()
-                        _elem61.read(iprot)
-                        self.asks.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = GroupAsk()
+                        _elem68.read(iprot)
+                        self.asks.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.replies = []
-                    (_etype65, _size62) = iprot.readListBegin()
-                    for _i66 in range(_size62):
-                        _elem67 = GroupReply()
-                        _elem67.read(iprot)
-                        self.replies.append(_elem67)
+                    (_etype72, _size69) = iprot.readListBegin()
+                    for _i73 in range(_size69):
+                        _elem74 = GroupReply()
+                        _elem74.read(iprot)
+                        self.replies.append(_elem74)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype71, _size68) = iprot.readListBegin()
-                    for _i72 in range(_size68):
-                        _elem73 = MemberUpdate()
-                        _elem73.read(iprot)
-                        self.members.append(_elem73)
+                    (_etype78, _size75) = iprot.readListBegin()
+                    for _i79 in range(_size75):
+                        _elem80 = MemberUpdate()
+                        _elem80.read(iprot)
+                        self.members.append(_elem80)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.backends = []
-                    (_etype77, _size74) = iprot.readListBegin()
-                    for _i78 in range(_size74):
-                        _elem79 = BackendUpdate()
-                        _elem79.read(iprot)
-                        self.backends.append(_elem79)
+                    (_etype84, _size81) = iprot.readListBegin()
+                    for _i85 in range(_size81):
+                        _elem86 = BackendUpdate()
+                        _elem86.read(iprot)
+                        self.backends.append(_elem86)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.revisions = []
-                    (_etype83, _size80) = iprot.readListBegin()
-                    for _i84 in range(_size80):
-                        _elem85 = Revision()
-                        _elem85.read(iprot)
-                        self.revisions.append(_elem85)
+                    (_etype90, _size87) = iprot.readListBegin()
+                    for _i91 in range(_size87):
+                        _elem92 = Revision()
+                        _elem92.read(iprot)
+                        self.revisions.append(_elem92)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1619,36 +1732,36 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter86 in self.asks:
-                iter86.write(oprot)
+            for iter93 in self.asks:
+                iter93.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.replies is not None:
             oprot.writeFieldBegin('replies', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.replies))
-            for iter87 in self.replies:
-                iter87.write(oprot)
+            for iter94 in self.replies:
+                iter94.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter88 in self.members:
-                iter88.write(oprot)
+            for iter95 in self.members:
+                iter95.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.backends is not None:
             oprot.writeFieldBegin('backends', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.backends))
-            for iter89 in self.backends:
-                iter89.write(oprot)
+            for iter96 in self.backends:
+                iter96.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.revisions is not None:
             oprot.writeFieldBegin('revisions', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.revisions))
-            for iter90 in self.revisions:
-                iter90.write(oprot)
+            for iter97 in self.revisions:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.complete is not None:
@@ -2218,21 +2331,21 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = ObjectCopy()
-                        _elem96.read(iprot)
-                        self.entries.append(_elem96)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = ObjectCopy()
+                        _elem103.read(iprot)
+                        self.entries.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype100, _size97) = iprot.readListBegin()
-                    for _i101 in range(_size97):
-                        _elem102 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.gone.append(_elem102)
+                    (_etype107, _size104) = iprot.readListBegin()
+                    for _i108 in range(_size104):
+                        _elem109 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gone.append(_elem109)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2273,15 +2386,15 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter103 in self.entries:
-                iter103.write(oprot)
+            for iter110 in self.entries:
+                iter110.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.gone))
-            for iter104 in self.gone:
-                oprot.writeString(iter104.encode('utf-8') if sys.version_info[0] == 2 else iter104)
+            for iter111 in self.gone:
+                oprot.writeString(iter111.encode('utf-8') if sys.version_info[0] == 2 else iter111)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2346,6 +2459,13 @@
     (6, TType.BOOL, 'whole', None, None, ),  # 6
     (7, TType.BOOL, 'failed', None, None, ),  # 7
 )
+all_structs.append(Release)
+Release.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request_id', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'held_ms', None, None, ),  # 2
+    (3, TType.BOOL, 'rejected', None, None, ),  # 3
+)
 all_structs.append(Grant)
 Grant.thrift_spec = (
     None,  # 0
@@ -2377,6 +2497,7 @@
     (4, TType.LIST, 'running', (TType.STRUCT, [Running, None], False), None, ),  # 4
     (5, TType.LIST, 'done', (TType.STRUCT, [Done, None], False), None, ),  # 5
     (6, TType.LIST, 'withdrawn', (TType.STRING, 'UTF8', False), None, ),  # 6
+    (7, TType.LIST, 'released', (TType.STRUCT, [Release, None], False), None, ),  # 7
 )
 all_structs.append(GroupReply)
 GroupReply.thrift_spec = (
--- a/egretdale/protocol/peer.thrift
+++ b/egretdale/protocol/peer.thrift
@@ -36,6 +36,12 @@
   7: bool failed
 }
 
+struct Release {
+  1: string request_id
+  2: i32 held_ms
+  3: bool rejected
+}
+
 struct Grant {
   1: string request_id
   2: string backend
@@ -62,6 +68,7 @@
   4: list<Running> running
   5: list<Done> done
   6: list<string> withdrawn
+  7: list<Release> released
 }
 
 struct GroupReply {
--- /dev/null
+++ b/egretdale/state/engine_slots.py
@@ -0,0 +1,315 @@
+"""Slots of model engines and the requests that hold them.
+
+This serves engines with few slots, and bursts of long prompts. A request that
+is sent to an engine without a free slot waits there, is rejected, or takes the
+slot of a less urgent one, whose prompt has to be prefilled again. Where slots
+are many, each prompt still slows down all streams of its engine: responses
+then take long to finish, and a crash breaks all of them.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+from egretdale.state.instances import Instance
+from egretdale.util.averages import smooth
+from egretdale.util.clocks import Clock
+
+#: Time in seconds for which an engine that rejected a request counts as full.
+_REJECTION_MEMORY_S = 0.25
+#: Part of the slots of an engine that is kept free for urgent requests, rounded
+#: up.
+_RESERVED_SHARE = 0.05
+#: Penalty in seconds for preempting a request, whose prompt has to be
+#: prefilled again.
+PREEMPTION_PENALTY_S = 0.1
+#: Assumed seconds for which a request holds a slot, before the first sample.
+_INITIAL_HOLD_S = 1.0
+_HOLD_SMOOTHING = 0.05
+#: Factor from the requests that an engine runs when it rejects another one to
+#: the number of slots that it is assumed to have, if it does not tell.
+_REJECTION_SHARE = 0.9
+#: Slots by which that number grows with every request that ends.
+_LIMIT_INCREASE = 0.05
+#: Time that a stream may take, as a multiple of its time on an engine that
+#: prefills nothing.
+_MAXIMUM_SLOWDOWN = 3.0
+#: Requests that an engine may always run, so that it is kept busy by prompts
+#: with short responses.
+_MINIMUM_CONCURRENCY = 8
+#: Number of ended requests from which the concurrency is limited.
+_MINIMUM_SAMPLES = 20
+
+
+@dataclass(slots=True, frozen=True)
+class HeldSlot:
+    """A slot that a request holds.
+
+    :ivar urgency: urgency of the request, 0 is the highest.
+    :ivar expires_at: clock time after which the request has certainly ended.
+    """
+
+    urgency: int
+    expires_at: float
+
+
+@dataclass(slots=True)
+class EngineSlots:
+    """The slots of one engine.
+
+    :ivar use: what the requests of its service take.
+    :ivar limit: number of slots.
+    :ivar announced: whether the engine has announced that number.
+    :ivar held: held slots by request ID.
+    :ivar full_until: clock time until which the engine counts as full after
+        it rejected a request.
+    """
+
+    use: ServiceUse
+    limit: float
+    announced: bool
+    held: dict[str, HeldSlot] = field(default_factory=dict)
+    full_until: float = float('-inf')
+
+    def count(self, urgency: int) -> int:
+        """Count the requests that a new one cannot preempt.
+
+        :param urgency: urgency of the new request.
+        :return: requests that are at least as urgent.
+        """
+        return sum(slot.urgency <= urgency for slot in self.held.values())
+
+
+@dataclass(slots=True, frozen=True)
+class StreamTime:
+    """Measured time of a request at an engine.
+
+    :ivar maximum_tokens: output limit of the request.
+    :ivar held_s: seconds for which it held a slot.
+    :ivar streamed_s: seconds from its first token to its end.
+    :ivar interrupted_s: seconds that the engine prefilled in that time.
+    """
+
+    maximum_tokens: int
+    held_s: float
+    streamed_s: float
+    interrupted_s: float
+
+
+class ServiceUse:
+    """What the requests of a service take from its engines, on average.
+
+    :ivar hold_s: seconds for which a request holds a slot.
+    """
+
+    __slots__ = (
+        '_alone_s',
+        '_by_class',
+        '_count',
+        '_prefill_s',
+        '_streamed_tokens',
+        '_tokens',
+        'hold_s',
+    )
+
+    def __init__(self) -> None:
+        """Start from the assumed values."""
+        self.hold_s = _INITIAL_HOLD_S
+        self._by_class: dict[str, float] = {}
+        # Output limits of the requests that were sent and of those that have
+        # ended; in the first seconds of a burst only the short ones have.
+        self._tokens = float(0)
+        self._streamed_tokens = float(0)
+        self._alone_s = float(0)
+        self._prefill_s = float(0)
+        self._count = 0
+
+    def note_request(self, maximum_tokens: int, prefill_s: float) -> None:
+        """Update the mean size of requests.
+
+        :param maximum_tokens: output limit of a request.
+        :param prefill_s: seconds to prefill its prompt.
+        """
+        self._tokens = smooth(self._tokens, maximum_tokens, _HOLD_SMOOTHING)
+        self._prefill_s = smooth(self._prefill_s, prefill_s, _HOLD_SMOOTHING)
+
+    def learn_stream(self, class_name: str, sample: StreamTime) -> None:
+        """Update the mean times from a request that has ended.
+
+        :param class_name: class of the request.
+        :param sample: its times.
+        """
+        self._count += 1
+        weight = max(1 / self._count, _HOLD_SMOOTHING)
+        alone_s = max(0, sample.streamed_s - sample.interrupted_s)
+        self._alone_s = smooth(self._alone_s, alone_s, weight)
+        self._streamed_tokens = smooth(
+            self._streamed_tokens, sample.maximum_tokens, weight
+        )
+        self.hold_s = smooth(self.hold_s, sample.held_s, weight)
+        known_s = self._by_class.get(class_name, sample.held_s)
+        self._by_class[class_name] = smooth(
+            known_s, sample.held_s, _HOLD_SMOOTHING
+        )
+
+    def predict_hold(self, class_name: str) -> float:
+        """Predict for how long a request holds a slot.
+
+        :param class_name: class of the request.
+        :return: seconds.
+        """
+        return self._by_class.get(class_name, self.hold_s)
+
+    def limit_concurrency(self, prefill_s: float) -> float:
+        """Return the number of requests that an engine should run at most.
+
+        With n requests at an engine, n prompts are prefilled while one of them
+        streams its response. Only prompts of at least average length count, as
+        the others hardly slow down the streams.
+
+        :param prefill_s: seconds of prefill that a further request needs.
+        """
+        if self._count < _MINIMUM_SAMPLES or not self._streamed_tokens:
+            return math.inf
+        if prefill_s < self._prefill_s:
+            return math.inf
+        token_s = self._alone_s / self._streamed_tokens
+        spare_s = self._tokens * token_s * (_MAXIMUM_SLOWDOWN - 1)
+        return max(_MINIMUM_CONCURRENCY, spare_s / self._prefill_s)
+
+
+class SlotTable:
+    """Slots of engines, by the name of their incarnation."""
+
+    __slots__ = ('_clock', '_engines', '_uses')
+
+    def __init__(self, clock: Clock) -> None:
+        """Create an empty table.
+
+        :param clock: monotonic clock.
+        """
+        self._clock = clock
+        self._engines: dict[str, EngineSlots] = {}
+        self._uses: dict[str, ServiceUse] = {}
+
+    def find(self, instance: Instance) -> EngineSlots:
+        """Return the slots of an engine.
+
+        :param instance: the engine.
+        :return: its slots, without requests that have certainly ended.
+        """
+        slots = self._engines.get(instance.incarnation_name)
+        if slots is None:
+            limit = instance.slots or math.inf
+            slots = EngineSlots(
+                self.find_use(instance.service),
+                limit,
+                announced=instance.slots > 0,
+            )
+            self._engines[instance.incarnation_name] = slots
+        now = self._clock()
+        expired = [
+            request_id
+            for request_id, slot in slots.held.items()
+            if slot.expires_at <= now
+        ]
+        for request_id in expired:
+            slots.held.pop(request_id)
+        return slots
+
+    def find_known(self, engine: str) -> EngineSlots | None:
+        """Return the slots of an engine that has been used.
+
+        :param engine: name of its incarnation.
+        :return: its slots, ``None`` if it is unknown or has stopped.
+        """
+        return self._engines.get(engine)
+
+    def begin(
+        self, instance: Instance, request_id: str, slot: HeldSlot
+    ) -> None:
+        """Record that a request is sent to an engine.
+
+        :param instance: the engine.
+        :param request_id: ID of the request.
+        :param slot: the slot that it will hold.
+        """
+        self.find(instance).held[request_id] = slot
+
+    def end(self, engine: str, request_id: str) -> None:
+        """Record that a request has ended.
+
+        :param engine: name of the engine's incarnation.
+        :param request_id: ID of the request.
+        """
+        slots = self._engines.get(engine)
+        if slots is None:
+            return
+        slots.held.pop(request_id, None)
+        if not slots.announced:
+            slots.limit += _LIMIT_INCREASE
+
+    def note_rejection(self, engine: str) -> None:
+        """Record that an engine rejected a request because it was full.
+
+        :param engine: name of the engine's incarnation.
+        """
+        slots = self._engines.get(engine)
+        if slots is None:
+            return
+        slots.full_until = self._clock() + _REJECTION_MEMORY_S
+        if not slots.announced:
+            slots.limit = max(1, len(slots.held) * _REJECTION_SHARE)
+
+    def predict_wait(
+        self,
+        slots: EngineSlots,
+        urgency: int,
+        prefill_s: float,
+        *,
+        immediate: bool,
+    ) -> float:
+        """Predict how long a request would wait for a slot.
+
+        Only urgent requests use the reserved slots or preempt others.
+
+        :param slots: slots of an engine.
+        :param urgency: urgency of the request.
+        :param prefill_s: seconds of prefill that it needs at least.
+        :param immediate: whether it is sent even if it preempts another one.
+        :return: seconds, 0 if a slot is free.
+        """
+        usable = slots.limit
+        if not immediate:
+            limit = slots.use.limit_concurrency(prefill_s)
+            usable = min(_subtract_reserve(usable), limit)
+        is_full = slots.full_until > self._clock()
+        if len(slots.held) + 1 <= usable and not is_full:
+            return 0
+        excess = len(slots.held) + 1 - usable
+        if immediate:
+            if slots.count(urgency) + 1 <= usable:
+                return PREEMPTION_PENALTY_S
+            excess = slots.count(urgency) + 1 - usable
+        return slots.use.hold_s * max(1, excess) / max(1, usable)
+
+    def find_use(self, service: str) -> ServiceUse:
+        """Return what the requests of a service take.
+
+        :param service: service name.
+        """
+        return self._uses.setdefault(service, ServiceUse())
+
+    def forget(self, engine: str) -> None:
+        """Remove an engine that has stopped.
+
+        :param engine: name of its incarnation.
+        """
+        self._engines.pop(engine, None)
+
+
+def _subtract_reserve(limit: float) -> float:
+    if limit <= 1 or math.isinf(limit):
+        return limit
+    return limit - math.ceil(limit * _RESERVED_SHARE)
--- a/egretdale/state/messages.py
+++ b/egretdale/state/messages.py
@@ -89,6 +89,20 @@
     failed: bool = False
 
 
+@dataclass(slots=True)
+class Release:
+    """The end of a prompt that was granted an engine.
+
+    :ivar request_id: ID of the request.
+    :ivar held_ms: milliseconds for which it held a slot of the engine.
+    :ivar rejected: whether the engine rejected it without running it.
+    """
+
+    request_id: str
+    held_ms: int = 0
+    rejected: bool = False
+
+
 @dataclass(slots=True)
 class Grant:
     """A slot on a backend server that is granted to a request.
@@ -143,6 +157,7 @@
     :ivar running: requests that hold slots.
     :ivar done: released slots.
     :ivar withdrawn: IDs of waiting requests that no longer need a slot.
+    :ivar released: prompts that have ended at their engines.
     """
 
     group: str
@@ -151,6 +166,7 @@
     running: list[Running] = field(default_factory=list)
     done: list[Done] = field(default_factory=list)
     withdrawn: list[str] = field(default_factory=list)
+    released: list[Release] = field(default_factory=list)
 
 
 @dataclass(slots=True)
--- a/egretdale/state/prompts.py
+++ b/egretdale/state/prompts.py
@@ -5,6 +5,12 @@
 from dataclasses import dataclass, field
 
 from egretdale.state.messages import Ask
+from egretdale.util.clocks import convert_to_seconds
+
+#: Time in seconds for which a group counts the requests of a class as usual.
+_CLASS_MEMORY_S = 20.0
+#: Targets up to this multiple of the shortest one count as short.
+_SHORT_TARGET_FACTOR = 1.25
 
 
 @dataclass(slots=True)
@@ -34,14 +40,35 @@
     """A request that was granted an engine and has no first token yet.
 
     :ivar engine: name of the engine's incarnation.
+    :ivar class_name: class of the request.
+    :ivar maximum_tokens: output limit of the request.
     :ivar expires_at: clock time after which it has certainly ended.
-    :ivar short: whether its target was so short that it was granted at once,
-        regardless of the engine's backlog.
+    :ivar immediate: whether it was granted at once, regardless of the
+        engine's backlog.
+    :ivar first_token_s: seconds from the grant to the first token, ``None``
+        before it.
+    :ivar prefilled_s: prefill of the engine in seconds until then.
     """
 
     engine: str
+    class_name: str
+    maximum_tokens: int
     expires_at: float
-    short: bool
+    immediate: bool
+    first_token_s: float | None = None
+    prefilled_s: float = 0
+
+
+@dataclass(slots=True, frozen=True)
+class PromptKind:
+    """Urgency and target of requests.
+
+    :ivar urgency: urgency, 0 is the highest.
+    :ivar target_ms: target for the first token in milliseconds.
+    """
+
+    urgency: int
+    target_ms: int
 
 
 @dataclass(slots=True)
@@ -49,16 +76,60 @@
     """Requests to one group of engines.
 
     :ivar waiting: waiting requests by ID, the oldest first.
-    :ivar granted: granted requests without a first token, by ID.
+    :ivar granted: granted requests that have not ended, by ID.
     :ivar scanned_at: clock time of the last scan of all waiting requests.
     :ivar credit: credit of the oldest request in prompt tokens, by urgency; it
         grows when other requests are granted before it.
+    :ivar seen_at: clock time of the last request of each kind.
     """
 
     waiting: dict[str, WaitingPrompt] = field(default_factory=dict)
     granted: dict[str, GrantedPrompt] = field(default_factory=dict)
     scanned_at: float = float('-inf')
     credit: dict[int, float] = field(default_factory=dict)
+    seen_at: dict[PromptKind, float] = field(default_factory=dict)
+
+    def note_arrival(self, waiting: WaitingPrompt) -> None:
+        """Queue a request.
+
+        :param waiting: the request.
+        """
+        ask = waiting.ask
+        self.waiting[ask.request_id] = waiting
+        self.seen_at[PromptKind(ask.urgency, ask.target_ms)] = (
+            waiting.arrived_at
+        )
+        oldest_at = waiting.arrived_at - _CLASS_MEMORY_S
+        expired = [kind for kind, at in self.seen_at.items() if at < oldest_at]
+        for kind in expired:
+            self.seen_at.pop(kind)
+
+    def find_shortest_target(self) -> float:
+        """Return the shortest target of recent requests in seconds."""
+        return convert_to_seconds(
+            min((kind.target_ms for kind in self.seen_at), default=0)
+        )
+
+    def is_urgent(self, ask: Ask) -> bool:
+        """Tell whether a request goes before all others.
+
+        That is the case if it has the highest urgency of those with a short
+        target, and there are others that it can go before.
+
+        :param ask: the request.
+        """
+        short_ms = _SHORT_TARGET_FACTOR * min(
+            kind.target_ms for kind in self.seen_at
+        )
+        urgencies = [
+            kind.urgency for kind in self.seen_at if kind.target_ms <= short_ms
+        ]
+        if ask.target_ms > short_ms or ask.urgency > min(urgencies):
+            return False
+        return any(
+            kind.urgency > ask.urgency or kind.target_ms > short_ms
+            for kind in self.seen_at
+        )
 
     def list_oldest(self) -> dict[int, WaitingPrompt]:
         """Return the oldest waiting request of each urgency."""
--- a/standins/emulation/engines.py
+++ b/standins/emulation/engines.py
@@ -19,6 +19,7 @@
 #: Seconds from the first token until its event is sent.
 _FIRST_EVENT_DELAY_S = 0.026
 _OK = 200
+_FULL = 503
 
 
 @dataclass(slots=True)
@@ -71,6 +72,24 @@
         self.engine.model.cancel(self.run)
 
 
+@dataclass(slots=True, frozen=True)
+class EmulatedRejection:
+    """The response of an engine whose queue is full."""
+
+    status: int = _FULL
+    headers: Sequence[tuple[str, str]] = ()
+    length: int | None = None
+    sealed: bool = True
+    not_run: bool = True
+
+    def read(self) -> EndOfStream:
+        """Return the end of an empty body."""
+        return EndOfStream()
+
+    def close(self) -> None:
+        """Close the connection."""
+
+
 @dataclass(slots=True)
 class EmulatedEngine:
     """An engine that can crash and restart.
@@ -166,7 +185,7 @@
 
     def open(
         self, attempt: ForwardAttempt
-    ) -> EmulatedResponse | NotRun | MaybeRun:
+    ) -> EmulatedResponse | EmulatedRejection | NotRun | MaybeRun:
         """Send a request and wait for its first event.
 
         :param attempt: the request and its engine.
@@ -175,6 +194,9 @@
         engine = self._engines[attempt.instance.name]
         if not engine.running:
             return NotRun('refused')
+        if engine.model.is_full():
+            eventlet.sleep(_LATENCY_S)
+            return EmulatedRejection()
         response = engine.open(attempt)
         completed = False
         timeout = eventlet.Timeout(attempt.left_s)
@@ -216,7 +238,13 @@
     :return: instances by name.
     """
     return {
-        name: Instance(name, service, '', born_ms=engine.born_ms)
+        name: Instance(
+            name,
+            service,
+            '',
+            born_ms=engine.born_ms,
+            slots=engine.profile.slots,
+        )
         for name, engine in engines.items()
         if engine.running
     }
--- a/standins/emulation/loads.py
+++ b/standins/emulation/loads.py
@@ -9,6 +9,7 @@
 from types import MappingProxyType
 
 from egretdale.coordination.exchanges import Prompt, PromptPart
+from standins.models.batches import BatchProfile
 
 #: Zipf exponent of the popularity of shared parts.
 _SKEW = 0.3
@@ -107,6 +108,8 @@
     :ivar burst: factor on the rates during the burst.
     :ivar burst_at_s: start of the burst in seconds.
     :ivar crash: whether an engine crashes during the burst.
+    :ivar bursting: name of the only class that bursts, empty for all.
+    :ivar profile: speed and limits of the engines.
     """
 
     name: str
@@ -116,17 +119,22 @@
     burst: float
     burst_at_s: float = _BURST_AT_S
     crash: bool = False
+    bursting: str = ''
+    profile: BatchProfile = BatchProfile()
 
     @property
     def duration_s(self) -> float:
         """Seconds in which requests arrive."""
         return _DURATION_S
 
-    def get_rate_factor(self, at: float) -> float:
-        """Return the factor on the rates at a time.
+    def get_rate_factor(self, name: str, at: float) -> float:
+        """Return the factor on the rate of a class at a time.
 
+        :param name: name of the class.
         :param at: seconds since the start.
         """
+        if self.bursting and name != self.bursting:
+            return 1
         end_s = self.burst_at_s + _BURST_DURATION_S
         return self.burst if self.burst_at_s <= at < end_s else 1
 
@@ -210,7 +218,8 @@
     number = 0
     while True:
         at += source.expovariate(
-            request_class.rate * workload.get_rate_factor(at)
+            request_class.rate
+            * workload.get_rate_factor(request_class.name, at)
         )
         if at >= workload.duration_s:
             return
@@ -287,6 +296,63 @@
 )
 
 
+_DIGESTS = PromptClass(
+    name='digest',
+    rate=26,
+    target_s=2.045,
+    pause_s=1,
+    patience_s=12.3,
+    worth=2.2,
+    late_worth=0.64,
+    priority=2,
+    own=LengthDistribution(6610, 1.4, 54600),
+    output=LengthDistribution(48, 0.44, 140),
+    common=SharedParts(LengthDistribution(512, 0.4, 1280), 3),
+    shared=SharedParts(LengthDistribution(4870, 0.7, 14600), 320),
+)
+_REPLIES = PromptClass(
+    name='reply',
+    rate=10,
+    target_s=0.319,
+    pause_s=0.25,
+    patience_s=12.7,
+    worth=2.5,
+    late_worth=0.22,
+    priority=0,
+    own=LengthDistribution(628, 1, 3310),
+    output=LengthDistribution(36, 0.69, 119),
+    common=SharedParts(LengthDistribution(119, 0.4, 298), 10),
+    shared=SharedParts(LengthDistribution(79, 0.7, 238), 130),
+    attempts=2,
+)
+_TAGS = PromptClass(
+    name='tag',
+    rate=28,
+    target_s=0.422,
+    pause_s=0.4,
+    patience_s=3.2,
+    worth=1.1,
+    late_worth=0.33,
+    priority=1,
+    own=LengthDistribution(1800, 1.3, 6870),
+    output=LengthDistribution(3, 0.7, 11),
+    common=SharedParts(LengthDistribution(341, 0.4, 851), 4),
+    shared=SharedParts(LengthDistribution(227, 0.7, 681), 250),
+)
+_SHELTER_PROFILE = BatchProfile(
+    slots=12,
+    kv_tokens=452357,
+    step_s=0.00388,
+    running_s=0.0000276,
+    context_s=0.00000365,
+    prefill_rate=66200,
+    attention_s=0.000276,
+    chunk=2048,
+    stride=8,
+    queue=25,
+)
+
+
 def _list_workloads() -> Iterator[Workload]:
     counter = (_DRAFTS, _SUMMARIES, _QUESTIONS)
     desk = tuple(
@@ -310,12 +376,58 @@
         yield replace(
             crashing, name=f'{name}-2x-cold', burst_at_s=0, crash=False
         )
+    yield from _list_shelter_workloads()
+
+
+def _list_shelter_workloads() -> Iterator[Workload]:
+    grown = Workload(
+        'shelter-grown',
+        (_DIGESTS, _REPLIES, _TAGS),
+        engines=14,
+        hosts=8,
+        burst=1,
+        burst_at_s=0.5,
+        bursting='digest',
+        profile=_SHELTER_PROFILE,
+    )
+    small = replace(
+        grown,
+        name='shelter',
+        classes=(
+            replace(
+                _DIGESTS,
+                rate=11.4,
+                patience_s=15,
+                output=LengthDistribution(76, 0.44, 200),
+            ),
+            replace(
+                _REPLIES,
+                rate=14.8,
+                patience_s=15,
+                output=LengthDistribution(58, 0.69, 191),
+            ),
+            replace(_TAGS, rate=16, output=LengthDistribution(4.5, 1.4, 18)),
+        ),
+        engines=5,
+        hosts=6,
+        profile=replace(
+            _SHELTER_PROFILE, slots=64, kv_tokens=705524, stride=5, queue=134
+        ),
+    )
+    for workload, factors in ((grown, (1, 3.3)), (small, (1, 2.2))):
+        for factor in factors:
+            loaded = replace(
+                workload, name=f'{workload.name}-{factor:g}x', burst=factor
+            )
+            yield loaded
+            yield replace(loaded, name=f'{loaded.name}-crash', crash=True)
 
 
 #: Workloads by name. The rates are usual, multiplied during a burst and usual
 #: again. ``counter`` has five engines; ``desk`` has six, and late responses are
 #: worth little there; ``cold`` begins with the burst, while all caches are
-#: empty.
+#: empty. In ``shelter`` only the longest prompts burst, on slower engines and
+#: with long responses; ``shelter-grown`` has more engines with few slots.
 WORKLOADS = MappingProxyType(
     {workload.name: workload for workload in _list_workloads()}
 )
--- a/standins/emulation/policies.py
+++ b/standins/emulation/policies.py
@@ -38,6 +38,13 @@
         :param first_token_ms: milliseconds to the first token.
         """
 
+    def note_end(self, request_id: str, *, rejected: bool = False) -> None:
+        """Ignore the end of a request.
+
+        :param request_id: identity of the request.
+        :param rejected: whether the engine rejected it.
+        """
+
 
 class LeastConnectionsChooser(BackendChooser):
     """Chooses the engine that runs the fewest requests of this host."""
--- a/standins/emulation/replay.py
+++ b/standins/emulation/replay.py
@@ -30,7 +30,6 @@
 )
 from standins.emulation.loads import WORKLOADS, Arrival, Workload, draw_arrivals
 from standins.emulation.policies import PROMPT_POLICIES
-from standins.models.batches import BatchProfile
 from standins.virtual.hub import VirtualHub, use_virtual_time
 
 #: Seconds until hosts learn that an engine has crashed or started.
@@ -211,7 +210,7 @@
     """
     workload = WORKLOADS[name]
     with use_virtual_time() as hub:
-        engines = create_engines(workload.engines, BatchProfile())
+        engines = create_engines(workload.engines, workload.profile)
         client = EmulatedClient(engines)
         chosen = PROMPT_POLICIES[policy]
         hosts = create_hosts(workload, chosen, client, hub.read_now)
--- a/standins/models/batches.py
+++ b/standins/models/batches.py
@@ -32,6 +32,8 @@
         prompt token and an earlier one.
     :ivar chunk: maximum prompt tokens that one step prefills.
     :ivar stride: tokens in one event of a stream.
+    :ivar queue: requests that wait beside the running ones before further
+        ones are rejected.
     """
 
     slots: int = 128
@@ -43,6 +45,7 @@
     attention_s: float = 0.000109
     chunk: int = 4096
     stride: int = 5
+    queue: int = 1000
 
 
 @dataclass(slots=True, eq=False)
@@ -141,6 +144,10 @@
         """Tell whether no request is running or waiting."""
         return not self._running and not self._waiting
 
+    def is_full(self) -> bool:
+        """Tell whether a new request would be rejected."""
+        return len(self._waiting) >= self.profile.queue
+
     def submit(self, run: BatchRun) -> None:
         """Queue a request.
 
--- a/tests/prompts.py
+++ b/tests/prompts.py
@@ -1,7 +1,7 @@
 """Fixtures for the tests of prompt scheduling.
 
-The engines here prefill prompts one after the other, at the speed that the
-allocator predicts, so that waiting times can be measured without a network.
+The engines here prefill prompts one after the other, at a speed that the
+allocator is not told, so that waiting times can be measured without a network.
 """
 
 from __future__ import annotations
@@ -15,7 +15,6 @@
 from egretdale.coordination.mesh import Mesh
 from egretdale.coordination.prefill import QUEUED, PrefillAllocator
 from egretdale.errors import Cause, Unreachable
-from egretdale.state.backlogs import predict_prefill
 from egretdale.state.instances import Instance, InstanceTable
 from egretdale.state.members import MemberTable
 from egretdale.state.messages import Ask, Batch, Done, GroupAsk, GroupReply
@@ -26,6 +25,7 @@
 #: Tokens of long and of short prompts.
 LONG = 24000
 SHORT = 600
+_TOKENS_PER_S = 120000
 
 
 class SilentNetwork:
@@ -44,7 +44,7 @@
     :ivar first_tokens: seconds from arrival to first token by request.
     :ivar arrivals: times of arrival by request.
     :ivar refused: requests that were denied.
-    :ivar slowness: factors on the predicted prefill time by engine.
+    :ivar slowness: factors on the usual prefill time by engine.
     :ivar names: names of engines by request.
     :ivar granted_at: times of grants by request.
     :ivar busy: starts and ends of the busy periods by engine.
@@ -98,13 +98,24 @@
         return self.busy[engine]
 
     def _finish(self, request_id: str) -> None:
-        elapsed_s = self.hub.now - self.arrivals[request_id]
-        self.first_tokens[request_id] = elapsed_s
-        done = Done(request_id, '', first_token_ms=round(elapsed_s * 1000))
+        self.first_tokens[request_id] = self.hub.now - self.arrivals[request_id]
+        first_token_ms = round(
+            (self.hub.now - self.granted_at[request_id]) * 1000
+        )
+        done = Done(request_id, '', first_token_ms=first_token_ms)
         message = GroupAsk(GROUP, done=[done])
         self.handle_reply(self.allocator.handle_message('host', message))
 
 
+def predict_prefill(tokens: int) -> float:
+    """Return how long an engine of the tests takes to prefill a prompt.
+
+    :param tokens: tokens that are not cached.
+    :return: seconds.
+    """
+    return tokens / _TOKENS_PER_S
+
+
 class LoopbackMesh(Mesh):
     """Passes replies directly to the engines of the test."""
 
--- a/tests/test_coordination/test_prefill.py
+++ b/tests/test_coordination/test_prefill.py
@@ -7,7 +7,6 @@
 import eventlet
 
 from egretdale.coordination.prefill import QUEUED
-from egretdale.state.backlogs import predict_prefill
 from egretdale.state.messages import GroupAsk
 from tests.functions import create_loader
 from tests.prompts import (
@@ -19,6 +18,7 @@
     create_message,
     create_short_ask,
     open_engines,
+    predict_prefill,
 )
 
 load_tests = create_loader(__name__)
