--- a/egretdale/cmd/egretdale.py
+++ b/egretdale/cmd/egretdale.py
@@ -16,6 +16,7 @@
 from egretdale.protocol.hosts import HostsResponse
 from egretdale.protocol.operators import Explanation, StatusResponse
 from egretdale.state.identity import decode_refusal
+from egretdale.state.failures import count_failures
 from egretdale.state.timelines import build_timeline
 from egretdale.transport.client import OperatorClient
 
@@ -84,6 +85,35 @@
         sys.exit(REFUSED_EXIT)
 
 
+@main.command()
+@click.option(
+    '--logs',
+    type=click.File(),
+    default='-',
+    help='Log file with lines of any hosts; default: standard input.',
+)
+@click.pass_obj
+def failures(context: Context, logs: TextIO) -> None:
+    """Count the requests that were not served, by service and cause.
+
+    Requests that were never sent have no service.
+
+    \f
+    :param context: output format.
+    :param logs: log lines.
+    """
+    counts = count_failures(logs).most_common()
+    rows = [
+        {'service': service, 'cause': cause, 'requests': count}
+        for (service, cause), count in counts
+    ]
+    lines = [
+        f'{count:6} {service or "-"}: {cause}'
+        for (service, cause), count in counts
+    ]
+    show(context, rows, lines)
+
+
 @main.command()
 @click.pass_obj
 def status(context: Context) -> None:
--- a/egretdale/coordination/engine_choice.py
+++ b/egretdale/coordination/engine_choice.py
@@ -13,7 +13,6 @@
 from egretdale.state.backlogs import BacklogTable
 from egretdale.state.engine_slots import (
     EngineSlots,
-    HeldSlot,
     SlotTable,
     StreamTime,
 )
@@ -26,7 +25,7 @@
 )
 from egretdale.state.prefixes import PrefixIndex
 from egretdale.state.prompts import GrantedPrompt
-from egretdale.state.speeds import EngineSpeed, measure_work
+from egretdale.state.speeds import SpeedTable, measure_work
 from egretdale.util.clocks import Clock, convert_to_seconds
 from egretdale.util.hashing import rank_by_rendezvous
 
@@ -38,8 +37,8 @@
 #: Weight of the gaps that a prompt causes in concurrent streams, in s² for
 #: each second of prefill and unit of sensitivity.
 _INTERFERENCE_WEIGHT = 0.02
-#: Seconds of prefill waiting for each engine at which that weight is halved.
-_HALF_WEIGHT_QUEUE_S = 0.1
+#: Seconds until the waiting requests are served at which that weight is halved.
+_HALF_WEIGHT_QUEUE_S = 0.5
 
 
 @dataclass(slots=True)
@@ -52,7 +51,8 @@
     :ivar delay_s: seconds by which its first tokens were late recently.
     :ivar held: prefixes that it probably has in its cache.
     :ivar recent: prefill and streams that it was sent recently.
-    :ivar speed: its prefill speed.
+    :ivar factor: time that a prefill takes there, as a multiple of the usual
+        time.
     :ivar slots: its slots.
     """
 
@@ -62,21 +62,40 @@
     delay_s: float
     held: Mapping[int, float]
     recent: RecentWork
-    speed: EngineSpeed
+    factor: float
     slots: EngineSlots
 
 
+@dataclass(slots=True, frozen=True)
+class PromptCost:
+    """A request and what it takes at an engine of usual speed.
+
+    :ivar ask: the request.
+    :ivar own_s: seconds of prefill if the shared part is cached.
+    :ivar full_s: seconds of prefill if nothing is cached.
+    :ivar concurrency: number of requests beside which it may run.
+    :ivar immediate: whether it may preempt others.
+    """
+
+    ask: Ask
+    own_s: float
+    full_s: float
+    concurrency: float
+    immediate: bool
+
+
 class EngineChooser:
     """Tracks what engines have cached and have to prefill, and chooses one."""
 
     __slots__ = ('_clock', '_prefixes', '_recent_work', 'backlogs', 'slots')
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, speeds: SpeedTable) -> None:
         """Create a chooser that assumes all engines to be idle and empty.
 
         :param clock: monotonic clock.
+        :param speeds: prefill speeds of the engines.
         """
-        self.backlogs = BacklogTable(clock)
+        self.backlogs = BacklogTable(clock, speeds)
         self.slots = SlotTable(clock)
         self._clock = clock
         self._recent_work = RecentWorkTable(clock)
@@ -103,7 +122,7 @@
                     delay_s,
                     held,
                     recent,
-                    self.backlogs.speeds.find(instance),
+                    self.backlogs.speeds.find(instance).factor,
                     self.slots.find(instance),
                 )
             )
@@ -111,28 +130,25 @@
 
     def choose(
         self,
-        ask: Ask,
+        prompt: PromptCost,
         usable: list[EngineState],
         preferred: str,
         ahead_s: float,
-        *,
-        immediate: bool,
     ) -> tuple[EngineState, float]:
         """Choose the engine with the earliest expected first token.
 
         The expected time is increased by penalties for another copy of the
         shared part and for the gaps that are caused in streams.
 
-        :param ask: the request.
+        :param prompt: the request and its prefill.
         :param usable: engines that it may go to.
         :param preferred: name of the engine that all hosts prefer.
-        :param ahead_s: seconds of prefill that wait for each engine.
-        :param immediate: whether the request may preempt others.
+        :param ahead_s: seconds until the waiting requests are served.
         :return: the engine, which may have outstanding prefill, and the
             seconds after which it has a slot for the request.
         """
-        full_work = measure_work(ask.prompt_tokens, ask.prompt_tokens)
-
+        ask = prompt.ask
+        shared_s = prompt.full_s - prompt.own_s
         # Avoiding gaps counts less the more prompts wait, so that no engine
         # is left idle for the sake of its streams.
         interference_weight = _INTERFERENCE_WEIGHT / (
@@ -141,57 +157,30 @@
         sensitivity = compute_gap_sensitivity(convert_to_seconds(ask.pause_ms))
 
         def predict(state: EngineState) -> float:
-            prefill_s = self.predict_own_prefill(ask, state)
+            prefill_s = prompt.own_s
             copy_penalty_s = float(0)
             if ask.prefix not in state.held:
                 is_preferred = state.instance.name == preferred
                 weight = _PREFERRED_WEIGHT if is_preferred else _COPY_WEIGHT
-                shared_s = state.speed.predict(full_work) - prefill_s
                 prefill_s += shared_s
                 copy_penalty_s = shared_s * (weight - 1)
+            prefill_s *= state.factor
             recent = state.recent
             interference = (
                 prefill_s * recent.gap_sensitivity
                 + recent.prefill_s * sensitivity
             )
-            slot_wait_s = self._predict_slot_wait(
-                ask, state, immediate=immediate
-            )
-            first_token_s = (
-                max(state.wait_s, slot_wait_s) + state.delay_s + prefill_s
-            )
+            slot_wait_s = self._predict_slot_wait(prompt, state)
             return (
-                first_token_s
+                max(state.wait_s, slot_wait_s)
+                + state.delay_s
+                + prefill_s
                 + copy_penalty_s
                 + interference * interference_weight
             )
 
         chosen = min(usable, key=predict)
-        slot_wait_s = self._predict_slot_wait(ask, chosen, immediate=immediate)
-        return chosen, slot_wait_s
-
-    def has_capacity(
-        self, ask: Ask, state: EngineState, maximum_wait_s: float
-    ) -> bool:
-        """Tell whether an engine can take a request that does not preempt.
-
-        :param ask: the request.
-        :param state: the engine.
-        :param maximum_wait_s: outstanding prefill in seconds that it may have.
-        """
-        if state.wait_s > maximum_wait_s:
-            return False
-        return not self._predict_slot_wait(ask, state, immediate=False)
-
-    def predict_own_prefill(self, ask: Ask, state: EngineState) -> float:
-        """Predict the prefill of a request whose shared parts are cached.
-
-        :param ask: the request.
-        :param state: an engine.
-        :return: seconds.
-        """
-        own_tokens = ask.prompt_tokens - ask.shared_tokens
-        return state.speed.predict(measure_work(own_tokens, ask.prompt_tokens))
+        return chosen, self._predict_slot_wait(prompt, chosen)
 
     def reserve(self, ask: Ask, state: EngineState) -> int:
         """Record that a request is sent to an engine.
@@ -204,7 +193,7 @@
         tokens = self.count_uncached_tokens(ask, state.name)
         work = measure_work(tokens, ask.prompt_tokens)
         self.backlogs.add(state.instance, ask.request_id, work)
-        prefill_s = state.speed.predict(work)
+        prefill_s = self.backlogs.speeds.find(state.instance).predict(work)
         state.slots.use.note_request(ask.maximum_tokens, prefill_s)
         self._recent_work.note(
             state.name, prefill_s, convert_to_seconds(ask.pause_ms)
@@ -220,9 +209,7 @@
         :param ask: the request.
         :param state: the engine.
         """
-        expires_at = self._clock() + convert_to_seconds(ask.left_ms)
-        slot = HeldSlot(ask.urgency, expires_at)
-        self.slots.begin(state.instance, ask.request_id, slot)
+        self.slots.begin(state.instance, ask.request_id, ask.urgency)
 
     def note_stream(self, granted: GrantedPrompt, held_s: float) -> None:
         """Record that a request with a first token has ended.
@@ -263,12 +250,13 @@
         self._recent_work.forget(engine)
 
     def _predict_slot_wait(
-        self, ask: Ask, state: EngineState, *, immediate: bool
+        self, prompt: PromptCost, state: EngineState
     ) -> float:
-        own_s = self.predict_own_prefill(ask, state)
-        return self.slots.predict_wait(
-            state.slots, ask.urgency, own_s, immediate=immediate
-        )
+        if prompt.immediate:
+            return self.slots.predict_urgent_wait(
+                state.slots, prompt.ask.urgency
+            )
+        return self.slots.predict_wait(state.slots, prompt.concurrency)
 
 
 def find_preferred_engine(ask: Ask, ready: list[Instance]) -> str:
--- a/egretdale/coordination/gateway.py
+++ b/egretdale/coordination/gateway.py
@@ -40,6 +40,7 @@
     DocumentCopy,
 )
 from egretdale.state.routing import CallerLimits
+from egretdale.state.speeds import SpeedTable
 from egretdale.util.clocks import Clock, WallClock, convert_to_ms
 from egretdale.util.tasks import TaskGroup
 
@@ -93,6 +94,7 @@
         '_chooser',
         '_dependencies',
         '_prefill_client',
+        '_speeds',
         '_table',
         'configuration',
         'forwarder',
@@ -222,12 +224,24 @@
             'Backend servers in the list',
             self.instances.table.count,
         )
+        self.metrics.add_gauges(
+            'prefill_tokens_per_second',
+            'Speed that this host has learned as an allocator',
+            self._list_speeds,
+        )
         self.metrics.add_gauge(
             'peer_bytes',
             'Bytes sent to peers',
             lambda: self.mesh.sent_bytes,
         )
 
+    def _list_speeds(self) -> dict[str, float]:
+        return {
+            service: speed.tokens_per_s
+            for service, speed in self._speeds.list_services().items()
+            if speed.is_known()
+        }
+
     def _run_joining(self) -> None:
         while self.configuration.table is None:
             eventlet.sleep(_JOINING_CHECK_S)
@@ -243,7 +257,10 @@
         loads = LoadTable(dependencies.clock)
         table = InstanceTable(dependencies.clock, LAPSE_S)
         chooser = BackendChooser(table, loads, dependencies.clock)
-        self._allocator = PrefillAllocator(self.mesh, table, dependencies.clock)
+        self._speeds = SpeedTable(dependencies.clock)
+        self._allocator = PrefillAllocator(
+            self.mesh, table, dependencies.clock, self._speeds
+        )
         self._chooser = chooser
         self._prefill_client = PrefillClient(
             self.mesh,
--- a/egretdale/coordination/prefill.py
+++ b/egretdale/coordination/prefill.py
@@ -25,15 +25,19 @@
     Release,
 )
 from egretdale.state.prompts import GrantedPrompt, GroupQueue, WaitingPrompt
+from egretdale.state.speeds import SpeedTable
 from egretdale.util.clocks import Clock, convert_to_seconds
 
 #: Reason of a denial that only confirms that the request is queued.
 QUEUED = 'held'
 
+#: Minimum time in seconds between two scans of the waiting requests.
 _TICK_S = 0.01
-#: Minimum time in seconds between two scans of a group's waiting requests
-#: when new ones arrive.
-_SCAN_INTERVAL_S = 0.005
+#: Seconds by which each waiting request lengthens that time, so that scans take
+#: a bounded part of the processor.
+_TICK_PER_REQUEST_S = 0.0002
+#: Seconds between two searches for requests that have certainly ended.
+_EXPIRY_INTERVAL_S = 0.2
 #: Part of the prefill of a tier that goes to its oldest request, so that long
 #: prompts are not starved in a lasting overload.
 _OLDEST_SHARE = 0.1
@@ -53,27 +57,28 @@
         '_mesh',
         '_policy',
         '_queues',
-        '_releasing_hosts',
         '_ticking',
     )
 
     def __init__(
-        self, mesh: Mesh, instances: InstanceTable, clock: Clock
+        self,
+        mesh: Mesh,
+        instances: InstanceTable,
+        clock: Clock,
+        speeds: SpeedTable,
     ) -> None:
         """Create an allocator without requests.
 
         :param mesh: links to the hosts.
         :param instances: backend servers.
         :param clock: monotonic clock.
+        :param speeds: prefill speeds of the engines.
         """
         self._mesh = mesh
         self._groups = GroupMap(instances)
         self._clock = clock
-        self._chooser = EngineChooser(clock)
+        self._chooser = EngineChooser(clock, speeds)
         self._policy = PrefillPolicy(self._chooser, clock)
-        # Hosts of earlier versions do not tell when prompts end, so the slots
-        # that these hold are not known.
-        self._releasing_hosts: set[str] = set()
         self._queues: dict[str, GroupQueue] = {}
         self._ticking = False
 
@@ -100,14 +105,15 @@
         for done in message.done:
             self._note_first_token(queue, done)
         for release in message.released:
-            self._releasing_hosts.add(host)
             self._release(queue, release)
         for request_id in message.withdrawn:
             queue.waiting.pop(request_id, None)
             self._release(queue, Release(request_id))
         now = self._clock()
         for ask in message.asks:
-            queue.note_arrival(WaitingPrompt(ask, host, now))
+            queue.note_arrival(
+                WaitingPrompt(ask, host, now, message.reports_ends)
+            )
         reply = self._decide_on_arrival(message, queue, host)
         for ask in message.asks:
             if ask.request_id in queue.waiting:
@@ -131,13 +137,16 @@
             eventlet.spawn_n(self._run_ticks)
 
     def _run_ticks(self) -> None:
-        while any(queue.waiting for queue in self._queues.values()):
-            eventlet.sleep(_TICK_S)
+        while waiting := self._count_waiting():
+            eventlet.sleep(max(_TICK_S, waiting * _TICK_PER_REQUEST_S))
             for group, queue in list(self._queues.items()):
                 if queue.waiting:
                     self._post(self._decide_waiting(group, queue))
         self._ticking = False
 
+    def _count_waiting(self) -> int:
+        return sum(len(queue.waiting) for queue in self._queues.values())
+
     def _post(self, replies: dict[str, GroupReply]) -> None:
         for host, reply in replies.items():
             self._mesh.post_reply(host, reply)
@@ -147,16 +156,15 @@
     ) -> GroupReply:
         """Decide on requests that have just arrived.
 
-        When the group was scanned only just before, only urgent requests are
-        decided on; the others follow with the next tick.
+        When earlier requests wait, only urgent ones are decided on; the others
+        follow with the next tick.
 
         :param message: the new requests.
         :param queue: all requests of the group.
         :param host: the host that sent them.
         :return: the reply to that host.
         """
-        only_new = len(queue.waiting) <= len(message.asks)
-        if only_new or self._clock() >= queue.scanned_at + _SCAN_INTERVAL_S:
+        if len(queue.waiting) <= len(message.asks):
             replies = self._decide_waiting(message.group, queue)
         else:
             urgent = [
@@ -178,7 +186,6 @@
         :param queue: its requests.
         :return: replies by host.
         """
-        queue.scanned_at = self._clock()
         self._expire(queue)
         return self._decide_all(group, queue, _order(queue))
 
@@ -189,7 +196,8 @@
         if not ordered:
             return replies
         states = self._chooser.measure(self._groups.list_engines(group))
-        scan = self._policy.begin_scan(queue, states)
+        service = group.rsplit('/', 2)[0]
+        scan = self._policy.begin_scan(service, queue, states)
         for waiting in ordered:
             decision = self._policy.decide(scan, waiting)
             if decision is None:
@@ -197,6 +205,7 @@
             reply = replies.setdefault(waiting.host, GroupReply(group))
             if isinstance(decision, ChosenEngine):
                 reply.grants.append(self._grant(queue, waiting, decision))
+                self._policy.note_grant(scan)
             else:
                 reply.denials.append(decision)
             queue.waiting.pop(waiting.ask.request_id)
@@ -208,7 +217,7 @@
         ask = waiting.ask
         state = chosen.state
         tokens = self._chooser.reserve(ask, state)
-        if waiting.host in self._releasing_hosts:
+        if waiting.reports_end:
             self._chooser.hold_slot(ask, state)
         if not chosen.immediate:
             queue.note_grant(waiting, _OLDEST_SHARE)
@@ -251,6 +260,9 @@
 
     def _expire(self, queue: GroupQueue) -> None:
         now = self._clock()
+        if now < queue.expired_at + _EXPIRY_INTERVAL_S:
+            return
+        queue.expired_at = now
         expired = [
             request_id
             for request_id, granted in queue.granted.items()
--- a/egretdale/coordination/prefill_client.py
+++ b/egretdale/coordination/prefill_client.py
@@ -30,10 +30,17 @@
 
 logger = get_logger(__name__)
 
-#: Timeout in seconds for the first reply of an allocator.
-_REPLY_TIMEOUT_S = 0.08
+#: Part of the target for the first token that may pass until the first reply
+#: of an allocator.
+_REPLY_TARGET_SHARE = 0.2
+#: Bounds on the timeout in seconds for that reply. A busy allocator is slower
+#: than a stopped one is late.
+_MINIMUM_REPLY_TIMEOUT_S = 0.08
+_MAXIMUM_REPLY_TIMEOUT_S = 0.4
 #: Time in seconds for which an allocator that did not reply is not asked again.
-_AVOID_S = 1.0
+#: It doubles with every further request without a reply.
+_MINIMUM_AVOID_S = 0.1
+_MAXIMUM_AVOID_S = 1.0
 #: Groups that are asked at most: another one when the first is overloaded.
 _MAXIMUM_GROUPS = 2
 #: Part of the time until the deadline within which a denial comes early enough
@@ -101,6 +108,7 @@
     __slots__ = (
         '_allocator',
         '_avoided_until',
+        '_avoided_s',
         '_clock',
         '_done',
         '_granted',
@@ -139,6 +147,7 @@
         self._done: dict[str, list[Done]] = {}
         self._released: dict[str, list[Release]] = {}
         self._avoided_until: dict[str, float] = {}
+        self._avoided_s: dict[str, float] = {}
 
     def request_engine(
         self, service: str, ask: Ask
@@ -172,7 +181,7 @@
         reply: Grant | Denial | None = None
         try:
             self._send(owner, GroupAsk(group, asks=[ask]))
-            reply = pending.take(_REPLY_TIMEOUT_S)
+            reply = pending.take(_choose_reply_timeout(ask))
             if isinstance(reply, Denial) and reply.reason == QUEUED:
                 reply = pending.take(convert_to_seconds(ask.left_ms))
         except BaseException:
@@ -181,12 +190,14 @@
         finally:
             self._pending.pop(ask.request_id, None)
         if reply is None:
-            self._avoided_until[owner] = self._clock() + _AVOID_S
+            self._avoid(owner)
             self._silent.inc()
             logger.info(
                 'allocator-silent', owner=owner, request_id=ask.request_id
             )
             self._withdraw(group, owner, ask.request_id)
+        else:
+            self._avoided_s.pop(owner, None)
         if isinstance(reply, Grant):
             self._granted[ask.request_id] = GrantedEngine(group, self._clock())
         return self._interpret_reply(reply)
@@ -255,9 +266,15 @@
         avoided_until = self._avoided_until.get(owner, float('-inf'))
         return self._mesh.is_failing(owner) or avoided_until > self._clock()
 
+    def _avoid(self, owner: str) -> None:
+        avoided_s = self._avoided_s.get(owner, _MINIMUM_AVOID_S)
+        self._avoided_until[owner] = self._clock() + avoided_s
+        self._avoided_s[owner] = min(avoided_s * 2, _MAXIMUM_AVOID_S)
+
     def _send(self, owner: str, message: GroupAsk) -> None:
         message.done = self._done.pop(message.group, [])
         message.released = self._released.pop(message.group, [])
+        message.reports_ends = True
         if owner == self._mesh.table.own_host:
             self._accept_reply(self._allocator.handle_message(owner, message))
         else:
@@ -292,3 +309,8 @@
                     f'{reason}: waited {wait_ms} ms for an engine',
                 )
         return None
+
+
+def _choose_reply_timeout(ask: Ask) -> float:
+    share_s = convert_to_seconds(ask.target_ms) * _REPLY_TARGET_SHARE
+    return min(max(share_s, _MINIMUM_REPLY_TIMEOUT_S), _MAXIMUM_REPLY_TIMEOUT_S)
--- a/egretdale/coordination/prefill_policy.py
+++ b/egretdale/coordination/prefill_policy.py
@@ -7,16 +7,19 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import math
+from dataclasses import dataclass, field
 
 from egretdale.coordination.engine_choice import (
     EngineChooser,
     EngineState,
+    PromptCost,
     find_preferred_engine,
 )
-from egretdale.state.engine_slots import PREEMPTION_PENALTY_S
+from egretdale.state.engine_slots import PREEMPTION_PENALTY_S, ServiceUse
 from egretdale.state.messages import Ask, Denial
 from egretdale.state.prompts import GroupQueue, WaitingPrompt
+from egretdale.state.speeds import ServiceSpeed
 from egretdale.util.clocks import Clock, convert_to_ms, convert_to_seconds
 from egretdale.util.logs import get_logger
 
@@ -31,12 +34,11 @@
 #: Bounds on the outstanding prefill in seconds of an engine that gets another
 #: prompt: enough to keep it busy, little for an urgent prompt to wait for.
 _MINIMUM_BACKLOG_S = 0.03
-_MAXIMUM_BACKLOG_S = 0.1
+_MAXIMUM_BACKLOG_S = 0.08
 #: Part of the time until its deadline that a request may spend waiting.
 _WAIT_SHARE = 0.4
-#: Part of the prefill of waiting requests that counts while the speed of the
-#: engines is only assumed: they may be faster.
-_UNKNOWN_SHARE = 0.5
+#: Factor on the speed of the engines, while it is only assumed, for refusals.
+_ASSUMED_SPEED_FACTOR = 2
 #: Minimum retry time in seconds of a denied request.
 _DENIED_RETRY_S = 0.3
 
@@ -47,24 +49,55 @@
 
     :ivar queue: the requests.
     :ivar states: engines of the group.
+    :ivar speed: prefill speed of the service.
+    :ivar use: what the requests of the service take.
     :ivar maximum_backlog_s: outstanding prefill in seconds of an engine that
         gets another prompt.
+    :ivar prefill_rate: seconds of prefill that the engines do in a second,
+        more while their speed is only assumed, as they may be faster.
+    :ivar hold_rate: seconds that slots can be held in a second.
     :ivar prefill_s: prefill in seconds of the requests that stay waiting.
     :ivar hold_s: seconds for which these will hold slots.
+    :ivar ahead_s: seconds until the engines have served them.
+    :ivar is_full: whether no engine takes a prompt that is not urgent.
+    :ivar is_crowded: whether none takes a long one.
+    :ivar urgent_kinds: whether requests of a kind are urgent.
     """
 
     queue: GroupQueue
     states: list[EngineState]
+    speed: ServiceSpeed
+    use: ServiceUse
     maximum_backlog_s: float
+    prefill_rate: float
+    hold_rate: float
     prefill_s: float = 0
     hold_s: float = 0
+    ahead_s: float = 0
+    is_full: bool = False
+    is_crowded: bool = False
+    urgent_kinds: dict[tuple[int, int], bool] = field(default_factory=dict)
 
-    def measure_ahead(self) -> float:
-        """Return the seconds until the engines have served those passed."""
-        slots = sum(state.slots.limit for state in self.states)
-        return max(
-            self.prefill_s / max(1, len(self.states)),
-            self.hold_s / max(1, slots),
+    def is_urgent(self, ask: Ask) -> bool:
+        """Tell whether a request goes before all others.
+
+        :param ask: the request.
+        """
+        kind = (ask.urgency, ask.target_ms)
+        if kind not in self.urgent_kinds:
+            self.urgent_kinds[kind] = self.queue.is_urgent(ask)
+        return self.urgent_kinds[kind]
+
+    def pass_over(self, waiting: WaitingPrompt, own_s: float) -> None:
+        """Count a request that stays waiting.
+
+        :param waiting: the request.
+        :param own_s: seconds of prefill outside its shared part.
+        """
+        self.prefill_s += own_s
+        self.hold_s += self.use.predict_hold(waiting.ask.class_name)
+        self.ahead_s = max(
+            self.prefill_s / self.prefill_rate, self.hold_s / self.hold_rate
         )
 
 
@@ -95,18 +128,30 @@
         self._clock = clock
 
     def begin_scan(
-        self, queue: GroupQueue, states: list[EngineState]
+        self, service: str, queue: GroupQueue, states: list[EngineState]
     ) -> GroupScan:
         """Start a pass over the waiting requests of a group.
 
+        :param service: service of the group.
         :param queue: the requests.
         :param states: engines of the group.
         :return: state of the pass.
         """
-        floor_s = states[0].speed.shared.floor_s if states else 0
-        spare_s = queue.find_shortest_target() - floor_s
+        speed = self._chooser.backlogs.speeds.find_service(service)
+        spare_s = queue.find_shortest_target() - speed.floor_s
         maximum_s = max(_MINIMUM_BACKLOG_S, spare_s * _BACKLOG_SHARE)
-        return GroupScan(queue, states, min(maximum_s, _MAXIMUM_BACKLOG_S))
+        engines = max(1, len(states))
+        scan = GroupScan(
+            queue,
+            states,
+            speed,
+            self._chooser.slots.find_use(service),
+            min(maximum_s, _MAXIMUM_BACKLOG_S),
+            engines if speed.is_known() else engines * _ASSUMED_SPEED_FACTOR,
+            max(1, sum(state.slots.limit for state in states)),
+        )
+        self._update_capacity(scan)
+        return scan
 
     def decide(
         self, scan: GroupScan, waiting: WaitingPrompt
@@ -119,52 +164,71 @@
         """
         ask = waiting.ask
         waited_s = self._clock() - waiting.arrived_at
-        ahead_s = scan.measure_ahead()
-        if waited_s + ahead_s > convert_to_seconds(ask.left_ms) * _WAIT_SHARE:
-            return _deny(ask, waited_s, ahead_s)
-        usable = _exclude_avoided(ask, scan.states)
-        if not usable:
-            return Denial(ask.request_id, OVERLOADED)
-        chosen = self._choose(scan, waiting, usable)
+        patience_s = convert_to_seconds(ask.left_ms) * _WAIT_SHARE
+        if waited_s + scan.ahead_s > patience_s:
+            return _deny(ask, waited_s, scan.ahead_s)
+        own_s = scan.speed.predict(waiting.own_work)
+        is_long = own_s >= scan.use.prefill_s
+        must_wait = scan.is_crowded if is_long else scan.is_full
+        chosen: ChosenEngine | Denial | None = None
+        if not must_wait or scan.is_urgent(ask):
+            chosen = self._choose(scan, waiting, own_s, is_long=is_long)
         if chosen is None:
-            self._pass_over(scan, waiting)
+            scan.pass_over(waiting, own_s)
         return chosen
 
+    def note_grant(self, scan: GroupScan) -> None:
+        """Update a pass after a request was sent to an engine.
+
+        :param scan: state of the pass.
+        """
+        self._update_capacity(scan)
+
     def _choose(
-        self, scan: GroupScan, waiting: WaitingPrompt, usable: list[EngineState]
-    ) -> ChosenEngine | None:
+        self,
+        scan: GroupScan,
+        waiting: WaitingPrompt,
+        own_s: float,
+        *,
+        is_long: bool,
+    ) -> ChosenEngine | Denial | None:
         ask = waiting.ask
-        maximum_s = scan.maximum_backlog_s
-        immediate = scan.queue.is_urgent(ask)
-        if not immediate and not any(
-            self._chooser.has_capacity(ask, state, maximum_s)
-            for state in usable
-        ):
-            return None
+        usable = _exclude_avoided(ask, scan.states)
+        if not usable:
+            return Denial(ask.request_id, OVERLOADED)
         if not waiting.preferred:
             ready = [state.instance for state in usable]
             waiting.preferred = find_preferred_engine(ask, ready)
-        state, slot_wait_s = self._chooser.choose(
+        immediate = scan.is_urgent(ask)
+        prompt = PromptCost(
             ask,
-            usable,
-            waiting.preferred,
-            scan.measure_ahead(),
-            immediate=immediate,
+            own_s,
+            scan.speed.predict(waiting.full_work),
+            scan.use.limit_concurrency() if is_long else math.inf,
+            immediate,
+        )
+        state, slot_wait_s = self._chooser.choose(
+            prompt, usable, waiting.preferred, scan.ahead_s
         )
         if immediate:
             must_wait = slot_wait_s > PREEMPTION_PENALTY_S
         else:
-            must_wait = slot_wait_s > 0 or state.wait_s > maximum_s
+            is_busy = state.wait_s > scan.maximum_backlog_s
+            must_wait = is_busy or slot_wait_s > 0
         return None if must_wait else ChosenEngine(state, immediate)
 
-    def _pass_over(self, scan: GroupScan, waiting: WaitingPrompt) -> None:
-        if scan.states:
-            state = scan.states[0]
-            own_s = self._chooser.predict_own_prefill(waiting.ask, state)
-            is_known = state.speed.shared.is_known()
-            scan.prefill_s += own_s if is_known else own_s * _UNKNOWN_SHARE
-            use = state.slots.use
-            scan.hold_s += use.predict_hold(waiting.ask.class_name)
+    def _update_capacity(self, scan: GroupScan) -> None:
+        idle = [
+            state.slots
+            for state in scan.states
+            if state.wait_s <= scan.maximum_backlog_s
+        ]
+        slots = self._chooser.slots
+        limit = scan.use.limit_concurrency()
+        scan.is_crowded = all(slots.is_full(entry, limit) for entry in idle)
+        scan.is_full = scan.is_crowded and all(
+            slots.is_full(entry, math.inf) for entry in idle
+        )
 
 
 def _deny(ask: Ask, waited_s: float, ahead_s: float) -> Denial:
--- a/egretdale/protocol/gen/ttypes.py
+++ b/egretdale/protocol/gen/ttypes.py
@@ -907,6 +907,7 @@
      - done
      - withdrawn
      - released
+     - reports_ends
 
     """
 
@@ -918,10 +919,11 @@
         'done',
         'withdrawn',
         'released',
+        'reports_ends',
     )
 
 
-    def __init__(self, group=None, full=None, asks=None, running=None, done=None, withdrawn=None, released=None,):
+    def __init__(self, group=None, full=None, asks=None, running=None, done=None, withdrawn=None, released=None, reports_ends=None,):
         self.group = group
         self.full = full
         self.asks = asks
@@ -929,6 +931,7 @@
         self.done = done
         self.withdrawn = withdrawn
         self.released = released
+        self.reports_ends = reports_ends
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1003,6 +1006,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.reports_ends = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1056,6 +1064,10 @@
                 iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.reports_ends is not None:
+            oprot.writeFieldBegin('reports_ends', TType.BOOL, 8)
+            oprot.writeBool(self.reports_ends)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2498,6 +2510,7 @@
     (5, TType.LIST, 'done', (TType.STRUCT, [Done, None], False), None, ),  # 5
     (6, TType.LIST, 'withdrawn', (TType.STRING, 'UTF8', False), None, ),  # 6
     (7, TType.LIST, 'released', (TType.STRUCT, [Release, None], False), None, ),  # 7
+    (8, TType.BOOL, 'reports_ends', None, None, ),  # 8
 )
 all_structs.append(GroupReply)
 GroupReply.thrift_spec = (
--- a/egretdale/protocol/peer.thrift
+++ b/egretdale/protocol/peer.thrift
@@ -69,6 +69,7 @@
   5: list<Done> done
   6: list<string> withdrawn
   7: list<Release> released
+  8: bool reports_ends
 }
 
 struct GroupReply {
--- a/egretdale/state/backlogs.py
+++ b/egretdale/state/backlogs.py
@@ -25,21 +25,18 @@
 _DELAY_SMOOTHING = 0.4
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, frozen=True)
 class OutstandingPrompt:
     """A prompt whose first token has not been reported.
 
     :ivar work: work of its prefill.
     :ivar sent_at: clock time at which it was sent.
     :ivar due_at: clock time at which the first token is expected.
-    :ivar overtaken: whether a prompt that was sent later had its first token
-        earlier.
     """
 
     work: PrefillWork
     sent_at: float
     due_at: float
-    overtaken: bool = False
 
 
 @dataclass(slots=True)
@@ -75,12 +72,13 @@
 
     __slots__ = ('_backlogs', '_clock', 'speeds')
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, speeds: SpeedTable) -> None:
         """Create an empty table.
 
         :param clock: monotonic clock.
+        :param speeds: prefill speeds of the engines.
         """
-        self.speeds = SpeedTable(clock)
+        self.speeds = speeds
         self._clock = clock
         self._backlogs: dict[str, Backlog] = {}
 
@@ -217,26 +215,23 @@
 ) -> None:
     """Update the speed of an engine from a first token.
 
-    An engine prefills its oldest prompt from when it was sent, or from the
-    first token before it. A prompt that overtakes others interrupts their
-    prefill, so none of these times is used.
+    While prompts are outstanding, an engine prefills from one first token to
+    the next. Prompts may overtake others or share the last step of a prefill,
+    so only the sums of several times and prompts belong together.
 
     :param backlog: backlog of the engine.
     :param request_id: ID of the request that has its first token.
     :param first_token_s: seconds from sending it to the first token.
     """
     prompt = backlog.prompts[request_id]
-    overtakes = False
-    for older_id, older in backlog.prompts.items():
-        if older_id == request_id:
-            break
-        older.overtaken = True
-        overtakes = True
+    oldest = next(iter(backlog.prompts.values()))
     first_token_at = prompt.sent_at + first_token_s
-    queued = backlog.first_token_at > prompt.sent_at
-    started_at = max(prompt.sent_at, backlog.first_token_at)
+    started_at = max(oldest.sent_at, backlog.first_token_at)
+    sample = PrefillSample(
+        prompt.work,
+        max(0, first_token_at - started_at),
+        queued=backlog.first_token_at > oldest.sent_at,
+    )
+    is_alone = len(backlog.prompts) == 1
     backlog.first_token_at = max(backlog.first_token_at, first_token_at)
-    if overtakes or prompt.overtaken or first_token_at <= started_at:
-        return
-    took_s = first_token_at - started_at
-    backlog.speed.learn(PrefillSample(prompt.work, took_s, queued))
+    backlog.speed.learn(sample, is_alone=is_alone)
--- a/egretdale/state/engine_slots.py
+++ b/egretdale/state/engine_slots.py
@@ -42,18 +42,6 @@
 _MINIMUM_SAMPLES = 20
 
 
-@dataclass(slots=True, frozen=True)
-class HeldSlot:
-    """A slot that a request holds.
-
-    :ivar urgency: urgency of the request, 0 is the highest.
-    :ivar expires_at: clock time after which the request has certainly ended.
-    """
-
-    urgency: int
-    expires_at: float
-
-
 @dataclass(slots=True)
 class EngineSlots:
     """The slots of one engine.
@@ -61,7 +49,7 @@
     :ivar use: what the requests of its service take.
     :ivar limit: number of slots.
     :ivar announced: whether the engine has announced that number.
-    :ivar held: held slots by request ID.
+    :ivar held: urgencies of the requests that hold slots, by request ID.
     :ivar full_until: clock time until which the engine counts as full after
         it rejected a request.
     """
@@ -69,16 +57,23 @@
     use: ServiceUse
     limit: float
     announced: bool
-    held: dict[str, HeldSlot] = field(default_factory=dict)
+    held: dict[str, int] = field(default_factory=dict)
     full_until: float = float('-inf')
 
+    @property
+    def spare_limit(self) -> float:
+        """Number of slots without the reserve for urgent requests."""
+        if self.limit <= 1 or math.isinf(self.limit):
+            return self.limit
+        return self.limit - math.ceil(self.limit * _RESERVED_SHARE)
+
     def count(self, urgency: int) -> int:
         """Count the requests that a new one cannot preempt.
 
         :param urgency: urgency of the new request.
         :return: requests that are at least as urgent.
         """
-        return sum(slot.urgency <= urgency for slot in self.held.values())
+        return sum(held <= urgency for held in self.held.values())
 
 
 @dataclass(slots=True, frozen=True)
@@ -101,16 +96,17 @@
     """What the requests of a service take from its engines, on average.
 
     :ivar hold_s: seconds for which a request holds a slot.
+    :ivar prefill_s: seconds to prefill a prompt.
     """
 
     __slots__ = (
         '_alone_s',
         '_by_class',
         '_count',
-        '_prefill_s',
         '_streamed_tokens',
         '_tokens',
         'hold_s',
+        'prefill_s',
     )
 
     def __init__(self) -> None:
@@ -122,7 +118,7 @@
         self._tokens = float(0)
         self._streamed_tokens = float(0)
         self._alone_s = float(0)
-        self._prefill_s = float(0)
+        self.prefill_s = float(0)
         self._count = 0
 
     def note_request(self, maximum_tokens: int, prefill_s: float) -> None:
@@ -132,7 +128,7 @@
         :param prefill_s: seconds to prefill its prompt.
         """
         self._tokens = smooth(self._tokens, maximum_tokens, _HOLD_SMOOTHING)
-        self._prefill_s = smooth(self._prefill_s, prefill_s, _HOLD_SMOOTHING)
+        self.prefill_s = smooth(self.prefill_s, prefill_s, _HOLD_SMOOTHING)
 
     def learn_stream(self, class_name: str, sample: StreamTime) -> None:
         """Update the mean times from a request that has ended.
@@ -161,22 +157,18 @@
         """
         return self._by_class.get(class_name, self.hold_s)
 
-    def limit_concurrency(self, prefill_s: float) -> float:
-        """Return the number of requests that an engine should run at most.
+    def limit_concurrency(self) -> float:
+        """Return the number of requests beside which a long prompt may run.
 
         With n requests at an engine, n prompts are prefilled while one of them
         streams its response. Only prompts of at least average length count, as
         the others hardly slow down the streams.
-
-        :param prefill_s: seconds of prefill that a further request needs.
         """
         if self._count < _MINIMUM_SAMPLES or not self._streamed_tokens:
             return math.inf
-        if prefill_s < self._prefill_s:
-            return math.inf
         token_s = self._alone_s / self._streamed_tokens
         spare_s = self._tokens * token_s * (_MAXIMUM_SLOWDOWN - 1)
-        return max(_MINIMUM_CONCURRENCY, spare_s / self._prefill_s)
+        return max(_MINIMUM_CONCURRENCY, spare_s / self.prefill_s)
 
 
 class SlotTable:
@@ -197,7 +189,7 @@
         """Return the slots of an engine.
 
         :param instance: the engine.
-        :return: its slots, without requests that have certainly ended.
+        :return: its slots.
         """
         slots = self._engines.get(instance.incarnation_name)
         if slots is None:
@@ -208,14 +200,6 @@
                 announced=instance.slots > 0,
             )
             self._engines[instance.incarnation_name] = slots
-        now = self._clock()
-        expired = [
-            request_id
-            for request_id, slot in slots.held.items()
-            if slot.expires_at <= now
-        ]
-        for request_id in expired:
-            slots.held.pop(request_id)
         return slots
 
     def find_known(self, engine: str) -> EngineSlots | None:
@@ -226,16 +210,14 @@
         """
         return self._engines.get(engine)
 
-    def begin(
-        self, instance: Instance, request_id: str, slot: HeldSlot
-    ) -> None:
+    def begin(self, instance: Instance, request_id: str, urgency: int) -> None:
         """Record that a request is sent to an engine.
 
         :param instance: the engine.
         :param request_id: ID of the request.
-        :param slot: the slot that it will hold.
+        :param urgency: urgency of the request, 0 is the highest.
         """
-        self.find(instance).held[request_id] = slot
+        self.find(instance).held[request_id] = urgency
 
     def end(self, engine: str, request_id: str) -> None:
         """Record that a request has ended.
@@ -262,37 +244,44 @@
         if not slots.announced:
             slots.limit = max(1, len(slots.held) * _REJECTION_SHARE)
 
-    def predict_wait(
-        self,
-        slots: EngineSlots,
-        urgency: int,
-        prefill_s: float,
-        *,
-        immediate: bool,
-    ) -> float:
-        """Predict how long a request would wait for a slot.
+    def is_full(self, slots: EngineSlots, limit: float) -> bool:
+        """Tell whether a request that does not preempt has to wait.
 
-        Only urgent requests use the reserved slots or preempt others.
+        :param slots: slots of an engine.
+        :param limit: number of requests that may run there.
+        """
+        if slots.full_until > self._clock():
+            return True
+        return len(slots.held) + 1 > min(limit, slots.spare_limit)
+
+    def predict_wait(self, slots: EngineSlots, limit: float) -> float:
+        """Predict how long a request that does not preempt waits for a slot.
 
         :param slots: slots of an engine.
-        :param urgency: urgency of the request.
-        :param prefill_s: seconds of prefill that it needs at least.
-        :param immediate: whether it is sent even if it preempts another one.
+        :param limit: number of requests that may run there.
         :return: seconds, 0 if a slot is free.
         """
-        usable = slots.limit
-        if not immediate:
-            limit = slots.use.limit_concurrency(prefill_s)
-            usable = min(_subtract_reserve(usable), limit)
-        is_full = slots.full_until > self._clock()
-        if len(slots.held) + 1 <= usable and not is_full:
+        if not self.is_full(slots, limit):
+            return 0
+        usable = max(1, min(limit, slots.spare_limit))
+        excess = max(1, len(slots.held) + 1 - usable)
+        return slots.use.hold_s * excess / usable
+
+    def predict_urgent_wait(self, slots: EngineSlots, urgency: int) -> float:
+        """Predict how long an urgent request waits for a slot.
+
+        :param slots: slots of an engine.
+        :param urgency: urgency of the request.
+        :return: seconds, 0 if a slot is free, at most the penalty if the
+            request preempts another one.
+        """
+        has_slot = len(slots.held) + 1 <= slots.limit
+        if has_slot and slots.full_until <= self._clock():
             return 0
-        excess = len(slots.held) + 1 - usable
-        if immediate:
-            if slots.count(urgency) + 1 <= usable:
-                return PREEMPTION_PENALTY_S
-            excess = slots.count(urgency) + 1 - usable
-        return slots.use.hold_s * max(1, excess) / max(1, usable)
+        excess = slots.count(urgency) + 1 - slots.limit
+        if excess <= 0:
+            return PREEMPTION_PENALTY_S
+        return slots.use.hold_s * max(1, excess) / max(1, slots.limit)
 
     def find_use(self, service: str) -> ServiceUse:
         """Return what the requests of a service take.
@@ -307,9 +296,3 @@
         :param engine: name of its incarnation.
         """
         self._engines.pop(engine, None)
-
-
-def _subtract_reserve(limit: float) -> float:
-    if limit <= 1 or math.isinf(limit):
-        return limit
-    return limit - math.ceil(limit * _RESERVED_SHARE)
--- a/egretdale/state/gateway_metrics.py
+++ b/egretdale/state/gateway_metrics.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.core import GaugeMetricFamily
+from prometheus_client.registry import Collector
 
 _PREFIX = 'egretdale_gateway'
 _SECONDS_BUCKETS = (
@@ -22,6 +24,24 @@
 )
 
 
+class _ServiceGauges(Collector):
+    """Gauges by service whose values are read on each scrape."""
+
+    def __init__(
+        self, name: str, text: str, read: Callable[[], dict[str, float]]
+    ) -> None:
+        self._name = name
+        self._text = text
+        self._read = read
+
+    def collect(self) -> Iterator[GaugeMetricFamily]:
+        """Read the current values."""
+        family = GaugeMetricFamily(self._name, self._text, labels=['service'])
+        for service, current in self._read().items():
+            family.add_metric([service], current)
+        yield family
+
+
 class GatewayMetrics:
     """The metrics of a forwarding host.
 
@@ -97,6 +117,18 @@
         gauge = Gauge(f'{_PREFIX}_{name}', text, registry=self.registry)
         gauge.set_function(read)
 
+    def add_gauges(
+        self, name: str, text: str, read: Callable[[], dict[str, float]]
+    ) -> None:
+        """Publish a gauge of each service, read on each scrape.
+
+        :param name: name of the metric without the prefix.
+        :param text: help text of the metric.
+        :param read: returns the current values by service.
+        """
+        collector = _ServiceGauges(f'{_PREFIX}_{name}', text, read)
+        self.registry.register(collector)
+
     def _create_counter(
         self, name: str, text: str, labels: tuple[str, ...]
     ) -> Counter:
--- a/egretdale/state/messages.py
+++ b/egretdale/state/messages.py
@@ -158,6 +158,8 @@
     :ivar done: released slots.
     :ivar withdrawn: IDs of waiting requests that no longer need a slot.
     :ivar released: prompts that have ended at their engines.
+    :ivar reports_ends: whether the host reports these; hosts of earlier
+        versions do not.
     """
 
     group: str
@@ -167,6 +169,7 @@
     done: list[Done] = field(default_factory=list)
     withdrawn: list[str] = field(default_factory=list)
     released: list[Release] = field(default_factory=list)
+    reports_ends: bool = False
 
 
 @dataclass(slots=True)
--- a/egretdale/state/prompts.py
+++ b/egretdale/state/prompts.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from egretdale.state.messages import Ask
+from egretdale.state.speeds import PrefillWork, measure_work
 from egretdale.util.clocks import convert_to_seconds
 
 #: Time in seconds for which a group counts the requests of a class as usual.
@@ -20,6 +21,9 @@
     :ivar ask: the request.
     :ivar host: entry host of the request.
     :ivar arrived_at: clock time of its arrival at the allocator.
+    :ivar reports_end: whether the host will report its end.
+    :ivar own_work: work of prefilling what is not shared.
+    :ivar full_work: work of prefilling the whole prompt.
     :ivar preferred: name of the engine that all hosts prefer for it, empty
         until it is first needed.
     """
@@ -27,7 +31,16 @@
     ask: Ask
     host: str
     arrived_at: float
+    reports_end: bool = False
     preferred: str = ''
+    own_work: PrefillWork = field(init=False)
+    full_work: PrefillWork = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Measure the work of the prefill."""
+        tokens = self.ask.prompt_tokens
+        self.own_work = measure_work(self.own_tokens, tokens)
+        self.full_work = measure_work(tokens, tokens)
 
     @property
     def own_tokens(self) -> int:
@@ -77,7 +90,7 @@
 
     :ivar waiting: waiting requests by ID, the oldest first.
     :ivar granted: granted requests that have not ended, by ID.
-    :ivar scanned_at: clock time of the last scan of all waiting requests.
+    :ivar expired_at: clock time of the last search for ended requests.
     :ivar credit: credit of the oldest request in prompt tokens, by urgency; it
         grows when other requests are granted before it.
     :ivar seen_at: clock time of the last request of each kind.
@@ -85,7 +98,7 @@
 
     waiting: dict[str, WaitingPrompt] = field(default_factory=dict)
     granted: dict[str, GrantedPrompt] = field(default_factory=dict)
-    scanned_at: float = float('-inf')
+    expired_at: float = float('-inf')
     credit: dict[int, float] = field(default_factory=dict)
     seen_at: dict[PromptKind, float] = field(default_factory=dict)
 
--- a/egretdale/state/speeds.py
+++ b/egretdale/state/speeds.py
@@ -29,14 +29,18 @@
 #: Earlier tokens behind which a prompt token takes twice as long as the first
 #: one. This depends on the shape of a model more than on the hardware.
 _DOUBLING_TOKENS = 55000.0
+#: Prefill in seconds from which a sum of measured times is used: a prompt and
+#: the next one share a step of the engine, so single times are inexact.
+_SAMPLE_S = 0.1
 _SAMPLES = 48
 _MINIMUM_SAMPLES = 3
 _ENGINE_SAMPLES = 8
-_MINIMUM_ENGINE_SAMPLES = 4
+_MINIMUM_ENGINE_SAMPLES = 6
 #: Time in seconds after which samples of an engine no longer distinguish it.
 _ENGINE_MEMORY_S = 10.0
-#: Factors within this range are taken for chance.
-_USUAL_FACTORS = (0.5, 2.0)
+#: Factors within this range are taken for chance: parts that an engine has
+#: evicted make it look slow.
+_USUAL_FACTORS = (0.33, 3.0)
 #: Bounds on the factor of an engine.
 _FACTOR_BOUNDS = (0.2, 20.0)
 
@@ -64,10 +68,10 @@
 
 @dataclass(slots=True, frozen=True)
 class PrefillSample:
-    """Measured time to the first token of a prompt.
+    """Measured time of the prefill of one or several prompts.
 
-    :ivar work: work of its prefill.
-    :ivar took_s: seconds from the start of the prefill.
+    :ivar work: the work.
+    :ivar took_s: seconds from the start of the prefill to the last first token.
     :ivar queued: whether the prefill began when that of another prompt ended,
         so that the time does not include the floor.
     """
@@ -76,6 +80,14 @@
     took_s: float
     queued: bool
 
+    def extend(self, following: PrefillSample) -> PrefillSample:
+        """Add the prefill that followed without a pause.
+
+        :param following: its measured time.
+        """
+        work = self.work + following.work
+        return PrefillSample(work, self.took_s + following.took_s, self.queued)
+
 
 class ServiceSpeed:
     """Prefill speed of the engines of one service.
@@ -122,16 +134,23 @@
         return self.predict(work) <= _FLOOR_SAMPLE_S
 
     def learn(self, sample: PrefillSample) -> None:
-        """Update the estimate from a first token.
+        """Update the speed.
 
-        :param sample: the measured time.
+        :param sample: a measured time.
         """
-        if not self.is_short(sample.work):
-            self._samples.append(sample)
-            if self.is_known():
-                self._estimate()
-        elif not sample.queued:
-            self._learn_floor(sample.took_s - self.predict(sample.work))
+        self._samples.append(sample)
+        if self.is_known():
+            self._estimate()
+
+    def learn_floor(self, sample: PrefillSample) -> None:
+        """Update the floor from the first token of a short prompt.
+
+        :param sample: time of a prompt that an idle engine prefilled alone.
+        """
+        self._floors.append(sample.took_s - self.predict(sample.work))
+        if len(self._floors) >= _MINIMUM_SAMPLES:
+            floor_s = statistics.median(self._floors)
+            self.floor_s = min(max(0, floor_s), _MAXIMUM_FLOOR_S)
 
     def measure_net(self, sample: PrefillSample) -> float:
         """Return the measured time without the floor, once that is known.
@@ -143,12 +162,6 @@
             return sample.took_s
         return max(0, sample.took_s - self.floor_s)
 
-    def _learn_floor(self, took_s: float) -> None:
-        self._floors.append(took_s)
-        if len(self._floors) >= _MINIMUM_SAMPLES:
-            floor_s = statistics.median(self._floors)
-            self.floor_s = min(max(0, floor_s), _MAXIMUM_FLOOR_S)
-
     def _estimate(self) -> None:
         token_s = _find_weighted_median(
             (self.measure_net(sample) / weight, weight)
@@ -165,7 +178,14 @@
     :ivar shared: speed of the engines of its service.
     """
 
-    __slots__ = ('_clock', '_factor', '_ratios', '_valid_until', 'shared')
+    __slots__ = (
+        '_clock',
+        '_factor',
+        '_pending',
+        '_ratios',
+        '_valid_until',
+        'shared',
+    )
 
     def __init__(self, shared: ServiceSpeed, clock: Clock) -> None:
         """Start from the speed of the service.
@@ -177,6 +197,7 @@
         self._clock = clock
         self._ratios: deque[float] = deque(maxlen=_ENGINE_SAMPLES)
         self._factor = float(1)
+        self._pending: PrefillSample | None = None
         self._valid_until = float('-inf')
 
     @property
@@ -192,15 +213,25 @@
         """
         return self.shared.predict(work) * self.factor
 
-    def learn(self, sample: PrefillSample) -> None:
+    def learn(self, sample: PrefillSample, *, is_alone: bool) -> None:
         """Update the estimate from a first token.
 
-        :param sample: the measured time.
+        :param sample: the time since the first token before it.
+        :param is_alone: whether no other prompt was outstanding.
         """
+        if is_alone and not sample.queued and self.shared.is_short(sample.work):
+            self.shared.learn_floor(sample)
+            return
+        if sample.queued and self._pending is not None:
+            sample = self._pending.extend(sample)
+        self._pending = sample
+        if self.shared.predict(sample.work) >= _SAMPLE_S:
+            self._pending = None
+            self._learn_sum(sample)
+
+    def _learn_sum(self, sample: PrefillSample) -> None:
         usual_s = self.shared.predict(sample.work)
         self.shared.learn(sample)
-        if self.shared.is_short(sample.work):
-            return
         if self._clock() >= self._valid_until:
             self._ratios.clear()
         self._valid_until = self._clock() + _ENGINE_MEMORY_S
--- a/standins/emulation/costs.py
+++ b/standins/emulation/costs.py
@@ -10,6 +10,7 @@
 from egretdale.state.instances import Instance, InstanceTable
 from egretdale.state.members import MemberTable
 from egretdale.state.messages import Ask, Batch, GroupAsk
+from egretdale.state.speeds import SpeedTable
 
 _SERVICE = 'prompts'
 _GROUP = f'{_SERVICE}/1/0'
@@ -60,7 +61,7 @@
         },
         after_outage=False,
     )
-    allocator = PrefillAllocator(mesh, table, clock)
+    allocator = PrefillAllocator(mesh, table, clock, SpeedTable(clock))
     for index in range(engines * _RUNNING_PER_ENGINE + waiting):
         allocator.handle_message(
             'own', GroupAsk(_GROUP, asks=[_create_ask(index)])
--- a/standins/emulation/hosts.py
+++ b/standins/emulation/hosts.py
@@ -29,9 +29,10 @@
     RoutingTable,
     WeightedService,
 )
+from egretdale.state.speeds import SpeedTable
 from egretdale.util.clocks import Clock
 from standins.emulation.loads import PromptClass, Workload
-from standins.emulation.policies import Policy
+from standins.emulation.policies import KnownSpeedTable, Policy
 
 SERVICE = 'prompts'
 HOST_NAME = 'prompts.example'
@@ -119,7 +120,12 @@
         self._instances = InstanceTable(clock, 2)
         loads = LoadTable(clock)
         self._chooser = policy.create_chooser(self._instances, loads, clock)
-        self._allocator = PrefillAllocator(self.mesh, self._instances, clock)
+        speeds = SpeedTable(clock)
+        if policy.knows_speed:
+            speeds = KnownSpeedTable(clock, workload.profile)
+        self._allocator = PrefillAllocator(
+            self.mesh, self._instances, clock, speeds
+        )
         metrics = GatewayMetrics()
         prefill_client = PrefillClient(
             self.mesh,
--- a/standins/emulation/loads.py
+++ b/standins/emulation/loads.py
@@ -18,6 +18,11 @@
 #: Start and duration of its burst in seconds.
 _BURST_AT_S = 5.0
 _BURST_DURATION_S = 8.0
+#: Prefill speed for which the rates of the counter are meant.
+_COUNTER_TOKENS_PER_MS = 157
+#: Time that attention takes for a million pairs of tokens, as a multiple of the
+#: time to prefill a token.
+_ATTENTION_MS_PER_MILLION = 18.0
 #: Time of the crash of an engine and seconds until it restarts.
 _CRASH_AT_S = 8.0
 _DOWNTIME_S = 4.0
@@ -377,6 +382,35 @@
             crashing, name=f'{name}-2x-cold', burst_at_s=0, crash=False
         )
     yield from _list_shelter_workloads()
+    yield from _list_speed_workloads()
+
+
+def _list_speed_workloads() -> Iterator[Workload]:
+    """List workloads in proportion to engines of very different speeds."""
+    engines = 3
+    for tokens_per_ms, slots, kv_tokens in (
+        (20, 6, 150000),
+        (66, 12, 450000),
+        (300, 64, 1300000),
+    ):
+        share = tokens_per_ms / _COUNTER_TOKENS_PER_MS * engines / 5
+        yield Workload(
+            f'speed-{tokens_per_ms}',
+            tuple(
+                replace(entry, rate=entry.rate * share)
+                for entry in (_DRAFTS, _SUMMARIES, _QUESTIONS)
+            ),
+            engines=engines,
+            hosts=4,
+            burst=2,
+            profile=BatchProfile(
+                slots=slots,
+                kv_tokens=kv_tokens,
+                prefill_rate=tokens_per_ms * 1000,
+                attention_s=_ATTENTION_MS_PER_MILLION / tokens_per_ms / 1000,
+                queue=2 * slots,
+            ),
+        )
 
 
 def _list_shelter_workloads() -> Iterator[Workload]:
@@ -427,7 +461,8 @@
 #: again. ``counter`` has five engines; ``desk`` has six, and late responses are
 #: worth little there; ``cold`` begins with the burst, while all caches are
 #: empty. In ``shelter`` only the longest prompts burst, on slower engines and
-#: with long responses; ``shelter-grown`` has more engines with few slots.
+#: with long responses; ``shelter-grown`` has more engines with few slots. The
+#: engines of ``speed`` prefill 20 to 300 tokens a millisecond.
 WORKLOADS = MappingProxyType(
     {workload.name: workload for workload in _list_workloads()}
 )
--- a/standins/emulation/policies.py
+++ b/standins/emulation/policies.py
@@ -12,8 +12,11 @@
 from egretdale.state.instances import Instance, InstanceTable
 from egretdale.state.loads import LoadTable
 from egretdale.state.messages import Ask
+from egretdale.state.speeds import PrefillSample, ServiceSpeed, SpeedTable
 from egretdale.util.clocks import Clock
 from egretdale.util.hashing import rank_by_rendezvous
+from standins.emulation.engines import FIRST_EVENT_DELAY_S
+from standins.models.batches import BatchProfile
 
 #: An engine is preferred up to this multiple of the mean number of running
 #: requests, plus a constant.
@@ -21,6 +24,50 @@
 _BOUND_REQUESTS = 2
 
 
+class KnownSpeed(ServiceSpeed):
+    """The true speed of engines."""
+
+    __slots__ = ()
+
+    def __init__(self, profile: BatchProfile) -> None:
+        """Compute the speed.
+
+        :param profile: speed and limits of the engines.
+        """
+        super().__init__()
+        step_s = profile.chunk / profile.prefill_rate + profile.step_s
+        self._token_s = step_s / profile.chunk
+        self.floor_s = FIRST_EVENT_DELAY_S + profile.step_s
+
+    def learn(self, sample: PrefillSample) -> None:
+        """Ignore a measured time.
+
+        :param sample: the measured time.
+        """
+
+
+class KnownSpeedTable(SpeedTable):
+    """The true speeds of all engines."""
+
+    __slots__ = ('_known',)
+
+    def __init__(self, clock: Clock, profile: BatchProfile) -> None:
+        """Create the table.
+
+        :param clock: monotonic clock.
+        :param profile: speed and limits of the engines.
+        """
+        super().__init__(clock)
+        self._known = KnownSpeed(profile)
+
+    def find_service(self, service: str) -> ServiceSpeed:
+        """Return the true speed of the engines of a service.
+
+        :param service: service name.
+        """
+        return self._known
+
+
 class NoPrefillClient:
     """Asks no allocator, so that each host chooses engines by itself."""
 
@@ -105,11 +152,13 @@
     :ivar create_chooser: creates the chooser of a host.
     :ivar uses_allocator: whether one allocator decides for all hosts.
     :ivar uses_urgency: whether engines are told the priority of a request.
+    :ivar knows_speed: whether the allocator is told the speed of the engines.
     """
 
     create_chooser: Callable[[InstanceTable, LoadTable, Clock], BackendChooser]
     uses_allocator: bool = False
     uses_urgency: bool = False
+    knows_speed: bool = False
 
     def choose_prefill_client(
         self, prefill_client: PrefillClient
@@ -121,13 +170,19 @@
         return prefill_client if self.uses_allocator else NoPrefillClient()
 
 
-#: Policies by name. ``alone`` is the product without its allocator, ``parts``
-#: routes by shared part with bounded load.
+#: Policies by name. ``informed`` is the product with known engines, ``alone``
+#: without its allocator; ``parts`` routes by shared part with bounded load.
 PROMPT_POLICIES = MappingProxyType(
     {
         'product': Policy(
             BackendChooser, uses_allocator=True, uses_urgency=True
         ),
+        'informed': Policy(
+            BackendChooser,
+            uses_allocator=True,
+            uses_urgency=True,
+            knows_speed=True,
+        ),
         'alone': Policy(BackendChooser, uses_urgency=True),
         'parts': Policy(PartChooser),
         'least-connections': Policy(LeastConnectionsChooser),
