Play the shelter loads and engines of 20 to 300 tokens a millisecond

Cause: the gains of the learned engines had no test that plays the load. Change: three tests of what callers get on emulated engines.

--- a/tests/test_standins/test_emulation.py
+++ b/tests/test_standins/test_emulation.py
@@ -60,3 +60,33 @@
     report = simulate_workload('counter-1x', 'product', _SEED)
     assert report.worth > 0.98
     assert not report.refused
+
+
+def test_few_slots_do_not_invert_the_tiers() -> None:
+    """In a burst of long prompts on 12 slots, the top tier goes first."""
+    report = simulate_workload('shelter-grown-3.3x', 'product', _SEED)
+    assert report.worth > 0.7
+    shares = {
+        name: class_report.on_time
+        for name, class_report in report.classes.items()
+    }
+    assert shares['reply'] > shares['digest']
+    # The users tolerate that it is behind a lower tier by 15 in 100.
+    assert shares['reply'] > shares['tag'] - 0.15
+
+
+def test_the_top_tier_keeps_its_target_when_an_engine_is_lost() -> None:
+    """Long prompts wait at the hosts rather than at crowded engines."""
+    report = simulate_workload('shelter-2.2x-crash', 'product', _SEED)
+    assert report.classes['reply'].on_time >= 0.95
+    assert report.classes['digest'].on_time > 0.6
+
+
+def test_engines_of_any_speed_are_learned() -> None:
+    """Callers get within 10% of what a host that is told the speed gives."""
+    for name in ('speed-20', 'speed-66', 'speed-300'):
+        learned = simulate_workload(name, 'product', _SEED)
+        informed = simulate_workload(name, 'informed', _SEED)
+        assert learned.worth > informed.worth * 0.9, name
+        shares = [entry.on_time for entry in learned.classes.values()]
+        assert shares[-1] >= shares[0], (name, shares)
