--- a/egretdale/coordination/forwarding.py
+++ b/egretdale/coordination/forwarding.py
@@ -19,13 +19,12 @@
 from egretdale.coordination.ports import MaybeRun, NotRun
 from egretdale.coordination.prefill_client import PrefillClient
 from egretdale.coordination.progress import OpenedResponse, Progress
+from egretdale.coordination.prompt_asks import create_ask
 from egretdale.coordination.response_relay import ResponseRelay
 from egretdale.state.gateway_metrics import GatewayMetrics
 from egretdale.state.loads import LoadTable
-from egretdale.state.messages import Ask
 from egretdale.state.outcomes import Ran, Reason, Refused
 from egretdale.util.clocks import Clock, convert_to_ms
-from egretdale.util.hashing import fold_identity
 
 #: Shortest time left in seconds with which an attempt is still made.
 _MINIMUM_LEFT_S = 0.02
@@ -187,7 +186,11 @@
     def _choose(self, progress: Progress) -> BackendChoice | Refused | None:
         request = progress.admitted.request
         if request.prompt.tokens:
-            ask = self._create_ask(progress)
+            ask = create_ask(
+                progress,
+                self._chooser.list_suspended(progress.service),
+                self._admission.measure_remaining_time(progress.admitted),
+            )
             choice = self._prefill_client.request_engine(progress.service, ask)
             if choice is not None:
                 return choice
@@ -198,30 +201,6 @@
             spread_key=request.request_id,
         )
 
-    def _create_ask(self, progress: Progress) -> Ask:
-        admitted = progress.admitted
-        prompt = admitted.request.prompt
-        part = prompt.find_affinity()
-        return Ask(
-            admitted.request.request_id,
-            admitted.route.name,
-            admitted.organisation,
-            prompt_tokens=prompt.tokens,
-            maximum_tokens=prompt.maximum_output,
-            prefix=0 if part is None else fold_identity(part.identity),
-            avoided=[
-                *progress.avoided,
-                *self._chooser.list_suspended(progress.service),
-            ],
-            shared_tokens=prompt.count_shared(),
-            urgency=admitted.urgency,
-            target_ms=convert_to_ms(admitted.route.target_s),
-            left_ms=convert_to_ms(
-                self._admission.measure_remaining_time(admitted)
-            ),
-            pause_ms=convert_to_ms(admitted.route.pause_target_s),
-        )
-
     def _check_attempt(self, progress: Progress) -> Refused | None:
         route = progress.admitted.route
         stale = self._admission.check_key_age(progress.admitted)
