Deny at once what no engine can take; free slots of dead hosts in old groups

Slots of a host that died were freed only while requests came to the same group, and groups are renamed with the number of engines. Three tests, each failed before.

--- a/egretdale/coordination/prefill.py
+++ b/egretdale/coordination/prefill.py
@@ -53,6 +53,7 @@
     __slots__ = (
         '_chooser',
         '_clock',
+        '_expired_at',
         '_groups',
         '_mesh',
         '_policy',
@@ -80,6 +81,7 @@
         self._chooser = EngineChooser(clock, speeds)
         self._policy = PrefillPolicy(self._chooser, clock)
         self._queues: dict[str, GroupQueue] = {}
+        self._expired_at = float('-inf')
         self._ticking = False
 
     def handle(self, batch: Batch) -> Batch:
@@ -101,6 +103,7 @@
             no longer wait for a first token, and those that have ended.
         :return: grants and denials, also those that only confirm a wait.
         """
+        self._expire()
         queue = self._queues.setdefault(message.group, GroupQueue())
         for done in message.done:
             self._note_first_token(queue, done)
@@ -139,6 +142,7 @@
     def _run_ticks(self) -> None:
         while waiting := self._count_waiting():
             eventlet.sleep(max(_TICK_S, waiting * _TICK_PER_REQUEST_S))
+            self._expire()
             for group, queue in list(self._queues.items()):
                 if queue.waiting:
                     self._post(self._decide_waiting(group, queue))
@@ -186,7 +190,6 @@
         :param queue: its requests.
         :return: replies by host.
         """
-        self._expire(queue)
         return self._decide_all(group, queue, _order(queue))
 
     def _decide_all(
@@ -258,18 +261,19 @@
             held_s = convert_to_seconds(release.held_ms)
             chooser.note_stream(granted, held_s)
 
-    def _expire(self, queue: GroupQueue) -> None:
+    def _expire(self) -> None:
+        """Release the requests that have certainly ended, in all groups.
+
+        Hosts that have died never release theirs, and the groups of a service
+        change with the number of its engines.
+        """
         now = self._clock()
-        if now < queue.expired_at + _EXPIRY_INTERVAL_S:
+        if now < self._expired_at + _EXPIRY_INTERVAL_S:
             return
-        queue.expired_at = now
-        expired = [
-            request_id
-            for request_id, granted in queue.granted.items()
-            if granted.expires_at <= now
-        ]
-        for request_id in expired:
-            self._release(queue, Release(request_id))
+        self._expired_at = now
+        for queue in self._queues.values():
+            for request_id in queue.list_expired(now):
+                self._release(queue, Release(request_id))
 
 
 def _order(queue: GroupQueue) -> list[WaitingPrompt]:
--- a/egretdale/coordination/prefill_policy.py
+++ b/egretdale/coordination/prefill_policy.py
@@ -167,15 +167,25 @@
         patience_s = convert_to_seconds(ask.left_ms) * _WAIT_SHARE
         if waited_s + scan.ahead_s > patience_s:
             return _deny(ask, waited_s, scan.ahead_s)
+        usable = _exclude_avoided(ask, scan.states)
+        if not usable:
+            return Denial(ask.request_id, OVERLOADED)
         own_s = scan.speed.predict(waiting.own_work)
         is_long = own_s >= scan.use.prefill_s
         must_wait = scan.is_crowded if is_long else scan.is_full
-        chosen: ChosenEngine | Denial | None = None
         if not must_wait or scan.is_urgent(ask):
-            chosen = self._choose(scan, waiting, own_s, is_long=is_long)
-        if chosen is None:
-            scan.pass_over(waiting, own_s)
-        return chosen
+            prompt = PromptCost(
+                ask,
+                own_s,
+                scan.speed.predict(waiting.full_work),
+                scan.use.limit_concurrency() if is_long else math.inf,
+                scan.is_urgent(ask),
+            )
+            chosen = self._choose(scan, waiting, usable, prompt)
+            if chosen is not None:
+                return chosen
+        scan.pass_over(waiting, own_s)
+        return None
 
     def note_grant(self, scan: GroupScan) -> None:
         """Update a pass after a request was sent to an engine.
@@ -188,34 +198,21 @@
         self,
         scan: GroupScan,
         waiting: WaitingPrompt,
-        own_s: float,
-        *,
-        is_long: bool,
-    ) -> ChosenEngine | Denial | None:
-        ask = waiting.ask
-        usable = _exclude_avoided(ask, scan.states)
-        if not usable:
-            return Denial(ask.request_id, OVERLOADED)
+        usable: list[EngineState],
+        prompt: PromptCost,
+    ) -> ChosenEngine | None:
         if not waiting.preferred:
             ready = [state.instance for state in usable]
-            waiting.preferred = find_preferred_engine(ask, ready)
-        immediate = scan.is_urgent(ask)
-        prompt = PromptCost(
-            ask,
-            own_s,
-            scan.speed.predict(waiting.full_work),
-            scan.use.limit_concurrency() if is_long else math.inf,
-            immediate,
-        )
+            waiting.preferred = find_preferred_engine(waiting.ask, ready)
         state, slot_wait_s = self._chooser.choose(
             prompt, usable, waiting.preferred, scan.ahead_s
         )
-        if immediate:
+        if prompt.immediate:
             must_wait = slot_wait_s > PREEMPTION_PENALTY_S
         else:
             is_busy = state.wait_s > scan.maximum_backlog_s
             must_wait = is_busy or slot_wait_s > 0
-        return None if must_wait else ChosenEngine(state, immediate)
+        return None if must_wait else ChosenEngine(state, prompt.immediate)
 
     def _update_capacity(self, scan: GroupScan) -> None:
         idle = [
--- a/egretdale/state/prompts.py
+++ b/egretdale/state/prompts.py
@@ -90,7 +90,6 @@
 
     :ivar waiting: waiting requests by ID, the oldest first.
     :ivar granted: granted requests that have not ended, by ID.
-    :ivar expired_at: clock time of the last search for ended requests.
     :ivar credit: credit of the oldest request in prompt tokens, by urgency; it
         grows when other requests are granted before it.
     :ivar seen_at: clock time of the last request of each kind.
@@ -98,7 +97,6 @@
 
     waiting: dict[str, WaitingPrompt] = field(default_factory=dict)
     granted: dict[str, GrantedPrompt] = field(default_factory=dict)
-    expired_at: float = float('-inf')
     credit: dict[int, float] = field(default_factory=dict)
     seen_at: dict[PromptKind, float] = field(default_factory=dict)
 
@@ -144,6 +142,18 @@
             for kind in self.seen_at
         )
 
+    def list_expired(self, now: float) -> list[str]:
+        """List the granted requests that have certainly ended.
+
+        :param now: clock time.
+        :return: their IDs.
+        """
+        return [
+            request_id
+            for request_id, granted in self.granted.items()
+            if granted.expires_at <= now
+        ]
+
     def list_oldest(self) -> dict[int, WaitingPrompt]:
         """Return the oldest waiting request of each urgency."""
         oldest: dict[int, WaitingPrompt] = {}
--- a/tests/prompts.py
+++ b/tests/prompts.py
@@ -163,10 +163,11 @@
 
 
 @contextmanager
-def open_engines(count: int) -> Iterator[Engines]:
+def open_engines(count: int, slots: int = 0) -> Iterator[Engines]:
     """Run an allocator and engines on virtual time.
 
     :param count: number of engines.
+    :param slots: number of slots that each announces, 0 for none.
     :return: the engines.
     """
     with use_virtual_time() as hub:
@@ -176,7 +177,7 @@
         table = InstanceTable(hub.read_now, 2)
         table.replace(
             {
-                f'e{index}': Instance(f'e{index}', SERVICE, '')
+                f'e{index}': Instance(f'e{index}', SERVICE, '', slots=slots)
                 for index in range(count)
             },
             after_outage=False,
--- a/tests/test_coordination/test_prefill.py
+++ b/tests/test_coordination/test_prefill.py
@@ -8,10 +8,12 @@
 
 from egretdale.coordination.prefill import QUEUED
 from egretdale.state.messages import GroupAsk
+from egretdale.util.hashing import hash_text
 from tests.functions import create_loader
 from tests.prompts import (
     GROUP,
     LONG,
+    SERVICE,
     SHORT,
     Engines,
     create_ask,
@@ -224,3 +226,41 @@
         assert len(engines.first_tokens) == 1200
         # 1 in 20 may be late for any reason.
         assert _count_delayed(engines, 0.2) <= 600 / 20
+
+
+def _fill_engines(engines: Engines) -> None:
+    engines.send(*(create_ask(f'busy{index}', LONG) for index in range(6)))
+
+
+def test_a_request_without_any_engine_left_is_not_held_in_a_burst() -> None:
+    """It is denied at once although all engines are busy with others."""
+    with open_engines(2) as engines:
+        _fill_engines(engines)
+        ask = create_ask('r', LONG, avoided=['e0', 'e1'])
+        engines.send(ask)
+        eventlet.sleep(0.05)
+        assert 'r' in engines.refused
+
+
+def test_requests_to_a_group_without_engines_are_denied_at_once() -> None:
+    """Their hosts may know engines that the allocator does not know."""
+    with open_engines(0) as engines:
+        engines.send(create_ask('r', LONG), create_short_ask('short'))
+        assert sorted(engines.refused) == ['r', 'short']
+
+
+def test_slots_of_a_dead_host_are_freed_when_the_group_has_changed() -> None:
+    """The number of groups follows that of the engines."""
+    with open_engines(1, slots=4) as engines:
+        asks = [create_ask(f'lost{index}', SHORT) for index in range(3)]
+        lost = GroupAsk(GROUP, asks=asks, reports_ends=True)
+        reply = engines.allocator.handle_message('dead', lost)
+        assert len(reply.grants) == 3
+        other_group = f'{SERVICE}/2/{hash_text("e0") % 2}'
+        ask = GroupAsk(other_group, asks=[create_ask('r1', SHORT)])
+        reply = engines.allocator.handle_message('host', ask)
+        assert not reply.grants
+        eventlet.sleep(9)
+        ask = GroupAsk(other_group, asks=[create_ask('r2', SHORT)])
+        reply = engines.allocator.handle_message('host', ask)
+        assert [grant.request_id for grant in reply.grants] == ['r2']
