Return a granted engine that is not used

Cause, found by reading: a host that did not use a grant (an engine that its newer list no longer has, an exhausted retry budget) never told the allocator, which counted a held slot until the caller's deadline. Change: the end is reported at once. test_a_grant_that_is_not_used_is_returned failed before; the case of the budget has no test of its own.

--- a/egretdale/coordination/forwarding.py
+++ b/egretdale/coordination/forwarding.py
@@ -170,6 +170,8 @@
             if choice is None:
                 return self._refuse(progress, 'no backend server is available')
             if progress.sent and not self._spend_retry(progress.service):
+                request_id = progress.admitted.request.request_id
+                self._prefill_client.note_end(request_id)
                 return self._refuse(progress, 'the retry budget is exhausted')
             outcome = self._try_backend(progress, choice, last_event_id)
             if outcome is not None:
--- a/egretdale/coordination/prefill_client.py
+++ b/egretdale/coordination/prefill_client.py
@@ -200,7 +200,10 @@
             self._avoided_s.pop(owner, None)
         if isinstance(reply, Grant):
             self._granted[ask.request_id] = GrantedEngine(group, self._clock())
-        return self._interpret_reply(reply)
+        outcome = self._interpret_reply(reply)
+        if outcome is None:
+            self.note_end(ask.request_id)
+        return outcome
 
     def note_first_token(self, request_id: str, first_token_ms: int) -> None:
         """Record that a request has its first token, or never will have.
--- a/tests/test_coordination/test_prompts.py
+++ b/tests/test_coordination/test_prompts.py
@@ -199,3 +199,26 @@
     """It is refused at once instead of waiting in a second group."""
     outcome = _request_among_groups(2000)
     assert isinstance(outcome, Refused)
+
+
+class _RecordingAllocator(_ScriptedAllocator):
+    """Records the released requests."""
+
+    def __init__(self, reply: GroupReply) -> None:
+        super().__init__(reply)
+        self.released: list[str] = []
+
+    def handle_message(self, host: str, message: GroupAsk) -> GroupReply:
+        self.released.extend(entry.request_id for entry in message.released)
+        return super().handle_message(host, message)
+
+
+def test_a_grant_that_is_not_used_is_returned() -> None:
+    """The engine is no longer in the newer list of this host."""
+    allocator = _RecordingAllocator(
+        GroupReply(GROUP, grants=[Grant('r1', 'gone')])
+    )
+    with _open_client(allocator, 'a') as (client, _):
+        assert client.request_engine(SERVICE, create_ask('r1', LONG)) is None
+        eventlet.sleep(0.1)
+        assert allocator.released == ['r1']
