Serve the longest prompts at least 0.6 as often as the others

The longest prompts go last in their tier, so they were refused first; the credit of the oldest request never came to a long prompt, as shorter old ones used it up. Change: a request that would be refused goes first instead while its length is served less than 0.6 as often as its urgency. The credit of the oldest is gone.

--- a/egretdale/coordination/prefill.py
+++ b/egretdale/coordination/prefill.py
@@ -38,9 +38,6 @@
 _TICK_PER_REQUEST_S = 0.0002
 #: Seconds between two searches for requests that have certainly ended.
 _EXPIRY_INTERVAL_S = 0.2
-#: Part of the prefill of a tier that goes to its oldest request, so that long
-#: prompts are not starved in a lasting overload.
-_OLDEST_SHARE = 0.1
 
 
 class PrefillAllocator(MeshListener):
@@ -222,8 +219,6 @@
         tokens = self._chooser.reserve(ask, state)
         if waiting.reports_end:
             self._chooser.hold_slot(ask, state)
-        if not chosen.immediate:
-            queue.note_grant(waiting, _OLDEST_SHARE)
         queue.granted[ask.request_id] = GrantedPrompt(
             state.name,
             ask.class_name,
@@ -283,23 +278,18 @@
     tokens outside its shared part goes first: in a burst most requests are
     then served in time, and the late ones are the few that need the most
     prefill. Shared parts do not count, as an allocator that has just started
-    does not know where they are cached. A part of the prefill of each tier
-    goes to its oldest request.
+    does not know where they are cached. Requests of a length that
+    is refused far more often than others go first instead.
 
     :param queue: the requests.
     :return: the requests, the next one first.
     """
-    entitled = {
-        oldest.ask.request_id
-        for oldest in queue.list_oldest().values()
-        if queue.has_enough_credit(oldest)
-    }
 
     def rank(waiting: WaitingPrompt) -> tuple[int, bool, int]:
         ask = waiting.ask
         return (
             ask.urgency,
-            ask.request_id not in entitled,
+            not waiting.entitled,
             waiting.own_tokens,
         )
 
--- a/egretdale/coordination/prefill_policy.py
+++ b/egretdale/coordination/prefill_policy.py
@@ -88,6 +88,17 @@
             self.urgent_kinds[kind] = self.queue.is_urgent(ask)
         return self.urgent_kinds[kind]
 
+    def is_acceptable(self, waiting: WaitingPrompt, waited_s: float) -> bool:
+        """Tell whether a request need not be refused.
+
+        :param waiting: the request.
+        :param waited_s: seconds that it has waited.
+        """
+        patience_s = convert_to_seconds(waiting.ask.left_ms) * _WAIT_SHARE
+        if waited_s + self.ahead_s <= patience_s:
+            return True
+        return self.queue.entitle(waiting)
+
     def pass_over(self, waiting: WaitingPrompt, own_s: float) -> None:
         """Count a request that stays waiting.
 
@@ -164,8 +175,8 @@
         """
         ask = waiting.ask
         waited_s = self._clock() - waiting.arrived_at
-        patience_s = convert_to_seconds(ask.left_ms) * _WAIT_SHARE
-        if waited_s + scan.ahead_s > patience_s:
+        if not scan.is_acceptable(waiting, waited_s):
+            scan.queue.note_refusal(waiting)
             return _deny(ask, waited_s, scan.ahead_s)
         usable = _exclude_avoided(ask, scan.states)
         if not usable:
--- a/egretdale/state/prompts.py
+++ b/egretdale/state/prompts.py
@@ -10,6 +10,11 @@
 
 #: Time in seconds for which a group counts the requests of a class as usual.
 _CLASS_MEMORY_S = 20.0
+#: Share of the requests of a size band that are served at least, as a part of
+#: that of all requests of their urgency.
+_FAIR_SHARE = 0.6
+#: Requests of a size band after which older ones count half.
+_COUNTED_REQUESTS = 200
 #: Targets up to this multiple of the shortest one count as short.
 _SHORT_TARGET_FACTOR = 1.25
 
@@ -26,6 +31,8 @@
     :ivar full_work: work of prefilling the whole prompt.
     :ivar preferred: name of the engine that all hosts prefer for it, empty
         until it is first needed.
+    :ivar size_band: urgency and approximate length.
+    :ivar entitled: whether it goes before the others of its urgency.
     """
 
     ask: Ask
@@ -33,12 +40,17 @@
     arrived_at: float
     reports_end: bool = False
     preferred: str = ''
+    entitled: bool = False
+    size_band: SizeBand = field(init=False)
     own_work: PrefillWork = field(init=False)
     full_work: PrefillWork = field(init=False)
 
     def __post_init__(self) -> None:
         """Measure the work of the prefill."""
         tokens = self.ask.prompt_tokens
+        self.size_band = SizeBand(
+            self.ask.urgency, self.own_tokens.bit_length()
+        )
         self.own_work = measure_work(self.own_tokens, tokens)
         self.full_work = measure_work(tokens, tokens)
 
@@ -72,6 +84,31 @@
     prefilled_s: float = 0
 
 
+@dataclass(slots=True, frozen=True)
+class SizeBand:
+    """Urgency and approximate length of requests.
+
+    :ivar urgency: urgency, 0 is the highest.
+    :ivar bits: binary digits of the number of tokens outside shared parts, -1
+        for any.
+    """
+
+    urgency: int
+    bits: int = -1
+
+
+@dataclass(slots=True)
+class SizeCounts:
+    """Recent requests of a size band.
+
+    :ivar arrived: requests.
+    :ivar refused: those that were refused because of overload.
+    """
+
+    arrived: float = 0
+    refused: float = 0
+
+
 @dataclass(slots=True, frozen=True)
 class PromptKind:
     """Urgency and target of requests.
@@ -90,14 +127,13 @@
 
     :ivar waiting: waiting requests by ID, the oldest first.
     :ivar granted: granted requests that have not ended, by ID.
-    :ivar credit: credit of the oldest request in prompt tokens, by urgency; it
-        grows when other requests are granted before it.
+    :ivar counts: recent requests and refusals by size band.
     :ivar seen_at: clock time of the last request of each kind.
     """
 
     waiting: dict[str, WaitingPrompt] = field(default_factory=dict)
     granted: dict[str, GrantedPrompt] = field(default_factory=dict)
-    credit: dict[int, float] = field(default_factory=dict)
+    counts: dict[SizeBand, SizeCounts] = field(default_factory=dict)
     seen_at: dict[PromptKind, float] = field(default_factory=dict)
 
     def note_arrival(self, waiting: WaitingPrompt) -> None:
@@ -107,6 +143,7 @@
         """
         ask = waiting.ask
         self.waiting[ask.request_id] = waiting
+        self._note_size(waiting)
         self.seen_at[PromptKind(ask.urgency, ask.target_ms)] = (
             waiting.arrived_at
         )
@@ -154,31 +191,38 @@
             if granted.expires_at <= now
         ]
 
-    def list_oldest(self) -> dict[int, WaitingPrompt]:
-        """Return the oldest waiting request of each urgency."""
-        oldest: dict[int, WaitingPrompt] = {}
-        for waiting in self.waiting.values():
-            oldest.setdefault(waiting.ask.urgency, waiting)
-        return oldest
+    def entitle(self, waiting: WaitingPrompt) -> bool:
+        """Let a request that would be refused go first, if that is fair.
 
-    def has_enough_credit(self, oldest: WaitingPrompt) -> bool:
-        """Return whether a request has enough credit to go next.
+        Longer prompts go last, so without this the longest ones would be
+        refused far more often than the others.
 
-        :param oldest: the oldest request of its urgency.
+        :param waiting: the request.
+        :return: whether it goes before the others of its urgency.
         """
-        credit = self.credit.get(oldest.ask.urgency, 0)
-        return credit >= oldest.own_tokens
+        if not waiting.entitled:
+            same = self._find_counts(waiting.size_band)
+            others = self._find_counts(SizeBand(waiting.ask.urgency))
+            served = 1 - (same.refused + 1) / same.arrived
+            fair = (1 - others.refused / others.arrived) * _FAIR_SHARE
+            waiting.entitled = served < fair
+        return waiting.entitled
 
-    def note_grant(self, granted: WaitingPrompt, share: float) -> None:
-        """Update the credit when a request is granted an engine.
+    def note_refusal(self, waiting: WaitingPrompt) -> None:
+        """Count a refusal because of overload.
 
-        :param granted: the request, still among the waiting ones.
-        :param share: fraction of the granted prompt tokens that is credited
-            to the oldest request.
+        :param waiting: the request.
         """
-        urgency = granted.ask.urgency
-        credit = self.credit.get(urgency, 0)
-        if self.list_oldest()[urgency] is granted:
-            self.credit[urgency] = max(0, credit - granted.own_tokens)
-        else:
-            self.credit[urgency] = credit + granted.own_tokens * share
+        for band in (waiting.size_band, SizeBand(waiting.ask.urgency)):
+            self._find_counts(band).refused += 1
+
+    def _note_size(self, waiting: WaitingPrompt) -> None:
+        for band in (waiting.size_band, SizeBand(waiting.ask.urgency)):
+            counts = self._find_counts(band)
+            counts.arrived += 1
+            if counts.arrived > _COUNTED_REQUESTS:
+                counts.arrived /= 2
+                counts.refused /= 2
+
+    def _find_counts(self, band: SizeBand) -> SizeCounts:
+        return self.counts.setdefault(band, SizeCounts())
--- a/standins/emulation/replay.py
+++ b/standins/emulation/replay.py
@@ -79,6 +79,8 @@
     :ivar asked: number of requests.
     :ivar on_time: share of requests whose complete response met its targets.
     :ivar late: share of requests whose complete response missed a target.
+    :ivar longest_served: share of the tenth of requests with the longest
+        prompts whose response was complete.
     :ivar first_ms: median and 95th percentile of the time to the first event
         in milliseconds.
     """
@@ -86,6 +88,7 @@
     asked: int
     on_time: float
     late: float
+    longest_served: float
     first_ms: list[int]
 
 
@@ -249,6 +252,8 @@
     count = len(calls)
     on_time = sum(call.is_on_time() for call in calls)
     complete = sum(call.complete for call in calls)
+    by_length = sorted(calls, key=lambda call: -call.arrival.prompt.tokens)
+    longest = by_length[: count // 10]
     first = sorted(
         call.first_event_s for call in calls if call.first_event_s is not None
     ) or [float(0)]
@@ -256,6 +261,7 @@
         count,
         on_time / count,
         (complete - on_time) / count,
+        sum(call.complete for call in longest) / max(1, len(longest)),
         [
             round(first[(len(first) - 1) * percentile // 100] * _MS)
             for percentile in _PERCENTILES
--- a/tests/test_standins/test_emulation.py
+++ b/tests/test_standins/test_emulation.py
@@ -75,6 +75,14 @@
     assert shares['reply'] > shares['tag'] - 0.15
 
 
+def test_the_longest_prompts_are_not_left_out_in_a_burst() -> None:
+    """They are served at least half as often as all, as the users ask."""
+    report = simulate_workload('shelter-grown-3.3x', 'product', _SEED)
+    digests = report.classes['digest']
+    served = digests.on_time + digests.late
+    assert digests.longest_served >= served / 2
+
+
 def test_the_top_tier_keeps_its_target_when_an_engine_is_lost() -> None:
     """Long prompts wait at the hosts rather than at crowded engines."""
     report = simulate_workload('shelter-2.2x-crash', 'product', _SEED)
