--- a/standins/emulation/replay.py
+++ b/standins/emulation/replay.py
@@ -28,8 +28,9 @@
     EmulatedHost,
     create_hosts,
 )
-from standins.emulation.loads import WORKLOADS, Arrival, Workload, draw_arrivals
+from standins.emulation.loads import Arrival, Workload, draw_arrivals
 from standins.emulation.policies import PROMPT_POLICIES
+from standins.emulation.workloads import WORKLOADS
 from standins.virtual.hub import VirtualHub, use_virtual_time
 
 #: Seconds until hosts learn that an engine has crashed or started.
--- a/standins/measure.py
+++ b/standins/measure.py
@@ -19,9 +19,9 @@
 from standins.control_cost import measure_control
 from standins.decision_cost import measure_decisions
 from standins.emulation.comparing import format_comparison, run_simulation
-from standins.emulation.loads import WORKLOADS
 from standins.emulation.policies import PROMPT_POLICIES
 from standins.emulation.replay import PromptReport
+from standins.emulation.workloads import WORKLOADS
 from standins.relay_cost import measure_relay
 from standins.replay import TraceReport, find_misses, format_report, replay
 from standins.traces import list_traces, load_trace
--- a/tests/test_standins/test_emulation.py
+++ b/tests/test_standins/test_emulation.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from standins.emulation.loads import WORKLOADS, draw_arrivals
+from standins.emulation.loads import draw_arrivals
 from standins.emulation.replay import simulate_workload
+from standins.emulation.workloads import WORKLOADS
 from tests.functions import create_loader
 
 load_tests = create_loader(__name__)
