--- a/egretdale/coordination/prefill_client.py
+++ b/egretdale/coordination/prefill_client.py
@@ -33,8 +33,8 @@
 #: Part of the target for the first token that may pass until the first reply
 #: of an allocator.
 _REPLY_TARGET_SHARE = 0.2
-#: Bounds on the timeout in seconds for that reply. A busy allocator is slower
-#: than a stopped one is late.
+#: Bounds on the timeout in seconds for that reply: an allocator may only be
+#: busy.
 _MINIMUM_REPLY_TIMEOUT_S = 0.08
 _MAXIMUM_REPLY_TIMEOUT_S = 0.4
 #: Time in seconds for which an allocator that did not reply is not asked again.
