--- a/egretdale/state/prompts.py
+++ b/egretdale/state/prompts.py
@@ -1,4 +1,4 @@
-"""Queue of the prompts that wait for an engine or for their first token."""
+"""Prompts that wait for an engine, and those that run at one."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 from egretdale.state.speeds import PrefillWork, measure_work
 from egretdale.util.clocks import convert_to_seconds
 
-#: Time in seconds for which a group counts the requests of a class as usual.
+#: Time in seconds for which a kind of request counts as present in a group.
 _CLASS_MEMORY_S = 20.0
 #: Share of the requests of a size band that are served at least, as a part of
 #: that of all requests of their urgency.
@@ -62,7 +62,7 @@
 
 @dataclass(slots=True)
 class GrantedPrompt:
-    """A request that was granted an engine and has no first token yet.
+    """A request that was granted an engine and has not ended.
 
     :ivar engine: name of the engine's incarnation.
     :ivar class_name: class of the request.
