Build the components that select backend servers in one place

Cause: the gateway and the emulated hosts each wired chooser, loads, allocator and its client, so a further component would be wired twice. Change: BackendSelection holds and attaches them; no behaviour differs.

--- a/egretdale/coordination/forwarding.py
+++ b/egretdale/coordination/forwarding.py
@@ -6,7 +6,7 @@
 
 from egretdale.coordination.admission import Admission, AdmittedRequest
 from egretdale.coordination.attempt_recorder import AttemptRecorder
-from egretdale.coordination.backend_choice import BackendChoice, BackendChooser
+from egretdale.coordination.backend_choice import BackendChoice
 from egretdale.coordination.budgets import RetryBudgets
 from egretdale.coordination.exchanges import (
     ForwardAttempt,
@@ -17,12 +17,11 @@
     ForwardResponse,
 )
 from egretdale.coordination.ports import MaybeRun, NotRun
-from egretdale.coordination.prefill_client import PrefillClient
 from egretdale.coordination.progress import OpenedResponse, Progress
 from egretdale.coordination.prompt_asks import create_ask
 from egretdale.coordination.response_relay import ResponseRelay
+from egretdale.coordination.selection import BackendSelection
 from egretdale.state.gateway_metrics import GatewayMetrics
-from egretdale.state.loads import LoadTable
 from egretdale.state.outcomes import Ran, Reason, Refused
 from egretdale.util.clocks import Clock, convert_to_ms
 
@@ -56,10 +55,8 @@
         self,
         *,
         admission: Admission,
-        chooser: BackendChooser,
-        loads: LoadTable,
+        selection: BackendSelection,
         budgets: RetryBudgets,
-        prefill_client: PrefillClient,
         metrics: GatewayMetrics,
         client: ForwardClient,
         clock: Clock,
@@ -68,20 +65,18 @@
         """Create a forwarder.
 
         :param admission: decides which requests may run.
-        :param chooser: chooses backend servers.
-        :param loads: loads of backend servers.
+        :param selection: selects backend servers.
         :param budgets: retry budgets by service.
-        :param prefill_client: asks the allocator of a service for engines.
         :param metrics: metrics.
         :param client: client of backend servers.
         :param clock: monotonic clock.
         :param source: random source.
         """
         self._admission = admission
-        self._chooser = chooser
-        self._loads = loads
+        self._chooser = selection.chooser
+        self._loads = selection.loads
         self._budgets = budgets
-        self._prefill_client = prefill_client
+        self._prefill_client = selection.prefill_client
         self._metrics = metrics
         self._recorder = AttemptRecorder(metrics, clock)
         self._client = client
--- a/egretdale/coordination/gateway.py
+++ b/egretdale/coordination/gateway.py
@@ -9,7 +9,6 @@
 
 from egretdale.config import GatewaySettings
 from egretdale.coordination.admission import Admission, FreshnessLimits
-from egretdale.coordination.backend_choice import BackendChooser
 from egretdale.coordination.budgets import RetryBudgetSettings, RetryBudgets
 from egretdale.coordination.configuration import (
     ConfigurationFollower,
@@ -28,11 +27,9 @@
 from egretdale.coordination.membership_factory import create_membership
 from egretdale.coordination.mesh import Mesh
 from egretdale.coordination.ports import Network, Platform
-from egretdale.coordination.prefill import PrefillAllocator
-from egretdale.coordination.prefill_client import PrefillClient
+from egretdale.coordination.selection import BackendSelection
 from egretdale.state.gateway_metrics import GatewayMetrics
-from egretdale.state.instances import Instance, InstanceTable
-from egretdale.state.loads import LoadTable
+from egretdale.state.instances import InstanceTable
 from egretdale.state.members import MemberStatus, MemberTable
 from egretdale.state.messages import (
     ChangeAsk,
@@ -40,7 +37,6 @@
     DocumentCopy,
 )
 from egretdale.state.routing import CallerLimits
-from egretdale.state.speeds import SpeedTable
 from egretdale.util.clocks import Clock, WallClock, convert_to_ms
 from egretdale.util.tasks import TaskGroup
 
@@ -90,11 +86,8 @@
     """
 
     __slots__ = (
-        '_allocator',
-        '_chooser',
         '_dependencies',
-        '_prefill_client',
-        '_speeds',
+        '_selection',
         '_table',
         'configuration',
         'forwarder',
@@ -145,8 +138,6 @@
         self.mesh.add_listener(self.membership)
         self.mesh.add_listener(self.configuration)
         self.mesh.add_listener(self.instances)
-        self.mesh.add_listener(self._prefill_client)
-        self.mesh.attach_handler(self._allocator.handle)
         self._watch_metrics()
 
     def start(self, tasks: TaskGroup) -> None:
@@ -238,7 +229,7 @@
     def _list_speeds(self) -> dict[str, float]:
         return {
             service: speed.tokens_per_s
-            for service, speed in self._speeds.list_services().items()
+            for service, speed in self._selection.speeds.list_services().items()
             if speed.is_known()
         }
 
@@ -247,24 +238,12 @@
             eventlet.sleep(_JOINING_CHECK_S)
         self.membership.join()
 
-    def _forget(self, instance: Instance) -> None:
-        self._chooser.forget(instance)
-        self._allocator.forget(instance)
-
     def _build_forwarder(self) -> None:
         settings = self.settings
         dependencies = self._dependencies
-        loads = LoadTable(dependencies.clock)
         table = InstanceTable(dependencies.clock, LAPSE_S)
-        chooser = BackendChooser(table, loads, dependencies.clock)
-        self._speeds = SpeedTable(dependencies.clock)
-        self._allocator = PrefillAllocator(
-            self.mesh, table, dependencies.clock, self._speeds
-        )
-        self._chooser = chooser
-        self._prefill_client = PrefillClient(
+        self._selection = BackendSelection(
             self.mesh,
-            self._allocator,
             table,
             dependencies.clock,
             self.metrics.silent_allocators,
@@ -276,7 +255,7 @@
             decode=dependencies.decode_instance,
             clock=dependencies.clock,
             source=dependencies.source,
-            on_gone=self._forget,
+            on_gone=self._selection.forget,
         )
         self.forwarder = Forwarder(
             admission=Admission(
@@ -284,8 +263,7 @@
                 FreshnessLimits(settings.denial_age_s, settings.key_age_s),
                 dependencies.clock,
             ),
-            chooser=chooser,
-            loads=loads,
+            selection=self._selection,
             budgets=RetryBudgets(
                 RetryBudgetSettings(
                     settings.retry_ratio,
@@ -296,7 +274,6 @@
                 dependencies.clock,
                 lambda: self._table.count_reachable() + 1,
             ),
-            prefill_client=self._prefill_client,
             metrics=self.metrics,
             client=dependencies.client,
             clock=dependencies.clock,
--- /dev/null
+++ b/egretdale/coordination/selection.py
@@ -0,0 +1,69 @@
+"""Components that select a backend server for each request of a host."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from prometheus_client import Counter
+
+from egretdale.coordination.backend_choice import BackendChooser
+from egretdale.coordination.mesh import Mesh
+from egretdale.coordination.prefill import PrefillAllocator
+from egretdale.coordination.prefill_client import PrefillClient
+from egretdale.state.instances import Instance, InstanceTable
+from egretdale.state.loads import LoadTable
+from egretdale.state.speeds import SpeedTable
+from egretdale.util.clocks import Clock
+
+#: Creates the chooser of a host.
+ChooserFactory = Callable[[InstanceTable, LoadTable, Clock], BackendChooser]
+
+
+class BackendSelection:
+    """Selects backend servers, with the allocators of prompts or alone.
+
+    :ivar loads: loads of backend servers.
+    :ivar chooser: chooses backend servers by the knowledge of this host.
+    :ivar speeds: speeds of engines that this host has learned as an allocator.
+    :ivar allocator: allocator of this host.
+    :ivar prefill_client: asks the allocators of all hosts for engines.
+    """
+
+    __slots__ = ('allocator', 'chooser', 'loads', 'prefill_client', 'speeds')
+
+    def __init__(
+        self,
+        mesh: Mesh,
+        instances: InstanceTable,
+        clock: Clock,
+        silent: Counter,
+        *,
+        speeds: SpeedTable | None = None,
+        create_chooser: ChooserFactory = BackendChooser,
+    ) -> None:
+        """Create the components and attach them to the mesh.
+
+        :param mesh: links to peers.
+        :param instances: backend servers.
+        :param clock: monotonic clock.
+        :param silent: counts requests whose allocator did not reply.
+        :param speeds: speeds of engines, ``None`` to learn them.
+        :param create_chooser: creates the chooser.
+        """
+        self.loads = LoadTable(clock)
+        self.chooser = create_chooser(instances, self.loads, clock)
+        self.speeds = speeds or SpeedTable(clock)
+        self.allocator = PrefillAllocator(mesh, instances, clock, self.speeds)
+        self.prefill_client = PrefillClient(
+            mesh, self.allocator, instances, clock, silent
+        )
+        mesh.add_listener(self.prefill_client)
+        mesh.attach_handler(self.allocator.handle)
+
+    def forget(self, instance: Instance) -> None:
+        """Drop the state of a backend server that has gone.
+
+        :param instance: the backend server.
+        """
+        self.chooser.forget(instance)
+        self.allocator.forget(instance)
--- a/standins/emulation/hosts.py
+++ b/standins/emulation/hosts.py
@@ -13,13 +13,11 @@
 from egretdale.coordination.forwarding import Forwarder
 from egretdale.coordination.mesh import Mesh
 from egretdale.coordination.ports import Delivered
-from egretdale.coordination.prefill import PrefillAllocator
-from egretdale.coordination.prefill_client import PrefillClient
+from egretdale.coordination.selection import BackendSelection
 from egretdale.errors import Cause, Unreachable
 from egretdale.state.freshness import Confirmation
 from egretdale.state.gateway_metrics import GatewayMetrics
 from egretdale.state.instances import Instance, InstanceTable
-from egretdale.state.loads import LoadTable
 from egretdale.state.members import MemberStatus, MemberTable
 from egretdale.state.messages import Batch, MemberUpdate
 from egretdale.state.routing import (
@@ -29,10 +27,9 @@
     RoutingTable,
     WeightedService,
 )
-from egretdale.state.speeds import SpeedTable
 from egretdale.util.clocks import Clock
 from standins.emulation.loads import PromptClass, Workload
-from standins.emulation.policies import KnownSpeedTable, Policy
+from standins.emulation.policies import KnownSpeedTable, NoPrefillClient, Policy
 
 SERVICE = 'prompts'
 HOST_NAME = 'prompts.example'
@@ -95,7 +92,7 @@
     :ivar forwarder: forwards requests.
     """
 
-    __slots__ = ('_allocator', '_chooser', '_instances', 'forwarder', 'mesh')
+    __slots__ = ('_instances', '_selection', 'forwarder', 'mesh')
 
     def __init__(
         self,
@@ -118,28 +115,23 @@
         members = _create_members(name, workload.hosts, clock)
         self.mesh = Mesh(members, EmulatedNetwork(hosts), clock, _BYTES_PER_S)
         self._instances = InstanceTable(clock, 2)
-        loads = LoadTable(clock)
-        self._chooser = policy.create_chooser(self._instances, loads, clock)
-        speeds = SpeedTable(clock)
+        speeds = None
         if policy.knows_speed:
             speeds = KnownSpeedTable(clock, workload.profile)
-        self._allocator = PrefillAllocator(
-            self.mesh, self._instances, clock, speeds
-        )
         metrics = GatewayMetrics()
-        prefill_client = PrefillClient(
+        self._selection = BackendSelection(
             self.mesh,
-            self._allocator,
             self._instances,
             clock,
             metrics.silent_allocators,
+            speeds=speeds,
+            create_chooser=policy.create_chooser,
         )
-        self.mesh.add_listener(prefill_client)
-        self.mesh.attach_handler(self._allocator.handle)
+        if not policy.uses_allocator:
+            self._selection.prefill_client = NoPrefillClient()
         self.forwarder = Forwarder(
             admission=_create_admission(workload, policy, clock),
-            chooser=self._chooser,
-            loads=loads,
+            selection=self._selection,
             budgets=RetryBudgets(
                 RetryBudgetSettings(
                     _RETRY_RATIO,
@@ -150,7 +142,6 @@
                 clock,
                 members.count_live,
             ),
-            prefill_client=policy.choose_prefill_client(prefill_client),
             metrics=metrics,
             client=client,
             clock=clock,
@@ -164,8 +155,7 @@
         """
         removed = self._instances.replace(instances, after_outage=False)
         for instance in removed:
-            self._chooser.forget(instance)
-            self._allocator.forget(instance)
+            self._selection.forget(instance)
 
 
 def create_hosts(
--- a/standins/emulation/policies.py
+++ b/standins/emulation/policies.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 from types import MappingProxyType
 
 from egretdale.coordination.exchanges import Prompt
 from egretdale.coordination.backend_choice import BackendChoice, BackendChooser
-from egretdale.coordination.prefill_client import PrefillClient
-from egretdale.state.instances import Instance, InstanceTable
-from egretdale.state.loads import LoadTable
+from egretdale.coordination.selection import ChooserFactory
+from egretdale.state.instances import Instance
 from egretdale.state.messages import Ask
 from egretdale.state.speeds import PrefillSample, ServiceSpeed, SpeedTable
 from egretdale.util.clocks import Clock
@@ -155,20 +154,11 @@
     :ivar knows_speed: whether the allocator is told the speed of the engines.
     """
 
-    create_chooser: Callable[[InstanceTable, LoadTable, Clock], BackendChooser]
+    create_chooser: ChooserFactory
     uses_allocator: bool = False
     uses_urgency: bool = False
     knows_speed: bool = False
 
-    def choose_prefill_client(
-        self, prefill_client: PrefillClient
-    ) -> PrefillClient | NoPrefillClient:
-        """Choose the prefill client of a host.
-
-        :param prefill_client: client of the allocator.
-        """
-        return prefill_client if self.uses_allocator else NoPrefillClient()
-
 
 #: Policies by name. ``informed`` is the product with known engines, ``alone``
 #: without its allocator; ``parts`` routes by shared part with bounded load.
--- a/tests/forwarding.py
+++ b/tests/forwarding.py
@@ -17,11 +17,14 @@
 )
 from egretdale.coordination.forwarding import Forwarder
 from egretdale.coordination.backend_choice import BackendChooser
+from egretdale.coordination.mesh import Mesh
 from egretdale.coordination.ports import EndOfStream, MaybeRun, NotRun
+from egretdale.coordination.selection import BackendSelection
 from egretdale.state.gateway_metrics import GatewayMetrics
 from egretdale.state.freshness import Confirmation
 from egretdale.state.instances import Instance, InstanceTable
 from egretdale.state.loads import LoadTable
+from egretdale.state.members import MemberTable
 from egretdale.state.routing import (
     CallerLimits,
     KeyHolder,
@@ -32,6 +35,7 @@
 )
 from standins.emulation.hosts import FixedConfiguration
 from standins.emulation.policies import NoPrefillClient
+from tests.prompts import SilentNetwork
 
 HOST_NAME = 'claims.example'
 
@@ -221,16 +225,17 @@
         after_outage=False,
     )
     metrics = GatewayMetrics()
-    loads = LoadTable(clock)
-    chooser = BackendChooser(instances, loads, clock)
+    mesh = Mesh(MemberTable('own'), SilentNetwork(), clock, 4096)
+    selection = BackendSelection(
+        mesh, instances, clock, metrics.silent_allocators
+    )
+    selection.prefill_client = NoPrefillClient()
     forwarder = Forwarder(
         admission=Admission(configuration, FreshnessLimits(2, 5), clock),
-        chooser=chooser,
-        loads=loads,
+        selection=selection,
         budgets=RetryBudgets(
             RetryBudgetSettings(0.2, 40, 10, 4), clock, lambda: 1
         ),
-        prefill_client=NoPrefillClient(),
         metrics=metrics,
         client=client,
         clock=clock,
@@ -240,8 +245,8 @@
         clock,
         configuration,
         instances,
-        loads,
-        chooser,
+        selection.loads,
+        selection.chooser,
         forwarder,
         client,
         metrics,
