Log what backend servers state about their request rate

Change: the header is parsed and recorded by incarnation, its changes are logged, attempts say who chose and which limit was known. Nothing enforces it. Measured: tests of forwarding, headers, statements, gateway and prompts pass.

--- a/egretdale/coordination/attempt_recorder.py
+++ b/egretdale/coordination/attempt_recorder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from egretdale.coordination.backend_choice import BackendChoice
+from egretdale.coordination.backpressure import BackpressureTracker
 from egretdale.coordination.exchanges import ForwardResponse
 from egretdale.coordination.ports import MaybeRun, NotRun
 from egretdale.coordination.progress import Progress
@@ -16,15 +17,22 @@
 class AttemptRecorder:
     """Logs and counts each attempt to run a forwarded request."""
 
-    __slots__ = ('_clock', '_metrics')
+    __slots__ = ('_backpressure', '_clock', '_metrics')
 
-    def __init__(self, metrics: GatewayMetrics, clock: Clock) -> None:
+    def __init__(
+        self,
+        metrics: GatewayMetrics,
+        backpressure: BackpressureTracker,
+        clock: Clock,
+    ) -> None:
         """Create a recorder.
 
         :param metrics: metrics.
+        :param backpressure: what backend servers ask for.
         :param clock: monotonic clock.
         """
         self._metrics = metrics
+        self._backpressure = backpressure
         self._clock = clock
 
     def record(
@@ -60,6 +68,8 @@
             backend=choice.instance.name,
             service=service,
             attempt=progress.sent + 1,
+            chosen_by='allocator' if choice.granted else 'host',
+            limit_per_s=self._backpressure.describe_limit(choice.instance),
             prefill_tokens=choice.prefill_tokens,
             urgency=progress.admitted.urgency,
             waited_ms=convert_to_ms(waited_s),
--- a/egretdale/coordination/backend_choice.py
+++ b/egretdale/coordination/backend_choice.py
@@ -25,10 +25,12 @@
 
     :ivar instance: the backend server.
     :ivar prefill_tokens: tokens that it probably has to prefill.
+    :ivar granted: whether an allocator granted it.
     """
 
     instance: Instance
     prefill_tokens: int
+    granted: bool = False
 
 
 class BackendChooser:
--- a/egretdale/coordination/exchanges.py
+++ b/egretdale/coordination/exchanges.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from egretdale.coordination.ports import EndOfStream, MaybeRun, NotRun
+from egretdale.state.backpressure import BackendStatement
 from egretdale.state.instances import Instance
 from egretdale.state.outcomes import Refused
 
@@ -116,6 +117,7 @@
         backend server.
     :ivar not_run: whether the backend server reports that it did not run the
         request.
+    :ivar statement: what the backend server says about further requests.
     """
 
     status: int
@@ -123,6 +125,7 @@
     length: int | None
     sealed: bool
     not_run: bool
+    statement: BackendStatement
 
     def read(self) -> bytes | EndOfStream | MaybeRun:
         """Read the next bytes of the body."""
--- a/egretdale/coordination/forwarding.py
+++ b/egretdale/coordination/forwarding.py
@@ -40,6 +40,7 @@
 
     __slots__ = (
         '_admission',
+        '_backpressure',
         '_budgets',
         '_chooser',
         '_client',
@@ -76,9 +77,10 @@
         self._chooser = selection.chooser
         self._loads = selection.loads
         self._budgets = budgets
+        self._backpressure = selection.backpressure
         self._prefill_client = selection.prefill_client
         self._metrics = metrics
-        self._recorder = AttemptRecorder(metrics, clock)
+        self._recorder = AttemptRecorder(metrics, selection.backpressure, clock)
         self._client = client
         self._clock = clock
         self._source = source
@@ -256,6 +258,11 @@
             outcome = self._client.open(attempt)
             if not isinstance(outcome, NotRun | MaybeRun):
                 opened = True
+                self._backpressure.note_statement(
+                    choice.instance,
+                    outcome.statement,
+                    attempt.request.request_id,
+                )
                 if outcome.status < _REDIRECTION:
                     first_token_ms = convert_to_ms(self._clock() - sent_at)
         finally:
--- a/egretdale/coordination/gateway.py
+++ b/egretdale/coordination/gateway.py
@@ -215,6 +215,11 @@
             'Backend servers in the list',
             self.instances.table.count,
         )
+        self.metrics.add_gauge(
+            'limited_backend_servers',
+            'Backend servers that accept a limited rate of requests',
+            self._selection.backpressure.table.count_limited,
+        )
         self.metrics.add_gauges(
             'prefill_tokens_per_second',
             'Speed that this host has learned as an allocator',
--- a/egretdale/coordination/prefill_client.py
+++ b/egretdale/coordination/prefill_client.py
@@ -301,7 +301,7 @@
                 if instance is None or instance.leaving:
                     # This host has a newer list than the allocator.
                     return None
-                return BackendChoice(instance, tokens)
+                return BackendChoice(instance, tokens, granted=True)
             case Denial(reason=reason, wait_ms=wait_ms):
                 if not reply.retry_after_ms:
                     return None
--- a/egretdale/coordination/selection.py
+++ b/egretdale/coordination/selection.py
@@ -7,6 +7,7 @@
 from prometheus_client import Counter
 
 from egretdale.coordination.backend_choice import BackendChooser
+from egretdale.coordination.backpressure import BackpressureTracker
 from egretdale.coordination.mesh import Mesh
 from egretdale.coordination.prefill import PrefillAllocator
 from egretdale.coordination.prefill_client import PrefillClient
@@ -23,13 +24,21 @@
     """Selects backend servers, with the allocators of prompts or alone.
 
     :ivar loads: loads of backend servers.
+    :ivar backpressure: what backend servers ask for.
     :ivar chooser: chooses backend servers by the knowledge of this host.
     :ivar speeds: speeds of engines that this host has learned as an allocator.
     :ivar allocator: allocator of this host.
     :ivar prefill_client: asks the allocators of all hosts for engines.
     """
 
-    __slots__ = ('allocator', 'chooser', 'loads', 'prefill_client', 'speeds')
+    __slots__ = (
+        'allocator',
+        'backpressure',
+        'chooser',
+        'loads',
+        'prefill_client',
+        'speeds',
+    )
 
     def __init__(
         self,
@@ -51,6 +60,7 @@
         :param create_chooser: creates the chooser.
         """
         self.loads = LoadTable(clock)
+        self.backpressure = BackpressureTracker(mesh.table.own_host, clock)
         self.chooser = create_chooser(instances, self.loads, clock)
         self.speeds = speeds or SpeedTable(clock)
         self.allocator = PrefillAllocator(mesh, instances, clock, self.speeds)
@@ -67,3 +77,4 @@
         """
         self.chooser.forget(instance)
         self.allocator.forget(instance)
+        self.backpressure.table.forget(instance.incarnation)
--- a/egretdale/protocol/forwarding.py
+++ b/egretdale/protocol/forwarding.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+import re
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from egretdale.coordination.exchanges import (
@@ -12,12 +13,16 @@
     PromptPart,
 )
 from egretdale.errors import Invalid
+from egretdale.state.backpressure import BackendStatement
 from egretdale.util.clocks import convert_to_ms, convert_to_seconds
 
 #: Name and value of a header, as sent.
 Header = tuple[str, str]
 
 _HEXADECIMAL = 16
+_DECIMAL = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
+#: Characters of a malformed header that are logged.
+_SHOWN_TEXT = 40
 #: Hop-by-hop headers and headers that each hop sets itself; not forwarded.
 _HOP_HEADERS = frozenset(
     (
@@ -53,6 +58,8 @@
     :ivar expected_instance: backend server that must run the request.
     :ivar not_run: present if the backend server did not run the request.
     :ivar urgency: scheduling rank of the request at the backend server.
+    :ivar request_limit: requests per second that the backend server accepts
+        from all hosts together.
     :ivar reserved: other headers that callers must not set.
     """
 
@@ -68,6 +75,7 @@
     expected_instance: str = 'Egret-Expected-Instance'
     not_run: str = 'Egret-Not-Run'
     urgency: str = 'Egret-Urgency'
+    request_limit: str = 'Egret-Request-Limit'
     reserved: tuple[str, ...] = ()
 
 
@@ -95,12 +103,14 @@
     :ivar sealed: whether the backend server signed it as its own.
     :ivar not_run: whether the request was not run.
     :ivar headers: headers to forward.
+    :ivar statement: what the backend server says about further requests.
     """
 
     matches: bool
     sealed: bool
     not_run: bool
     headers: list[Header]
+    statement: BackendStatement
 
 
 @dataclass(slots=True)
@@ -211,9 +221,17 @@
             names.seal.lower() in present and 'content-encoding' not in present
         )
         return ResponseMetadata(
-            response_id == request_id, sealed, not_run, forwarded
+            response_id == request_id,
+            sealed,
+            not_run,
+            forwarded,
+            self._parse_statement(present),
         )
 
+    def _parse_statement(self, present: Mapping[str, str]) -> BackendStatement:
+        name = self.names.request_limit
+        return BackendStatement(_parse_rate(name, present.get(name.lower())))
+
     def _list_forwarded(self, headers: Iterable[Header]) -> list[Header]:
         return [
             (name, text)
@@ -259,6 +277,14 @@
     return int(stripped) if stripped.isdigit() else 0
 
 
+def _parse_rate(name: str, text: str | None) -> float | Invalid | None:
+    if text is None:
+        return None
+    if _DECIMAL.fullmatch(text.strip()) is None:
+        return Invalid(name, f'is not a decimal number: {text[:_SHOWN_TEXT]!r}')
+    return float(text)
+
+
 def _parse_duration(text: str | None) -> float | None | Invalid:
     if text is None:
         return None
--- a/egretdale/state/instances.py
+++ b/egretdale/state/instances.py
@@ -6,6 +6,9 @@
 
 from egretdale.util.clocks import Clock
 
+#: Name and start time in milliseconds of one start of a backend server.
+Incarnation = tuple[str, int]
+
 
 @dataclass(slots=True, frozen=True)
 class Instance:
@@ -30,7 +33,7 @@
     leaving: bool = False
 
     @property
-    def incarnation(self) -> tuple[str, int]:
+    def incarnation(self) -> Incarnation:
         """Name and start time, which change with a restart."""
         return self.name, self.born_ms
 
--- a/egretdale/transport/forwarding.py
+++ b/egretdale/transport/forwarding.py
@@ -82,6 +82,7 @@
     :ivar length: length of the body in bytes, ``None`` when not announced.
     :ivar sealed: whether the backend server signed it.
     :ivar not_run: whether the request was not run.
+    :ivar statement: what the backend server says about further requests.
     """
 
     __slots__ = (
@@ -93,6 +94,7 @@
         'length',
         'not_run',
         'sealed',
+        'statement',
         'status',
     )
 
@@ -116,6 +118,7 @@
         self.headers = metadata.headers
         self.sealed = metadata.sealed
         self.not_run = metadata.not_run
+        self.statement = metadata.statement
         self.length = _parse_length(response)
         self._pool = pool
         self._address = address
--- a/standins/emulation/engines.py
+++ b/standins/emulation/engines.py
@@ -11,6 +11,7 @@
 
 from egretdale.coordination.exchanges import ForwardAttempt
 from egretdale.coordination.ports import EndOfStream, MaybeRun, NotRun
+from egretdale.state.backpressure import BackendStatement
 from egretdale.state.instances import Instance
 from standins.models.batches import BatchEngine, BatchProfile, BatchRun
 
@@ -44,6 +45,7 @@
     length: int | None = None
     sealed: bool = True
     not_run: bool = False
+    statement: BackendStatement = BackendStatement()
 
     def wait(self) -> bool:
         """Wait for the next event.
@@ -81,6 +83,7 @@
     length: int | None = None
     sealed: bool = True
     not_run: bool = True
+    statement: BackendStatement = BackendStatement()
 
     def read(self) -> EndOfStream:
         """Return the end of an empty body."""
--- a/tests/forwarding.py
+++ b/tests/forwarding.py
@@ -20,6 +20,7 @@
 from egretdale.coordination.mesh import Mesh
 from egretdale.coordination.ports import EndOfStream, MaybeRun, NotRun
 from egretdale.coordination.selection import BackendSelection
+from egretdale.state.backpressure import BackendStatement
 from egretdale.state.gateway_metrics import GatewayMetrics
 from egretdale.state.freshness import Confirmation
 from egretdale.state.instances import Instance, InstanceTable
@@ -148,6 +149,7 @@
     length: int | None = None
     sealed: bool = True
     not_run: bool = False
+    statement: BackendStatement = BackendStatement()
     closed: bool = False
 
     def read(self) -> bytes | EndOfStream | MaybeRun:
--- a/tests/test_protocol/test_forwarding.py
+++ b/tests/test_protocol/test_forwarding.py
@@ -107,3 +107,18 @@
     assert _CODEC.parse_response('r1', 421, []).not_run
     assert _CODEC.parse_response('r1', 503, [('Egret-Not-Run', '1')]).not_run
     assert not _CODEC.parse_response('r1', 503, []).not_run
+
+
+def _read_limit(text: str) -> float | Invalid | None:
+    headers = [('egret-request-limit', text)]
+    return _CODEC.parse_response('r1', 200, headers).statement.limit_per_s
+
+
+def test_request_limits_are_decimal_numbers() -> None:
+    """Anything else is reported as invalid and not taken for a limit."""
+    assert _read_limit('1.9') == 1.9
+    assert _read_limit(' 12 ') == 12
+    for text in ('', '-1', 'nan', 'inf', '1e9', 'soon', '1' * 400, '²'):
+        assert isinstance(_read_limit(text), Invalid), text
+    statement = _CODEC.parse_response('r1', 200, []).statement
+    assert statement.limit_per_s is None
