Log software versions and what resumed requests resume

Change: the version is read from the entries of backend servers and the request that began a stream from the header Resumes; both are logged. Nothing uses them. Measured: tests of translation, headers, forwarding, gateway, commands and ingress pass.

--- a/egretdale/coordination/attempt_recorder.py
+++ b/egretdale/coordination/attempt_recorder.py
@@ -41,6 +41,7 @@
         choice: BackendChoice,
         outcome: ForwardResponse | NotRun | MaybeRun,
         sent_at: float,
+        last_event_id: str,
     ) -> None:
         """Record the outcome of an attempt.
 
@@ -48,6 +49,8 @@
         :param choice: backend server that the request was sent to.
         :param outcome: head of the response, or how the attempt failed.
         :param sent_at: clock time at which the request was sent.
+        :param last_event_id: event after which this host resumed its stream,
+            empty if it did not.
         """
         match outcome:
             case NotRun(detail=detail):
@@ -56,7 +59,8 @@
                 label = 'may-have-run'
             case _:
                 label, detail = str(outcome.status), ''
-        waited_s = sent_at - progress.admitted.request.arrived_at
+        request = progress.admitted.request
+        waited_s = sent_at - request.arrived_at
         took_s = self._clock() - sent_at
         service = progress.service
         self._metrics.attempts.labels(service, label).inc()
@@ -64,8 +68,11 @@
         self._metrics.first_byte.labels(service).observe(took_s)
         logger.info(
             'attempt',
-            request_id=progress.admitted.request.request_id,
+            request_id=request.request_id,
             backend=choice.instance.name,
+            software_version=choice.instance.software_version,
+            resumed_after=last_event_id or request.last_event_id,
+            resumed_id=request.resumed_id,
             service=service,
             attempt=progress.sent + 1,
             chosen_by='allocator' if choice.granted else 'host',
--- a/egretdale/coordination/exchanges.py
+++ b/egretdale/coordination/exchanges.py
@@ -67,6 +67,10 @@
     :ivar prompt: size and parts of the prompt.
     :ivar arrived_at: time at which the request head was read, on the
         monotonic clock of the host.
+    :ivar last_event_id: event after which the caller resumes a stream, empty
+        for a new one.
+    :ivar resumed_id: ID of the request that brought the first event of that
+        stream.
     """
 
     request_id: str
@@ -79,6 +83,8 @@
     patience_s: float | None
     prompt: Prompt
     arrived_at: float
+    last_event_id: str = ''
+    resumed_id: str = ''
 
     @property
     def path(self) -> str:
--- a/egretdale/coordination/forwarding.py
+++ b/egretdale/coordination/forwarding.py
@@ -232,7 +232,7 @@
         progress.avoided.append(instance.name)
         sent_at = self._clock()
         outcome = self._send(progress, attempt, choice, sent_at)
-        self._recorder.record(progress, choice, outcome, sent_at)
+        self._recorder.record(progress, choice, outcome, sent_at, last_event_id)
         match outcome:
             case NotRun():
                 self._loads.suspend(instance.incarnation)
--- a/egretdale/coordination/instances.py
+++ b/egretdale/coordination/instances.py
@@ -209,6 +209,7 @@
                     address=instance.address,
                     born_ms=instance.born_ms,
                     leaving=instance.leaving,
+                    software_version=instance.software_version,
                     origin=origin,
                     revision=self._listing.version,
                 )
--- a/egretdale/protocol/forwarding.py
+++ b/egretdale/protocol/forwarding.py
@@ -53,6 +53,8 @@
     :ivar token_counts: prompt tokens and output limit.
     :ivar prompt_parts: parts of the prompt, each as hash and tokens.
     :ivar last_event_id: event after which a stream is resumed.
+    :ivar resumed_request: ID of the request that brought the first event of
+        the resumed stream.
     :ivar seal: signature of the backend server.
     :ivar organisation: organisation of the caller.
     :ivar expected_instance: backend server that must run the request.
@@ -70,6 +72,7 @@
     token_counts: str = 'Egret-Token-Counts'
     prompt_parts: str = 'Egret-Prompt-Parts'
     last_event_id: str = 'Last-Event-Id'
+    resumed_request: str = 'Egret-Resumes'
     seal: str = 'Egret-Seal'
     organisation: str = 'Egret-Organisation'
     expected_instance: str = 'Egret-Expected-Instance'
@@ -167,6 +170,8 @@
                 present.get(names.prompt_parts.lower(), ''),
             ),
             head.arrived_at,
+            present.get(names.last_event_id.lower(), ''),
+            present.get(names.resumed_request.lower(), ''),
         )
 
     def build_headers(self, attempt: ForwardAttempt) -> list[Header]:
--- a/egretdale/state/instances.py
+++ b/egretdale/state/instances.py
@@ -22,6 +22,7 @@
         unknown.
     :ivar slots: number of requests that it processes concurrently.
     :ivar leaving: whether it no longer accepts new work.
+    :ivar software_version: version of its software, empty if unknown.
     """
 
     name: str
@@ -31,6 +32,7 @@
     born_ms: int = 0
     slots: int = 0
     leaving: bool = False
+    software_version: str = ''
 
     @property
     def incarnation(self) -> Incarnation:
--- a/tests/test_platform/test_translation.py
+++ b/tests/test_platform/test_translation.py
@@ -113,6 +113,7 @@
     assert entry.incarnation != again.incarnation
     assert not entry.leaving
     assert _decode_entry(state='draining').leaving
+    assert _decode_entry(version='v1.1').software_version == 'v1.1'
 
 
 def test_invalid_entries_are_rejected() -> None:
@@ -124,6 +125,7 @@
         {'address': None},
         {'backend': ['s1']},
         {'slots': 'many'},
+        {'version': 3},
     ):
         assert isinstance(_decode_entry(**changes), Invalid), changes
     for source in (b'', b'\xff\xfe', b'[]', b'null', b'{"backend": "s1"}'):
--- a/tests/test_protocol/test_forwarding.py
+++ b/tests/test_protocol/test_forwarding.py
@@ -122,3 +122,11 @@
         assert isinstance(_read_limit(text), Invalid), text
     statement = _CODEC.parse_response('r1', 200, []).statement
     assert statement.limit_per_s is None
+
+
+def test_resumed_streams_name_the_event_and_the_request() -> None:
+    """Both headers are read, and forwarded as the caller sent them."""
+    request = _read(('Last-Event-Id', '7'), ('egret-resumes', 'r0'))
+    assert (request.last_event_id, request.resumed_id) == ('7', 'r0')
+    sent = _write(request)
+    assert (sent['last-event-id'], sent['egret-resumes']) == ('7', 'r0')
