--- a/standins/emulation/hosts.py
+++ b/standins/emulation/hosts.py
@@ -148,6 +148,11 @@
             source=random.Random(name),
         )
 
+    def list_instances(self) -> dict[str, Instance]:
+        """Return the engines that this host knows, by name."""
+        ready = self._instances.list_ready(SERVICE)
+        return {instance.name: instance for instance in ready}
+
     def replace_instances(self, instances: dict[str, Instance]) -> None:
         """Apply a newer list of engines.
 
--- a/tests/limits.py
+++ b/tests/limits.py
@@ -197,7 +197,7 @@
     with use_virtual_time() as hub:
         limited = LimitedServers(hub)
         scene = LimitScene(hub, limited, {})
-        workload = _create_workload(hosts, servers)
+        workload = create_workload(hosts, servers)
         for index in range(hosts):
             name = f'h{index}'
             scene.hosts[name] = EmulatedHost(
@@ -220,7 +220,8 @@
     }
 
 
-def _create_workload(hosts: int, servers: int) -> Workload:
+def create_workload(hosts: int, servers: int) -> Workload:
+    """Create the workload of a scene, with one class of requests."""
     request_class = PromptClass(
         name='work',
         rate=1,
