--- a/egretdale/coordination/attempts.py
+++ b/egretdale/coordination/attempts.py
@@ -23,7 +23,8 @@
 from egretdale.coordination.slot_clients import SlotClients
 from egretdale.coordination.slot_client import ActiveSlot, SlotClient
 from egretdale.state.documents import RequestClass
-from egretdale.state.messages import Ask, ClaimAsk, Denial
+from egretdale.state.messages import Ask, Denial
+from egretdale.state.queries import ClaimAsk
 from egretdale.state.metrics import DaemonMetrics
 from egretdale.state.outcomes import Answered, Ran, Reason, Refused
 from egretdale.util.buckets import TokenBucket
--- a/egretdale/coordination/claims.py
+++ b/egretdale/coordination/claims.py
@@ -24,7 +24,7 @@
 )
 from egretdale.errors import Ambiguous, Conflict, Missing, Unreachable
 from egretdale.state.members import MemberStatus, MemberTable
-from egretdale.state.messages import ClaimAsk, ClaimReply
+from egretdale.state.queries import ClaimAsk, ClaimReply
 from egretdale.util.logs import get_logger
 
 logger = get_logger(__name__)
--- a/egretdale/coordination/copies.py
+++ b/egretdale/coordination/copies.py
@@ -9,7 +9,7 @@
 
 from egretdale.coordination.ports import Network
 from egretdale.state.members import MemberTable
-from egretdale.state.messages import DocumentCopy
+from egretdale.state.queries import DocumentCopy
 
 #: Receives a copy and the name of the host that it came from.
 CopyReceiver = Callable[[DocumentCopy, str], None]
--- a/egretdale/coordination/gateway.py
+++ b/egretdale/coordination/gateway.py
@@ -31,11 +31,7 @@
 from egretdale.state.gateway_metrics import GatewayMetrics
 from egretdale.state.instances import InstanceTable
 from egretdale.state.members import MemberStatus, MemberTable
-from egretdale.state.messages import (
-    ChangeAsk,
-    Changes,
-    DocumentCopy,
-)
+from egretdale.state.queries import ChangeAsk, Changes, DocumentCopy
 from egretdale.state.routing import CallerLimits
 from egretdale.util.clocks import Clock, WallClock, convert_to_ms
 from egretdale.util.tasks import TaskGroup
--- a/egretdale/coordination/instances.py
+++ b/egretdale/coordination/instances.py
@@ -18,7 +18,8 @@
 from egretdale.coordination.watches import KindWatch
 from egretdale.errors import Invalid, Unreachable
 from egretdale.state.instances import Instance, InstanceTable
-from egretdale.state.messages import Batch, DocumentCopy, Revision
+from egretdale.state.messages import Batch, Revision
+from egretdale.state.queries import DocumentCopy
 from egretdale.util.clocks import Clock
 from egretdale.util.logs import get_logger
 
--- a/egretdale/coordination/keys.py
+++ b/egretdale/coordination/keys.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from egretdale.state.messages import ClaimAsk, ClaimReply
+from egretdale.state.queries import ClaimAsk, ClaimReply
 from egretdale.util.clocks import Clock
 
 ISSUED_PREFIX = 'ik1.'
--- a/egretdale/coordination/listing_relay.py
+++ b/egretdale/coordination/listing_relay.py
@@ -14,7 +14,7 @@
 from eventlet.event import Event
 
 from egretdale.coordination.ports import Listing
-from egretdale.state.messages import ChangeAsk, Changes, ObjectCopy
+from egretdale.state.queries import ChangeAsk, Changes, ObjectCopy
 from egretdale.util.clocks import (
     MILLISECONDS_PER_SECOND,
     Clock,
--- a/egretdale/coordination/ports.py
+++ b/egretdale/coordination/ports.py
@@ -8,8 +8,8 @@
 
 from egretdale.errors import Ambiguous, Conflict, Missing, Unreachable
 from egretdale.state.backends import LoadReport
-from egretdale.state.messages import (
-    Batch,
+from egretdale.state.messages import Batch
+from egretdale.state.queries import (
     ChangeAsk,
     Changes,
     ClaimAsk,
--- a/egretdale/coordination/readers.py
+++ b/egretdale/coordination/readers.py
@@ -8,7 +8,7 @@
 from egretdale.coordination.ports import Listing, Network, StoredObject
 from egretdale.errors import Ambiguous, Unreachable
 from egretdale.state.members import MemberTable, list_owners
-from egretdale.state.messages import ChangeAsk, Changes
+from egretdale.state.queries import ChangeAsk, Changes
 from egretdale.util.clocks import (
     Clock,
     convert_to_ms,
--- a/egretdale/coordination/replica.py
+++ b/egretdale/coordination/replica.py
@@ -24,7 +24,8 @@
     parse_document,
 )
 from egretdale.state.members import MemberStatus, MemberTable
-from egretdale.state.messages import Batch, DocumentCopy, Revision
+from egretdale.state.messages import Batch, Revision
+from egretdale.state.queries import DocumentCopy
 from egretdale.util.clocks import Clock
 from egretdale.util.logs import get_logger
 
--- a/egretdale/coordination/routing.py
+++ b/egretdale/coordination/routing.py
@@ -23,7 +23,7 @@
 from egretdale.coordination.stream_relay import StreamRelay
 from egretdale.state.documents import RequestClass, ServiceDocument
 from egretdale.state.members import MemberStatus, MemberTable
-from egretdale.state.messages import ClaimAsk, ClaimReply
+from egretdale.state.queries import ClaimAsk, ClaimReply
 from egretdale.state.metrics import DaemonMetrics
 from egretdale.state.outcomes import Ran, Reason, Refused
 from egretdale.util.logs import get_logger
--- a/egretdale/protocol/wire.py
+++ b/egretdale/protocol/wire.py
@@ -10,7 +10,7 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from egretdale.protocol.gen import ttypes
-from egretdale.state import messages
+from egretdale.state import messages, queries
 
 _MAXIMUM_CONTAINER_LENGTH = 65536
 
@@ -20,7 +20,8 @@
 
     Fields that have their default value are omitted.
 
-    :param message: an instance of a class of ``state.messages``.
+    :param message: an instance of a class of ``state.messages`` or
+        ``state.queries``.
     :return: the thrift structure of the same name.
     """
     wire_class = getattr(ttypes, type(message).__name__)
@@ -39,7 +40,7 @@
     :return: the message of the same name.
     :raises ValueError: a field that has no default is missing.
     """
-    message_class = getattr(messages, type(structure).__name__)
+    message_class = _find_class(type(structure).__name__)
     present = {}
     for name in _list_fields(message_class):
         field_value = getattr(structure, name)
@@ -64,6 +65,11 @@
     )
 
 
+@functools.cache
+def _find_class(name: str) -> type[Any]:
+    return getattr(messages, name, None) or getattr(queries, name)
+
+
 @functools.cache
 def _list_fields(message_class: type[Any]) -> tuple[str, ...]:
     return tuple(field.name for field in dataclasses.fields(message_class))
--- /dev/null
+++ b/egretdale/state/queries.py
@@ -0,0 +1,104 @@
+"""Calls of daemons to each other that are not batches, and the answers.
+
+Classes and fields are bound by name to the definitions in ``peer.thrift``.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class ClaimAsk:
+    """A claim to run a request with an idempotency key.
+
+    :ivar key: idempotency key.
+    :ivar nonce: ID of this attempt.
+    :ivar host: entry host that wants to run the request.
+    :ivar fingerprint: hash of the request, to detect a reused key.
+    """
+
+    key: str
+    nonce: str
+    host: str
+    fingerprint: int
+
+
+@dataclass(slots=True)
+class ClaimReply:
+    """The decision on a claim.
+
+    :ivar verdict: a value of ``ClaimVerdict``.
+    :ivar host: entry host that ran or runs the request.
+    """
+
+    verdict: str
+    host: str = ''
+
+
+@dataclass(slots=True)
+class DocumentCopy:
+    """A peer's copy of a document.
+
+    :ivar service_name: name of the service.
+    :ivar revision: revision number, 0 if the peer has no copy.
+    :ivar source: text of the document.
+    """
+
+    service_name: str
+    revision: int
+    source: str
+
+
+@dataclass(slots=True)
+class ObjectCopy:
+    """A copy of an object that is stored in the platform.
+
+    :ivar name: name of the object, unique within its kind.
+    :ivar version: version of the object.
+    :ivar body: stored text.
+    """
+
+    name: str
+    version: int
+    body: str
+
+
+@dataclass(slots=True)
+class ChangeAsk:
+    """A query to a reader host for changes of objects in the platform.
+
+    A reader watches the platform on behalf of other hosts.
+
+    :ivar kind: kind of the objects.
+    :ivar known: version of the listing that the asking host has.
+    :ivar wait_ms: longest wait for a change in milliseconds.
+    """
+
+    kind: str
+    known: int
+    wait_ms: int
+
+
+@dataclass(slots=True)
+class Changes:
+    """Changes of objects in the platform, as known to a reader host.
+
+    :ivar kind: kind of the objects.
+    :ivar revision: version of the reader's listing, 0 if it has none.
+    :ivar age_ms: milliseconds since the read that confirmed the listing.
+    :ivar waited_ms: milliseconds for which the answer waited for a change.
+    :ivar whole: whether the entries are all objects of the kind.
+    :ivar large: whether changes were omitted because of their size.
+    :ivar entries: new and changed objects.
+    :ivar gone: names of removed objects.
+    """
+
+    kind: str
+    revision: int
+    age_ms: int = 0
+    waited_ms: int = 0
+    whole: bool = False
+    large: bool = False
+    entries: list[ObjectCopy] = field(default_factory=list)
+    gone: list[str] = field(default_factory=list)
--- a/egretdale/transport/peer_calls.py
+++ b/egretdale/transport/peer_calls.py
@@ -8,7 +8,7 @@
 from egretdale.coordination.keys import KeyIssuer
 from egretdale.coordination.mesh import Mesh
 from egretdale.protocol.wire import decode_structure, encode_structure
-from egretdale.state.messages import ChangeAsk, Changes, DocumentCopy
+from egretdale.state.queries import ChangeAsk, Changes, DocumentCopy
 
 
 class BasePeerHandler:
--- a/egretdale/transport/peers.py
+++ b/egretdale/transport/peers.py
@@ -22,8 +22,8 @@
     decode_structure,
     encode_structure,
 )
-from egretdale.state.messages import (
-    Batch,
+from egretdale.state.messages import Batch
+from egretdale.state.queries import (
     ChangeAsk,
     Changes,
     ClaimAsk,
--- a/standins/virtual/network.py
+++ b/standins/virtual/network.py
@@ -10,12 +10,8 @@
 
 from egretdale.coordination.ports import Delivered
 from egretdale.errors import Ambiguous, Cause, Unreachable
-from egretdale.state.messages import (
-    Batch,
-    ClaimAsk,
-    ClaimReply,
-    DocumentCopy,
-)
+from egretdale.state.messages import Batch
+from egretdale.state.queries import ClaimAsk, ClaimReply, DocumentCopy
 
 if TYPE_CHECKING:
     from egretdale.coordination.node import Node
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -17,7 +17,7 @@
 from egretdale.coordination.replica import ActiveDocument, DocumentReplica
 from egretdale.state import order
 from egretdale.state.documents import parse_document
-from egretdale.state.messages import ClaimAsk, ClaimReply
+from egretdale.state.queries import ClaimAsk, ClaimReply
 from egretdale.state.queues import WaitingRequest
 from egretdale.state.outcomes import Ran, Reason, Refused
 from standins.virtual.world import World
--- a/tests/prompts.py
+++ b/tests/prompts.py
@@ -18,7 +18,13 @@
 from egretdale.state.backpressure import BackpressureTable
 from egretdale.state.instances import Instance, InstanceTable
 from egretdale.state.members import MemberTable
-from egretdale.state.messages import Ask, Batch, Done, GroupAsk, GroupReply
+from egretdale.state.messages import (
+    Ask,
+    Batch,
+    Done,
+    GroupAsk,
+    GroupReply,
+)
 from egretdale.state.request_gates import (
     RequestGates,
     choose_whole_rate,
--- a/tests/test_coordination/test_allocation.py
+++ b/tests/test_coordination/test_allocation.py
@@ -6,7 +6,13 @@
 
 from egretdale.coordination.allocation import GroupAllocator
 from egretdale.state.backends import BackendAddress, LoadReport
-from egretdale.state.messages import Ask, Done, GroupAsk, GroupReply, Running
+from egretdale.state.messages import (
+    Ask,
+    Done,
+    GroupAsk,
+    GroupReply,
+    Running,
+)
 from egretdale.state.outcomes import Reason
 from tests.fixtures import create_document
 from tests.functions import create_loader
--- a/tests/test_coordination/test_readers.py
+++ b/tests/test_coordination/test_readers.py
@@ -20,12 +20,8 @@
 from egretdale.coordination.readers import apply_changes
 from egretdale.errors import Ambiguous, Cause, Invalid, Unreachable
 from egretdale.state.members import MemberTable, list_owners
-from egretdale.state.messages import (
-    ChangeAsk,
-    Changes,
-    MemberUpdate,
-    ObjectCopy,
-)
+from egretdale.state.messages import MemberUpdate
+from egretdale.state.queries import ChangeAsk, Changes, ObjectCopy
 from egretdale.state.routing import RoutingTable
 from standins.virtual.hub import VirtualHub, use_virtual_time
 from standins.virtual.network import HostFaults
--- a/tests/test_transport/test_peers.py
+++ b/tests/test_transport/test_peers.py
@@ -8,7 +8,7 @@
 import eventlet
 
 from egretdale.errors import Ambiguous
-from egretdale.state.messages import ChangeAsk, Changes, ObjectCopy
+from egretdale.state.queries import ChangeAsk, Changes, ObjectCopy
 from egretdale.transport.peer_calls import GatewayHandler
 from egretdale.transport.peers import PeerClient, PeerServer, listen
 from tests.functions import create_loader
