--- a/egretdale/coordination/backend_choice.py
+++ b/egretdale/coordination/backend_choice.py
@@ -75,6 +75,7 @@
         avoided: Collection[str],
         *,
         spread_key: str,
+        software_version: str = '',
     ) -> BackendChoice | Refused | None:
         """Choose a backend server.
 
@@ -82,6 +83,7 @@
         :param prompt: size and parts of the prompt.
         :param avoided: names of backend servers that failed the request.
         :param spread_key: hashed in place of a shared part if there is none.
+        :param software_version: version that it must run, empty for any.
         :return: the choice, a refusal when all backend servers have reached
             their limits, or ``None`` when there is none.
         """
@@ -89,6 +91,7 @@
             instance
             for instance in self._instances.list_ready(service)
             if instance.name not in avoided
+            and instance.runs_version(software_version)
         ]
         healthy = [
             instance
--- a/egretdale/coordination/forwarding.py
+++ b/egretdale/coordination/forwarding.py
@@ -23,6 +23,7 @@
 from egretdale.coordination.selection import BackendSelection
 from egretdale.state.gateway_metrics import GatewayMetrics
 from egretdale.state.outcomes import Ran, Reason, Refused
+from egretdale.state.routing import RequestKind
 from egretdale.util.clocks import Clock, convert_to_ms
 
 #: Shortest time left in seconds with which an attempt is still made.
@@ -31,6 +32,9 @@
 _UNREACHABLE_RETRY_S = 0.5
 #: Retry-after if all backend servers that responded were full, in seconds.
 _FULL_RETRY_S = 0.3
+#: Retry-after if it is not known where a resumed stream began, in seconds: time
+#: for hosts that have just started to learn it.
+_ORIGIN_RETRY_S = 0.5
 _REDIRECTION = 300
 _SERVER_ERROR = 500
 
@@ -47,6 +51,7 @@
         '_clock',
         '_loads',
         '_metrics',
+        '_origins',
         '_prefill_client',
         '_recorder',
         '_source',
@@ -78,6 +83,7 @@
         self._loads = selection.loads
         self._budgets = budgets
         self._backpressure = selection.backpressure
+        self._origins = selection.origins
         self._prefill_client = selection.prefill_client
         self._metrics = metrics
         self._recorder = AttemptRecorder(metrics, selection.backpressure, clock)
@@ -99,11 +105,10 @@
         :param admitted: the admitted request.
         :return: the response to relay to the caller, or a refusal.
         """
-        service = self._admission.choose_service(
-            admitted, self._source.random()
-        )
-        progress = Progress(admitted, service)
-        self._budgets.earn(service)
+        progress = self._begin(admitted)
+        if isinstance(progress, Refused):
+            return progress
+        self._budgets.earn(progress.service)
         outcome = self._open(progress)
         if isinstance(outcome, Refused):
             return outcome
@@ -148,6 +153,37 @@
         if failed:
             progress.may_have_run = True
 
+    def _begin(self, admitted: AdmittedRequest) -> Progress | Refused:
+        """Choose the service of a request.
+
+        A stream that the caller resumes goes on where it began.
+
+        :param admitted: the admitted request.
+        :return: the state of the request, or a refusal.
+        """
+        request = admitted.request
+        route = admitted.route
+        if request.last_event_id and route.kind == RequestKind.STREAM:
+            origin = self._origins.find(
+                request.resumed_id, route.find_only_service()
+            )
+            if origin is None or not route.serves(origin.service):
+                return Refused(
+                    Reason.ORIGIN_UNKNOWN,
+                    Ran.NO,
+                    _ORIGIN_RETRY_S,
+                    'it is not known where the stream began',
+                )
+            return Progress(
+                admitted,
+                origin.service,
+                software_version=origin.software_version,
+            )
+        service = self._admission.choose_service(
+            admitted, self._source.random()
+        )
+        return Progress(admitted, service)
+
     def _open(
         self, progress: Progress, last_event_id: str = ''
     ) -> OpenedResponse | Refused:
@@ -200,6 +236,7 @@
             request.prompt,
             progress.avoided,
             spread_key=request.request_id,
+            software_version=progress.software_version,
         )
 
     def _check_attempt(self, progress: Progress) -> Refused | None:
@@ -318,8 +355,22 @@
             self._loads.note_outcome(incarnation, failed=True)
             return None
         self._chooser.note(choice, progress.admitted.request.prompt)
+        self._note_start(progress, choice, response)
         return OpenedResponse(response, choice)
 
+    def _note_start(
+        self,
+        progress: Progress,
+        choice: BackendChoice,
+        response: ForwardResponse,
+    ) -> None:
+        route = progress.admitted.route
+        if response.status >= _REDIRECTION or not route.resumable:
+            return
+        instance = choice.instance
+        progress.software_version = instance.software_version
+        self._origins.note_start(instance, progress.admitted.request.request_id)
+
     def _may_retry(self, progress: Progress) -> bool:
         route = progress.admitted.route
         if not route.is_repeatable():
--- a/egretdale/coordination/gateway.py
+++ b/egretdale/coordination/gateway.py
@@ -31,12 +31,21 @@
 from egretdale.state.gateway_metrics import GatewayMetrics
 from egretdale.state.instances import InstanceTable
 from egretdale.state.members import MemberStatus, MemberTable
-from egretdale.state.queries import ChangeAsk, Changes, DocumentCopy
+from egretdale.state.queries import (
+    ChangeAsk,
+    Changes,
+    DocumentCopy,
+    OriginAsk,
+    OriginReply,
+)
 from egretdale.state.routing import CallerLimits
 from egretdale.util.clocks import Clock, WallClock, convert_to_ms
 from egretdale.util.tasks import TaskGroup
 
 _JOINING_CHECK_S = 0.05
+#: Age in seconds up to which the list of backend servers counts as current:
+#: the longest watch of the platform and its answer.
+_CURRENT_LIST_AGE_S = 3.0
 #: Statuses of hosts whose addresses callers get, in order of preference.
 _STATUS_PREFERENCE = (
     MemberStatus.ALIVE,
@@ -195,6 +204,14 @@
             return self.instances.relay.answer(ask)
         return self.configuration.relay.answer(ask)
 
+    def find_origin(self, ask: OriginAsk) -> OriginReply:
+        """Answer a peer that looks for where a stream began.
+
+        :param ask: request of the peer.
+        :return: what this host knows of it.
+        """
+        return self._selection.origins.answer(ask)
+
     def _watch_metrics(self) -> None:
         self.metrics.add_gauge(
             'configuration_age_seconds',
@@ -239,6 +256,10 @@
             eventlet.sleep(_JOINING_CHECK_S)
         self.membership.join()
 
+    def _is_list_current(self) -> bool:
+        age_s = self.instances.confirmation.measure_age()
+        return age_s <= _CURRENT_LIST_AGE_S
+
     def _build_forwarder(self) -> None:
         settings = self.settings
         dependencies = self._dependencies
@@ -248,6 +269,7 @@
             table,
             dependencies.clock,
             self.metrics.silent_allocators,
+            is_list_current=self._is_list_current,
         )
         self.instances = InstanceFollower(
             dependencies.platform,
--- a/egretdale/coordination/instances.py
+++ b/egretdale/coordination/instances.py
@@ -17,6 +17,7 @@
 )
 from egretdale.coordination.watches import KindWatch
 from egretdale.errors import Invalid, Unreachable
+from egretdale.state.freshness import Confirmation
 from egretdale.state.instances import Instance, InstanceTable
 from egretdale.state.messages import Batch, Revision
 from egretdale.state.queries import DocumentCopy
@@ -46,6 +47,7 @@
     While the platform does not answer, newer lists are fetched from peers.
 
     :ivar table: backend servers.
+    :ivar confirmation: time up to which the list is known to be the newest.
     :ivar relay: answers other hosts that wait for changes.
     """
 
@@ -58,6 +60,7 @@
         '_on_gone',
         '_regained_at',
         '_watch',
+        'confirmation',
         'relay',
         'table',
     )
@@ -87,6 +90,7 @@
         self.table = table
         self._decode = decode
         self._clock = clock
+        self.confirmation = Confirmation(clock)
         self._watch = KindWatch(
             INSTANCE_KIND, platform, peers, clock=clock, source=source
         )
@@ -112,6 +116,7 @@
             logger.info('backend-list-regained', lost_s=now - self._lost_at)
             self._lost_at = None
             self._regained_at = now
+        self.confirmation.confirm(confirmed_at)
         # The list of a reader may be older than a copy from another peer.
         if listing.version > self._listing.version:
             self._apply(listing, 'platform')
--- a/egretdale/coordination/mesh.py
+++ b/egretdale/coordination/mesh.py
@@ -117,6 +117,7 @@
     """Exchanges batches with peers, with one sending task for each.
 
     :ivar table: member table of the entry hosts.
+    :ivar network: client of the peers.
     :ivar sent_bytes: bytes sent to peers.
     :ivar sent_batches: batches sent to peers.
     """
@@ -127,7 +128,7 @@
         '_handler',
         '_links',
         '_listeners',
-        '_network',
+        'network',
         'sent_batches',
         'sent_bytes',
         'table',
@@ -151,7 +152,7 @@
         self.table = table
         self.sent_bytes = 0
         self.sent_batches = 0
-        self._network = network
+        self.network = network
         self._clock = clock
         self._budget = TokenBucket(
             bytes_per_s, bytes_per_s * _BUDGET_BURST_S, clock
@@ -278,7 +279,7 @@
         if member is None:
             return False
         sent_at = self._clock()
-        outcome = self._network.deliver(member.update.peer_address, batch)
+        outcome = self.network.deliver(member.update.peer_address, batch)
         match outcome:
             case Delivered(answer=answer, sent_bytes=size):
                 self._budget.charge(size)
--- a/egretdale/coordination/ports.py
+++ b/egretdale/coordination/ports.py
@@ -15,6 +15,8 @@
     ClaimAsk,
     ClaimReply,
     DocumentCopy,
+    OriginAsk,
+    OriginReply,
 )
 
 
@@ -156,6 +158,15 @@
         :param ask: the kind and the version that this host has.
         """
 
+    def find_origin(
+        self, address: str, ask: OriginAsk
+    ) -> OriginReply | Unreachable | Ambiguous:
+        """Ask a peer where a stream began.
+
+        :param address: ``address:port`` of the peer.
+        :param ask: the stream.
+        """
+
 
 @dataclass(slots=True, frozen=True)
 class BackendCall:
--- a/egretdale/coordination/prefill_client.py
+++ b/egretdale/coordination/prefill_client.py
@@ -200,7 +200,7 @@
             self._avoided_s.pop(owner, None)
         if isinstance(reply, Grant):
             self._granted[ask.request_id] = GrantedEngine(group, self._clock())
-        outcome = self._interpret_reply(reply)
+        outcome = self._interpret_reply(reply, ask.software_version)
         if outcome is None:
             self.note_end(ask.request_id)
         return outcome
@@ -293,7 +293,7 @@
                 pending.put(entry)
 
     def _interpret_reply(
-        self, reply: Grant | Denial | None
+        self, reply: Grant | Denial | None, software_version: str
     ) -> BackendChoice | Refused | None:
         match reply:
             case Grant(backend=backend, prefill_tokens=tokens):
@@ -301,6 +301,8 @@
                 if instance is None or instance.leaving:
                     # This host has a newer list than the allocator.
                     return None
+                if not instance.runs_version(software_version):
+                    return None
                 return BackendChoice(instance, tokens, granted=True)
             case Denial(reason=reason, wait_ms=wait_ms):
                 if not reply.retry_after_ms:
--- a/egretdale/coordination/prefill_policy.py
+++ b/egretdale/coordination/prefill_policy.py
@@ -230,7 +230,7 @@
         if not scan.is_acceptable(waiting, waited_s):
             scan.queue.note_refusal(waiting)
             return _deny(ask, waited_s, scan.ahead_s)
-        usable = _exclude_avoided(ask, scan.states)
+        usable = _list_usable(ask, scan.states)
         if not usable:
             return Denial(ask.request_id, OVERLOADED)
         own_s = scan.speed.predict(waiting.own_work)
@@ -316,7 +316,12 @@
     )
 
 
-def _exclude_avoided(ask: Ask, states: list[EngineState]) -> list[EngineState]:
-    if not ask.avoided:
+def _list_usable(ask: Ask, states: list[EngineState]) -> list[EngineState]:
+    if not ask.avoided and not ask.software_version:
         return states
-    return [state for state in states if state.instance.name not in ask.avoided]
+    return [
+        state
+        for state in states
+        if state.instance.name not in ask.avoided
+        and state.instance.runs_version(ask.software_version)
+    ]
--- a/egretdale/coordination/progress.py
+++ b/egretdale/coordination/progress.py
@@ -19,6 +19,8 @@
     :ivar sent: number of backend servers that the request was sent to, without
         unreachable ones.
     :ivar may_have_run: whether a backend server may have run the request.
+    :ivar software_version: version of the backend servers at which it may run,
+        empty for any.
     """
 
     admitted: AdmittedRequest
@@ -26,6 +28,7 @@
     avoided: list[str] = field(default_factory=list)
     sent: int = 0
     may_have_run: bool = False
+    software_version: str = ''
 
 
 @dataclass(slots=True, frozen=True)
--- a/egretdale/coordination/prompt_asks.py
+++ b/egretdale/coordination/prompt_asks.py
@@ -36,4 +36,5 @@
         target_ms=convert_to_ms(admitted.route.target_s),
         left_ms=convert_to_ms(left_s),
         pause_ms=convert_to_ms(admitted.route.pause_target_s),
+        software_version=progress.software_version,
     )
--- a/egretdale/coordination/selection.py
+++ b/egretdale/coordination/selection.py
@@ -11,6 +11,7 @@
 from egretdale.coordination.mesh import Mesh
 from egretdale.coordination.prefill import PrefillAllocator
 from egretdale.coordination.prefill_client import PrefillClient
+from egretdale.coordination.stream_origins import StreamOrigins
 from egretdale.state.instances import Instance, InstanceTable
 from egretdale.state.loads import LoadTable
 from egretdale.state.request_gates import (
@@ -31,6 +32,7 @@
     """Selects backend servers, with the allocators of prompts or alone.
 
     :ivar loads: loads of backend servers.
+    :ivar origins: software versions at which streams began.
     :ivar backpressure: what backend servers ask for.
     :ivar chooser: chooses backend servers by the knowledge of this host.
     :ivar speeds: speeds of engines that this host has learned as an allocator.
@@ -43,6 +45,7 @@
         'backpressure',
         'chooser',
         'loads',
+        'origins',
         'prefill_client',
         'speeds',
     )
@@ -54,6 +57,7 @@
         clock: Clock,
         silent: Counter,
         *,
+        is_list_current: Callable[[], bool],
         speeds: SpeedTable | None = None,
         create_chooser: ChooserFactory = BackendChooser,
     ) -> None:
@@ -63,6 +67,8 @@
         :param instances: backend servers.
         :param clock: monotonic clock.
         :param silent: counts requests whose allocator did not reply.
+        :param is_list_current: tells whether the list of backend servers holds
+            the latest changes.
         :param speeds: speeds of engines, ``None`` to learn them.
         :param create_chooser: creates the chooser.
         """
@@ -70,6 +76,7 @@
         self.backpressure = BackpressureTracker(
             mesh.table.own_host, instances, clock
         )
+        self.origins = StreamOrigins(mesh, instances, clock, is_list_current)
         limits = self.backpressure.table
         self.chooser = create_chooser(
             instances,
@@ -89,6 +96,7 @@
             mesh, self.allocator, instances, clock, silent
         )
         mesh.add_listener(self.backpressure)
+        mesh.add_listener(self.origins)
         mesh.add_listener(self.prefill_client)
         mesh.attach_handler(self.allocator.handle)
 
--- a/egretdale/protocol/gen/Peer.py
+++ b/egretdale/protocol/gen/Peer.py
@@ -60,6 +60,14 @@
         """
         pass
 
+    def find_origin(self, ask):
+        """
+        Parameters:
+         - ask
+
+        """
+        pass
+
 
 class Client(Iface):
     def __init__(self, iprot, oprot=None):
@@ -230,6 +238,38 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "follow failed: unknown result")
 
+    def find_origin(self, ask):
+        """
+        Parameters:
+         - ask
+
+        """
+        self.send_find_origin(ask)
+        return self.recv_find_origin()
+
+    def send_find_origin(self, ask):
+        self._oprot.writeMessageBegin('find_origin', TMessageType.CALL, self._seqid)
+        args = find_origin_args()
+        args.ask = ask
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_find_origin(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = find_origin_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "find_origin failed: unknown result")
+
 
 class Processor(Iface, TProcessor):
     def __init__(self, handler):
@@ -240,6 +280,7 @@
         self._processMap["settle"] = Processor.process_settle
         self._processMap["fetch"] = Processor.process_fetch
         self._processMap["follow"] = Processor.process_follow
+        self._processMap["find_origin"] = Processor.process_find_origin
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -377,6 +418,29 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_find_origin(self, seqid, iprot, oprot):
+        args = find_origin_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = find_origin_result()
+        try:
+            result.success = self._handler.find_origin(args.ask)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("find_origin", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -1123,5 +1187,152 @@
 follow_result.thrift_spec = (
     (0, TType.STRUCT, 'success', [Changes, None], None, ),  # 0
 )
+
+
+class find_origin_args(object):
+    """
+    Attributes:
+     - ask
+
+    """
+
+    __slots__ = (
+        'ask',
+    )
+
+
+    def __init__(self, ask=None,):
+        self.ask = ask
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.ask = OriginAsk()
+                    self.ask.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('find_origin_args')
+        if self.ask is not None:
+            oprot.writeFieldBegin('ask', TType.STRUCT, 1)
+            self.ask.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(find_origin_args)
+find_origin_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'ask', [OriginAsk, None], None, ),  # 1
+)
+
+
+class find_origin_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+    __slots__ = (
+        'success',
+    )
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = OriginReply()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('find_origin_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(find_origin_result)
+find_origin_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [OriginReply, None], None, ),  # 0
+)
 fix_spec(all_structs)
 del all_structs
--- a/egretdale/protocol/gen/ttypes.py
+++ b/egretdale/protocol/gen/ttypes.py
@@ -33,6 +33,7 @@
      - target_ms
      - left_ms
      - pause_ms
+     - software_version
 
     """
 
@@ -51,10 +52,11 @@
         'target_ms',
         'left_ms',
         'pause_ms',
+        'software_version',
     )
 
 
-    def __init__(self, request_id=None, class_name=None, organisation=None, age_ms=None, prompt_tokens=None, maximum_tokens=None, prefix=None, returning=None, avoided=None, shared_tokens=None, urgency=None, target_ms=None, left_ms=None, pause_ms=None,):
+    def __init__(self, request_id=None, class_name=None, organisation=None, age_ms=None, prompt_tokens=None, maximum_tokens=None, prefix=None, returning=None, avoided=None, shared_tokens=None, urgency=None, target_ms=None, left_ms=None, pause_ms=None, software_version=None,):
         self.request_id = request_id
         self.class_name = class_name
         self.organisation = organisation
@@ -69,6 +71,7 @@
         self.target_ms = target_ms
         self.left_ms = left_ms
         self.pause_ms = pause_ms
+        self.software_version = software_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -154,6 +157,11 @@
                     self.pause_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.STRING:
+                    self.software_version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -223,6 +231,10 @@
             oprot.writeFieldBegin('pause_ms', TType.I32, 14)
             oprot.writeI32(self.pause_ms)
             oprot.writeFieldEnd()
+        if self.software_version is not None:
+            oprot.writeFieldBegin('software_version', TType.STRING, 15)
+            oprot.writeString(self.software_version.encode('utf-8') if sys.version_info[0] == 2 else self.software_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1724,6 +1736,270 @@
         return not (self == other)
 
 
+class StreamOrigin(object):
+    """
+    Attributes:
+     - request_id
+     - service_name
+     - software_version
+
+    """
+
+    __slots__ = (
+        'request_id',
+        'service_name',
+        'software_version',
+    )
+
+
+    def __init__(self, request_id=None, service_name=None, software_version=None,):
+        self.request_id = request_id
+        self.service_name = service_name
+        self.software_version = software_version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.software_version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamOrigin')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 1)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.software_version is not None:
+            oprot.writeFieldBegin('software_version', TType.STRING, 3)
+            oprot.writeString(self.software_version.encode('utf-8') if sys.version_info[0] == 2 else self.software_version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class OriginAsk(object):
+    """
+    Attributes:
+     - request_id
+     - service_name
+
+    """
+
+    __slots__ = (
+        'request_id',
+        'service_name',
+    )
+
+
+    def __init__(self, request_id=None, service_name=None,):
+        self.request_id = request_id
+        self.service_name = service_name
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('OriginAsk')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 1)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class OriginReply(object):
+    """
+    Attributes:
+     - service_name
+     - software_version
+     - several_versions
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'software_version',
+        'several_versions',
+    )
+
+
+    def __init__(self, service_name=None, software_version=None, several_versions=None,):
+        self.service_name = service_name
+        self.software_version = software_version
+        self.several_versions = several_versions
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.software_version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.several_versions = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('OriginReply')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.software_version is not None:
+            oprot.writeFieldBegin('software_version', TType.STRING, 2)
+            oprot.writeString(self.software_version.encode('utf-8') if sys.version_info[0] == 2 else self.software_version)
+            oprot.writeFieldEnd()
+        if self.several_versions is not None:
+            oprot.writeFieldBegin('several_versions', TType.BOOL, 3)
+            oprot.writeBool(self.several_versions)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Batch(object):
     """
     Attributes:
@@ -1736,6 +2012,7 @@
      - revisions
      - complete
      - limits
+     - origins
 
     """
 
@@ -1749,10 +2026,11 @@
         'revisions',
         'complete',
         'limits',
+        'origins',
     )
 
 
-    def __init__(self, sender=None, incarnation=None, asks=None, replies=None, members=None, backends=None, revisions=None, complete=None, limits=None,):
+    def __init__(self, sender=None, incarnation=None, asks=None, replies=None, members=None, backends=None, revisions=None, complete=None, limits=None, origins=None,):
         self.sender = sender
         self.incarnation = incarnation
         self.asks = asks
@@ -1762,6 +2040,7 @@
         self.revisions = revisions
         self.complete = complete
         self.limits = limits
+        self.origins = origins
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1853,6 +2132,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.origins = []
+                    (_etype102, _size99) = iprot.readListBegin()
+                    for _i103 in range(_size99):
+                        _elem104 = StreamOrigin()
+                        _elem104.read(iprot)
+                        self.origins.append(_elem104)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1874,36 +2164,36 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter99 in self.asks:
-                iter99.write(oprot)
+            for iter105 in self.asks:
+                iter105.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.replies is not None:
             oprot.writeFieldBegin('replies', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.replies))
-            for iter100 in self.replies:
-                iter100.write(oprot)
+            for iter106 in self.replies:
+                iter106.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter101 in self.members:
-                iter101.write(oprot)
+            for iter107 in self.members:
+                iter107.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.backends is not None:
             oprot.writeFieldBegin('backends', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.backends))
-            for iter102 in self.backends:
-                iter102.write(oprot)
+            for iter108 in self.backends:
+                iter108.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.revisions is not None:
             oprot.writeFieldBegin('revisions', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.revisions))
-            for iter103 in self.revisions:
-                iter103.write(oprot)
+            for iter109 in self.revisions:
+                iter109.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.complete is not None:
@@ -1913,8 +2203,15 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter104 in self.limits:
-                iter104.write(oprot)
+            for iter110 in self.limits:
+                iter110.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.origins is not None:
+            oprot.writeFieldBegin('origins', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.origins))
+            for iter111 in self.origins:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2480,21 +2777,21 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = ObjectCopy()
-                        _elem110.read(iprot)
-                        self.entries.append(_elem110)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = ObjectCopy()
+                        _elem117.read(iprot)
+                        self.entries.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype114, _size111) = iprot.readListBegin()
-                    for _i115 in range(_size111):
-                        _elem116 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.gone.append(_elem116)
+                    (_etype121, _size118) = iprot.readListBegin()
+                    for _i122 in range(_size118):
+                        _elem123 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gone.append(_elem123)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2535,15 +2832,15 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter117 in self.entries:
-                iter117.write(oprot)
+            for iter124 in self.entries:
+                iter124.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.gone))
-            for iter118 in self.gone:
-                oprot.writeString(iter118.encode('utf-8') if sys.version_info[0] == 2 else iter118)
+            for iter125 in self.gone:
+                oprot.writeString(iter125.encode('utf-8') if sys.version_info[0] == 2 else iter125)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2586,6 +2883,7 @@
     (12, TType.I32, 'target_ms', None, None, ),  # 12
     (13, TType.I32, 'left_ms', None, None, ),  # 13
     (14, TType.I32, 'pause_ms', None, None, ),  # 14
+    (15, TType.STRING, 'software_version', 'UTF8', None, ),  # 15
 )
 all_structs.append(Running)
 Running.thrift_spec = (
@@ -2696,6 +2994,26 @@
     (2, TType.I64, 'number', None, None, ),  # 2
     (3, TType.I32, 'age_ms', None, None, ),  # 3
 )
+all_structs.append(StreamOrigin)
+StreamOrigin.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'software_version', 'UTF8', None, ),  # 3
+)
+all_structs.append(OriginAsk)
+OriginAsk.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+)
+all_structs.append(OriginReply)
+OriginReply.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'software_version', 'UTF8', None, ),  # 2
+    (3, TType.BOOL, 'several_versions', None, None, ),  # 3
+)
 all_structs.append(Batch)
 Batch.thrift_spec = (
     None,  # 0
@@ -2708,6 +3026,7 @@
     (7, TType.LIST, 'revisions', (TType.STRUCT, [Revision, None], False), None, ),  # 7
     (8, TType.BOOL, 'complete', None, None, ),  # 8
     (9, TType.LIST, 'limits', (TType.STRUCT, [BackendLimit, None], False), None, ),  # 9
+    (10, TType.LIST, 'origins', (TType.STRUCT, [StreamOrigin, None], False), None, ),  # 10
 )
 all_structs.append(ClaimAsk)
 ClaimAsk.thrift_spec = (
--- a/egretdale/protocol/peer.thrift
+++ b/egretdale/protocol/peer.thrift
@@ -15,6 +15,7 @@
   12: i32 target_ms
   13: i32 left_ms
   14: i32 pause_ms
+  15: string software_version
 }
 
 struct Running {
@@ -114,6 +115,23 @@
   3: i32 age_ms
 }
 
+struct StreamOrigin {
+  1: string request_id
+  2: string service_name
+  3: string software_version
+}
+
+struct OriginAsk {
+  1: string request_id
+  2: string service_name
+}
+
+struct OriginReply {
+  1: string service_name
+  2: string software_version
+  3: bool several_versions
+}
+
 struct Batch {
   1: string sender
   2: i64 incarnation
@@ -124,6 +142,7 @@
   7: list<Revision> revisions
   8: bool complete
   9: list<BackendLimit> limits
+  10: list<StreamOrigin> origins
 }
 
 struct ClaimAsk {
@@ -173,4 +192,5 @@
   bool settle(1: string key, 2: bool ran)
   DocumentCopy fetch(1: string service_name)
   Changes follow(1: ChangeAsk ask)
+  OriginReply find_origin(1: OriginAsk ask)
 }
--- a/egretdale/protocol/problems.py
+++ b/egretdale/protocol/problems.py
@@ -38,6 +38,7 @@
         Reason.UNKNOWN_KEY: '401 Unauthorized',
         Reason.CONFIGURATION_STALE: _UNAVAILABLE,
         Reason.DEADLINE_PASSED: '504 Gateway Timeout',
+        Reason.ORIGIN_UNKNOWN: _UNAVAILABLE,
     }
 )
 
--- a/egretdale/state/instances.py
+++ b/egretdale/state/instances.py
@@ -4,8 +4,12 @@
 
 from dataclasses import dataclass
 
+from egretdale.state.software_versions import VersionHistory
 from egretdale.util.clocks import Clock
 
+#: Software version of backend servers that do not tell theirs.
+UNKNOWN_VERSION = 'unknown'
+
 #: Name and start time in milliseconds of one start of a backend server.
 Incarnation = tuple[str, int]
 
@@ -22,7 +26,7 @@
         unknown.
     :ivar slots: number of requests that it processes concurrently.
     :ivar leaving: whether it no longer accepts new work.
-    :ivar software_version: version of its software, empty if unknown.
+    :ivar software_version: version of its software.
     """
 
     name: str
@@ -32,7 +36,7 @@
     born_ms: int = 0
     slots: int = 0
     leaving: bool = False
-    software_version: str = ''
+    software_version: str = UNKNOWN_VERSION
 
     @property
     def incarnation(self) -> Incarnation:
@@ -44,15 +48,31 @@
         """Name of the incarnation as text, which changes with a restart."""
         return f'{self.name}.{self.born_ms}'
 
+    def runs_version(self, software_version: str) -> bool:
+        """Tell whether it runs a software version.
+
+        :param software_version: the version, empty for any.
+        """
+        return software_version in {'', self.software_version}
+
 
 class InstanceTable:
     """Backend servers by service.
 
     An entry that disappeared during an outage of the list is kept for a grace
     period: its backend server may only have been unable to renew it.
+
+    :ivar versions: software versions that served recently.
     """
 
-    __slots__ = ('_by_service', '_clock', '_lapse_s', '_lapsing', '_listed')
+    __slots__ = (
+        '_by_service',
+        '_clock',
+        '_lapse_s',
+        '_lapsing',
+        '_listed',
+        'versions',
+    )
 
     def __init__(self, clock: Clock, lapse_s: float) -> None:
         """Create an empty table.
@@ -61,6 +81,7 @@
         :param lapse_s: seconds for which an entry is kept that disappeared
             during an outage of the list.
         """
+        self.versions = VersionHistory(clock)
         self._clock = clock
         self._lapse_s = lapse_s
         self._listed: dict[str, Instance] = {}
@@ -136,6 +157,10 @@
         return self._lapsing.get(name, float('-inf')) > now
 
     def _index(self) -> None:
+        self.versions.update(
+            (instance.service, instance.software_version)
+            for instance in self._listed.values()
+        )
         self._by_service = {}
         for instance in self._listed.values():
             if not instance.leaving:
--- a/egretdale/state/messages.py
+++ b/egretdale/state/messages.py
@@ -27,6 +27,8 @@
     :ivar left_ms: milliseconds until the caller stops waiting.
     :ivar pause_ms: target for the longest gap between events of the stream
         in milliseconds, 0 for none.
+    :ivar software_version: version of the engines at which it may run, empty
+        for any.
     """
 
     request_id: str
@@ -43,6 +45,7 @@
     target_ms: int = 0
     left_ms: int = 0
     pause_ms: int = 0
+    software_version: str = ''
 
 
 @dataclass(slots=True)
@@ -267,6 +270,20 @@
     age_ms: int = -1
 
 
+@dataclass(slots=True)
+class StreamOrigin:
+    """Where a stream began.
+
+    :ivar request_id: ID of the request that brought its first event.
+    :ivar service_name: service that ran it.
+    :ivar software_version: software version of the engine, empty if unknown.
+    """
+
+    request_id: str
+    service_name: str = ''
+    software_version: str = ''
+
+
 @dataclass(slots=True)
 class Batch:
     """All pending messages from one host to another.
@@ -280,6 +297,7 @@
     :ivar revisions: document revisions in force at the sender.
     :ivar complete: whether the revisions are all that a ready host has.
     :ivar limits: request limits of backend servers.
+    :ivar origins: streams that have begun.
     """
 
     sender: str
@@ -291,3 +309,4 @@
     revisions: list[Revision] = field(default_factory=list)
     complete: bool = False
     limits: list[BackendLimit] = field(default_factory=list)
+    origins: list[StreamOrigin] = field(default_factory=list)
--- a/egretdale/state/outcomes.py
+++ b/egretdale/state/outcomes.py
@@ -40,6 +40,7 @@
     UNKNOWN_KEY = 'unknown-key'
     CONFIGURATION_STALE = 'configuration-stale'
     DEADLINE_PASSED = 'deadline-passed'
+    ORIGIN_UNKNOWN = 'stream-origin-unknown'
 
 
 @dataclass(slots=True, frozen=True)
--- a/egretdale/state/queries.py
+++ b/egretdale/state/queries.py
@@ -102,3 +102,30 @@
     large: bool = False
     entries: list[ObjectCopy] = field(default_factory=list)
     gone: list[str] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class OriginAsk:
+    """A query to a peer for where a stream began.
+
+    :ivar request_id: ID of the request that brought its first event.
+    :ivar service_name: service that ran it, if only one can have.
+    """
+
+    request_id: str
+    service_name: str = ''
+
+
+@dataclass(slots=True)
+class OriginReply:
+    """The answer to a query for where a stream began.
+
+    :ivar service_name: service that ran it, empty if unknown.
+    :ivar software_version: software version of the engine, empty if unknown.
+    :ivar several_versions: whether the stream may have begun at one of several
+        versions.
+    """
+
+    service_name: str = ''
+    software_version: str = ''
+    several_versions: bool = False
--- a/egretdale/state/routing.py
+++ b/egretdale/state/routing.py
@@ -60,6 +60,17 @@
     public: bool = False
     resumable: bool = False
 
+    def find_only_service(self) -> str:
+        """Return the service of all requests, empty if there are several."""
+        return self.services[0].service if len(self.services) == 1 else ''
+
+    def serves(self, service: str) -> bool:
+        """Tell whether requests may go to a service.
+
+        :param service: service name.
+        """
+        return any(entry.service == service for entry in self.services)
+
     def is_repeatable(self) -> bool:
         """Return whether a request may be run more than once."""
         match self.kind:
--- a/egretdale/transport/gateway.py
+++ b/egretdale/transport/gateway.py
@@ -167,7 +167,10 @@
     def _start_servers(self, interface: GatewayInterface) -> None:
         settings = self._settings
         handler = GatewayHandler(
-            self.gateway.mesh, self.gateway.copy, self.gateway.follow
+            self.gateway.mesh,
+            self.gateway.copy,
+            self.gateway.follow,
+            self.gateway.find_origin,
         )
         peers = PeerServer(self._listeners[settings.peer_address], handler)
         self._tasks.start(peers.run)
--- a/egretdale/transport/peer_calls.py
+++ b/egretdale/transport/peer_calls.py
@@ -8,7 +8,13 @@
 from egretdale.coordination.keys import KeyIssuer
 from egretdale.coordination.mesh import Mesh
 from egretdale.protocol.wire import decode_structure, encode_structure
-from egretdale.state.queries import ChangeAsk, Changes, DocumentCopy
+from egretdale.state.queries import (
+    ChangeAsk,
+    Changes,
+    DocumentCopy,
+    OriginAsk,
+    OriginReply,
+)
 
 
 class BasePeerHandler:
@@ -45,22 +51,25 @@
 class GatewayHandler(BasePeerHandler):
     """Handles calls from other gateways."""
 
-    __slots__ = ('_follow',)
+    __slots__ = ('_find_origin', '_follow')
 
     def __init__(
         self,
         mesh: Mesh,
         copy: Callable[[str], DocumentCopy],
         follow: Callable[[ChangeAsk], Changes],
+        find_origin: Callable[[OriginAsk], OriginReply],
     ) -> None:
         """Create a handler.
 
         :param mesh: links to peers.
         :param copy: returns the copy of a document for a service name.
         :param follow: waits for changes to platform objects of a kind.
+        :param find_origin: finds where a stream began.
         """
         super().__init__(mesh, copy)
         self._follow = follow
+        self._find_origin = find_origin
 
     def follow(self, ask: Any) -> Any:
         """Wait for changes to platform objects of a kind.
@@ -70,6 +79,14 @@
         """
         return encode_structure(self._follow(decode_structure(ask)))
 
+    def find_origin(self, ask: Any) -> Any:
+        """Find where a stream began.
+
+        :param ask: thrift structure of the question.
+        :return: thrift structure of the origin.
+        """
+        return encode_structure(self._find_origin(decode_structure(ask)))
+
 
 class PeerHandler(BasePeerHandler):
     """Handles all calls from other daemons."""
--- a/egretdale/transport/peers.py
+++ b/egretdale/transport/peers.py
@@ -29,6 +29,8 @@
     ClaimAsk,
     ClaimReply,
     DocumentCopy,
+    OriginAsk,
+    OriginReply,
 )
 from egretdale.transport.frames import (
     FrameError,
@@ -184,6 +186,22 @@
             return outcome
         return decode_structure(outcome)
 
+    def find_origin(
+        self, address: str, ask: OriginAsk
+    ) -> OriginReply | Unreachable | Ambiguous:
+        """Ask a peer where a stream began.
+
+        :param address: ``address:port`` of the peer.
+        :param ask: the question.
+        :return: the origin, or the reason for the failure.
+        """
+        call = _BufferedCall()
+        call.client.send_find_origin(encode_structure(ask))
+        outcome = self._exchange(address, call, call.client.recv_find_origin)
+        if isinstance(outcome, Unreachable | Ambiguous):
+            return outcome
+        return decode_structure(outcome)
+
     def _exchange(
         self,
         address: str,
--- a/standins/emulation/hosts.py
+++ b/standins/emulation/hosts.py
@@ -20,6 +20,7 @@
 from egretdale.state.instances import Instance, InstanceTable
 from egretdale.state.members import MemberStatus, MemberTable
 from egretdale.state.messages import Batch, MemberUpdate
+from egretdale.state.queries import OriginAsk, OriginReply
 from egretdale.state.routing import (
     CallerLimits,
     RequestKind,
@@ -84,6 +85,22 @@
         eventlet.sleep(_LATENCY_S)
         return Delivered(answer, 0)
 
+    def find_origin(
+        self, address: str, ask: OriginAsk
+    ) -> OriginReply | Unreachable:
+        """Ask a host where a stream began.
+
+        :param address: address of the host.
+        :param ask: the question.
+        """
+        eventlet.sleep(_LATENCY_S)
+        host = self._hosts.get(address)
+        if host is None:
+            return Unreachable(Cause.REFUSED)
+        answer = host.find_origin(ask)
+        eventlet.sleep(_LATENCY_S)
+        return answer
+
 
 class EmulatedHost:
     """The components of a host that schedule and forward prompts.
@@ -124,6 +141,7 @@
             self._instances,
             clock,
             metrics.silent_allocators,
+            is_list_current=_is_list_current,
             speeds=speeds,
             create_chooser=policy.create_chooser,
         )
@@ -153,6 +171,14 @@
         ready = self._instances.list_ready(SERVICE)
         return {instance.name: instance for instance in ready}
 
+    def find_origin(self, ask: OriginAsk) -> OriginReply:
+        """Answer a peer that looks for where a stream began.
+
+        :param ask: the question.
+        :return: what this host knows of it.
+        """
+        return self._selection.origins.answer(ask)
+
     def replace_instances(self, instances: dict[str, Instance]) -> None:
         """Apply a newer list of engines.
 
@@ -163,6 +189,10 @@
             self._selection.forget(instance)
 
 
+def _is_list_current() -> bool:
+    return True
+
+
 def create_hosts(
     workload: Workload, policy: Policy, client: ForwardClient, clock: Clock
 ) -> list[EmulatedHost]:
--- a/standins/emulation/policies.py
+++ b/standins/emulation/policies.py
@@ -104,6 +104,7 @@
         avoided: Collection[str],
         *,
         spread_key: str,
+        software_version: str = '',
     ) -> BackendChoice | None:
         """Choose an engine, or return ``None`` if none is usable."""
         unusable = {*avoided, *self.list_suspended(service)}
@@ -111,6 +112,7 @@
             entry.name: entry
             for entry in self._instances.list_ready(service)
             if entry.name not in unusable
+            and entry.runs_version(software_version)
         }
         if not usable:
             return None
--- a/tests/forwarding.py
+++ b/tests/forwarding.py
@@ -229,7 +229,11 @@
     metrics = GatewayMetrics()
     mesh = Mesh(MemberTable('own'), SilentNetwork(), clock, 4096)
     selection = BackendSelection(
-        mesh, instances, clock, metrics.silent_allocators
+        mesh,
+        instances,
+        clock,
+        metrics.silent_allocators,
+        is_list_current=lambda: True,
     )
     selection.prefill_client = NoPrefillClient()
     forwarder = Forwarder(
--- /dev/null
+++ b/tests/test_coordination/test_stream_origins.py
@@ -0,0 +1,186 @@
+"""Tests of how a host finds out where a stream began."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+import eventlet
+
+from egretdale.coordination.mesh import Mesh
+from egretdale.coordination.ports import Delivered
+from egretdale.coordination.stream_origins import StreamOrigins
+from egretdale.errors import Cause, Unreachable
+from egretdale.state.instances import Instance, InstanceTable
+from egretdale.state.members import MemberTable
+from egretdale.state.messages import Batch, MemberUpdate, StreamOrigin
+from egretdale.state.queries import OriginAsk, OriginReply
+from egretdale.state.stream_origins import Origin
+from standins.virtual.hub import VirtualHub, use_virtual_time
+from tests.functions import create_loader
+
+load_tests = create_loader(__name__)
+
+_SERVICE = 'claims'
+_ALONE = Origin(_SERVICE, 'v1')
+
+
+@dataclass
+class _Peers:
+    """Peers with scripted replies, by address.
+
+    :ivar replies: replies; peers without one cannot be reached.
+    :ivar asked: addresses of the peers that were asked.
+    :ivar told: origins that peers were told, by address.
+    """
+
+    replies: dict[str, OriginReply] = field(default_factory=dict)
+    asked: list[str] = field(default_factory=list)
+    told: dict[str, list[StreamOrigin]] = field(default_factory=dict)
+
+    def find_origin(
+        self, address: str, ask: OriginAsk
+    ) -> OriginReply | Unreachable:
+        self.asked.append(address)
+        eventlet.sleep(0.002)
+        return self.replies.get(address) or Unreachable(Cause.SILENT)
+
+    def deliver(self, address: str, batch: Batch) -> Delivered:
+        self.told.setdefault(address, []).extend(batch.origins)
+        return Delivered(Batch(address, 0), 0)
+
+
+@dataclass
+class _Scene:
+    """The component of one host and its peers."""
+
+    hub: VirtualHub
+    peers: _Peers
+    instances: InstanceTable
+    origins: StreamOrigins
+    is_list_current: bool = True
+
+    def list_versions(self, *versions: str) -> None:
+        """Replace the list by an engine for each version."""
+        entries = {
+            version: Instance(version, _SERVICE, '', software_version=version)
+            for version in versions
+        }
+        self.instances.replace(entries, after_outage=False)
+
+    def find(self) -> Origin | None:
+        """Look for a stream that this host has not begun."""
+        return self.origins.find('r0', _SERVICE)
+
+
+@contextmanager
+def _open_scene(
+    *versions: str, peers: int = 2, age_s: float = 60
+) -> Iterator[_Scene]:
+    with use_virtual_time() as hub:
+        network = _Peers()
+        members = MemberTable('own')
+        for name in ('own', *(f'p{index}' for index in range(peers))):
+            members.apply(MemberUpdate(name, 1, 0, 0, 'dc', name, name), 0)
+        mesh = Mesh(members, network, hub.read_now, 4096)
+        instances = InstanceTable(hub.read_now, 2)
+        scene = _Scene(hub, network, instances, None)
+        scene.origins = StreamOrigins(
+            mesh, instances, hub.read_now, lambda: scene.is_list_current
+        )
+        mesh.add_listener(scene.origins)
+        scene.list_versions(*versions)
+        eventlet.sleep(age_s)
+        yield scene
+
+
+def test_the_only_version_needs_no_question() -> None:
+    """Nobody is asked or told while one version serves."""
+    with _open_scene('v1') as scene:
+        scene.origins.note_start(Instance('v1', _SERVICE, ''), 'r1')
+        assert scene.find() == _ALONE
+        eventlet.sleep(5)
+        assert not scene.peers.asked
+        assert not scene.peers.told
+
+
+def test_a_version_that_has_left_counts_for_a_while() -> None:
+    """Its streams may be resumed after its last engine has gone."""
+    with _open_scene('v0', 'v1') as scene:
+        scene.list_versions('v1')
+        eventlet.sleep(20)
+        assert scene.find() is None
+        eventlet.sleep(20)
+        assert scene.find() == _ALONE
+
+
+def test_a_new_host_asks_as_it_may_have_missed_a_version() -> None:
+    """A peer with a complete history knows."""
+    with _open_scene('v2', age_s=1) as scene:
+        scene.peers.replies['p1'] = OriginReply(_SERVICE, 'v1')
+        assert scene.find() == _ALONE
+
+
+def test_hosts_that_all_started_rely_on_the_only_version() -> None:
+    """After an outage of all hosts no one knows more."""
+    with _open_scene('v1', age_s=1) as scene:
+        scene.peers.replies.update({'p0': OriginReply(), 'p1': OriginReply()})
+        assert scene.find() == _ALONE
+
+
+def test_an_old_list_is_not_relied_on() -> None:
+    """Peers may see a version that this host does not, and an isolated host
+    cannot tell.
+    """
+    with _open_scene('v1') as scene:
+        scene.is_list_current = False
+        assert scene.find() is None
+        scene.peers.replies['p0'] = OriginReply(several_versions=True)
+        scene.peers.replies['p1'] = OriginReply()
+        assert scene.find() is None
+        scene.peers.replies['p0'] = OriginReply()
+        assert scene.find() == _ALONE
+
+
+def test_a_silent_peer_delays_little() -> None:
+    """The wait for replies is short."""
+    with _open_scene('v1', 'v2') as scene:
+        before = scene.hub.now
+        assert scene.find() is None
+        assert scene.hub.now - before < 0.31
+
+
+def test_keepers_learn_earlier_streams_once_versions_differ() -> None:
+    """Two hosts know them although they began beside one version only."""
+    with _open_scene('v1', peers=60) as scene:
+        instance = Instance('v1', _SERVICE, '', software_version='v1')
+        scene.origins.note_start(instance, 'r1')
+        scene.list_versions('v1', 'v2')
+        scene.origins.note_start(instance, 'r2')
+        eventlet.sleep(0.5)
+        told = [
+            entry.request_id
+            for entries in scene.peers.told.values()
+            for entry in entries
+        ]
+        assert sorted(told) == ['r1', 'r1', 'r2', 'r2']
+
+
+def test_few_of_many_hosts_are_asked() -> None:
+    """Only keepers are asked in a large fleet."""
+    with _open_scene('v1', 'v2', peers=60) as scene:
+        scene.find()
+        assert len(scene.peers.asked) == 2
+
+
+def test_keepers_answer_what_they_were_told() -> None:
+    """They keep it for half a minute."""
+    with _open_scene('v1', 'v2') as scene:
+        entry = StreamOrigin('r0', _SERVICE, 'v2')
+        scene.origins.receive(Batch('p0', 1, origins=[entry]))
+        ask = OriginAsk('r0', _SERVICE)
+        known = OriginReply(_SERVICE, 'v2')
+        assert scene.origins.answer(ask) == known
+        unknown = OriginReply(several_versions=True)
+        assert scene.origins.answer(OriginAsk('r9', _SERVICE)) == unknown
--- a/tests/test_coordination/test_stream_versions.py
+++ b/tests/test_coordination/test_stream_versions.py
@@ -59,7 +59,9 @@
             scene.engines.breaks[request_id] = [_RECEIVED]
             stream = scene.call(f'h{number % 6}', request_id)
             assert not _list_joined(stream), stream
-            assert stream.is_whole()
+            assert stream.is_whole(), stream
+            # The retry budget of a host is for a few streams a second.
+            eventlet.sleep(1)
 
 
 def test_a_stream_is_not_joined_when_its_version_has_left() -> None:
--- a/tests/test_transport/test_peers.py
+++ b/tests/test_transport/test_peers.py
@@ -8,7 +8,13 @@
 import eventlet
 
 from egretdale.errors import Ambiguous
-from egretdale.state.queries import ChangeAsk, Changes, ObjectCopy
+from egretdale.state.queries import (
+    ChangeAsk,
+    Changes,
+    ObjectCopy,
+    OriginAsk,
+    OriginReply,
+)
 from egretdale.transport.peer_calls import GatewayHandler
 from egretdale.transport.peers import PeerClient, PeerServer, listen
 from tests.functions import create_loader
@@ -20,10 +26,12 @@
 
 @contextmanager
 def _open_peer(
-    follow: Callable[[ChangeAsk], Changes],
+    follow: Callable[[ChangeAsk], Changes] | None = None,
+    find_origin: Callable[[OriginAsk], OriginReply] | None = None,
 ) -> Iterator[tuple[PeerClient, str]]:
     listener = listen('127.0.0.1:0')
-    server = PeerServer(listener, GatewayHandler(None, None, follow))
+    handler = GatewayHandler(None, None, follow, find_origin)
+    server = PeerServer(listener, handler)
     task = eventlet.spawn(server.run)
     address = f'127.0.0.1:{listener.getsockname()[1]}'
     yield PeerClient(_TIMEOUT_S, lambda size: None), address
@@ -51,3 +59,17 @@
     with _open_peer(lambda ask: eventlet.sleep(5)) as (client, address):
         outcome = client.follow(address, ChangeAsk('kind', 5, 100))
         assert isinstance(outcome, Ambiguous)
+
+
+def test_peers_tell_where_a_stream_began() -> None:
+    """The question and the reply keep their fields."""
+    asked = []
+
+    def find_origin(ask: OriginAsk) -> OriginReply:
+        asked.append(ask)
+        return OriginReply('claims', 'v1', several_versions=True)
+
+    with _open_peer(find_origin=find_origin) as (client, address):
+        reply = client.find_origin(address, OriginAsk('r1', 'claims'))
+    assert reply == OriginReply('claims', 'v1', several_versions=True)
+    assert asked == [OriginAsk('r1', 'claims')]
