--- a/egretdale/coordination/forwarding.py
+++ b/egretdale/coordination/forwarding.py
@@ -6,6 +6,10 @@
 
 from egretdale.coordination.admission import Admission, AdmittedRequest
 from egretdale.coordination.attempt_recorder import AttemptRecorder
+from egretdale.coordination.attempt_rules import (
+    AttemptRules,
+    refuse_attempt,
+)
 from egretdale.coordination.backend_choice import BackendChoice
 from egretdale.coordination.budgets import RetryBudgets
 from egretdale.coordination.exchanges import (
@@ -22,19 +26,10 @@
 from egretdale.coordination.response_relay import ResponseRelay
 from egretdale.coordination.selection import BackendSelection
 from egretdale.state.gateway_metrics import GatewayMetrics
-from egretdale.state.outcomes import Ran, Reason, Refused
+from egretdale.state.outcomes import Refused
 from egretdale.state.routing import RequestKind
 from egretdale.util.clocks import Clock, convert_to_ms
 
-#: Shortest time left in seconds with which an attempt is still made.
-_MINIMUM_LEFT_S = 0.02
-#: Retry-after if no backend server could be reached, in seconds.
-_UNREACHABLE_RETRY_S = 0.5
-#: Retry-after if all backend servers that responded were full, in seconds.
-_FULL_RETRY_S = 0.3
-#: Retry-after if it is not known where a resumed stream began, in seconds: time
-#: for hosts that have just started to learn it.
-_ORIGIN_RETRY_S = 0.5
 _REDIRECTION = 300
 _SERVER_ERROR = 500
 
@@ -54,6 +49,7 @@
         '_origins',
         '_prefill_client',
         '_recorder',
+        '_rules',
         '_source',
     )
 
@@ -82,6 +78,7 @@
         self._chooser = selection.chooser
         self._loads = selection.loads
         self._budgets = budgets
+        self._rules = AttemptRules(admission, budgets)
         self._backpressure = selection.backpressure
         self._origins = selection.origins
         self._prefill_client = selection.prefill_client
@@ -161,24 +158,9 @@
         :param admitted: the admitted request.
         :return: the state of the request, or a refusal.
         """
-        request = admitted.request
-        route = admitted.route
-        if request.last_event_id and route.kind == RequestKind.STREAM:
-            origin = self._origins.find(
-                request.resumed_id, route.find_only_service()
-            )
-            if origin is None or not route.serves(origin.service):
-                return Refused(
-                    Reason.ORIGIN_UNKNOWN,
-                    Ran.NO,
-                    _ORIGIN_RETRY_S,
-                    'it is not known where the stream began',
-                )
-            return Progress(
-                admitted,
-                origin.service,
-                software_version=origin.software_version,
-            )
+        resumes = bool(admitted.request.last_event_id)
+        if resumes and admitted.route.kind == RequestKind.STREAM:
+            return self._origins.resume(admitted)
         service = self._admission.choose_service(
             admitted, self._source.random()
         )
@@ -194,18 +176,20 @@
         :return: the response, or a refusal.
         """
         while True:
-            refusal = self._check_attempt(progress)
+            refusal = self._rules.check_attempt(progress)
             if refusal is not None:
                 return refusal
             choice = self._choose(progress)
             if isinstance(choice, Refused):
-                return self._refuse(progress, choice.detail, choice)
+                return refuse_attempt(progress, choice.detail, choice)
             if choice is None:
-                return self._refuse(progress, 'no backend server is available')
+                return refuse_attempt(
+                    progress, 'no backend server is available'
+                )
             if progress.sent and not self._spend_retry(progress.service):
                 request_id = progress.admitted.request.request_id
                 self._prefill_client.note_end(request_id)
-                return self._refuse(progress, 'the retry budget is exhausted')
+                return refuse_attempt(progress, 'the retry budget is exhausted')
             outcome = self._try_backend(progress, choice, last_event_id)
             if outcome is not None:
                 return outcome
@@ -239,20 +223,6 @@
             software_version=progress.software_version,
         )
 
-    def _check_attempt(self, progress: Progress) -> Refused | None:
-        route = progress.admitted.route
-        stale = self._admission.check_key_age(progress.admitted)
-        if stale is not None:
-            return self._refuse(progress, stale.detail, stale)
-        if progress.sent >= route.maximum_attempts:
-            return self._refuse(progress, 'no attempts are left')
-        if progress.may_have_run and not route.is_repeatable():
-            return self._refuse(progress, 'the request must not run again')
-        left_s = self._admission.measure_remaining_time(progress.admitted)
-        if left_s < _MINIMUM_LEFT_S:
-            return self._refuse(progress, 'no time is left')
-        return None
-
     def _try_backend(
         self, progress: Progress, choice: BackendChoice, last_event_id: str
     ) -> OpenedResponse | Refused | None:
@@ -349,7 +319,7 @@
             self._loads.note_outcome(incarnation, failed=True)
             return None
         failed = response.status >= _SERVER_ERROR
-        if failed and self._may_retry(progress):
+        if failed and self._rules.may_retry(progress):
             response.close()
             self._end(progress, choice)
             self._loads.note_outcome(incarnation, failed=True)
@@ -370,26 +340,3 @@
         instance = choice.instance
         progress.software_version = instance.software_version
         self._origins.note_start(instance, progress.admitted.request.request_id)
-
-    def _may_retry(self, progress: Progress) -> bool:
-        route = progress.admitted.route
-        if not route.is_repeatable():
-            return False
-        if progress.sent >= route.maximum_attempts:
-            return False
-        if self._admission.check_key_age(progress.admitted) is not None:
-            return False
-        left_s = self._admission.measure_remaining_time(progress.admitted)
-        if left_s < route.target_s / 2:
-            return False
-        return self._budgets.has_room(progress.service)
-
-    def _refuse(
-        self, progress: Progress, detail: str, refusal: Refused | None = None
-    ) -> Refused:
-        if progress.may_have_run:
-            return Refused(Reason.OUTCOME_UNKNOWN, Ran.UNKNOWN, detail=detail)
-        if refusal is not None:
-            return refusal
-        retry_s = _FULL_RETRY_S if progress.sent else _UNREACHABLE_RETRY_S
-        return Refused(Reason.NO_BACKEND_SERVER, Ran.NO, retry_s, detail)
--- a/egretdale/coordination/stream_origins.py
+++ b/egretdale/coordination/stream_origins.py
@@ -12,11 +12,14 @@
 import eventlet
 from eventlet.queue import Empty, LightQueue
 
+from egretdale.coordination.admission import AdmittedRequest
 from egretdale.coordination.mesh import Mesh, MeshListener
+from egretdale.coordination.progress import Progress
 from egretdale.errors import Ambiguous, Unreachable
 from egretdale.state.instances import Instance, InstanceTable
 from egretdale.state.members import Member, list_owners
 from egretdale.state.messages import Batch, StreamOrigin
+from egretdale.state.outcomes import Ran, Reason, Refused
 from egretdale.state.queries import OriginAsk, OriginReply
 from egretdale.state.stream_origins import Origin, OriginTable
 from egretdale.util.clocks import Clock
@@ -35,6 +38,9 @@
 _ORIGINS_PER_BATCH = 200
 #: Longest wait in seconds for the replies of peers.
 _REPLY_TIMEOUT_S = 0.3
+#: Retry time in seconds if nobody knows where a stream began: hosts that have
+#: just started learn it from others.
+_UNKNOWN_RETRY_S = 0.5
 #: Number of peers up to which all of them are asked, and not only keepers.
 _MAXIMUM_ASKED = 12
 
@@ -91,6 +97,27 @@
         if instance.service in self._announced:
             self._announce(request_id, origin)
 
+    def resume(self, admitted: AdmittedRequest) -> Progress | Refused:
+        """Bind a request that resumes a stream to where it began.
+
+        :param admitted: the request of the caller.
+        :return: the state of the request, or a refusal if it cannot be told.
+        """
+        route = admitted.route
+        origin = self.find(
+            admitted.request.resumed_id, route.find_only_service()
+        )
+        if origin is None or not route.serves(origin.service):
+            return Refused(
+                Reason.ORIGIN_UNKNOWN,
+                Ran.NO,
+                _UNKNOWN_RETRY_S,
+                'it is not known where the stream began',
+            )
+        return Progress(
+            admitted, origin.service, software_version=origin.software_version
+        )
+
     def find(self, request_id: str, service: str) -> Origin | None:
         """Find where a stream began that a caller resumes.
 
--- a/soak/broken_daemon.py
+++ b/soak/broken_daemon.py
@@ -10,7 +10,7 @@
 
 from egretdale.coordination.admission import Admission
 from egretdale.coordination.configuration import ConfigurationFollower
-from egretdale.coordination.forwarding import Forwarder
+from egretdale.coordination.attempt_rules import AttemptRules
 from egretdale.coordination.ports import EndOfStream, MaybeRun
 from egretdale.coordination.response_relay import ResponseRelay
 from egretdale.protocol import problems
@@ -30,7 +30,7 @@
 def retry_unsafe_requests() -> None:
     """Retry requests that must not be retried."""
     Route.is_repeatable = lambda route: True
-    setattr(Forwarder, '_check_attempt', lambda forwarder, progress: None)
+    AttemptRules.check_attempt = lambda rules, progress: None
 
 
 def misreport_unknown_outcomes() -> None:
