Send all request limits to a host that has started again

Cause (found by reading): a host sends an unchanged limit to a peer once a second, and did not notice that the peer had started again. An allocator that restarts then granted requests without a limit for up to a second, to hosts that had been told. Change: what a peer was sent counts for its incarnation only. Measured: test_a_restarted_allocator_exceeds_no_limit failed before (4 requests within a second of the restart, 2.9 allowed) and passes; 18 tests of limits pass.

--- a/egretdale/coordination/backpressure.py
+++ b/egretdale/coordination/backpressure.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from egretdale.coordination.mesh import MeshListener
 from egretdale.errors import Invalid
@@ -12,6 +12,7 @@
     RequestLimit,
 )
 from egretdale.state.instances import Incarnation, Instance, InstanceTable
+from egretdale.state.members import MemberTable
 from egretdale.state.messages import BackendLimit, Batch
 from egretdale.util.clocks import Clock, convert_to_ms, convert_to_seconds
 from egretdale.util.logs import get_logger
@@ -48,28 +49,41 @@
         return limit.per_s != self.per_s or now >= self.sent_at + _REPEAT_S
 
 
+@dataclass(slots=True)
+class PeerLimits:
+    """What a peer was sent.
+
+    :ivar incarnation: incarnation of the peer, which knows nothing of what an
+        earlier one was sent.
+    :ivar sent: limits last sent to it, by backend server.
+    """
+
+    incarnation: int
+    sent: dict[Incarnation, SentLimit] = field(default_factory=dict)
+
+
 class BackpressureTracker(MeshListener):
     """Records the statements of backend servers and passes them to peers.
 
     :ivar table: latest statements.
     """
 
-    __slots__ = ('_clock', '_instances', '_own_host', '_sent', 'table')
+    __slots__ = ('_clock', '_instances', '_members', '_peers', 'table')
 
     def __init__(
-        self, own_host: str, instances: InstanceTable, clock: Clock
+        self, members: MemberTable, instances: InstanceTable, clock: Clock
     ) -> None:
         """Create a tracker without statements.
 
-        :param own_host: name of this host.
+        :param members: table of the hosts.
         :param instances: backend servers.
         :param clock: monotonic clock.
         """
         self.table = BackpressureTable()
-        self._own_host = own_host
+        self._members = members
         self._instances = instances
         self._clock = clock
-        self._sent: dict[str, dict[Incarnation, SentLimit]] = {}
+        self._peers: dict[str, PeerLimits] = {}
 
     def note_statement(
         self, instance: Instance, statement: BackendStatement, request_id: str
@@ -92,7 +106,9 @@
                     detail=message,
                 )
             case limit_per_s:
-                limit = RequestLimit(limit_per_s, self._clock(), self._own_host)
+                limit = RequestLimit(
+                    limit_per_s, self._clock(), self._members.own_host
+                )
                 self._note_limit(instance.incarnation, limit, request_id)
 
     def limits_any(self, service: str) -> bool:
@@ -117,7 +133,7 @@
         """
         now = self._clock()
         self._drop_unlisted(now)
-        sent = self._sent.setdefault(host, {})
+        sent = self._find_peer(host).sent
         for incarnation, limit in self.table.list_limits().items():
             if len(batch.limits) >= _LIMITS_PER_BATCH:
                 break
@@ -144,8 +160,17 @@
         :param incarnation: its incarnation.
         """
         self.table.forget(incarnation)
-        for sent in self._sent.values():
-            sent.pop(incarnation, None)
+        for peer in self._peers.values():
+            peer.sent.pop(incarnation, None)
+
+    def _find_peer(self, host: str) -> PeerLimits:
+        member = self._members.find(host)
+        incarnation = 0 if member is None else member.update.incarnation
+        peer = self._peers.get(host)
+        if peer is None or peer.incarnation != incarnation:
+            peer = PeerLimits(incarnation)
+            self._peers[host] = peer
+        return peer
 
     def _note_limit(
         self, incarnation: Incarnation, limit: RequestLimit, request_id: str
--- a/egretdale/coordination/selection.py
+++ b/egretdale/coordination/selection.py
@@ -73,9 +73,7 @@
         :param create_chooser: creates the chooser.
         """
         self.loads = LoadTable(clock)
-        self.backpressure = BackpressureTracker(
-            mesh.table.own_host, instances, clock
-        )
+        self.backpressure = BackpressureTracker(mesh.table, instances, clock)
         self.origins = StreamOrigins(mesh, instances, clock, is_list_current)
         limits = self.backpressure.table
         self.chooser = create_chooser(
--- a/tests/limits.py
+++ b/tests/limits.py
@@ -164,6 +164,25 @@
         for host in self.hosts.values():
             host.mesh.table.apply(update, self.hub.now)
 
+    def restart_host(self, name: str) -> None:
+        """Start a host again that has forgotten everything."""
+        instances = self.hosts[name].list_instances()
+        workload = create_workload(len(self.hosts), len(instances))
+        self.hosts[name] = EmulatedHost(
+            name,
+            workload,
+            PROMPT_POLICIES['product'],
+            HostClient(name, self.servers),
+            self.hosts,
+            self.hub.read_now,
+        )
+        self.hosts[name].replace_instances(instances)
+        incarnation = round(self.hub.now * 1000)
+        alive = int(MemberStatus.ALIVE)
+        update = MemberUpdate(name, incarnation, 0, alive, 'dc', name, name)
+        for host in self.hosts.values():
+            host.mesh.table.apply(update, self.hub.now)
+
     def _call(self, host: EmulatedHost, plain: bool) -> None:
         self._sent += 1
         prompt = Prompt()
--- a/tests/test_coordination/test_backpressure.py
+++ b/tests/test_coordination/test_backpressure.py
@@ -6,6 +6,7 @@
 from egretdale.errors import Invalid
 from egretdale.state.backpressure import BackendStatement
 from egretdale.state.instances import Instance, InstanceTable
+from egretdale.state.members import MemberTable
 from egretdale.state.messages import Batch
 from tests.forwarding import ManualClock
 from tests.functions import create_loader
@@ -17,7 +18,9 @@
 
 
 def _create_tracker(clock: ManualClock) -> BackpressureTracker:
-    return BackpressureTracker('own', InstanceTable(clock, 2), clock)
+    return BackpressureTracker(
+        MemberTable('own'), InstanceTable(clock, 2), clock
+    )
 
 
 def _note(
--- a/tests/test_coordination/test_request_limits.py
+++ b/tests/test_coordination/test_request_limits.py
@@ -71,6 +71,28 @@
             assert used > 6, used
 
 
+def test_a_restarted_allocator_exceeds_no_limit() -> None:
+    """The hosts tell it all limits with their first message."""
+    with open_limit_scene() as scene:
+        scene.send(_RATE, _STATED_AT)
+        scene.servers.limits.update(dict.fromkeys(_LIMITED, _LIMIT_PER_S))
+        scene.send(_RATE, 4, seed=2)
+        table = next(iter(scene.hosts.values())).mesh.table
+        owner = find_owner(table, 'prefill/prompts/1/0')
+        for seed in range(3, 9):
+            scene.restart_host(owner)
+            before = len(scene.servers.arrivals)
+            scene.send(_RATE, 1, seed=seed)
+            since = scene.servers.arrivals[before:]
+            for server in _LIMITED:
+                # The restarted host itself knows no limit at first.
+                count = sum(
+                    arrival.server == server and arrival.host != owner
+                    for arrival in since
+                )
+                assert count <= 1 + _LIMIT_PER_S, (seed, server, count)
+
+
 def test_limits_that_change_are_kept() -> None:
     """A lower limit is in force three seconds after it was first stated."""
     with open_limit_scene() as scene:
