Tell others where streams of split routes began

Cause (found by reading): a caller names no service when it resumes a stream of a route with several services, so without a record the stream was refused, also beside one software version; in fleets of more than 12 hosts nobody but the host that began it had one. Change: streams of split routes are always announced to their keepers. Measured: test_keepers_learn_streams_of_split_routes fails without the condition and passes with it; tests of origins, versions and forwarding pass.

--- a/egretdale/coordination/forwarding.py
+++ b/egretdale/coordination/forwarding.py
@@ -339,4 +339,8 @@
             return
         instance = choice.instance
         progress.software_version = instance.software_version
-        self._origins.note_start(instance, progress.admitted.request.request_id)
+        self._origins.note_start(
+            instance,
+            progress.admitted.request.request_id,
+            is_split=len(route.services) > 1,
+        )
--- a/egretdale/coordination/stream_origins.py
+++ b/egretdale/coordination/stream_origins.py
@@ -48,7 +48,8 @@
 class StreamOrigins(MeshListener):
     """Records where streams began and finds it out for resumed ones.
 
-    Nothing is sent to peers while one software version serves a service.
+    Nothing is sent to peers while one software version of one service serves
+    all requests of a route.
     """
 
     __slots__ = (
@@ -85,16 +86,19 @@
         self._announced: set[str] = set()
         self._pending: dict[str, list[StreamOrigin]] = {}
 
-    def note_start(self, instance: Instance, request_id: str) -> None:
+    def note_start(
+        self, instance: Instance, request_id: str, *, is_split: bool
+    ) -> None:
         """Record that an engine has begun a stream.
 
         :param instance: the engine.
         :param request_id: ID of the request.
+        :param is_split: whether its route has several services.
         """
         origin = Origin(instance.service, instance.software_version)
         self._announce_earlier()
         self._table.note(request_id, origin)
-        if instance.service in self._announced:
+        if is_split or instance.service in self._announced:
             self._announce(request_id, origin)
 
     def resume(self, admitted: AdmittedRequest) -> Progress | Refused:
--- a/tests/test_coordination/test_stream_origins.py
+++ b/tests/test_coordination/test_stream_origins.py
@@ -98,7 +98,9 @@
 def test_the_only_version_needs_no_question() -> None:
     """Nobody is asked or told while one version serves."""
     with _open_scene('v1') as scene:
-        scene.origins.note_start(Instance('v1', _SERVICE, ''), 'r1')
+        scene.origins.note_start(
+            Instance('v1', _SERVICE, ''), 'r1', is_split=False
+        )
         assert scene.find() == _ALONE
         eventlet.sleep(5)
         assert not scene.peers.asked
@@ -155,9 +157,9 @@
     """Two hosts know them although they began beside one version only."""
     with _open_scene('v1', peers=60) as scene:
         instance = Instance('v1', _SERVICE, '', software_version='v1')
-        scene.origins.note_start(instance, 'r1')
+        scene.origins.note_start(instance, 'r1', is_split=False)
         scene.list_versions('v1', 'v2')
-        scene.origins.note_start(instance, 'r2')
+        scene.origins.note_start(instance, 'r2', is_split=False)
         eventlet.sleep(0.5)
         told = [
             entry.request_id
@@ -167,6 +169,16 @@
         assert sorted(told) == ['r1', 'r1', 'r2', 'r2']
 
 
+def test_keepers_learn_streams_of_split_routes() -> None:
+    """Such a stream may have begun at another service."""
+    with _open_scene('v1', peers=60) as scene:
+        instance = Instance('v1', _SERVICE, '', software_version='v1')
+        scene.origins.note_start(instance, 'r1', is_split=True)
+        eventlet.sleep(0.5)
+        entry = StreamOrigin('r1', _SERVICE, 'v1')
+        assert list(scene.peers.told.values()) == [[entry], [entry]]
+
+
 def test_few_of_many_hosts_are_asked() -> None:
     """Only keepers are asked in a large fleet."""
     with _open_scene('v1', 'v2', peers=60) as scene:
