Test request limits and resumed streams with real daemons

Cause: limits and versions were tested on virtual time only, without headers, entries of the store and messages between processes. Change: three daemon processes before servers that state a limit, and a killed daemon whose callers resume their streams elsewhere; the soak's servers can state a limit and are listed with a version.

--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -217,17 +217,21 @@
     store.put('config', 'main', body)
 
 
-def put_server(store: ObjectStoreProgram, name: str, address: str) -> None:
+def put_server(
+    store: ObjectStoreProgram, name: str, address: str, version: str = 'v1'
+) -> None:
     """Register a backend server.
 
     :param store: the platform's store.
     :param name: name of the backend server.
     :param address: its ``address:port``.
+    :param version: version of its software.
     """
     entry = {
         'backend': 's1',
         'address': address,
         'zone': 'z1',
+        'version': version,
         'state': 'ready',
         'slots': 64,
         'born': 1700000000000,
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -7,6 +7,7 @@
 
 import eventlet
 
+from egretdale.util.clocks import read_hub_clock
 from standins.web import Environ, StartResponse
 
 #: Number of events in a stream.
@@ -25,12 +26,16 @@
     :ivar runs: IDs of the requests that it ran, in order.
     :ivar organisations: organisations of the requests, by request ID.
     :ivar service_time_s: seconds that a request takes, except for streams.
+    :ivar request_limit: limit that it states in its responses, empty for none.
+    :ivar arrived_at: times of arrival of the requests, in order.
     """
 
     def __init__(self) -> None:
         self.runs: list[str] = []
         self.organisations: dict[str, str] = {}
         self.service_time_s = 0.1
+        self.request_limit = ''
+        self.arrived_at: list[float] = []
 
     def __call__(
         self, environ: Environ, start_response: StartResponse
@@ -38,11 +43,14 @@
         """Respond with a body that is derived from the request ID."""
         identity = environ['HTTP_ATTEMPT_ID']
         self.runs.append(identity)
+        self.arrived_at.append(read_hub_clock())
         self.organisations[identity] = environ.get('HTTP_TENANT', '')
         headers = [
             ('Attempt-Id', identity),
             ('Server-Seal', f'seal-{identity}'),
         ]
+        if self.request_limit:
+            headers.append(('Server-Limit', self.request_limit))
         if environ['PATH_INFO'].startswith('/stream/'):
             start_response(
                 _OK, [*headers, ('Content-Type', 'text/event-stream')]
--- /dev/null
+++ b/tests/test_platform/test_backend_demands.py
@@ -0,0 +1,161 @@
+"""Tests of what backend servers ask for, with real daemon processes."""
+
+from __future__ import annotations
+
+import random
+import tempfile
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass
+from pathlib import Path
+
+import eventlet
+import urllib3
+
+from egretdale.util.clocks import read_hub_clock
+from soak.clients import Client
+from soak.daemons import (
+    HOST_NAME,
+    Daemon,
+    choose_place,
+    create_daemon,
+    put_configuration,
+    put_server,
+)
+from soak.servers import EVENTS, SealedServer
+from soak.world import serve_program
+from standins.objects import ObjectStoreProgram
+from tests.functions import create_loader
+from tests.limits import ALLOWANCE, CONTACT_S, TOLERANCE, WINDOW_S
+
+load_tests = create_loader(__name__)
+
+_DAEMONS = 3
+_CLIENTS = 24
+_LIMIT_PER_S = 2.0
+#: Events that a caller has received when its daemon is killed.
+_RECEIVED = 3
+_STREAMS = 12
+
+
+@dataclass
+class _System:
+    """Daemons before backend servers of given software versions."""
+
+    daemons: list[Daemon]
+    servers: list[SealedServer]
+    store: ObjectStoreProgram
+
+    def list_callers_addresses(self) -> list[str]:
+        """Return the addresses of the daemons for callers."""
+        return [daemon.place.addresses['front'] for daemon in self.daemons]
+
+
+@contextmanager
+def _open_system(*versions: str) -> Iterator[_System]:
+    store = ObjectStoreProgram()
+    put_configuration(store, 1)
+    servers = [SealedServer() for _ in versions]
+    for number, version in enumerate(versions):
+        address = serve_program(servers[number])
+        put_server(store, f'i-{number}', address, version)
+    store_address = serve_program(store)
+    places = [choose_place(f'front-{index}') for index in range(_DAEMONS)]
+    seeds = tuple(place.addresses['control'] for place in places)
+    with ExitStack() as stack:
+        folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        daemons = [
+            create_daemon(place, folder, store_address, seeds=seeds)
+            for place in places
+        ]
+        for daemon in daemons:
+            daemon.start()
+            stack.callback(daemon.kill)
+        for daemon in daemons:
+            daemon.wait_until_ready()
+        # The daemons learn of each other and of the servers.
+        eventlet.sleep(1)
+        yield _System(daemons, servers, store)
+
+
+def test_daemons_keep_the_limit_of_a_backend_server() -> None:
+    """All daemons together send it no more than it accepts."""
+    with _open_system('v1', 'v1', 'v1') as system:
+        addresses = system.list_callers_addresses()
+        clients = [
+            Client(f'c{number}', addresses, random.Random(number))
+            for number in range(_CLIENTS)
+        ]
+        for client in clients:
+            eventlet.spawn(client.run)
+        eventlet.sleep(2)
+        limited = system.servers[0]
+        limited.request_limit = str(_LIMIT_PER_S)
+        stated_at = read_hub_clock()
+        eventlet.sleep(CONTACT_S + WINDOW_S + 1)
+        for client in clients:
+            client.stopping = True
+        counted = [
+            at for at in limited.arrived_at if at >= stated_at + CONTACT_S
+        ]
+        before = sum(at < stated_at for at in limited.arrived_at)
+        allowed = TOLERANCE * _LIMIT_PER_S * WINDOW_S + ALLOWANCE
+        for end in counted:
+            count = sum(end - WINDOW_S < at <= end for at in counted)
+            assert count <= allowed, (count, allowed, before)
+        assert counted
+        assert before > allowed
+        attempts = [entry for sender in clients for entry in sender.attempts]
+        served = sum(entry.is_served() for entry in attempts)
+        assert served > len(attempts) / 2
+
+
+def _stream(
+    address: str, identity: str, events: int, **headers: str
+) -> list[bytes]:
+    """Read a stream until a number of events and close the connection."""
+    pool = urllib3.PoolManager(retries=False, timeout=5)
+    response = pool.request(
+        'POST',
+        f'http://{address}/stream/x',
+        body=b'{}',
+        headers={'Host': HOST_NAME, 'Attempt-Id': identity, **headers},
+        preload_content=False,
+    )
+    received = b''
+    while received.count(b'\n\n') < events:
+        chunk = response.read1(1024)
+        if not chunk:
+            break
+        received += chunk
+    response.close()
+    return received.split(b'\n\n')[:-1]
+
+
+def test_callers_resume_streams_at_their_version_after_a_kill() -> None:
+    """The daemon that began them and one engine of each version are lost."""
+    versions = ('v1', 'v2', 'v1', 'v2')
+    with _open_system(*versions) as system:
+        addresses = system.list_callers_addresses()
+        for number in range(_STREAMS):
+            events = _stream(addresses[0], f'a-{number}', _RECEIVED)
+            assert len(events) >= _RECEIVED
+        eventlet.sleep(0.5)
+        system.daemons[0].kill()
+        for number in (0, 1):
+            system.store.remove('servers', f'i-{number}')
+        eventlet.sleep(0.5)
+        for number in range(_STREAMS):
+            resumed = {'Resumes': f'a-{number}', 'Last-Event-Id': '3'}
+            address = addresses[1 + number % 2]
+            events = _stream(address, f'b-{number}', EVENTS, **resumed)
+            assert len(events) == EVENTS - _RECEIVED, events
+        ran = {
+            identity: version
+            for version, server in zip(versions, system.servers, strict=True)
+            for identity in server.runs
+        }
+        began = [ran[f'a-{index}'] for index in range(_STREAMS)]
+        went_on = [ran[f'b-{index}'] for index in range(_STREAMS)]
+        assert set(began) == {'v1', 'v2'}
+        assert went_on == began
