Let other tasks run while a backend server sends bytes without end

Cause: a read that finds data does not wait, so a loop that discards such bytes never let the hub run. Change: after 16 reads in a row without a wait the other tasks run. All reads from backend servers go through this socket. Measured: test_endless_responses_do_not_stop_other_requests failed before with a stall of 71 s (0.3 s allowed) and passes; lines and headers without end were limited already.

--- a/egretdale/transport/sockets.py
+++ b/egretdale/transport/sockets.py
@@ -5,10 +5,15 @@
 import errno
 from typing import Any
 
+import eventlet
 from eventlet import hubs
 from eventlet.green import socket
 
 
+#: Reads without a wait after which other tasks run.
+_READS_PER_YIELD = 16
+
+
 class ResetAwareSocket(socket.socket):
     """A cooperative socket on which a reset raises an error.
 
@@ -16,6 +21,8 @@
     is delimited by the end of its connection would look complete.
     """
 
+    _reads = 0
+
     def recv_into(self, buffer: Any, nbytes: int = 0, flags: int = 0) -> int:
         """Receive bytes into a buffer.
 
@@ -27,8 +34,9 @@
         """
         while True:
             try:
-                return self.fd.recv_into(buffer, nbytes, flags)
+                received = self.fd.recv_into(buffer, nbytes, flags)
             except BlockingIOError:
+                self._reads = 0
                 hubs.trampoline(
                     self.fd,
                     read=True,
@@ -39,3 +47,13 @@
                 raise ConnectionAbortedError(
                     errno.ECONNABORTED, 'reset by the peer'
                 ) from reset
+            else:
+                self._yield_at_times()
+                return received
+
+    def _yield_at_times(self) -> None:
+        """Let other tasks run while data arrives faster than it is read."""
+        self._reads += 1
+        if self._reads >= _READS_PER_YIELD:
+            self._reads = 0
+            eventlet.sleep(0)
--- a/tests/test_transport/test_forwarding.py
+++ b/tests/test_transport/test_forwarding.py
@@ -4,6 +4,8 @@
 
 import socket
 import struct
+import subprocess
+import sys
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
@@ -214,3 +216,68 @@
         assert response.statement.limit_per_s == 1.9
         assert ('Egret-Request-Limit', '1.9') in response.headers
         response.close()
+
+
+#: Program that sends the first argument once and then the second one until it
+#: has sent 400 MB or the connection is closed.
+_ENDLESS_SENDER = """
+import socket, sys
+listener = socket.create_server(('127.0.0.1', 0))
+print(listener.getsockname()[1], flush=True)
+connection, _ = listener.accept()
+connection.recv(65536)
+block = sys.argv[2].encode() * 4000
+try:
+    connection.sendall(sys.argv[1].encode())
+    for _ in range(400_000_000 // len(block)):
+        connection.sendall(block)
+except OSError:
+    pass
+"""
+_CHUNKED = _HEAD.decode() + 'Transfer-Encoding: chunked\r\n\r\n'
+
+
+def _measure_longest_stall(start: str, repeated: str) -> float:
+    """Read an endless response for 0.5 s.
+
+    :param start: first bytes of the response.
+    :param repeated: bytes that follow without end.
+    :return: longest time in seconds for which other tasks could not run.
+    """
+    command = (sys.executable, '-c', _ENDLESS_SENDER, start, repeated)
+    ticks: list[float] = []
+
+    def tick() -> None:
+        while True:
+            ticks.append(read_boot_clock())
+            eventlet.sleep(0.01)
+
+    with subprocess.Popen(command, stdout=subprocess.PIPE) as sender:
+        port = int(sender.stdout.readline())
+        client = HttpForwardClient(HeaderCodec(HeaderNames()), read_boot_clock)
+        ticker = eventlet.spawn(tick)
+        with eventlet.Timeout(0.5, False):
+            response = _open(client, f'127.0.0.1:{port}')
+            if isinstance(response, ForwardedResponse):
+                _read_all(response)
+        eventlet.sleep(0.05)
+        ticker.kill()
+        sender.kill()
+    return max(
+        later - earlier
+        for earlier, later in zip(ticks, ticks[1:], strict=False)
+    )
+
+
+def test_endless_responses_do_not_stop_other_requests() -> None:
+    """Deadlines pass and other tasks run while bytes arrive without end."""
+    for start, repeated in (
+        ('', 'x'),
+        ('', 'HTTP/1.1 100 Continue\r\n\r\n'),
+        (_HEAD.decode(), 'X-A: b\r\n'),
+        (f'{_HEAD.decode()}\r\n', 'x'),
+        (_CHUNKED, '0'),
+        (f'{_CHUNKED}0\r\n', 'X-A: b\r\n'),
+    ):
+        longest_s = _measure_longest_stall(start, repeated)
+        assert longest_s < 0.3, (start, repeated, longest_s)
