Show the origin of a resumed stream in the story of its request

Cause (found on reading): the line stream-origin named the resumed request only, so the story of the one that resumes did not show it. Change: the line carries both IDs; an unused method goes. Measured: tests of origins, versions and backpressure pass.

--- a/egretdale/coordination/stream_origins.py
+++ b/egretdale/coordination/stream_origins.py
@@ -108,8 +108,11 @@
         :return: the state of the request, or a refusal if it cannot be told.
         """
         route = admitted.route
+        request = admitted.request
         origin = self.find(
-            admitted.request.resumed_id, route.find_only_service()
+            request.request_id,
+            request.resumed_id,
+            route.find_only_service(),
         )
         if origin is None or not route.serves(origin.service):
             return Refused(
@@ -122,20 +125,24 @@
             admitted, origin.service, software_version=origin.software_version
         )
 
-    def find(self, request_id: str, service: str) -> Origin | None:
+    def find(
+        self, request_id: str, resumed_id: str, service: str
+    ) -> Origin | None:
         """Find where a stream began that a caller resumes.
 
-        :param request_id: ID of the request that brought its first event.
+        :param request_id: ID of the request that resumes it.
+        :param resumed_id: ID of the request that brought its first event.
         :param service: service that ran it, empty if several can have.
         :return: where it began, ``None`` if it cannot be told.
         """
-        origin = self._find_known(request_id, service)
+        origin = self._find_known(resumed_id, service)
         source = self._mesh.table.own_host
         if origin is None:
-            origin, source = self._ask_peers(OriginAsk(request_id, service))
+            origin, source = self._ask_peers(OriginAsk(resumed_id, service))
         logger.info(
             'stream-origin',
-            resumed_id=request_id,
+            request_id=request_id,
+            resumed_id=resumed_id,
             service='' if origin is None else origin.service,
             software_version='' if origin is None else origin.software_version,
             source=source,
--- a/egretdale/state/backpressure.py
+++ b/egretdale/state/backpressure.py
@@ -60,14 +60,6 @@
         self._limits[incarnation] = limit
         return limit.per_s != known.per_s
 
-    def find_limit(self, incarnation: Incarnation) -> RequestLimit | None:
-        """Find the latest statement about the request rate.
-
-        :param incarnation: incarnation of the backend server.
-        :return: the statement, ``None`` if there never was one.
-        """
-        return self._limits.get(incarnation)
-
     def find_rate(self, incarnation: Incarnation) -> float | None:
         """Find the request rate that a backend server accepts.
 
--- a/tests/test_coordination/test_stream_origins.py
+++ b/tests/test_coordination/test_stream_origins.py
@@ -71,7 +71,7 @@
 
     def find(self) -> Origin | None:
         """Look for a stream that this host has not begun."""
-        return self.origins.find('r0', _SERVICE)
+        return self.origins.find('r1', 'r0', _SERVICE)
 
 
 @contextmanager
