--- a/egretdale/coordination/backpressure.py
+++ b/egretdale/coordination/backpressure.py
@@ -111,7 +111,7 @@
                 )
                 self._note_limit(instance.incarnation, limit, request_id)
 
-    def limits_any(self, service: str) -> bool:
+    def is_any_limited(self, service: str) -> bool:
         """Tell whether a backend server of a service accepts a limited rate.
 
         :param service: service name.
--- a/egretdale/coordination/forwarding.py
+++ b/egretdale/coordination/forwarding.py
@@ -206,7 +206,7 @@
         request = progress.admitted.request
         service = progress.service
         # Only the allocator knows how much of a limit all hosts have used.
-        if request.prompt.tokens or self._backpressure.limits_any(service):
+        if request.prompt.tokens or self._backpressure.is_any_limited(service):
             ask = create_ask(
                 progress,
                 self._chooser.list_suspended(progress.service),
--- a/egretdale/coordination/selection.py
+++ b/egretdale/coordination/selection.py
@@ -15,7 +15,7 @@
 from egretdale.state.instances import Instance, InstanceTable
 from egretdale.state.loads import LoadTable
 from egretdale.state.request_gates import (
-    AloneRate,
+    FallbackRate,
     RequestGates,
     choose_whole_rate,
 )
@@ -79,7 +79,7 @@
         self.chooser = create_chooser(
             instances,
             self.loads,
-            RequestGates(limits, clock, AloneRate(mesh.table)),
+            RequestGates(limits, clock, FallbackRate(mesh.table)),
             clock,
         )
         self.speeds = speeds or SpeedTable(clock)
--- a/egretdale/state/request_gates.py
+++ b/egretdale/state/request_gates.py
@@ -22,7 +22,7 @@
 _BURST_S = 0.5
 #: Part of a limit that is left to hosts that cannot reach the allocator; the
 #: allocator grants the whole limit.
-_ALONE_SHARE = 0.25
+_FALLBACK_SHARE = 0.25
 
 #: Returns the rate at which a host may use a backend server, given its name and
 #: its limit in requests per second.
@@ -39,7 +39,7 @@
     return limit_per_s
 
 
-class AloneRate:
+class FallbackRate:
     """Rate at which this host uses a backend server without an allocator.
 
     Only as many hosts as requests fit in a second get a part of the limit,
@@ -62,7 +62,7 @@
         :param limit_per_s: limit in requests per second.
         :return: requests per second, 0 when other hosts have its part.
         """
-        rate = limit_per_s * _ALONE_SHARE
+        rate = limit_per_s * _FALLBACK_SHARE
         owners = list_owners(
             self._members, f'limit/{backend}', 1 + math.floor(rate)
         )
