Make the tests of demands wait for conditions instead of times

Cause: under load the traffic before a limit, or the news between daemons, may take longer than the fixed pauses of the tests. Change: the limit is stated once more requests have arrived than it allows; the daemons get two seconds for their news. Checks and bounds are as before; the check that enough requests came before became that wait.

--- a/tests/test_platform/test_backend_demands.py
+++ b/tests/test_platform/test_backend_demands.py
@@ -36,6 +36,9 @@
 #: Events that a caller has received when its daemon is killed.
 _RECEIVED = 3
 _STREAMS = 12
+_POLL_INTERVAL_S = 0.02
+#: Seconds for news to reach all daemons, also on a busy machine.
+_SETTLE_S = 2.0
 
 
 @dataclass
@@ -74,7 +77,7 @@
         for daemon in daemons:
             daemon.wait_until_ready()
         # The daemons learn of each other and of the servers.
-        eventlet.sleep(1)
+        eventlet.sleep(_SETTLE_S)
         yield _System(daemons, servers, store)
 
 
@@ -88,8 +91,10 @@
         ]
         for client in clients:
             eventlet.spawn(client.run)
-        eventlet.sleep(2)
         limited = system.servers[0]
+        allowed = TOLERANCE * _LIMIT_PER_S * WINDOW_S + ALLOWANCE
+        while len(limited.arrived_at) <= allowed:
+            eventlet.sleep(_POLL_INTERVAL_S)
         limited.request_limit = str(_LIMIT_PER_S)
         stated_at = read_hub_clock()
         eventlet.sleep(CONTACT_S + WINDOW_S + 1)
@@ -98,13 +103,10 @@
         counted = [
             at for at in limited.arrived_at if at >= stated_at + CONTACT_S
         ]
-        before = sum(at < stated_at for at in limited.arrived_at)
-        allowed = TOLERANCE * _LIMIT_PER_S * WINDOW_S + ALLOWANCE
         for end in counted:
             count = sum(end - WINDOW_S < at <= end for at in counted)
-            assert count <= allowed, (count, allowed, before)
+            assert count <= allowed, (count, allowed)
         assert counted
-        assert before > allowed
         attempts = [entry for sender in clients for entry in sender.attempts]
         served = sum(entry.is_served() for entry in attempts)
         assert served > len(attempts) / 2
@@ -140,11 +142,11 @@
         for number in range(_STREAMS):
             events = _stream(addresses[0], f'a-{number}', _RECEIVED)
             assert len(events) >= _RECEIVED
-        eventlet.sleep(0.5)
+        eventlet.sleep(_SETTLE_S)
         system.daemons[0].kill()
         for number in (0, 1):
             system.store.remove('servers', f'i-{number}')
-        eventlet.sleep(0.5)
+        eventlet.sleep(_SETTLE_S)
         for number in range(_STREAMS):
             resumed = {'Resumes': f'a-{number}', 'Last-Event-Id': '3'}
             address = addresses[1 + number % 2]
