Decode the answers of peers in one place; use the alias of incarnations

Change: PeerClient._query serves claim, fetch, follow and find_origin; loads use Incarnation. No behaviour differs.

--- a/egretdale/state/loads.py
+++ b/egretdale/state/loads.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from egretdale.state.instances import Incarnation
 from egretdale.util.averages import smooth
 from egretdale.util.clocks import Clock
 
@@ -45,9 +46,9 @@
         :param clock: monotonic clock.
         """
         self._clock = clock
-        self._loads: dict[tuple[str, int], InstanceLoad] = {}
+        self._loads: dict[Incarnation, InstanceLoad] = {}
 
-    def find(self, incarnation: tuple[str, int]) -> InstanceLoad:
+    def find(self, incarnation: Incarnation) -> InstanceLoad:
         """Return the load of a backend server.
 
         :param incarnation: its incarnation.
@@ -59,14 +60,14 @@
             self._loads[incarnation] = load
         return load
 
-    def forget(self, incarnation: tuple[str, int]) -> None:
+    def forget(self, incarnation: Incarnation) -> None:
         """Remove a backend server that has stopped.
 
         :param incarnation: its incarnation.
         """
         self._loads.pop(incarnation, None)
 
-    def begin(self, incarnation: tuple[str, int], prompt_tokens: int) -> None:
+    def begin(self, incarnation: Incarnation, prompt_tokens: int) -> None:
         """Record that a request is sent.
 
         :param incarnation: incarnation of the backend server.
@@ -77,7 +78,7 @@
         load.prefill_tokens += prompt_tokens
 
     def note_first_byte(
-        self, incarnation: tuple[str, int], prompt_tokens: int
+        self, incarnation: Incarnation, prompt_tokens: int
     ) -> None:
         """Record that a request has been prefilled or never will be.
 
@@ -88,7 +89,7 @@
         if load is not None:
             load.prefill_tokens -= prompt_tokens
 
-    def end(self, incarnation: tuple[str, int]) -> None:
+    def end(self, incarnation: Incarnation) -> None:
         """Record that a request no longer runs.
 
         :param incarnation: incarnation of the backend server.
@@ -97,9 +98,7 @@
         if load is not None:
             load.running -= 1
 
-    def note_outcome(
-        self, incarnation: tuple[str, int], *, failed: bool
-    ) -> None:
+    def note_outcome(self, incarnation: Incarnation, *, failed: bool) -> None:
         """Record the outcome of a request.
 
         :param incarnation: incarnation of the backend server.
@@ -112,7 +111,7 @@
         if not failed:
             load.suspension_s = 0
 
-    def suspend(self, incarnation: tuple[str, int]) -> None:
+    def suspend(self, incarnation: Incarnation) -> None:
         """Suspend an unreachable backend server, with exponential backoff.
 
         :param incarnation: incarnation of the backend server.
@@ -125,7 +124,7 @@
         load.suspension_s = min(longer, _SUSPENSION_MAXIMUM_S)
         load.suspended_until = now + load.suspension_s
 
-    def is_suspended(self, incarnation: tuple[str, int]) -> bool:
+    def is_suspended(self, incarnation: Incarnation) -> bool:
         """Return whether a backend server is suspended.
 
         :param incarnation: incarnation of the backend server.
--- a/egretdale/transport/peers.py
+++ b/egretdale/transport/peers.py
@@ -130,10 +130,7 @@
         """
         call = _BufferedCall()
         call.client.send_claim(encode_structure(question))
-        outcome = self._exchange(address, call, call.client.recv_claim)
-        if isinstance(outcome, Unreachable | Ambiguous):
-            return outcome
-        return decode_structure(outcome)
+        return self._query(address, call, call.client.recv_claim)
 
     def settle(
         self, address: str, key: str, *, ran: bool
@@ -160,10 +157,7 @@
         """
         call = _BufferedCall()
         call.client.send_fetch(service)
-        outcome = self._exchange(address, call, call.client.recv_fetch)
-        if isinstance(outcome, Unreachable | Ambiguous):
-            return outcome
-        return decode_structure(outcome)
+        return self._query(address, call, call.client.recv_fetch)
 
     def follow(
         self, address: str, ask: ChangeAsk
@@ -176,15 +170,12 @@
         """
         call = _BufferedCall()
         call.client.send_follow(encode_structure(ask))
-        outcome = self._exchange(
+        return self._query(
             address,
             call,
             call.client.recv_follow,
             wait_s=convert_to_seconds(ask.wait_ms),
         )
-        if isinstance(outcome, Unreachable | Ambiguous):
-            return outcome
-        return decode_structure(outcome)
 
     def find_origin(
         self, address: str, ask: OriginAsk
@@ -197,7 +188,17 @@
         """
         call = _BufferedCall()
         call.client.send_find_origin(encode_structure(ask))
-        outcome = self._exchange(address, call, call.client.recv_find_origin)
+        return self._query(address, call, call.client.recv_find_origin)
+
+    def _query(
+        self,
+        address: str,
+        call: _BufferedCall,
+        receive: Callable[[], Any],
+        wait_s: float = 0,
+    ) -> Any:
+        """Exchange a call whose answer is a structure, and decode it."""
+        outcome = self._exchange(address, call, receive, wait_s)
         if isinstance(outcome, Unreachable | Ambiguous):
             return outcome
         return decode_structure(outcome)
