--- /dev/null
+++ b/tests/limits.py
@@ -0,0 +1,231 @@
+"""Fixtures for the tests of backend servers that limit their request rate."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+import eventlet
+
+from egretdale.coordination.exchanges import ForwardAttempt, Prompt
+from egretdale.state.backpressure import BackendStatement
+from egretdale.state.instances import Instance
+from egretdale.state.outcomes import Refused
+from standins.emulation.hosts import HOST_NAME, SERVICE, EmulatedHost
+from standins.emulation.loads import (
+    LengthDistribution,
+    PromptClass,
+    SharedParts,
+    Workload,
+)
+from standins.emulation.policies import PROMPT_POLICIES
+from standins.virtual.hub import VirtualHub, use_virtual_time
+from tests.forwarding import ScriptedResponse, create_prompt, create_request
+
+#: Seconds from the first statement of a limit until it must be kept.
+CONTACT_S = 3.0
+#: Length of the window in which requests are counted, in seconds.
+WINDOW_S = 4.0
+#: Requests in a window are allowed up to this multiple of the limit.
+TOLERANCE = 1.5
+#: Requests that are allowed in addition in each window.
+ALLOWANCE = 5
+#: Seconds after a host has passed on a statement in which it need not heed it.
+NOTICE_S = 0.5
+#: Seconds from a request to the head of its response.
+_RESPONSE_S = 0.05
+#: Number of parts that prompts share.
+_PARTS = 50
+_LENGTH = LengthDistribution(1000, 0.1, 2000)
+
+
+@dataclass(slots=True, frozen=True)
+class Arrival:
+    """A request that reached a backend server.
+
+    :ivar at: time in seconds.
+    :ivar host: host that sent it.
+    :ivar server: name of the backend server.
+    """
+
+    at: float
+    host: str
+    server: str
+
+
+@dataclass
+class LimitedServers:
+    """Backend servers that may state a limit in their responses.
+
+    :ivar limits: limits in force, by name of the server.
+    :ivar arrivals: requests in the order of their arrival.
+    :ivar told_at: times at which hosts received the first statement of a
+        limit, by server and host.
+    """
+
+    hub: VirtualHub
+    limits: dict[str, float] = field(default_factory=dict)
+    arrivals: list[Arrival] = field(default_factory=list)
+    told_at: dict[tuple[str, str], float] = field(default_factory=dict)
+
+    def serve(self, host: str, server: str) -> ScriptedResponse:
+        """Respond to a request."""
+        self.arrivals.append(Arrival(self.hub.now, host, server))
+        eventlet.sleep(_RESPONSE_S)
+        limit = self.limits.get(server)
+        if limit is not None:
+            self.told_at.setdefault((server, host), self.hub.now)
+        return ScriptedResponse(
+            [b'id: 1\ndata: x\n\n'], statement=BackendStatement(limit)
+        )
+
+    def find_excess(self, server: str, since: float) -> list[str]:
+        """Find windows with more requests than the limit allows.
+
+        :param server: name of the server.
+        :param since: time at which it first stated the limit in force.
+        :return: descriptions of the windows.
+        """
+        allowed = TOLERANCE * self.limits[server] * WINDOW_S + ALLOWANCE
+        counted = [
+            arrival.at
+            for arrival in self.arrivals
+            if arrival.server == server
+            and arrival.at
+            >= NOTICE_S
+            + max(since, self.told_at.get((server, arrival.host), float('inf')))
+        ]
+        excess = []
+        for end in counted:
+            count = sum(end - WINDOW_S < at <= end for at in counted)
+            if end >= since + CONTACT_S and count > allowed:
+                excess.append(f'{server} at {end:.3f}: {count} > {allowed}')
+        return excess
+
+    def count(self, server: str, since: float) -> int:
+        """Count the requests that reached a server after a time."""
+        return sum(
+            arrival.server == server and arrival.at >= since
+            for arrival in self.arrivals
+        )
+
+
+class HostClient:
+    """The client of one host."""
+
+    def __init__(self, host: str, servers: LimitedServers) -> None:
+        self._host = host
+        self._servers = servers
+
+    def open(self, attempt: ForwardAttempt) -> ScriptedResponse:
+        """Send a request."""
+        return self._servers.serve(self._host, attempt.instance.name)
+
+
+@dataclass
+class LimitScene:
+    """Hosts before backend servers that may limit their request rate.
+
+    :ivar served: times of the responses.
+    :ivar refused: refusals.
+    """
+
+    hub: VirtualHub
+    servers: LimitedServers
+    hosts: dict[str, EmulatedHost]
+    served: list[float] = field(default_factory=list)
+    refused: list[Refused] = field(default_factory=list)
+    _sent: int = 0
+
+    def send(
+        self, rate: float, for_s: float, *, plain: bool = False, seed: int = 1
+    ) -> None:
+        """Send requests to random hosts.
+
+        :param rate: requests per second.
+        :param for_s: seconds in which they are sent.
+        :param plain: whether they have no prompt, as for a plain service.
+        :param seed: seed of the hosts and the times.
+        """
+        source = random.Random(seed)
+        end = self.hub.now + for_s
+        while self.hub.now < end:
+            host = source.choice(list(self.hosts.values()))
+            eventlet.spawn_n(self._call, host, plain)
+            eventlet.sleep(source.expovariate(rate))
+
+    def _call(self, host: EmulatedHost, plain: bool) -> None:
+        self._sent += 1
+        prompt = Prompt()
+        if not plain:
+            prompt = create_prompt(400, 100, self._sent % _PARTS)
+        request = create_request(
+            '/work/',
+            request_id=f'request-{self._sent}',
+            host_name=HOST_NAME,
+            prompt=prompt,
+            arrived_at=self.hub.now,
+        )
+        reply = host.forwarder.forward(host.forwarder.admit(request))
+        if isinstance(reply, Refused):
+            self.refused.append(reply)
+            return
+        list(reply.chunks)
+        self.served.append(self.hub.now)
+
+
+@contextmanager
+def open_limit_scene(
+    hosts: int = 6, servers: int = 5, policy: str = 'product'
+) -> Iterator[LimitScene]:
+    """Run hosts before backend servers on virtual time.
+
+    :param hosts: number of hosts.
+    :param servers: number of backend servers, named ``e0``, ``e1`` and so on.
+    :param policy: how the hosts select servers.
+    """
+    with use_virtual_time() as hub:
+        limited = LimitedServers(hub)
+        scene = LimitScene(hub, limited, {})
+        workload = _create_workload(hosts, servers)
+        for index in range(hosts):
+            name = f'h{index}'
+            scene.hosts[name] = EmulatedHost(
+                name,
+                workload,
+                PROMPT_POLICIES[policy],
+                HostClient(name, limited),
+                scene.hosts,
+                hub.read_now,
+            )
+            scene.hosts[name].replace_instances(list_instances(servers))
+        yield scene
+
+
+def list_instances(count: int) -> dict[str, Instance]:
+    """Create the list of the backend servers of a scene."""
+    return {
+        f'e{index}': Instance(f'e{index}', SERVICE, f'10.0.0.{index}:80')
+        for index in range(count)
+    }
+
+
+def _create_workload(hosts: int, servers: int) -> Workload:
+    request_class = PromptClass(
+        name='work',
+        rate=1,
+        target_s=0.4,
+        pause_s=0,
+        patience_s=3,
+        worth=1,
+        late_worth=0.5,
+        priority=1,
+        own=_LENGTH,
+        output=_LENGTH,
+        common=None,
+        shared=SharedParts(_LENGTH, 1),
+        attempts=2,
+    )
+    return Workload('limits', (request_class,), servers, hosts, 1)
