--- a/egretdale/coordination/attempt_recorder.py
+++ b/egretdale/coordination/attempt_recorder.py
@@ -69,7 +69,9 @@
             service=service,
             attempt=progress.sent + 1,
             chosen_by='allocator' if choice.granted else 'host',
-            limit_per_s=self._backpressure.describe_limit(choice.instance),
+            limit_per_s=self._backpressure.table.find_rate(
+                choice.instance.incarnation
+            ),
             prefill_tokens=choice.prefill_tokens,
             urgency=progress.admitted.urgency,
             waited_ms=convert_to_ms(waited_s),
--- a/egretdale/coordination/backend_choice.py
+++ b/egretdale/coordination/backend_choice.py
@@ -8,7 +8,9 @@
 from egretdale.coordination.exchanges import Prompt
 from egretdale.state.instances import Instance, InstanceTable
 from egretdale.state.loads import InstanceLoad, LoadTable
+from egretdale.state.outcomes import Ran, Reason, Refused
 from egretdale.state.prefixes import PrefixIndex
+from egretdale.state.request_gates import RequestGates
 from egretdale.util.clocks import Clock
 from egretdale.util.hashing import rank_by_rendezvous
 
@@ -17,6 +19,10 @@
 _TOKENS_PER_RUNNING = 150
 #: Penalty in prompt tokens for a backend server at which all requests fail.
 _TOKENS_PER_FAILURE = 60000
+#: Bounds on the retry time in seconds when all backend servers have reached
+#: their request limits.
+_MINIMUM_RETRY_S = 0.3
+_MAXIMUM_RETRY_S = 2.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -40,19 +46,25 @@
     is prefilled only once, and choose others as its load grows.
     """
 
-    __slots__ = ('_clock', '_instances', '_loads', '_prefixes')
+    __slots__ = ('_clock', '_gates', '_instances', '_loads', '_prefixes')
 
     def __init__(
-        self, instances: InstanceTable, loads: LoadTable, clock: Clock
+        self,
+        instances: InstanceTable,
+        loads: LoadTable,
+        gates: RequestGates,
+        clock: Clock,
     ) -> None:
         """Create a chooser.
 
         :param instances: backend servers.
         :param loads: their loads.
+        :param gates: pace of the requests to limited backend servers.
         :param clock: monotonic clock.
         """
         self._instances = instances
         self._loads = loads
+        self._gates = gates
         self._clock = clock
         self._prefixes = PrefixIndex()
 
@@ -63,31 +75,39 @@
         avoided: Collection[str],
         *,
         spread_key: str,
-    ) -> BackendChoice | None:
+    ) -> BackendChoice | Refused | None:
         """Choose a backend server.
 
         :param service: service name.
         :param prompt: size and parts of the prompt.
         :param avoided: names of backend servers that failed the request.
         :param spread_key: hashed in place of a shared part if there is none.
-        :return: the choice, or ``None`` when there is no backend server.
+        :return: the choice, a refusal when all backend servers have reached
+            their limits, or ``None`` when there is none.
         """
         candidates = [
             instance
             for instance in self._instances.list_ready(service)
             if instance.name not in avoided
         ]
-        usable = [
+        healthy = [
             instance
             for instance in candidates
             if not self._loads.is_suspended(instance.incarnation)
         ]
+        usable = self._exclude_limited(healthy) or self._exclude_limited(
+            candidates
+        )
+        if candidates and not usable:
+            return self._refuse_limited(candidates)
         part = prompt.find_affinity()
         key = spread_key if part is None else str(part.identity)
-        choices = self._rate(usable or candidates, prompt, key)
+        choices = self._rate(usable, prompt, key)
         if not choices:
             return None
-        return min(choices, key=lambda entry: entry[0])[1]
+        choice = min(choices, key=lambda entry: entry[0])[1]
+        self._gates.take(choice.instance)
+        return choice
 
     def list_suspended(self, service: str) -> list[str]:
         """List the backend servers that are suspended after failures.
@@ -119,6 +139,37 @@
         """
         self._prefixes.clear(instance.incarnation_name)
         self._loads.forget(instance.incarnation)
+        self._gates.forget(instance.incarnation)
+
+    def _exclude_limited(self, candidates: list[Instance]) -> list[Instance]:
+        """Exclude backend servers that accept no request of this host now.
+
+        Limited ones are used only when all are limited, since the allocator
+        grants the most part of a limit.
+
+        :param candidates: backend servers.
+        :return: backend servers that accept a request.
+        """
+        unlimited = [
+            instance
+            for instance in candidates
+            if not self._gates.is_limited(instance)
+        ]
+        return unlimited or [
+            instance
+            for instance in candidates
+            if not self._gates.measure_wait(instance)
+        ]
+
+    def _refuse_limited(self, candidates: list[Instance]) -> Refused:
+        wait_s = min(map(self._gates.measure_wait, candidates))
+        retry_s = min(max(_MINIMUM_RETRY_S, wait_s), _MAXIMUM_RETRY_S)
+        return Refused(
+            Reason.NO_BACKEND_SERVER,
+            Ran.NO,
+            retry_s,
+            'all backend servers have reached their request limits',
+        )
 
     def _rate(
         self, instances: list[Instance], prompt: Prompt, key: str
--- a/egretdale/coordination/backpressure.py
+++ b/egretdale/coordination/backpressure.py
@@ -1,37 +1,75 @@
-"""Tracks what backend servers ask their callers for."""
+"""Tracks what backend servers ask their callers for, on all hosts."""
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
+from egretdale.coordination.mesh import MeshListener
 from egretdale.errors import Invalid
 from egretdale.state.backpressure import (
     BackendStatement,
     BackpressureTable,
     RequestLimit,
 )
-from egretdale.state.instances import Instance
-from egretdale.util.clocks import Clock, convert_to_ms
+from egretdale.state.instances import Incarnation, Instance, InstanceTable
+from egretdale.state.messages import BackendLimit, Batch
+from egretdale.util.clocks import Clock, convert_to_ms, convert_to_seconds
 from egretdale.util.logs import get_logger
 
 logger = get_logger(__name__)
 
+#: Limits in one batch.
+_LIMITS_PER_BATCH = 8
+#: Seconds after which a limit that has not changed is sent to a peer again.
+_REPEAT_S = 1.0
+#: Seconds for which the limit of a backend server that is not listed is kept.
+_UNLISTED_RETENTION_S = 60.0
+#: Value of ``BackendLimit.limit_per_s`` for a backend server without a limit.
+_UNLIMITED = -1
+
+
+@dataclass(slots=True, frozen=True)
+class SentLimit:
+    """The limit of a backend server that was last sent to a peer.
+
+    :ivar per_s: requests per second, ``None`` for any number.
+    :ivar sent_at: clock time at which it was sent.
+    """
+
+    per_s: float | None
+    sent_at: float
 
-class BackpressureTracker:
-    """Records the statements of backend servers.
+    def is_outdated(self, limit: RequestLimit, now: float) -> bool:
+        """Tell whether the peer needs the present limit.
+
+        :param limit: the present limit.
+        :param now: clock time.
+        """
+        return limit.per_s != self.per_s or now >= self.sent_at + _REPEAT_S
+
+
+class BackpressureTracker(MeshListener):
+    """Records the statements of backend servers and passes them to peers.
 
     :ivar table: latest statements.
     """
 
-    __slots__ = ('_clock', '_own_host', 'table')
+    __slots__ = ('_clock', '_instances', '_own_host', '_sent', 'table')
 
-    def __init__(self, own_host: str, clock: Clock) -> None:
+    def __init__(
+        self, own_host: str, instances: InstanceTable, clock: Clock
+    ) -> None:
         """Create a tracker without statements.
 
         :param own_host: name of this host.
+        :param instances: backend servers.
         :param clock: monotonic clock.
         """
         self.table = BackpressureTable()
         self._own_host = own_host
+        self._instances = instances
         self._clock = clock
+        self._sent: dict[str, dict[Incarnation, SentLimit]] = {}
 
     def note_statement(
         self, instance: Instance, statement: BackendStatement, request_id: str
@@ -55,28 +93,91 @@
                 )
             case limit_per_s:
                 limit = RequestLimit(limit_per_s, self._clock(), self._own_host)
-                self._note_limit(instance, limit, request_id)
+                self._note_limit(instance.incarnation, limit, request_id)
+
+    def limits_any(self, service: str) -> bool:
+        """Tell whether a backend server of a service accepts a limited rate.
 
-    def describe_limit(self, instance: Instance) -> float | None:
-        """Return the limit in force for a backend server.
+        :param service: service name.
+        """
+        if not self.table.count_limited():
+            return False
+        return any(
+            self.table.find_rate(instance.incarnation) is not None
+            for instance in self._instances.list_ready(service)
+        )
+
+    # Peers
+
+    def fill(self, host: str, batch: Batch) -> None:
+        """Add the limits that a peer may not know to a batch.
+
+        :param host: receiving host.
+        :param batch: the batch.
+        """
+        now = self._clock()
+        self._drop_unlisted(now)
+        sent = self._sent.setdefault(host, {})
+        for incarnation, limit in self.table.list_limits().items():
+            if len(batch.limits) >= _LIMITS_PER_BATCH:
+                break
+            last = sent.get(incarnation)
+            if last is None or last.is_outdated(limit, now):
+                sent[incarnation] = SentLimit(limit.per_s, now)
+                batch.limits.append(_convert_limit(incarnation, limit, now))
+
+    def receive(self, batch: Batch) -> None:
+        """Record the limits that a peer knows.
 
-        :param instance: the backend server.
-        :return: requests per second, ``None`` without a limit.
+        :param batch: a batch from a peer.
         """
-        limit = self.table.find_limit(instance.incarnation)
-        return None if limit is None else limit.per_s
+        now = self._clock()
+        for entry in batch.limits:
+            per_s = None if entry.limit_per_s < 0 else entry.limit_per_s
+            stated_at = now - convert_to_seconds(entry.age_ms)
+            limit = RequestLimit(per_s, stated_at, entry.source)
+            self._note_limit((entry.name, entry.born_ms), limit, '')
+
+    def forget(self, incarnation: Incarnation) -> None:
+        """Drop the statements of a backend server that has gone.
+
+        :param incarnation: its incarnation.
+        """
+        self.table.forget(incarnation)
+        for sent in self._sent.values():
+            sent.pop(incarnation, None)
 
     def _note_limit(
-        self, instance: Instance, limit: RequestLimit, request_id: str
+        self, incarnation: Incarnation, limit: RequestLimit, request_id: str
     ) -> None:
-        if self.table.note_limit(instance.incarnation, limit):
+        if self.table.note_limit(incarnation, limit):
+            name, born_ms = incarnation
             logger.info(
                 'backend-limit',
-                backend=instance.name,
-                born_ms=instance.born_ms,
-                service=instance.service,
+                backend=name,
+                born_ms=born_ms,
                 limit_per_s=limit.per_s,
                 source=limit.source,
                 age_ms=convert_to_ms(self._clock() - limit.stated_at),
                 request_id=request_id,
             )
+
+    def _drop_unlisted(self, now: float) -> None:
+        for incarnation, limit in self.table.list_limits().items():
+            instance = self._instances.find(incarnation[0])
+            listed = instance and instance.incarnation == incarnation
+            if not listed and now > limit.stated_at + _UNLISTED_RETENTION_S:
+                self.forget(incarnation)
+
+
+def _convert_limit(
+    incarnation: Incarnation, limit: RequestLimit, now: float
+) -> BackendLimit:
+    name, born_ms = incarnation
+    return BackendLimit(
+        name,
+        born_ms,
+        limit.source,
+        _UNLIMITED if limit.per_s is None else limit.per_s,
+        convert_to_ms(now - limit.stated_at),
+    )
--- a/egretdale/coordination/engine_choice.py
+++ b/egretdale/coordination/engine_choice.py
@@ -25,6 +25,7 @@
 )
 from egretdale.state.prefixes import PrefixIndex
 from egretdale.state.prompts import GrantedPrompt
+from egretdale.state.request_gates import RequestGates
 from egretdale.state.speeds import SpeedTable, measure_work
 from egretdale.util.clocks import Clock, convert_to_seconds
 from egretdale.util.hashing import rank_by_rendezvous
@@ -54,6 +55,7 @@
     :ivar factor: time that a prefill takes there, as a multiple of the usual
         time.
     :ivar slots: its slots.
+    :ivar limit_wait_s: seconds until its request limit allows another request.
     """
 
     instance: Instance
@@ -64,6 +66,7 @@
     recent: RecentWork
     factor: float
     slots: EngineSlots
+    limit_wait_s: float = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -87,14 +90,25 @@
 class EngineChooser:
     """Tracks what engines have cached and have to prefill, and chooses one."""
 
-    __slots__ = ('_clock', '_prefixes', '_recent_work', 'backlogs', 'slots')
-
-    def __init__(self, clock: Clock, speeds: SpeedTable) -> None:
+    __slots__ = (
+        '_clock',
+        '_prefixes',
+        '_recent_work',
+        'backlogs',
+        'gates',
+        'slots',
+    )
+
+    def __init__(
+        self, clock: Clock, speeds: SpeedTable, gates: RequestGates
+    ) -> None:
         """Create a chooser that assumes all engines to be idle and empty.
 
         :param clock: monotonic clock.
         :param speeds: prefill speeds of the engines.
+        :param gates: pace of the requests to limited engines.
         """
+        self.gates = gates
         self.backlogs = BacklogTable(clock, speeds)
         self.slots = SlotTable(clock)
         self._clock = clock
@@ -124,6 +138,7 @@
                     recent,
                     self.backlogs.speeds.find(instance).factor,
                     self.slots.find(instance),
+                    self.gates.measure_wait(instance),
                 )
             )
         return states
@@ -179,7 +194,12 @@
                 + interference * interference_weight
             )
 
-        chosen = min(usable, key=predict)
+        def rank(state: EngineState) -> tuple[float, int, bool]:
+            # Requests without a prompt cost the same at each engine.
+            is_other = state.instance.name != preferred
+            return predict(state), len(state.slots.held), is_other
+
+        chosen = min(usable, key=rank)
         return chosen, self._predict_slot_wait(prompt, chosen)
 
     def reserve(self, ask: Ask, state: EngineState) -> int:
@@ -199,6 +219,8 @@
             state.name, prefill_s, convert_to_seconds(ask.pause_ms)
         )
         self._prefixes.note(state.name, ask.prefix, self._clock())
+        self.gates.take(state.instance)
+        state.limit_wait_s = self.gates.measure_wait(state.instance)
         state.wait_s = self.backlogs.measure_wait(state.name)
         state.held = self._prefixes.list_held(state.name)
         return tokens
@@ -239,11 +261,13 @@
         held = ask.prefix in self._prefixes.list_held(engine)
         return ask.prompt_tokens - ask.shared_tokens * held
 
-    def forget(self, engine: str) -> None:
+    def forget(self, instance: Instance) -> None:
         """Drop the state of an engine that has gone.
 
-        :param engine: name of the incarnation.
+        :param instance: the engine.
         """
+        engine = instance.incarnation_name
+        self.gates.forget(instance.incarnation)
         self._prefixes.clear(engine)
         self.backlogs.forget(engine)
         self.slots.forget(engine)
@@ -262,12 +286,14 @@
 def find_preferred_engine(ask: Ask, ready: list[Instance]) -> str:
     """Find the engine that all hosts prefer for the shared part of a prompt.
 
-    Rendezvous hashing gives the same engine on each host.
+    Rendezvous hashing gives the same engine on each host. Requests without a
+    shared part are spread over the engines.
 
     :param ask: the request.
     :param ready: engines that take new work.
     :return: name of the engine, empty when there is none.
     """
     names = [entry.name for entry in ready if entry.name not in ask.avoided]
-    ranked = rank_by_rendezvous(str(ask.prefix), names)
+    key = str(ask.prefix) if ask.prefix else ask.request_id
+    ranked = rank_by_rendezvous(key, names)
     return ranked[0] if ranked else ''
--- a/egretdale/coordination/forwarding.py
+++ b/egretdale/coordination/forwarding.py
@@ -184,7 +184,9 @@
 
     def _choose(self, progress: Progress) -> BackendChoice | Refused | None:
         request = progress.admitted.request
-        if request.prompt.tokens:
+        service = progress.service
+        # Only the allocator knows how much of a limit all hosts have used.
+        if request.prompt.tokens or self._backpressure.limits_any(service):
             ask = create_ask(
                 progress,
                 self._chooser.list_suspended(progress.service),
--- a/egretdale/coordination/prefill.py
+++ b/egretdale/coordination/prefill.py
@@ -25,6 +25,7 @@
     Release,
 )
 from egretdale.state.prompts import GrantedPrompt, GroupQueue, WaitingPrompt
+from egretdale.state.request_gates import RequestGates
 from egretdale.state.speeds import SpeedTable
 from egretdale.util.clocks import Clock, convert_to_seconds
 
@@ -64,6 +65,7 @@
         instances: InstanceTable,
         clock: Clock,
         speeds: SpeedTable,
+        gates: RequestGates,
     ) -> None:
         """Create an allocator without requests.
 
@@ -71,11 +73,12 @@
         :param instances: backend servers.
         :param clock: monotonic clock.
         :param speeds: prefill speeds of the engines.
+        :param gates: pace of the requests to limited engines.
         """
         self._mesh = mesh
         self._groups = GroupMap(instances)
         self._clock = clock
-        self._chooser = EngineChooser(clock, speeds)
+        self._chooser = EngineChooser(clock, speeds, gates)
         self._policy = PrefillPolicy(self._chooser, clock)
         self._queues: dict[str, GroupQueue] = {}
         self._expired_at = float('-inf')
@@ -127,7 +130,7 @@
 
         :param instance: the engine.
         """
-        self._chooser.forget(instance.incarnation_name)
+        self._chooser.forget(instance)
 
     # Grants
 
--- a/egretdale/coordination/prefill_policy.py
+++ b/egretdale/coordination/prefill_policy.py
@@ -39,10 +39,61 @@
 _WAIT_SHARE = 0.4
 #: Factor on the speed of the engines, while it is only assumed, for refusals.
 _ASSUMED_SPEED_FACTOR = 2
+#: Lower bound on each rate of a group, so that waits are finite.
+_MINIMUM_RATE = 0.01
 #: Minimum retry time in seconds of a denied request.
 _DENIED_RETRY_S = 0.3
 
 
+@dataclass(slots=True)
+class GroupCapacity:
+    """What the engines of a group can do together.
+
+    :ivar prefill_rate: seconds of prefill that the engines do in a second,
+        more while their speed is only assumed, as they may be faster.
+    :ivar hold_rate: seconds that slots can be held in a second.
+    :ivar request_rate: requests per second that the engines accept.
+    """
+
+    prefill_rate: float = 0
+    hold_rate: float = 0
+    request_rate: float = 0
+
+    def add(self, state: EngineState, request_rate: float) -> None:
+        """Add an engine.
+
+        :param state: the engine.
+        :param request_rate: requests per second that it accepts.
+        """
+        use = state.slots.use
+        busy_share = float(1)
+        held_slots = state.slots.limit
+        if math.isfinite(request_rate):
+            # A limited engine is busy only with the requests that it accepts.
+            held_slots = min(held_slots, request_rate * use.hold_s)
+            if use.prefill_s:
+                busy_share = min(1, request_rate * use.prefill_s)
+        self.prefill_rate += busy_share
+        self.hold_rate += held_slots
+        self.request_rate += request_rate
+
+    def predict_wait(
+        self, requests: int, prefill_s: float, hold_s: float
+    ) -> float:
+        """Predict how long the engines take to serve waiting requests.
+
+        :param requests: number of requests.
+        :param prefill_s: their prefill in seconds.
+        :param hold_s: seconds for which they will hold slots.
+        :return: seconds.
+        """
+        return max(
+            prefill_s / max(_MINIMUM_RATE, self.prefill_rate),
+            hold_s / max(_MINIMUM_RATE, self.hold_rate),
+            requests / max(_MINIMUM_RATE, self.request_rate),
+        )
+
+
 @dataclass(slots=True)
 class GroupScan:
     """State of one pass over the waiting requests of a group.
@@ -53,9 +104,8 @@
     :ivar use: what the requests of the service take.
     :ivar maximum_backlog_s: outstanding prefill in seconds of an engine that
         gets another prompt.
-    :ivar prefill_rate: seconds of prefill that the engines do in a second,
-        more while their speed is only assumed, as they may be faster.
-    :ivar hold_rate: seconds that slots can be held in a second.
+    :ivar capacity: what the engines can do together.
+    :ivar passed: number of requests that stay waiting.
     :ivar prefill_s: prefill in seconds of the requests that stay waiting.
     :ivar hold_s: seconds for which these will hold slots.
     :ivar ahead_s: seconds until the engines have served them.
@@ -69,8 +119,8 @@
     speed: ServiceSpeed
     use: ServiceUse
     maximum_backlog_s: float
-    prefill_rate: float
-    hold_rate: float
+    capacity: GroupCapacity
+    passed: int = 0
     prefill_s: float = 0
     hold_s: float = 0
     ahead_s: float = 0
@@ -107,8 +157,9 @@
         """
         self.prefill_s += own_s
         self.hold_s += self.use.predict_hold(waiting.ask.class_name)
-        self.ahead_s = max(
-            self.prefill_s / self.prefill_rate, self.hold_s / self.hold_rate
+        self.passed += 1
+        self.ahead_s = self.capacity.predict_wait(
+            self.passed, self.prefill_s, self.hold_s
         )
 
 
@@ -151,15 +202,16 @@
         speed = self._chooser.backlogs.speeds.find_service(service)
         spare_s = queue.find_shortest_target() - speed.floor_s
         maximum_s = max(_MINIMUM_BACKLOG_S, spare_s * _BACKLOG_SHARE)
-        engines = max(1, len(states))
+        capacity = self._measure_capacity(states)
+        if not speed.is_known():
+            capacity.prefill_rate *= _ASSUMED_SPEED_FACTOR
         scan = GroupScan(
             queue,
             states,
             speed,
             self._chooser.slots.find_use(service),
             min(maximum_s, _MAXIMUM_BACKLOG_S),
-            engines if speed.is_known() else engines * _ASSUMED_SPEED_FACTOR,
-            max(1, sum(state.slots.limit for state in states)),
+            capacity,
         )
         self._update_capacity(scan)
         return scan
@@ -212,8 +264,11 @@
         usable: list[EngineState],
         prompt: PromptCost,
     ) -> ChosenEngine | None:
+        usable = [state for state in usable if not state.limit_wait_s]
+        if not usable:
+            return None
         if not waiting.preferred:
-            ready = [state.instance for state in usable]
+            ready = [state.instance for state in scan.states]
             waiting.preferred = find_preferred_engine(waiting.ask, ready)
         state, slot_wait_s = self._chooser.choose(
             prompt, usable, waiting.preferred, scan.ahead_s
@@ -225,11 +280,17 @@
             must_wait = is_busy or slot_wait_s > 0
         return None if must_wait else ChosenEngine(state, prompt.immediate)
 
+    def _measure_capacity(self, states: list[EngineState]) -> GroupCapacity:
+        capacity = GroupCapacity()
+        for state in states:
+            capacity.add(state, self._chooser.gates.find_rate(state.instance))
+        return capacity
+
     def _update_capacity(self, scan: GroupScan) -> None:
         idle = [
             state.slots
             for state in scan.states
-            if state.wait_s <= scan.maximum_backlog_s
+            if state.wait_s <= scan.maximum_backlog_s and not state.limit_wait_s
         ]
         slots = self._chooser.slots
         limit = scan.use.limit_concurrency()
--- a/egretdale/coordination/selection.py
+++ b/egretdale/coordination/selection.py
@@ -13,11 +13,18 @@
 from egretdale.coordination.prefill_client import PrefillClient
 from egretdale.state.instances import Instance, InstanceTable
 from egretdale.state.loads import LoadTable
+from egretdale.state.request_gates import (
+    AloneRate,
+    RequestGates,
+    choose_whole_rate,
+)
 from egretdale.state.speeds import SpeedTable
 from egretdale.util.clocks import Clock
 
 #: Creates the chooser of a host.
-ChooserFactory = Callable[[InstanceTable, LoadTable, Clock], BackendChooser]
+ChooserFactory = Callable[
+    [InstanceTable, LoadTable, RequestGates, Clock], BackendChooser
+]
 
 
 class BackendSelection:
@@ -60,13 +67,28 @@
         :param create_chooser: creates the chooser.
         """
         self.loads = LoadTable(clock)
-        self.backpressure = BackpressureTracker(mesh.table.own_host, clock)
-        self.chooser = create_chooser(instances, self.loads, clock)
+        self.backpressure = BackpressureTracker(
+            mesh.table.own_host, instances, clock
+        )
+        limits = self.backpressure.table
+        self.chooser = create_chooser(
+            instances,
+            self.loads,
+            RequestGates(limits, clock, AloneRate(mesh.table)),
+            clock,
+        )
         self.speeds = speeds or SpeedTable(clock)
-        self.allocator = PrefillAllocator(mesh, instances, clock, self.speeds)
+        self.allocator = PrefillAllocator(
+            mesh,
+            instances,
+            clock,
+            self.speeds,
+            RequestGates(limits, clock, choose_whole_rate),
+        )
         self.prefill_client = PrefillClient(
             mesh, self.allocator, instances, clock, silent
         )
+        mesh.add_listener(self.backpressure)
         mesh.add_listener(self.prefill_client)
         mesh.attach_handler(self.allocator.handle)
 
@@ -77,4 +99,4 @@
         """
         self.chooser.forget(instance)
         self.allocator.forget(instance)
-        self.backpressure.table.forget(instance.incarnation)
+        self.backpressure.forget(instance.incarnation)
--- a/egretdale/protocol/gen/ttypes.py
+++ b/egretdale/protocol/gen/ttypes.py
@@ -1516,6 +1516,122 @@
         return not (self == other)
 
 
+class BackendLimit(object):
+    """
+    Attributes:
+     - name
+     - born_ms
+     - source
+     - limit_per_s
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'name',
+        'born_ms',
+        'source',
+        'limit_per_s',
+        'age_ms',
+    )
+
+
+    def __init__(self, name=None, born_ms=None, source=None, limit_per_s=None, age_ms=None,):
+        self.name = name
+        self.born_ms = born_ms
+        self.source = source
+        self.limit_per_s = limit_per_s
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.source = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.limit_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('BackendLimit')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 2)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        if self.source is not None:
+            oprot.writeFieldBegin('source', TType.STRING, 3)
+            oprot.writeString(self.source.encode('utf-8') if sys.version_info[0] == 2 else self.source)
+            oprot.writeFieldEnd()
+        if self.limit_per_s is not None:
+            oprot.writeFieldBegin('limit_per_s', TType.DOUBLE, 4)
+            oprot.writeDouble(self.limit_per_s)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 5)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Revision(object):
     """
     Attributes:
@@ -1619,6 +1735,7 @@
      - backends
      - revisions
      - complete
+     - limits
 
     """
 
@@ -1631,10 +1748,11 @@
         'backends',
         'revisions',
         'complete',
+        'limits',
     )
 
 
-    def __init__(self, sender=None, incarnation=None, asks=None, replies=None, members=None, backends=None, revisions=None, complete=None,):
+    def __init__(self, sender=None, incarnation=None, asks=None, replies=None, members=None, backends=None, revisions=None, complete=None, limits=None,):
         self.sender = sender
         self.incarnation = incarnation
         self.asks = asks
@@ -1643,6 +1761,7 @@
         self.backends = backends
         self.revisions = revisions
         self.complete = complete
+        self.limits = limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1723,6 +1842,17 @@
                     self.complete = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype96, _size93) = iprot.readListBegin()
+                    for _i97 in range(_size93):
+                        _elem98 = BackendLimit()
+                        _elem98.read(iprot)
+                        self.limits.append(_elem98)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1744,42 +1874,49 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter93 in self.asks:
-                iter93.write(oprot)
+            for iter99 in self.asks:
+                iter99.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.replies is not None:
             oprot.writeFieldBegin('replies', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.replies))
-            for iter94 in self.replies:
-                iter94.write(oprot)
+            for iter100 in self.replies:
+                iter100.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter95 in self.members:
-                iter95.write(oprot)
+            for iter101 in self.members:
+                iter101.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.backends is not None:
             oprot.writeFieldBegin('backends', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.backends))
-            for iter96 in self.backends:
-                iter96.write(oprot)
+            for iter102 in self.backends:
+                iter102.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.revisions is not None:
             oprot.writeFieldBegin('revisions', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.revisions))
-            for iter97 in self.revisions:
-                iter97.write(oprot)
+            for iter103 in self.revisions:
+                iter103.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.complete is not None:
             oprot.writeFieldBegin('complete', TType.BOOL, 8)
             oprot.writeBool(self.complete)
             oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter104 in self.limits:
+                iter104.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2343,21 +2480,21 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = ObjectCopy()
-                        _elem103.read(iprot)
-                        self.entries.append(_elem103)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = ObjectCopy()
+                        _elem110.read(iprot)
+                        self.entries.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype107, _size104) = iprot.readListBegin()
-                    for _i108 in range(_size104):
-                        _elem109 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.gone.append(_elem109)
+                    (_etype114, _size111) = iprot.readListBegin()
+                    for _i115 in range(_size111):
+                        _elem116 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gone.append(_elem116)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2398,15 +2535,15 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter110 in self.entries:
-                iter110.write(oprot)
+            for iter117 in self.entries:
+                iter117.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.gone))
-            for iter111 in self.gone:
-                oprot.writeString(iter111.encode('utf-8') if sys.version_info[0] == 2 else iter111)
+            for iter118 in self.gone:
+                oprot.writeString(iter118.encode('utf-8') if sys.version_info[0] == 2 else iter118)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2543,6 +2680,15 @@
     (3, TType.I64, 'incarnation', None, None, ),  # 3
     (4, TType.BOOL, 'leaving', None, None, ),  # 4
 )
+all_structs.append(BackendLimit)
+BackendLimit.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born_ms', None, None, ),  # 2
+    (3, TType.STRING, 'source', 'UTF8', None, ),  # 3
+    (4, TType.DOUBLE, 'limit_per_s', None, None, ),  # 4
+    (5, TType.I32, 'age_ms', None, None, ),  # 5
+)
 all_structs.append(Revision)
 Revision.thrift_spec = (
     None,  # 0
@@ -2561,6 +2707,7 @@
     (6, TType.LIST, 'backends', (TType.STRUCT, [BackendUpdate, None], False), None, ),  # 6
     (7, TType.LIST, 'revisions', (TType.STRUCT, [Revision, None], False), None, ),  # 7
     (8, TType.BOOL, 'complete', None, None, ),  # 8
+    (9, TType.LIST, 'limits', (TType.STRUCT, [BackendLimit, None], False), None, ),  # 9
 )
 all_structs.append(ClaimAsk)
 ClaimAsk.thrift_spec = (
--- a/egretdale/protocol/peer.thrift
+++ b/egretdale/protocol/peer.thrift
@@ -100,6 +100,14 @@
   4: bool leaving
 }
 
+struct BackendLimit {
+  1: string name
+  2: i64 born_ms
+  3: string source
+  4: double limit_per_s
+  5: i32 age_ms
+}
+
 struct Revision {
   1: string service_name
   2: i64 number
@@ -115,6 +123,7 @@
   6: list<BackendUpdate> backends
   7: list<Revision> revisions
   8: bool complete
+  9: list<BackendLimit> limits
 }
 
 struct ClaimAsk {
--- a/egretdale/state/backpressure.py
+++ b/egretdale/state/backpressure.py
@@ -68,6 +68,19 @@
         """
         return self._limits.get(incarnation)
 
+    def find_rate(self, incarnation: Incarnation) -> float | None:
+        """Find the request rate that a backend server accepts.
+
+        :param incarnation: incarnation of the backend server.
+        :return: requests per second, ``None`` for any number.
+        """
+        limit = self._limits.get(incarnation)
+        return None if limit is None else limit.per_s
+
+    def list_limits(self) -> dict[Incarnation, RequestLimit]:
+        """Return the latest statements by incarnation."""
+        return dict(self._limits)
+
     def count_limited(self) -> int:
         """Count the backend servers that accept a limited rate."""
         return sum(limit.per_s is not None for limit in self._limits.values())
--- a/egretdale/state/messages.py
+++ b/egretdale/state/messages.py
@@ -235,6 +235,24 @@
     leaving: bool
 
 
+@dataclass(slots=True)
+class BackendLimit:
+    """The request rate that a backend server accepts from all hosts together.
+
+    :ivar name: name of the backend server.
+    :ivar born_ms: start time of the backend server in milliseconds.
+    :ivar source: host whose response stated the limit.
+    :ivar limit_per_s: requests per second, negative for any number.
+    :ivar age_ms: milliseconds since that response.
+    """
+
+    name: str
+    born_ms: int
+    source: str
+    limit_per_s: float = -1
+    age_ms: int = 0
+
+
 @dataclass(slots=True)
 class Revision:
     """The latest revision of a document that a host knows of.
@@ -261,6 +279,7 @@
     :ivar backends: updates about backend servers.
     :ivar revisions: document revisions in force at the sender.
     :ivar complete: whether the revisions are all that a ready host has.
+    :ivar limits: request limits of backend servers.
     """
 
     sender: str
@@ -271,6 +290,7 @@
     backends: list[BackendUpdate] = field(default_factory=list)
     revisions: list[Revision] = field(default_factory=list)
     complete: bool = False
+    limits: list[BackendLimit] = field(default_factory=list)
 
 
 @dataclass(slots=True)
--- a/egretdale/util/buckets.py
+++ b/egretdale/util/buckets.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from egretdale.util.clocks import Clock
 
 
@@ -47,6 +49,28 @@
         self._refill()
         return self._level >= amount
 
+    def measure_wait(self, amount: float = 1) -> float:
+        """Return the time until enough units are available.
+
+        :param amount: number of units.
+        :return: seconds, infinite if no units are added.
+        """
+        self._refill()
+        missing = amount - self._level
+        if missing <= 0:
+            return 0
+        return missing / self.rate if self.rate else math.inf
+
+    def change_rate(self, rate: float, burst: float) -> None:
+        """Change the limits; units that were added so far remain.
+
+        :param rate: units added per second.
+        :param burst: capacity of the bucket in units.
+        """
+        self._refill()
+        self.rate = rate
+        self.burst = burst
+
     def charge(self, amount: float) -> None:
         """Deduct units that have already been spent.
 
--- a/standins/emulation/costs.py
+++ b/standins/emulation/costs.py
@@ -7,9 +7,14 @@
 from egretdale.coordination.mesh import Mesh
 from egretdale.coordination.prefill import PrefillAllocator
 from egretdale.errors import Cause, Unreachable
+from egretdale.state.backpressure import BackpressureTable
 from egretdale.state.instances import Instance, InstanceTable
 from egretdale.state.members import MemberTable
 from egretdale.state.messages import Ask, Batch, GroupAsk
+from egretdale.state.request_gates import (
+    RequestGates,
+    choose_whole_rate,
+)
 from egretdale.state.speeds import SpeedTable
 
 _SERVICE = 'prompts'
@@ -61,7 +66,8 @@
         },
         after_outage=False,
     )
-    allocator = PrefillAllocator(mesh, table, clock, SpeedTable(clock))
+    gates = RequestGates(BackpressureTable(), clock, choose_whole_rate)
+    allocator = PrefillAllocator(mesh, table, clock, SpeedTable(clock), gates)
     for index in range(engines * _RUNNING_PER_ENGINE + waiting):
         allocator.handle_message(
             'own', GroupAsk(_GROUP, asks=[_create_ask(index)])
--- a/tests/test_coordination/test_request_limits.py
+++ b/tests/test_coordination/test_request_limits.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from egretdale.state.members import find_owner
+from egretdale.state.outcomes import Ran
 from tests.functions import create_loader
 from tests.limits import LimitScene, open_limit_scene
 
@@ -52,3 +54,74 @@
     with open_limit_scene(hosts=120) as scene:
         excess = _find_excess(scene, rate=60)
         assert not excess, (len(excess), excess[0], excess[-1])
+
+
+def test_a_new_allocator_exceeds_no_limit() -> None:
+    """The hosts tell it the limits that the lost one knew."""
+    with open_limit_scene() as scene:
+        scene.send(_RATE, _STATED_AT)
+        scene.servers.limits.update(dict.fromkeys(_LIMITED, _LIMIT_PER_S))
+        scene.send(_RATE, 4, seed=2)
+        table = next(iter(scene.hosts.values())).mesh.table
+        scene.lose_host(find_owner(table, 'prefill/prompts/1/0'))
+        scene.send(_RATE, 8, seed=3)
+        for server in _LIMITED:
+            assert not scene.servers.find_excess(server, _STATED_AT)
+            used = scene.servers.count(server, _STATED_AT + 5)
+            assert used > 6, used
+
+
+def test_limits_that_change_are_kept() -> None:
+    """A lower limit is in force three seconds after it was first stated."""
+    with open_limit_scene() as scene:
+        for stated_at, limit_per_s in ((0, 6.0), (8, 1.0), (16, 3.5)):
+            scene.servers.limits['e1'] = limit_per_s
+            scene.send(_RATE, 8, seed=stated_at)
+            assert not scene.servers.find_excess('e1', stated_at)
+
+
+def test_a_server_that_accepts_nothing_is_hardly_used() -> None:
+    """Single requests notice when its limit ends."""
+    with open_limit_scene() as scene:
+        scene.servers.limits['e1'] = 0
+        scene.send(_RATE, 12)
+        assert not scene.servers.find_excess('e1', 0)
+        used = scene.servers.count('e1', 4)
+        assert used > 0
+
+
+def test_a_server_without_a_limit_is_used_again() -> None:
+    """Two seconds after its limit ended it gets its share of the requests."""
+    for plain in (False, True):
+        with open_limit_scene() as scene:
+            scene.servers.limits['e1'] = _LIMIT_PER_S
+            scene.send(_RATE, 8, plain=plain)
+            scene.servers.limits.pop('e1')
+            scene.send(_RATE, 2, plain=plain, seed=2)
+            scene.send(_RATE, 4, plain=plain, seed=3)
+            used = scene.servers.count('e1', 10)
+            assert used > _RATE * 4 / 5 / 2, (plain, used)
+
+
+def test_limited_servers_are_used_up_to_their_limits() -> None:
+    """Callers get what all servers accept, and others a true refusal."""
+    for plain in (False, True):
+        with open_limit_scene() as scene:
+            scene.servers.limits.update({f'e{index}': 4 for index in range(5)})
+            scene.send(_RATE, 15, plain=plain)
+            served = sum(at > 5 for at in scene.served)
+            assert served > 0.9 * 10 * 5 * 4, (plain, served)
+            for index in range(5):
+                assert not scene.servers.find_excess(f'e{index}', 0)
+            assert scene.refused
+            for refused in scene.refused:
+                assert refused.ran == Ran.NO
+                assert 0 < refused.retry_after_s < 5
+
+
+def test_servers_without_a_limit_serve_what_limited_ones_do_not() -> None:
+    """A limit of some servers refuses no request that others have room for."""
+    with open_limit_scene() as scene:
+        scene.servers.limits.update(dict.fromkeys(_LIMITED, _LIMIT_PER_S))
+        scene.send(_RATE, 10)
+        assert not scene.refused
--- a/tests/test_transport/test_forwarding.py
+++ b/tests/test_transport/test_forwarding.py
@@ -198,3 +198,19 @@
     assert b'content-length: 3\r\n' in head
     assert b'accept-encoding' not in head
     assert b'user-agent' not in head
+
+
+def test_a_stated_request_limit_is_read() -> None:
+    """The header of the limit is parsed and still forwarded to the caller."""
+
+    def respond(connection: socket.socket) -> None:
+        _read_head(connection)
+        connection.sendall(
+            _HEAD + b'Egret-Request-Limit: 1.9\r\nContent-Length: 0\r\n\r\n'
+        )
+
+    with _open_server(respond) as (client, address):
+        response = _open(client, address)
+        assert response.statement.limit_per_s == 1.9
+        assert ('Egret-Request-Limit', '1.9') in response.headers
+        response.close()
