Log which requests are the same in path, caller and body

Each attempt now has a fingerprint: a hash of method, host name, target, body and the caller's organisation, computed at admission.

--- a/egretdale/coordination/admission.py
+++ b/egretdale/coordination/admission.py
@@ -9,6 +9,7 @@
 from egretdale.state.outcomes import Ran, Reason, Refused
 from egretdale.state.routing import Route, RoutingTable, choose_service
 from egretdale.util.clocks import Clock
+from egretdale.util.hashing import hash_fields
 
 #: Retry time in seconds while this host has no configuration yet.
 _STARTING_RETRY_S = 1.0
@@ -44,6 +45,8 @@
     :ivar revision: version of the configuration that was applied.
     :ivar deadline_at: clock time at which the caller stops waiting.
     :ivar keyed: whether its route required a key.
+    :ivar fingerprint: hash of its method, host name, target and body, and of
+        the caller's organisation; the same for each repetition.
     """
 
     request: ForwardRequest
@@ -53,6 +56,7 @@
     revision: int
     deadline_at: float
     keyed: bool
+    fingerprint: int
 
 
 class Admission:
@@ -165,6 +169,7 @@
             table.version,
             request.arrived_at + patience_s,
             keyed,
+            _create_fingerprint(request, organisation),
         )
 
     def _deny(self, reason: Reason, detail: str) -> Refused:
@@ -178,3 +183,9 @@
 
 def _refuse_stale(detail: str) -> Refused:
     return Refused(Reason.CONFIGURATION_STALE, Ran.NO, _STALE_RETRY_S, detail)
+
+
+def _create_fingerprint(request: ForwardRequest, organisation: str) -> int:
+    # Keys of an organisation may change between repetitions.
+    texts = (request.method, request.host_name, request.target, organisation)
+    return hash_fields(*(text.encode() for text in texts), request.body)
--- a/egretdale/coordination/attempt_recorder.py
+++ b/egretdale/coordination/attempt_recorder.py
@@ -75,6 +75,7 @@
             ),
             prefill_tokens=choice.prefill_tokens,
             parts=request.prompt.format_parts(),
+            fingerprint=f'{progress.admitted.fingerprint:x}',
             urgency=progress.admitted.urgency,
             waited_ms=convert_to_ms(waited_s),
             revision=progress.admitted.revision,
--- a/egretdale/util/hashing.py
+++ b/egretdale/util/hashing.py
@@ -19,6 +19,20 @@
     return int.from_bytes(digest.digest(), 'big')
 
 
+def hash_fields(*fields: bytes) -> int:
+    """Hash byte strings, each of which counts separately.
+
+    :param fields: any byte strings.
+    :return: a non-negative number that fits a signed 64-bit field and is the
+        same in every process.
+    """
+    digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
+    for field in fields:
+        digest.update(len(field).to_bytes(_DIGEST_BYTES, 'big'))
+        digest.update(field)
+    return fold_identity(int.from_bytes(digest.digest(), 'big'))
+
+
 def fold_identity(identity: int) -> int:
     """Reduce an identifier of any size to the range of a signed 64-bit number.
 
--- a/tests/test_coordination/test_admission.py
+++ b/tests/test_coordination/test_admission.py
@@ -103,3 +103,22 @@
         assert admitted.deadline_at == 101.0
         hasty = create_request('/a/', patience_s=0.5)
         assert scene.forwarder.admit(hasty).deadline_at == 100.5
+
+
+def test_requests_of_one_path_caller_and_body_have_one_fingerprint() -> None:
+    """IDs, times and keys differ between repetitions of a request."""
+    table = create_table(_ROUTE, _PUBLIC, keys=('k', 'k2'))
+    with open_scene(table, ScriptedClient()) as scene:
+        requests = (
+            create_request('/a/b', key='k', body=b'x'),
+            create_request('/a/b', key='k2', body=b'x', request_id='again'),
+            create_request('/a/b', key='k', body=b'y'),
+            create_request('/a/c', key='k', body=b'x'),
+            create_request('/a/b', key='k', body=b'x', method='PUT'),
+            create_request('/open/', body=b'x'),
+        )
+        fingerprints = [
+            scene.forwarder.admit(request).fingerprint for request in requests
+        ]
+        assert fingerprints[0] == fingerprints[1]
+        assert len(set(fingerprints)) == len(requests) - 1
--- a/tests/test_transport/test_ingress.py
+++ b/tests/test_transport/test_ingress.py
@@ -52,7 +52,7 @@
         route = create_route('/', RequestKind.IDEMPOTENT)
         deadline_at = request.arrived_at + self.left_s
         return AdmittedRequest(
-            request, route, '', 0, 1, deadline_at, keyed=False
+            request, route, '', 0, 1, deadline_at, keyed=False, fingerprint=0
         )
 
     def forward(self, admitted: AdmittedRequest) -> ForwardReply | Refused:
