--- a/tests/crashes.py
+++ b/tests/crashes.py
@@ -13,6 +13,7 @@
 from egretdale.coordination.exchanges import (
     ForwardAttempt,
     ForwardReply,
+    ForwardRequest,
     IncompleteResponse,
     Prompt,
     PromptPart,
@@ -41,6 +42,11 @@
 _EVENTS = 8
 #: Seconds from the head of a response until its engine crashes.
 _CRASH_DELAY_S = 0.08
+#: The same from the arrival of a request without a prompt.
+_PLAIN_CRASH_DELAY_S = 0.1
+#: Seconds in which an engine runs a request without a prompt, at least and at
+#: most.
+_PLAIN_WORK_S = (0.01, 0.15)
 _DOWN_S = 3.0
 
 
@@ -64,6 +70,7 @@
 
     engine: CrashingEngine
     life: int
+    events: int = _EVENTS
     sent: int = 0
     status: int = 200
     headers: tuple = ()
@@ -74,9 +81,10 @@
 
     def read(self) -> bytes | EndOfStream | MaybeRun:
         """Read the next event."""
-        if self.sent == _EVENTS:
+        if self.sent == self.events:
             return EndOfStream()
-        eventlet.sleep(_GAP_S)
+        if self.events > 1:
+            eventlet.sleep(_GAP_S)
         if self.engine.lives != self.life or not self.engine.running:
             return MaybeRun('reset by the peer')
         self.sent += 1
@@ -91,29 +99,33 @@
     """Engines of one service.
 
     :ivar deadly: parts that crash them.
+    :ivar deadly_bodies: bodies of the requests that crash them.
     :ivar renames: whether an engine has another name after a crash.
     :ivar engines: engines by name.
     :ivar crashed_at: times of the crashes that requests caused.
-    :ivar arrivals: times at which requests with a deadly part arrived.
+    :ivar arrivals: times at which requests that crash engines arrived.
     """
 
     hub: VirtualHub
     deadly: set[int] = field(default_factory=lambda: {DEADLY_PART})
+    deadly_bodies: set[bytes] = field(default_factory=set)
     renames: bool = True
     engines: dict[str, CrashingEngine] = field(default_factory=dict)
     crashed_at: list[float] = field(default_factory=list)
     arrivals: list[float] = field(default_factory=list)
+    _source: random.Random = field(default_factory=lambda: random.Random(0))
 
     def open(self, attempt: ForwardAttempt) -> EngineStream | NotRun | MaybeRun:
         """Run a request."""
         engine = self.engines.get(attempt.instance.name)
         if engine is None or not engine.running:
             return NotRun('refused')
-        parts = attempt.request.prompt.parts[:-1]
-        is_deadly = any(part.identity in self.deadly for part in parts)
+        is_deadly = self._is_deadly(attempt.request)
         if is_deadly:
             self.arrivals.append(self.hub.now)
         life = engine.lives
+        if not attempt.request.prompt.parts:
+            return self._run_plain(engine, is_deadly=is_deadly)
         eventlet.sleep(_PREFILL_S)
         if engine.lives != life or not engine.running:
             return MaybeRun('reset by the peer')
@@ -150,13 +162,36 @@
             for number, (name, engine) in enumerate(self.engines.items())
         }
 
-    def count_late_arrivals(self) -> int:
-        """Count the requests with a deadly part that the rule forbids."""
-        if len(self.crashed_at) < COUNTED_CRASHES:
+    def count_late_arrivals(self, crashes: int = COUNTED_CRASHES) -> int:
+        """Count the arrivals that the rule limits.
+
+        :param crashes: number of crashes after which it does so.
+        """
+        if len(self.crashed_at) < crashes:
             return 0
-        since = self.crashed_at[COUNTED_CRASHES - 1] + CONTACT_S
+        since = self.crashed_at[crashes - 1] + CONTACT_S
         return sum(at > since for at in self.arrivals)
 
+    def _is_deadly(self, request: ForwardRequest) -> bool:
+        parts = request.prompt.parts[:-1]
+        return request.body in self.deadly_bodies or any(
+            part.identity in self.deadly for part in parts
+        )
+
+    def _run_plain(
+        self, engine: CrashingEngine, *, is_deadly: bool
+    ) -> EngineStream | MaybeRun:
+        """Run a request without a prompt, whose response comes at its end."""
+        life = engine.lives
+        if is_deadly:
+            eventlet.sleep(_PLAIN_CRASH_DELAY_S)
+            self._crash(engine, life)
+        else:
+            eventlet.sleep(self._source.uniform(*_PLAIN_WORK_S))
+        if engine.lives != life or not engine.running:
+            return MaybeRun('reset by the peer')
+        return EngineStream(engine, life, events=1)
+
     def _crash(self, engine: CrashingEngine, life: int) -> None:
         if engine.lives == life and engine.running:
             self.crashed_at.append(self.hub.now)
--- a/tests/emulated.py
+++ b/tests/emulated.py
@@ -59,9 +59,10 @@
         )
 
     def restart_host(self, name: str, client: ForwardClient) -> None:
-        """Start a host again; the others learn so at once."""
-        instances = self.hosts[name].list_instances()
-        self.add_host(name, client, len(self.hosts))
+        """Start a host again, also a lost one; the others learn so at once."""
+        known = self.hosts.get(name) or next(iter(self.hosts.values()))
+        instances = known.list_instances()
+        self.add_host(name, client, len({*self.hosts, name}))
         self.hosts[name].replace_instances(instances)
         self._tell(name, MemberStatus.ALIVE)
 
