Do not add crashes again that were dropped as too old

A part keeps its 16 latest crashes. Peers go on to report older ones, which the host no longer knew, so that it added them as new, dropped another one and reported it in turn, without end. With 24 crashes of one request at 195 hosts the reports of a host filled with them (256 of 256) and a new trial was dropped before it was told. Now the latest crashes are kept, whatever the order of the reports. Test: test_only_the_latest_crashes_are_kept, which failed before (the dropped crash counted as new).

--- a/egretdale/state/crashes.py
+++ b/egretdale/state/crashes.py
@@ -106,14 +106,16 @@
         """Add a request, unless one is known for that crash.
 
         :param record: the request.
-        :return: whether the crash was not known.
+        :return: whether the crash was not known and is one of the latest.
         """
         if self.includes(record):
             return False
         self.crashes.append(record)
-        if len(self.crashes) > _MAXIMUM_CRASHES:
-            self.crashes.pop(0)
-        return True
+        if len(self.crashes) <= _MAXIMUM_CRASHES:
+            return True
+        oldest = min(self.crashes, key=_get_time)
+        self.crashes.remove(oldest)
+        return oldest is not record
 
     def includes(self, crash: CrashRecord) -> bool:
         """Tell whether a request with the part was in progress at a crash.
@@ -292,6 +294,10 @@
                 self._parts.pop(part)
 
 
+def _get_time(crash: CrashRecord) -> float:
+    return crash.at
+
+
 def choose_duration(times: list[float]) -> float:
     """Choose how long a part is quarantined after its last crash.
 
--- a/tests/test_state/test_crashes.py
+++ b/tests/test_state/test_crashes.py
@@ -76,6 +76,22 @@
     assert not history.is_suspected(_OTHER)
 
 
+def test_only_the_latest_crashes_are_kept() -> None:
+    """Peers go on to report older ones."""
+    clock = ManualClock()
+    history = CrashHistory(clock)
+    records = [
+        CrashRecord((f'e{number}', 0), clock.now + number, (_DEADLY,))
+        for number in range(20)
+    ]
+    for record in records:
+        history.note_crash(record)
+    kept = history.list_crashes(_DEADLY)
+    assert kept == records[-len(kept) :]
+    assert not history.note_crash(records[0])
+    assert history.list_crashes(_DEADLY) == kept
+
+
 def test_parts_beside_the_cause_are_not_blamed() -> None:
     """Requests that have only the common first part are let through."""
     clock = ManualClock()
