Recognise requests that crash engines and come again

Cause: crashes were related to later requests by the parts of their prompts only. A request without a prompt has none, and one with a prompt was blamed on its parts, which sound requests share.

Change: a request has fingerprints, one for each shared part of its prompt and one of its path, caller and body. All are counted, quarantined and told to peers alike (one mechanism). A crash of a fingerprint is explained by another one that has more crashes, or as many and only in the same requests, so that the request is blamed and not its parts. Trials are told to all hosts, so that one request reaches an engine before its outcome is known.

Only the structure of the quarantine changed for parts of prompts; its tests pass unchanged.

--- a/egretdale/coordination/admission.py
+++ b/egretdale/coordination/admission.py
@@ -9,7 +9,7 @@
 from egretdale.state.outcomes import Ran, Reason, Refused
 from egretdale.state.routing import Route, RoutingTable, choose_service
 from egretdale.util.clocks import Clock
-from egretdale.util.hashing import hash_fields
+from egretdale.util.hashing import fold_identity, hash_fields
 
 #: Retry time in seconds while this host has no configuration yet.
 _STARTING_RETRY_S = 1.0
@@ -45,8 +45,9 @@
     :ivar revision: version of the configuration that was applied.
     :ivar deadline_at: clock time at which the caller stops waiting.
     :ivar keyed: whether its route required a key.
-    :ivar fingerprint: hash of its method, host name, target and body, and of
-        the caller's organisation; the same for each repetition.
+    :ivar fingerprints: hashes of what it has in common with other requests:
+        the parts of its prompt but the last, and, as the last one, its method,
+        host name, target, body and organisation together.
     """
 
     request: ForwardRequest
@@ -56,7 +57,12 @@
     revision: int
     deadline_at: float
     keyed: bool
-    fingerprint: int
+    fingerprints: tuple[int, ...]
+
+    @property
+    def fingerprint(self) -> int:
+        """Fingerprint that only repetitions of the request have too."""
+        return self.fingerprints[-1]
 
 
 class Admission:
@@ -169,7 +175,7 @@
             table.version,
             request.arrived_at + patience_s,
             keyed,
-            _create_fingerprint(request, organisation),
+            _list_fingerprints(request, organisation),
         )
 
     def _deny(self, reason: Reason, detail: str) -> Refused:
@@ -185,7 +191,12 @@
     return Refused(Reason.CONFIGURATION_STALE, Ran.NO, _STALE_RETRY_S, detail)
 
 
-def _create_fingerprint(request: ForwardRequest, organisation: str) -> int:
+def _list_fingerprints(
+    request: ForwardRequest, organisation: str
+) -> tuple[int, ...]:
     # Keys of an organisation may change between repetitions.
     texts = (request.method, request.host_name, request.target, organisation)
-    return hash_fields(*(text.encode() for text in texts), request.body)
+    return (
+        *(fold_identity(part.identity) for part in request.prompt.parts[:-1]),
+        hash_fields(*(text.encode() for text in texts), request.body),
+    )
--- a/egretdale/coordination/attempt_rules.py
+++ b/egretdale/coordination/attempt_rules.py
@@ -5,7 +5,7 @@
 from egretdale.coordination.admission import Admission
 from egretdale.coordination.budgets import RetryBudgets
 from egretdale.coordination.progress import Progress
-from egretdale.coordination.quarantine import PromptQuarantine
+from egretdale.coordination.quarantine import RequestQuarantine
 from egretdale.state.outcomes import Ran, Reason, Refused
 
 #: Shortest time left in seconds with which an attempt is still made.
@@ -25,13 +25,13 @@
         self,
         admission: Admission,
         budgets: RetryBudgets,
-        quarantine: PromptQuarantine,
+        quarantine: RequestQuarantine,
     ) -> None:
         """Create the rules.
 
         :param admission: measures remaining times and ages of keys.
         :param budgets: retry budgets by service.
-        :param quarantine: parts of prompts that crash backend servers.
+        :param quarantine: requests that crash backend servers.
         """
         self._admission = admission
         self._budgets = budgets
@@ -59,14 +59,15 @@
     def check_quarantine(
         self, progress: Progress, *, is_sending: bool = False
     ) -> Refused | None:
-        """Check that no part of the prompt is known to crash backend servers.
+        """Check that the request is not known to crash backend servers.
 
         :param progress: state of the request.
         :param is_sending: whether the request is sent next.
-        :return: a refusal if one is.
+        :return: a refusal if it is.
         """
-        request = progress.admitted.request
-        refusal = self._quarantine.check(request, is_sending=is_sending)
+        refusal = self._quarantine.check(
+            progress.admitted, is_sending=is_sending
+        )
         if refusal is None:
             return None
         return refuse_attempt(progress, refusal.detail, refusal)
--- a/egretdale/coordination/crash_detection.py
+++ b/egretdale/coordination/crash_detection.py
@@ -4,12 +4,10 @@
 
 import eventlet
 
-from egretdale.coordination.exchanges import ForwardClient, ForwardRequest
-from egretdale.coordination.quarantine import (
-    PromptQuarantine,
-    list_shared_parts,
-)
-from egretdale.state.crashes import CrashRecord
+from egretdale.coordination.admission import AdmittedRequest
+from egretdale.coordination.exchanges import ForwardClient
+from egretdale.coordination.quarantine import RequestQuarantine
+from egretdale.state.crash_records import CrashRecord
 from egretdale.state.instances import Incarnation, Instance
 from egretdale.util.clocks import Clock
 
@@ -17,7 +15,7 @@
 _GATHERING_S = 0.03
 #: Seconds after the head of a response in which an engine begins to write it.
 WRITING_S = 0.5
-#: Requests of one host that are reported for a crash, the latest ones.
+#: Requests of one host that are reported for a crash.
 _REPORTED_REQUESTS = 8
 
 
@@ -28,7 +26,7 @@
 
     def __init__(
         self,
-        quarantine: PromptQuarantine,
+        quarantine: RequestQuarantine,
         client: ForwardClient,
         clock: Clock,
     ) -> None:
@@ -41,28 +39,28 @@
         self._quarantine = quarantine
         self._client = client
         self._clock = clock
-        self._broken: dict[Incarnation, list[ForwardRequest]] = {}
+        self._broken: dict[Incarnation, list[AdmittedRequest]] = {}
 
-    def note_broken(self, instance: Instance, request: ForwardRequest) -> None:
+    def note_broken(
+        self, instance: Instance, admitted: AdmittedRequest
+    ) -> None:
         """Record that a response broke before or as it began.
 
         :param instance: backend server that sent it.
-        :param request: the request.
+        :param admitted: the request.
         """
-        if len(request.prompt.parts) < 2:
-            return
         broken = self._broken.setdefault(instance.incarnation, [])
-        broken.append(request)
+        broken.append(admitted)
         if len(broken) == 1:
             eventlet.spawn_after(_GATHERING_S, self._check, instance)
 
-    def note_written(self, request: ForwardRequest, sent_at: float) -> None:
+    def note_written(self, admitted: AdmittedRequest, sent_at: float) -> None:
         """Record that a response was completed or went on for a while.
 
-        :param request: the request.
+        :param admitted: the request.
         :param sent_at: clock time at which it was sent.
         """
-        self._quarantine.report_run(request.prompt, sent_at)
+        self._quarantine.report_run(admitted.fingerprints, sent_at)
 
     def _check(self, instance: Instance) -> None:
         broken = self._broken.pop(instance.incarnation)
@@ -70,10 +68,13 @@
         failure = self._client.test_connection(instance)
         if failure is None or not failure.is_refused:
             return
-        for request in broken[-_REPORTED_REQUESTS:]:
+        # Those that were in progress at earlier crashes come last.
+        broken.sort(key=self._is_suspected)
+        for admitted in broken[-_REPORTED_REQUESTS:]:
             record = CrashRecord(
-                instance.incarnation,
-                crashed_at,
-                list_shared_parts(request.prompt),
+                instance.incarnation, crashed_at, admitted.fingerprints
             )
-            self._quarantine.report_crash(record, request.request_id)
+            self._quarantine.report_crash(record, admitted.request.request_id)
+
+    def _is_suspected(self, admitted: AdmittedRequest) -> bool:
+        return self._quarantine.history.is_suspected(admitted.fingerprint)
--- a/egretdale/coordination/forwarding.py
+++ b/egretdale/coordination/forwarding.py
@@ -152,8 +152,7 @@
         self._sender.note_heard(opened.choice.instance.incarnation)
         if not opened.is_written and not self._is_beginning(opened):
             opened.is_written = True
-            request = progress.admitted.request
-            self._crashes.note_written(request, opened.sent_at)
+            self._crashes.note_written(progress.admitted, opened.sent_at)
 
     def note_end(
         self, progress: Progress, opened: OpenedResponse, *, failed: bool
@@ -170,7 +169,7 @@
         if failed:
             progress.may_have_run = True
             if self._is_beginning(opened):
-                self._crashes.note_broken(instance, progress.admitted.request)
+                self._crashes.note_broken(instance, progress.admitted)
 
     def note_completion(
         self, progress: Progress, opened: OpenedResponse
@@ -181,8 +180,7 @@
         :param opened: the response.
         """
         if opened.response.status < _REDIRECTION:
-            request = progress.admitted.request
-            self._crashes.note_written(request, opened.sent_at)
+            self._crashes.note_written(progress.admitted, opened.sent_at)
         self.note_end(progress, opened, failed=False)
 
     def _is_beginning(self, opened: OpenedResponse) -> bool:
@@ -290,13 +288,12 @@
         match outcome:
             case NotRun():
                 self._sender.suspend(incarnation)
+                self._selection.quarantine.withdraw_trial(progress.admitted)
             case MaybeRun():
                 progress.sent += 1
                 progress.may_have_run = True
                 self._loads.note_outcome(incarnation, failed=True)
-                self._crashes.note_broken(
-                    choice.instance, progress.admitted.request
-                )
+                self._crashes.note_broken(choice.instance, progress.admitted)
             case _:
                 progress.sent += 1
                 opened = OpenedResponse(outcome, choice, sent_at, self._clock())
--- a/egretdale/coordination/gateway.py
+++ b/egretdale/coordination/gateway.py
@@ -248,8 +248,8 @@
             self._selection.is_cut_off,
         )
         self.metrics.add_gauge(
-            'quarantined_prompt_parts',
-            'Parts of prompts that crash backend servers and are not sent',
+            'quarantined_fingerprints',
+            'Requests and parts of prompts that crash backend servers',
             self._selection.quarantine.history.count_quarantines,
         )
         self.metrics.add_gauges(
--- a/egretdale/coordination/selection.py
+++ b/egretdale/coordination/selection.py
@@ -16,7 +16,7 @@
 from egretdale.coordination.prefill_client import PrefillClient
 from egretdale.coordination.progress import Progress
 from egretdale.coordination.prompt_asks import create_ask
-from egretdale.coordination.quarantine import PromptQuarantine
+from egretdale.coordination.quarantine import RequestQuarantine
 from egretdale.coordination.stream_origins import StreamOrigins
 from egretdale.state.instances import Instance, InstanceTable
 from egretdale.state.links import BackendLinks
@@ -45,7 +45,7 @@
     :ivar links: whether this host reaches the backend servers.
     :ivar origins: software versions at which streams began.
     :ivar backpressure: what backend servers ask for.
-    :ivar quarantine: parts of prompts that crash backend servers.
+    :ivar quarantine: requests that crash backend servers.
     :ivar chooser: chooses backend servers by the knowledge of this host.
     :ivar speeds: speeds of engines that this host has learned as an allocator.
     :ivar allocator: allocator of this host.
@@ -94,7 +94,7 @@
         self.links = BackendLinks()
         self.backpressure = BackpressureTracker(mesh.table, instances, clock)
         self.origins = StreamOrigins(mesh, instances, clock, is_list_current)
-        self.quarantine = PromptQuarantine(mesh, clock)
+        self.quarantine = RequestQuarantine(mesh, clock)
         limits = self.backpressure.table
         self.chooser = create_chooser(
             instances,
--- a/egretdale/protocol/gen/ttypes.py
+++ b/egretdale/protocol/gen/ttypes.py
@@ -1858,7 +1858,7 @@
      - name
      - born_ms
      - age_ms
-     - parts
+     - fingerprints
 
     """
 
@@ -1866,15 +1866,15 @@
         'name',
         'born_ms',
         'age_ms',
-        'parts',
+        'fingerprints',
     )
 
 
-    def __init__(self, name=None, born_ms=None, age_ms=None, parts=None,):
+    def __init__(self, name=None, born_ms=None, age_ms=None, fingerprints=None,):
         self.name = name
         self.born_ms = born_ms
         self.age_ms = age_ms
-        self.parts = parts
+        self.fingerprints = fingerprints
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1902,11 +1902,11 @@
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
-                    self.parts = []
+                    self.fingerprints = []
                     (_etype66, _size63) = iprot.readListBegin()
                     for _i67 in range(_size63):
                         _elem68 = iprot.readI64()
-                        self.parts.append(_elem68)
+                        self.fingerprints.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1932,10 +1932,10 @@
             oprot.writeFieldBegin('age_ms', TType.I32, 3)
             oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
-        if self.parts is not None:
-            oprot.writeFieldBegin('parts', TType.LIST, 4)
-            oprot.writeListBegin(TType.I64, len(self.parts))
-            for iter69 in self.parts:
+        if self.fingerprints is not None:
+            oprot.writeFieldBegin('fingerprints', TType.LIST, 4)
+            oprot.writeListBegin(TType.I64, len(self.fingerprints))
+            for iter69 in self.fingerprints:
                 oprot.writeI64(iter69)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -1964,22 +1964,22 @@
         return not (self == other)
 
 
-class PartRun(object):
+class FingerprintRun(object):
     """
     Attributes:
-     - part
+     - fingerprint
      - age_ms
 
     """
 
     __slots__ = (
-        'part',
+        'fingerprint',
         'age_ms',
     )
 
 
-    def __init__(self, part=None, age_ms=None,):
-        self.part = part
+    def __init__(self, fingerprint=None, age_ms=None,):
+        self.fingerprint = fingerprint
         self.age_ms = age_ms
 
     def read(self, iprot):
@@ -1993,7 +1993,7 @@
                 break
             if fid == 1:
                 if ftype == TType.I64:
-                    self.part = iprot.readI64()
+                    self.fingerprint = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -2010,10 +2010,10 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('PartRun')
-        if self.part is not None:
-            oprot.writeFieldBegin('part', TType.I64, 1)
-            oprot.writeI64(self.part)
+        oprot.writeStructBegin('FingerprintRun')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.I64, 1)
+            oprot.writeI64(self.fingerprint)
             oprot.writeFieldEnd()
         if self.age_ms is not None:
             oprot.writeFieldBegin('age_ms', TType.I32, 2)
@@ -2231,6 +2231,7 @@
      - origins
      - crashes
      - runs
+     - trials
 
     """
 
@@ -2247,10 +2248,11 @@
         'origins',
         'crashes',
         'runs',
+        'trials',
     )
 
 
-    def __init__(self, sender=None, incarnation=None, asks=None, replies=None, members=None, backends=None, revisions=None, complete=None, limits=None, origins=None, crashes=None, runs=None,):
+    def __init__(self, sender=None, incarnation=None, asks=None, replies=None, members=None, backends=None, revisions=None, complete=None, limits=None, origins=None, crashes=None, runs=None, trials=None,):
         self.sender = sender
         self.incarnation = incarnation
         self.asks = asks
@@ -2263,6 +2265,7 @@
         self.origins = origins
         self.crashes = crashes
         self.runs = runs
+        self.trials = trials
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2381,12 +2384,23 @@
                     self.runs = []
                     (_etype121, _size118) = iprot.readListBegin()
                     for _i122 in range(_size118):
-                        _elem123 = PartRun()
+                        _elem123 = FingerprintRun()
                         _elem123.read(iprot)
                         self.runs.append(_elem123)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.trials = []
+                    (_etype127, _size124) = iprot.readListBegin()
+                    for _i128 in range(_size124):
+                        _elem129 = FingerprintRun()
+                        _elem129.read(iprot)
+                        self.trials.append(_elem129)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2408,36 +2422,36 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter124 in self.asks:
-                iter124.write(oprot)
+            for iter130 in self.asks:
+                iter130.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.replies is not None:
             oprot.writeFieldBegin('replies', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.replies))
-            for iter125 in self.replies:
-                iter125.write(oprot)
+            for iter131 in self.replies:
+                iter131.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter126 in self.members:
-                iter126.write(oprot)
+            for iter132 in self.members:
+                iter132.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.backends is not None:
             oprot.writeFieldBegin('backends', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.backends))
-            for iter127 in self.backends:
-                iter127.write(oprot)
+            for iter133 in self.backends:
+                iter133.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.revisions is not None:
             oprot.writeFieldBegin('revisions', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.revisions))
-            for iter128 in self.revisions:
-                iter128.write(oprot)
+            for iter134 in self.revisions:
+                iter134.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.complete is not None:
@@ -2447,29 +2461,36 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter129 in self.limits:
-                iter129.write(oprot)
+            for iter135 in self.limits:
+                iter135.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.origins is not None:
             oprot.writeFieldBegin('origins', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.origins))
-            for iter130 in self.origins:
-                iter130.write(oprot)
+            for iter136 in self.origins:
+                iter136.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter131 in self.crashes:
-                iter131.write(oprot)
+            for iter137 in self.crashes:
+                iter137.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.runs is not None:
             oprot.writeFieldBegin('runs', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.runs))
-            for iter132 in self.runs:
-                iter132.write(oprot)
+            for iter138 in self.runs:
+                iter138.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.trials is not None:
+            oprot.writeFieldBegin('trials', TType.LIST, 13)
+            oprot.writeListBegin(TType.STRUCT, len(self.trials))
+            for iter139 in self.trials:
+                iter139.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3035,21 +3056,21 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype136, _size133) = iprot.readListBegin()
-                    for _i137 in range(_size133):
-                        _elem138 = ObjectCopy()
-                        _elem138.read(iprot)
-                        self.entries.append(_elem138)
+                    (_etype143, _size140) = iprot.readListBegin()
+                    for _i144 in range(_size140):
+                        _elem145 = ObjectCopy()
+                        _elem145.read(iprot)
+                        self.entries.append(_elem145)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype142, _size139) = iprot.readListBegin()
-                    for _i143 in range(_size139):
-                        _elem144 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.gone.append(_elem144)
+                    (_etype149, _size146) = iprot.readListBegin()
+                    for _i150 in range(_size146):
+                        _elem151 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gone.append(_elem151)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3090,15 +3111,15 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter145 in self.entries:
-                iter145.write(oprot)
+            for iter152 in self.entries:
+                iter152.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.gone))
-            for iter146 in self.gone:
-                oprot.writeString(iter146.encode('utf-8') if sys.version_info[0] == 2 else iter146)
+            for iter153 in self.gone:
+                oprot.writeString(iter153.encode('utf-8') if sys.version_info[0] == 2 else iter153)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3267,12 +3288,12 @@
     (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
     (2, TType.I64, 'born_ms', None, None, ),  # 2
     (3, TType.I32, 'age_ms', None, None, ),  # 3
-    (4, TType.LIST, 'parts', (TType.I64, None, False), None, ),  # 4
+    (4, TType.LIST, 'fingerprints', (TType.I64, None, False), None, ),  # 4
 )
-all_structs.append(PartRun)
-PartRun.thrift_spec = (
+all_structs.append(FingerprintRun)
+FingerprintRun.thrift_spec = (
     None,  # 0
-    (1, TType.I64, 'part', None, None, ),  # 1
+    (1, TType.I64, 'fingerprint', None, None, ),  # 1
     (2, TType.I32, 'age_ms', None, None, ),  # 2
 )
 all_structs.append(OriginAsk)
@@ -3302,7 +3323,8 @@
     (9, TType.LIST, 'limits', (TType.STRUCT, [BackendLimit, None], False), None, ),  # 9
     (10, TType.LIST, 'origins', (TType.STRUCT, [StreamOrigin, None], False), None, ),  # 10
     (11, TType.LIST, 'crashes', (TType.STRUCT, [BackendCrash, None], False), None, ),  # 11
-    (12, TType.LIST, 'runs', (TType.STRUCT, [PartRun, None], False), None, ),  # 12
+    (12, TType.LIST, 'runs', (TType.STRUCT, [FingerprintRun, None], False), None, ),  # 12
+    (13, TType.LIST, 'trials', (TType.STRUCT, [FingerprintRun, None], False), None, ),  # 13
 )
 all_structs.append(ClaimAsk)
 ClaimAsk.thrift_spec = (
--- a/egretdale/protocol/peer.thrift
+++ b/egretdale/protocol/peer.thrift
@@ -127,11 +127,11 @@
   1: string name
   2: i64 born_ms
   3: i32 age_ms
-  4: list<i64> parts
+  4: list<i64> fingerprints
 }
 
-struct PartRun {
-  1: i64 part
+struct FingerprintRun {
+  1: i64 fingerprint
   2: i32 age_ms
 }
 
@@ -158,7 +158,8 @@
   9: list<BackendLimit> limits
   10: list<StreamOrigin> origins
   11: list<BackendCrash> crashes
-  12: list<PartRun> runs
+  12: list<FingerprintRun> runs
+  13: list<FingerprintRun> trials
 }
 
 struct ClaimAsk {
--- a/egretdale/protocol/problems.py
+++ b/egretdale/protocol/problems.py
@@ -41,6 +41,7 @@
         Reason.ORIGIN_UNKNOWN: _UNAVAILABLE,
         Reason.HOST_CUT_OFF: '421 Misdirected Request',
         Reason.PART_QUARANTINED: _UNAVAILABLE,
+        Reason.REQUEST_QUARANTINED: _UNAVAILABLE,
     }
 )
 
--- a/egretdale/state/crashes.py
+++ b/egretdale/state/crashes.py
@@ -1,106 +1,70 @@
-"""Crashes of backend servers, and the parts of prompts that they began on.
+"""Crashes of backend servers, and what the requests in progress had in common.
 
-A part of a prompt may crash each engine that begins to write a response to it.
-It is recognised as the one that was in progress at several crashes, while no
-request with it was served in between.
+A request, or each request with a certain part of a prompt, may crash each
+backend server that begins to run it. Such a cause is recognised as the
+fingerprint that was in progress at several crashes, while no request with it
+was served in between.
 """
 
 from __future__ import annotations
 
 import math
 from dataclasses import dataclass, field
-from typing import Any
 
-from egretdale.state.instances import Incarnation
+from egretdale.state.crash_records import CrashRecord, RunRecord, TrialRecord
 from egretdale.util.clocks import Clock
 
-#: Crashes after which a part is quarantined.
+#: Crashes after which a fingerprint is quarantined.
 BLAMED_CRASHES = 3
-#: Seconds after the first of them until other requests with the part have had
-#: time to show that it does no harm. Several engines may be lost at once.
+#: Seconds after the first of them until other requests with the fingerprint
+#: have had time to show that it does no harm. Several servers may be lost at
+#: once.
 _FIRST_HEARING_S = 2.5
 #: The same after the last of them.
 _LAST_HEARING_S = 0.5
 #: Seconds within which crashes may have one cause, such as the loss of a rack.
 _SERIES_S = 1.0
-#: Seconds for which a part is quarantined after one series of crashes, and the
-#: factor for each further series.
+#: Seconds for which a fingerprint is quarantined after one series of crashes,
+#: and the factor for each further series.
 _QUARANTINE_S = 2.0
 _QUARANTINE_FACTOR = 10
 #: Seconds for which a crash counts.
 _RETENTION_S = 600.0
 #: Seconds between two searches for crashes that no longer count.
 _EXPIRY_INTERVAL_S = 10.0
-#: Seconds within which two reports of a server are about the same crash.
-_SAME_CRASH_S = 2.0
-#: Most parts, and most crashes of a part, that are kept.
-_MAXIMUM_PARTS = 512
+#: Most fingerprints, and most crashes of a fingerprint, that are kept.
+_MAXIMUM_FINGERPRINTS = 512
 _MAXIMUM_CRASHES = 16
 
 
-@dataclass(slots=True, frozen=True)
-class CrashRecord:
-    """A request that was in progress when a backend server crashed.
-
-    :ivar incarnation: the backend server.
-    :ivar at: clock time of the crash.
-    :ivar parts: parts of its prompt without the last one, which no other
-        request has.
-    """
-
-    incarnation: Incarnation
-    at: float
-    parts: tuple[int, ...]
-
-    def is_same_crash(self, other: CrashRecord) -> bool:
-        """Tell whether two records are of the same crash.
-
-        :param other: the other record.
-        """
-        return (
-            self.incarnation == other.incarnation
-            and abs(self.at - other.at) < _SAME_CRASH_S
-        )
-
-
-@dataclass(slots=True, frozen=True)
-class RunRecord:
-    """A request with a part that was served.
-
-    :ivar part: the part.
-    :ivar began_at: clock time at which the request was sent.
-    """
-
-    part: int
-    began_at: float
-
-
 @dataclass(slots=True, frozen=True)
 class Quarantine:
-    """The quarantine of a part.
+    """The quarantine of a fingerprint.
 
-    :ivar part: the part.
+    :ivar fingerprint: the fingerprint.
     :ivar crashes: number of crashes.
     :ivar ends_at: clock time from which single requests are tried.
     """
 
-    part: int
+    fingerprint: int
     crashes: int
     ends_at: float
 
 
 @dataclass(slots=True)
-class PartHistory:
-    """Crashes while requests with a part were in progress.
+class FingerprintHistory:
+    """Crashes while requests with a fingerprint were in progress.
 
     :ivar crashes: one such request for each of the latest crashes, since a
-        request with the part was last served.
-    :ivar tried_at: clock time at which this host last sent a request with the
-        part although it is quarantined.
+        request with the fingerprint was last served.
+    :ivar tried_at: clock time at which a host last sent a request with the
+        fingerprint although it is quarantined.
+    :ivar tried_by: ID of that request, empty if another host sent it.
     """
 
     crashes: list[CrashRecord] = field(default_factory=list)
     tried_at: float = -math.inf
+    tried_by: str = ''
 
     def add(self, record: CrashRecord) -> bool:
         """Add a request, unless one is known for that crash.
@@ -108,7 +72,7 @@
         :param record: the request.
         :return: whether the crash was not known and is one of the latest.
         """
-        if self.includes(record):
+        if self.find(record) is not None:
             return False
         self.crashes.append(record)
         if len(self.crashes) <= _MAXIMUM_CRASHES:
@@ -117,12 +81,16 @@
         self.crashes.remove(oldest)
         return oldest is not record
 
-    def includes(self, crash: CrashRecord) -> bool:
-        """Tell whether a request with the part was in progress at a crash.
+    def find(self, crash: CrashRecord) -> CrashRecord | None:
+        """Find the request that was in progress at a crash.
 
-        :param crash: a request at the crash.
+        :param crash: any request at the crash.
+        :return: a request with the fingerprint, ``None`` if there was none.
         """
-        return any(entry.is_same_crash(crash) for entry in self.crashes)
+        for entry in self.crashes:
+            if entry.is_same_crash(crash):
+                return entry
+        return None
 
     @property
     def expires_at(self) -> float:
@@ -132,9 +100,9 @@
 
 
 class CrashHistory:
-    """Crashes by the parts of the requests that were in progress."""
+    """Crashes by the fingerprints of the requests that were in progress."""
 
-    __slots__ = ('_cleared_at', '_clock', '_expired_at', '_parts')
+    __slots__ = ('_cleared_at', '_clock', '_expired_at', '_histories')
 
     def __init__(self, clock: Clock) -> None:
         """Create a history without crashes.
@@ -142,118 +110,141 @@
         :param clock: monotonic clock.
         """
         self._clock = clock
-        self._parts: dict[int, PartHistory] = {}
+        self._histories: dict[int, FingerprintHistory] = {}
         self._expired_at = -math.inf
-        # Parts that were served, which earlier crashes no longer concern.
+        # Times at which fingerprints were served; earlier crashes do not count.
         self._cleared_at: dict[int, float] = {}
 
     def note_crash(self, record: CrashRecord) -> bool:
         """Record a request that was in progress at a crash.
 
         :param record: the request.
-        :return: whether the crash was not known for one of its parts.
+        :return: whether the crash was not known for one of its fingerprints.
         """
         self._expire()
         is_new = False
-        for part in record.parts:
-            if record.at <= self._cleared_at.get(part, -math.inf):
+        for fingerprint in record.fingerprints:
+            cleared_at = self._cleared_at.get(fingerprint, -math.inf)
+            if record.at <= cleared_at:
                 continue
-            # The parts are kept in the order of their last crash.
-            history = self._parts.pop(part, None) or PartHistory()
-            self._parts[part] = history
+            # The fingerprints are kept in the order of their last crash.
+            known = self._histories.pop(fingerprint, None)
+            history = known or FingerprintHistory()
+            self._histories[fingerprint] = history
             is_new = history.add(record) or is_new
-        _drop_oldest(self._parts)
+        self._drop_surplus()
         return is_new
 
     def note_run(self, run: RunRecord) -> int:
-        """Record that a request with a part was served.
+        """Record that a request with a fingerprint was served.
 
         One that began before the first crash proves nothing.
 
         :param run: the request.
         :return: number of crashes that no longer count.
         """
-        history = self._parts.get(run.part)
+        history = self._histories.get(run.fingerprint)
         if history is None:
             return 0
         if run.began_at <= min(crash.at for crash in history.crashes):
             return 0
-        self._parts.pop(run.part)
-        self._cleared_at.pop(run.part, None)
-        self._cleared_at[run.part] = self._clock()
-        _drop_oldest(self._cleared_at)
+        self._histories.pop(run.fingerprint)
+        self._cleared_at.pop(run.fingerprint, None)
+        self._cleared_at[run.fingerprint] = self._clock()
+        if len(self._cleared_at) > _MAXIMUM_FINGERPRINTS:
+            self._cleared_at.pop(next(iter(self._cleared_at)))
         return len(history.crashes)
 
-    def is_suspected(self, part: int) -> bool:
-        """Tell whether a part has crashes.
+    def note_trial(self, trial: TrialRecord, request_id: str = '') -> None:
+        """Record that a request with a quarantined fingerprint was sent.
+
+        :param trial: the request.
+        :param request_id: its ID if this host sent it.
+        """
+        history = self._histories.get(trial.fingerprint)
+        if history is not None and trial.began_at >= history.tried_at:
+            history.tried_at = trial.began_at
+            history.tried_by = request_id
+
+    def withdraw_trial(self, fingerprint: int, request_id: str) -> None:
+        """Record that a request of this host did not run.
 
-        :param part: the part.
+        :param fingerprint: one of its fingerprints.
+        :param request_id: its ID.
         """
-        return part in self._parts
+        history = self._histories.get(fingerprint)
+        if history is not None and history.tried_by == request_id:
+            history.tried_at = -math.inf
+
+    def is_suspected(self, fingerprint: int) -> bool:
+        """Tell whether a fingerprint has crashes.
 
-    def find_quarantine(self, parts: tuple[int, ...]) -> Quarantine | None:
+        :param fingerprint: the fingerprint.
+        """
+        return fingerprint in self._histories
+
+    def find_quarantine(
+        self, fingerprints: tuple[int, ...]
+    ) -> Quarantine | None:
         """Find the quarantine of a request.
 
-        :param parts: parts of its prompt without the last one.
+        :param fingerprints: fingerprints of the request.
         :return: the quarantine of one of them, ``None`` if there is none.
         """
-        # Of parts with the same crashes, the last one is the least common.
-        for part in reversed(parts):
-            if part in self._parts:
-                quarantine = self._judge(part, parts)
+        # Of those with the same crashes, the last one is the least common.
+        for fingerprint in reversed(fingerprints):
+            if fingerprint in self._histories:
+                quarantine = self._judge(fingerprint, fingerprints)
                 if quarantine is not None:
                     return quarantine
         return None
 
     def count_quarantines(self) -> int:
-        """Count the quarantined parts."""
+        """Count the quarantined fingerprints."""
         self._expire()
-        return sum(self._judge(part, ()) is not None for part in self._parts)
+        return sum(
+            self._judge(fingerprint, ()) is not None
+            for fingerprint in self._histories
+        )
 
-    def list_crashes(self, part: int) -> list[CrashRecord]:
-        """List a request with a part for each crash.
+    def list_crashes(self, fingerprint: int) -> list[CrashRecord]:
+        """List a request with a fingerprint for each crash.
 
-        :param part: the part.
+        :param fingerprint: the fingerprint.
         """
-        history = self._parts.get(part)
+        history = self._histories.get(fingerprint)
         return [] if history is None else list(history.crashes)
 
-    def find_expiry(self, part: int) -> float:
-        """Find the clock time until which the crashes of a part are kept.
+    def find_expiry(self, fingerprint: int) -> float:
+        """Find the clock time until which the crashes are kept.
 
-        :param part: a part that has crashes.
+        :param fingerprint: a fingerprint that has crashes.
         """
-        return self._parts[part].expires_at
+        return self._histories[fingerprint].expires_at
 
-    def begin_trial(self, part: int, interval_s: float) -> bool:
-        """Record that a request is sent to find out about a part.
+    def find_trial(self, fingerprint: int) -> float:
+        """Find the clock time of the last trial, minus infinity for none.
 
-        :param part: the part.
-        :param interval_s: least time between two of them in seconds.
-        :return: whether it may be sent.
+        :param fingerprint: a fingerprint that has crashes.
         """
-        history = self._parts[part]
-        now = self._clock()
-        if now < history.tried_at + interval_s:
-            return False
-        history.tried_at = now
-        return True
+        return self._histories[fingerprint].tried_at
 
-    def _judge(self, part: int, parts: tuple[int, ...]) -> Quarantine | None:
-        """Decide whether a part is quarantined for a request.
+    def _judge(
+        self, fingerprint: int, fingerprints: tuple[int, ...]
+    ) -> Quarantine | None:
+        """Decide whether a fingerprint is quarantined for a request.
 
-        :param part: the part.
-        :param parts: all parts of the request, empty for any request.
+        :param fingerprint: the fingerprint.
+        :param fingerprints: all fingerprints of the request, empty for any.
         :return: the quarantine, or ``None``.
         """
-        history = self._parts[part]
+        history = self._histories[fingerprint]
         if len(history.crashes) < BLAMED_CRASHES:
             return None
-        others = self._list_explanations(parts, len(history.crashes))
         times = sorted(
             crash.at
             for crash in history.crashes
-            if not any(other.includes(crash) for other in others)
+            if not self._is_explained(crash, fingerprint, fingerprints)
         )
         if len(times) < BLAMED_CRASHES:
             return None
@@ -264,34 +255,63 @@
         if self._clock() < heard_at:
             return None
         ends_at = times[-1] + choose_duration(times)
-        return Quarantine(part, len(times), ends_at)
-
-    def _list_explanations(
-        self, parts: tuple[int, ...], crashes: int
-    ) -> list[PartHistory]:
-        """List the parts that a request doesn't have and that are as likely.
-
-        Requests with one of them may have caused the crashes.
-
-        :param parts: parts of the request, empty for any request.
-        :param crashes: crashes of one of its parts.
+        return Quarantine(fingerprint, len(times), ends_at)
+
+    def _is_explained(
+        self,
+        crash: CrashRecord,
+        fingerprint: int,
+        fingerprints: tuple[int, ...],
+    ) -> bool:
+        """Tell whether a request without a fingerprint caused a crash.
+
+        A likelier cause is a fingerprint with more crashes, or one with as
+        many that only requests with the judged fingerprint have.
+
+        :param crash: a crash of the judged fingerprint.
+        :param fingerprint: the judged fingerprint.
+        :param fingerprints: fingerprints of the request, empty for any.
         """
-        if not parts:
-            return []
-        return [
-            history
-            for part, history in self._parts.items()
-            if len(history.crashes) >= crashes and part not in parts
-        ]
+        if not fingerprints:
+            return False
+        judged = self._histories[fingerprint]
+        return any(
+            self._is_likelier(history, judged, fingerprint, crash)
+            for other, history in self._histories.items()
+            if other not in fingerprints
+        )
+
+    def _is_likelier(
+        self,
+        history: FingerprintHistory,
+        judged: FingerprintHistory,
+        fingerprint: int,
+        crash: CrashRecord,
+    ) -> bool:
+        surplus = len(history.crashes) - len(judged.crashes)
+        if surplus < 0:
+            return False
+        found = history.find(crash)
+        if found is None:
+            return False
+        return surplus > 0 or fingerprint in found.fingerprints
 
     def _expire(self) -> None:
         now = self._clock()
         if now < self._expired_at + _EXPIRY_INTERVAL_S:
             return
         self._expired_at = now
-        for part, history in list(self._parts.items()):
+        for fingerprint, history in list(self._histories.items()):
             if now > history.expires_at:
-                self._parts.pop(part)
+                self._histories.pop(fingerprint)
+
+    def _drop_surplus(self) -> None:
+        """Drop the oldest of the fingerprints with the fewest crashes."""
+        while len(self._histories) > _MAXIMUM_FINGERPRINTS:
+            self._histories.pop(min(self._histories, key=self._count_crashes))
+
+    def _count_crashes(self, fingerprint: int) -> int:
+        return len(self._histories[fingerprint].crashes)
 
 
 def _get_time(crash: CrashRecord) -> float:
@@ -299,10 +319,10 @@
 
 
 def choose_duration(times: list[float]) -> float:
-    """Choose how long a part is quarantined after its last crash.
+    """Choose how long a fingerprint is quarantined after its last crash.
 
     Each series of crashes that is not over at once makes it more likely that
-    the part is their cause.
+    the fingerprint is their cause.
 
     :param times: clock times of the crashes.
     :return: seconds.
@@ -314,8 +334,3 @@
             series += 1
             began_at = at
     return _QUARANTINE_S * _QUARANTINE_FACTOR ** (series - 1)
-
-
-def _drop_oldest(entries: dict[int, Any]) -> None:
-    while len(entries) > _MAXIMUM_PARTS:
-        entries.pop(next(iter(entries)))
--- a/egretdale/state/messages.py
+++ b/egretdale/state/messages.py
@@ -294,26 +294,26 @@
     """A request that was in progress when a backend server crashed.
 
     :ivar name: name of the backend server.
-    :ivar born_ms: start time of the backend server in milliseconds.
+    :ivar born_ms: its start time in milliseconds.
     :ivar age_ms: milliseconds since the crash.
-    :ivar parts: parts of its prompt without the last one.
+    :ivar fingerprints: fingerprints of the request.
     """
 
     name: str
     born_ms: int
     age_ms: int = 0
-    parts: list[int] = field(default_factory=list)
+    fingerprints: list[int] = field(default_factory=list)
 
 
 @dataclass(slots=True)
-class PartRun:
-    """A request with a part that has crashes was served.
+class FingerprintRun:
+    """A request with a fingerprint that has crashes was sent or served.
 
-    :ivar part: the part of its prompt.
+    :ivar fingerprint: the fingerprint.
     :ivar age_ms: milliseconds since the request was sent.
     """
 
-    part: int
+    fingerprint: int
     age_ms: int = 0
 
 
@@ -332,7 +332,8 @@
     :ivar limits: request limits of backend servers.
     :ivar origins: streams that have begun.
     :ivar crashes: requests that were in progress at crashes.
-    :ivar runs: parts with crashes that were served since.
+    :ivar runs: fingerprints with crashes that were served since.
+    :ivar trials: quarantined fingerprints with which a request was sent.
     """
 
     sender: str
@@ -346,4 +347,5 @@
     limits: list[BackendLimit] = field(default_factory=list)
     origins: list[StreamOrigin] = field(default_factory=list)
     crashes: list[BackendCrash] = field(default_factory=list)
-    runs: list[PartRun] = field(default_factory=list)
+    runs: list[FingerprintRun] = field(default_factory=list)
+    trials: list[FingerprintRun] = field(default_factory=list)
--- a/egretdale/state/outcomes.py
+++ b/egretdale/state/outcomes.py
@@ -43,6 +43,7 @@
     ORIGIN_UNKNOWN = 'stream-origin-unknown'
     HOST_CUT_OFF = 'host-cut-off'
     PART_QUARANTINED = 'prompt-part-quarantined'
+    REQUEST_QUARANTINED = 'request-quarantined'
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/emulated.py
+++ b/tests/emulated.py
@@ -34,6 +34,7 @@
 
     hub: VirtualHub
     hosts: dict[str, EmulatedHost] = field(default_factory=dict)
+    _count: int = 0
 
     def add_host(
         self,
@@ -49,6 +50,7 @@
         :param count: number of hosts.
         :param policy: how it selects servers.
         """
+        self._count = count
         self.hosts[name] = EmulatedHost(
             name,
             _create_workload(count),
@@ -62,9 +64,13 @@
         """Start a host again, also a lost one; the others learn so at once."""
         known = self.hosts.get(name) or next(iter(self.hosts.values()))
         instances = known.list_instances()
-        self.add_host(name, client, len({*self.hosts, name}))
+        self.add_host(name, client, self._count)
         self.hosts[name].replace_instances(instances)
         self._tell(name, MemberStatus.ALIVE)
+        # A host that joins sends a batch to each host that it knows.
+        for host in self.hosts:
+            if host != name:
+                self.hosts[name].mesh.probe(host)
 
     def lose_host(self, name: str) -> None:
         """Lose a host; the others learn so at once."""
--- a/tests/repeats.py
+++ b/tests/repeats.py
@@ -17,7 +17,7 @@
 )
 from egretdale.state.outcomes import Ran, Refused
 from egretdale.util.hashing import hash_fields
-from standins.virtual.hub import VirtualHub, use_virtual_time
+from standins.virtual.hub import use_virtual_time
 from tests.crashes import CrashingEngine, CrashingEngines
 from tests.emulated import HostGroup
 
--- a/tests/test_state/test_crashes.py
+++ b/tests/test_state/test_crashes.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from egretdale.state.crashes import CrashHistory, CrashRecord, RunRecord
+from egretdale.state.crash_records import CrashRecord, RunRecord, TrialRecord
+from egretdale.state.crashes import CrashHistory
 from tests.forwarding import ManualClock
 from tests.functions import create_loader
 
@@ -76,6 +77,45 @@
     assert not history.is_suspected(_OTHER)
 
 
+def test_causes_that_cannot_be_told_apart_are_both_quarantined() -> None:
+    """Two requests were in progress at the same crashes."""
+    clock = ManualClock()
+    history = CrashHistory(clock)
+    for number in range(3):
+        for fingerprint in (_DEADLY, _OTHER):
+            crash = CrashRecord((f'e{number}', 0), clock.now, (fingerprint,))
+            history.note_crash(crash)
+        clock.now += 1
+    assert history.find_quarantine((_DEADLY,))
+    assert history.find_quarantine((_OTHER,))
+    crash = CrashRecord(('e3', 0), clock.now, (_DEADLY,))
+    history.note_crash(crash)
+    clock.now += 1
+    assert history.find_quarantine((_DEADLY,))
+    assert history.find_quarantine((_OTHER,)) is None
+
+
+def test_a_request_is_blamed_rather_than_the_parts_of_its_prompt() -> None:
+    """Other requests with the same parts are let through."""
+    clock = ManualClock()
+    history = CrashHistory(clock)
+    _crash(history, clock, _FIRST, _OTHER, _DEADLY)
+    assert history.find_quarantine((_FIRST, _OTHER, _DEADLY))
+    assert history.find_quarantine((_FIRST, _OTHER, 99)) is None
+
+
+def test_a_trial_that_did_not_run_does_not_count() -> None:
+    """Only the request that was tried can be withdrawn."""
+    clock = ManualClock()
+    history = CrashHistory(clock)
+    _crash(history, clock, _DEADLY)
+    history.note_trial(TrialRecord(_DEADLY, clock.now), 'r1')
+    history.withdraw_trial(_DEADLY, 'r2')
+    assert history.find_trial(_DEADLY) == clock.now
+    history.withdraw_trial(_DEADLY, 'r1')
+    assert history.find_trial(_DEADLY) < 0
+
+
 def test_only_the_latest_crashes_are_kept() -> None:
     """Peers go on to report older ones."""
     clock = ManualClock()
@@ -92,6 +132,17 @@
     assert history.list_crashes(_DEADLY) == kept
 
 
+def test_a_loss_of_many_servers_does_not_displace_a_quarantine() -> None:
+    """Most fingerprints have one crash."""
+    clock = ManualClock()
+    history = CrashHistory(clock)
+    _crash(history, clock, _DEADLY)
+    for number in range(3000):
+        crash = CrashRecord((f'e{number}', 0), clock.now, (1000 + number,))
+        history.note_crash(crash)
+    assert history.find_quarantine((_DEADLY,))
+
+
 def test_parts_beside_the_cause_are_not_blamed() -> None:
     """Requests that have only the common first part are let through."""
     clock = ManualClock()
--- a/tests/test_transport/test_ingress.py
+++ b/tests/test_transport/test_ingress.py
@@ -52,7 +52,14 @@
         route = create_route('/', RequestKind.IDEMPOTENT)
         deadline_at = request.arrived_at + self.left_s
         return AdmittedRequest(
-            request, route, '', 0, 1, deadline_at, keyed=False, fingerprint=0
+            request,
+            route,
+            '',
+            0,
+            1,
+            deadline_at,
+            keyed=False,
+            fingerprints=(0,),
         )
 
     def forward(self, admitted: AdmittedRequest) -> ForwardReply | Refused:
