Tell crash reports at once although others are told again

A host tells its reports again each second for half a minute to hosts that were not reached. A report within that time waited for the next such moment, up to a second, while other hosts sent the request to engines. And at 256 reports the first one was dropped, which may be of a quarantined fingerprint that hosts which start later must learn. Now the earliest time counts, a flush that tells nobody costs nothing, and the reports that expire first are dropped.

--- a/egretdale/coordination/crash_reports.py
+++ b/egretdale/coordination/crash_reports.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 import eventlet
+from eventlet.greenthread import GreenThread
 
 from egretdale.coordination.mesh import Mesh
 from egretdale.state.crash_records import CrashRecord, RunRecord, TrialRecord
@@ -60,11 +61,12 @@
 
     __slots__ = (
         '_clock',
-        '_flushed_at',
-        '_flushing',
+        '_flush_at',
         '_is_suspected',
         '_mesh',
+        '_next_flush_at',
         '_reports',
+        '_timer',
     )
 
     def __init__(
@@ -80,8 +82,9 @@
         self._clock = clock
         self._is_suspected = is_suspected
         self._reports: dict[Record, CrashReport] = {}
-        self._flushing = False
-        self._flushed_at = -math.inf
+        self._timer: GreenThread | None = None
+        self._flush_at = math.inf
+        self._next_flush_at = -math.inf
 
     def announce(self, record: Record) -> None:
         """Tell all peers about a record of this host at once.
@@ -120,6 +123,7 @@
             if report.expires_at > now
             and not report.is_known_to(host, incarnation)
         ]
+        unknown.sort(key=_rank_report)
         for report in unknown[-_REPORTS_PER_BATCH:]:
             report.told[host] = incarnation
             self._add_to_batch(batch, report.record, now)
@@ -143,7 +147,8 @@
             self._reports[record] = report
         report.expires_at = max(report.expires_at, expires_at)
         if len(self._reports) > _MAXIMUM_REPORTS:
-            self._reports.pop(next(iter(self._reports)))
+            first = min(self._reports.values(), key=_get_expiry)
+            self._reports.pop(first.record)
         return report
 
     def _add_to_batch(self, batch: Batch, record: Record, now: float) -> None:
@@ -163,23 +168,26 @@
                 batch.trials.append(_create_run(record, now))
 
     def _schedule_flush(self, delay_s: float) -> None:
-        if self._flushing:
+        flush_at = max(self._clock() + delay_s, self._next_flush_at)
+        if self._flush_at <= flush_at:
             return
-        self._flushing = True
-        # Bounds the number of batches while many servers crash.
-        interval_s = self._mesh.table.count_reachable() / _BATCHES_PER_S
-        next_s = self._flushed_at + interval_s - self._clock()
-        eventlet.spawn_after(max(delay_s, next_s), self._flush)
+        self._flush_at = flush_at
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = eventlet.spawn_after(
+            flush_at - self._clock(), self._flush
+        )
 
     def _flush(self) -> None:
-        self._flushing = False
+        self._timer = None
+        self._flush_at = math.inf
         now = self._clock()
-        self._flushed_at = now
         urgent = [
             report
             for report in self._reports.values()
             if report.urgent_until > now
         ]
+        probes = 0
         for member in self._mesh.table.list_reachable():
             host = member.update.host
             incarnation = member.update.incarnation
@@ -187,6 +195,9 @@
                 report.is_known_to(host, incarnation) for report in urgent
             ):
                 self._mesh.probe(host)
+                probes += 1
+        # Bounds the number of batches while many servers crash.
+        self._next_flush_at = now + probes / _BATCHES_PER_S
         if urgent:
             self._schedule_flush(_RETRY_S)
 
@@ -198,3 +209,18 @@
 def _create_run(record: RunRecord | TrialRecord, now: float) -> FingerprintRun:
     age_ms = convert_to_ms(now - record.began_at)
     return FingerprintRun(record.fingerprint, age_ms)
+
+
+def _get_expiry(report: CrashReport) -> float:
+    return report.expires_at
+
+
+def _rank_report(report: CrashReport) -> tuple[bool, float]:
+    """Rank reports for a batch, the most important one last.
+
+    Those of quarantined fingerprints are kept the longest.
+
+    :param report: a report.
+    :return: sort key.
+    """
+    return (report.urgent_until > 0, report.expires_at)
