--- a/tests/test_platform/test_reload.py
+++ b/tests/test_platform/test_reload.py
@@ -9,6 +9,8 @@
 import sys
 import tempfile
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from types import SimpleNamespace
 
@@ -46,22 +48,22 @@
     assert _reload('{"node_name": 1') == []
 
 
-def _handles_hangup(process: subprocess.Popen[bytes]) -> bool:
-    """Return whether a process ignores or catches SIGHUP."""
+def _handles(process: subprocess.Popen[bytes], number: int) -> bool:
+    """Return whether a process ignores or catches a signal."""
     status = Path(f'/proc/{process.pid}/status').read_text()
     masks = [
         int(line.split()[1], 16)
         for line in status.splitlines()
         if line.startswith(('SigIgn', 'SigCgt'))
     ]
-    return any(mask & (1 << (signal.SIGHUP - 1)) for mask in masks)
+    return any(mask & (1 << (number - 1)) for mask in masks)
 
 
-def test_a_change_during_the_start_does_not_end_the_process() -> None:
-    """SIGHUP during the start does not end the process.
+@contextmanager
+def _start_daemon(number: int) -> Iterator[subprocess.Popen[bytes]]:
+    """Start a daemon that stays in its start, and wait for a handler.
 
-    Its default action ended a daemon that received it 0.3 s after its start
-    (soak test with seed 1039).
+    :param number: signal that has to be handled.
     """
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / 'node.json'
@@ -75,14 +77,33 @@
         )
         try:
             deadline = time.monotonic() + _START_TIMEOUT_S
-            while not _handles_hangup(process):
+            while not _handles(process, number):
                 assert time.monotonic() < deadline, (
-                    'the daemon does not handle SIGHUP'
+                    f'the daemon does not handle signal {number}'
                 )
                 time.sleep(_POLL_INTERVAL_S)
-            process.send_signal(signal.SIGHUP)
-            time.sleep(1)
-            assert process.poll() is None
+            yield process
         finally:
             process.kill()
             process.wait()
+
+
+def test_a_change_during_the_start_does_not_end_the_process() -> None:
+    """SIGHUP during the start does not end the process.
+
+    Its default action ended a daemon that received it 0.3 s after its start
+    (soak test with seed 1039).
+    """
+    with _start_daemon(signal.SIGHUP) as process:
+        process.send_signal(signal.SIGHUP)
+        time.sleep(1)
+        assert process.poll() is None
+
+
+def test_a_stop_during_the_start_ends_with_success() -> None:
+    """Nothing was taken yet (soak seeds 1796353943 and 1796386981)."""
+    for delay_s in (0, 0.1, 0.2, 0.4):
+        with _start_daemon(signal.SIGTERM) as process:
+            time.sleep(delay_s)
+            process.send_signal(signal.SIGTERM)
+            assert process.wait(_START_TIMEOUT_S) == 0
