Answer requests that have just arrived when a host stops accepting

Looked for after reports of operators of similar systems (planned stops under load cut requests that had just been accepted). It could happen: when the listener was closed, eventlet's server shut down all connections that had no request in progress, also those whose request had arrived and was not read yet, and those still in the backlog were reset. A request whose body was being read did not count as in progress, so that the process could end before it was answered. Now waiting connections are accepted first, connections with unread bytes are left open, and the host ends only when no request is being read or answered.

--- a/egretdale/transport/gateway.py
+++ b/egretdale/transport/gateway.py
@@ -201,9 +201,9 @@
         self.gateway.membership.leave()
         while clock() < started_at + accepting_s:
             eventlet.sleep(_DRAIN_POLL_S)
-        self._listeners[self._settings.caller_address].close()
+        self._ingress.close_listener()
         self._ingress.stop_accepting()
-        while self._ingress.active and clock() < limit_at:
+        while self._ingress.connections.is_busy() and clock() < limit_at:
             eventlet.sleep(_DRAIN_POLL_S)
         eventlet.sleep(_FLUSH_S)
         self._end.finish(1 if self._ingress.active else 0)
--- a/egretdale/transport/ingress.py
+++ b/egretdale/transport/ingress.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import socket as sockets
 from collections.abc import Callable, Iterable
 from typing import Any, Protocol
 
+import eventlet
 from eventlet import wsgi
 from eventlet.greenpool import GreenPool
 
@@ -18,7 +18,9 @@
 from egretdale.state.gateway_metrics import GatewayMetrics
 from egretdale.state.outcomes import Ran, Reason, Refused
 from egretdale.state.routing import CallerLimits
+from egretdale.transport.caller_connections import CallerConnections
 from egretdale.transport.exchanges import Exchange
+from egretdale.transport.sockets import is_readable
 from egretdale.util.clocks import Clock, convert_to_ms
 from egretdale.util.logs import get_logger
 
@@ -27,6 +29,9 @@
 _URL_LIMIT = 16384
 #: A caller that receives no bytes for this many seconds is disconnected.
 _WRITE_TIMEOUT_S = 20.0
+#: Longest time in seconds to accept the connections that wait when the
+#: listener is closed.
+_BACKLOG_TIMEOUT_S = 0.5
 #: Connections are kept open this much longer than announced, in seconds.
 _IDLE_GRACE_S = 1.0
 
@@ -72,19 +77,31 @@
     def _read_request_line(self) -> bytes:
         ingress = self.server.app
         self.server.keepalive = ingress.limits().idle_s + _IDLE_GRACE_S
-        ingress.note_idle(self.connection)
+        # The server itself would shut down idle connections when the listener
+        # is closed, also those that have just sent a request.
+        self.conn_state[2] = wsgi.STATE_REQUEST
+        ingress.connections.note_idle(self.connection)
+        line = b''
         try:
             line = super()._read_request_line()
         finally:
-            ingress.note_busy(self.connection)
+            ingress.connections.note_read(
+                self.connection, is_request=bool(line)
+            )
         self.connection.settimeout(ingress.limits().header_s)
         return line
 
+    def finish(self) -> None:
+        """Close the connection."""
+        self.server.app.connections.note_closed(self.connection)
+        super().finish()
+
 
 class Ingress:
     """Accepts requests and forwards them to backend servers.
 
     :ivar active: requests in progress.
+    :ivar connections: open connections of callers.
     """
 
     __slots__ = (
@@ -93,11 +110,12 @@
         '_codec',
         '_draining',
         '_forwarder',
-        '_idle',
         '_limits',
+        '_listener',
         '_metrics',
         '_pool',
         'active',
+        'connections',
     )
 
     def __init__(
@@ -119,6 +137,7 @@
         :param metrics: metrics of the gateway.
         """
         self.active = 0
+        self.connections = CallerConnections()
         self._codec = codec
         self._forwarder = forwarder
         self._limits = limits
@@ -126,7 +145,7 @@
         self._metrics = metrics
         self._draining = False
         self._accepting = True
-        self._idle: set[Any] = set()
+        self._listener: Any = None
         self._pool = GreenPool(maximum_connections)
 
     def run(self, listener: Any) -> None:
@@ -134,6 +153,7 @@
 
         :param listener: listening socket.
         """
+        self._listener = listener
         wsgi.server(
             listener,
             self,
@@ -149,32 +169,23 @@
         """Return the current limits."""
         return self._limits()
 
-    def note_idle(self, connection: Any) -> None:
-        """Record that a connection is waiting for a request.
-
-        :param connection: socket of the caller.
-        """
-        self._idle.add(connection)
-
-    def note_busy(self, connection: Any) -> None:
-        """Record that a connection has sent a request or was closed.
-
-        :param connection: socket of the caller.
-        """
-        self._idle.discard(connection)
-
     def start_draining(self) -> None:
         """Announce in each response that its connection closes."""
         self._draining = True
 
+    def close_listener(self) -> None:
+        """Accept no more connections but those that wait already."""
+        deadline = self._clock() + _BACKLOG_TIMEOUT_S
+        while is_readable(self._listener) and self._clock() < deadline:
+            eventlet.sleep(0)
+        # The tasks of the last ones have not begun yet.
+        eventlet.sleep(0)
+        self._listener.close()
+
     def stop_accepting(self) -> None:
         """Refuse new requests and close idle connections."""
         self._accepting = False
-        for connection in list(self._idle):
-            try:
-                connection.shutdown(sockets.SHUT_RDWR)
-            except OSError as error:
-                logger.info('idle-connection-gone', detail=str(error))
+        self.connections.close_idle()
 
     def __call__(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
--- a/egretdale/transport/sockets.py
+++ b/egretdale/transport/sockets.py
@@ -6,10 +6,12 @@
 from typing import Any
 
 import eventlet
-from eventlet import hubs
+from eventlet import hubs, patcher
 from eventlet.green import socket
 
 
+_select = patcher.original('select')
+
 #: Reads without a wait after which other tasks run.
 _READS_PER_YIELD = 16
 
@@ -57,3 +59,25 @@
         if self._reads >= _READS_PER_YIELD:
             self._reads = 0
             eventlet.sleep(0)
+
+
+def is_readable(connection: socket.socket) -> bool:
+    """Tell whether a socket has data, its end, or a connection to accept.
+
+    :param connection: an open socket.
+    """
+    poll = _select.poll()
+    poll.register(connection.fileno(), _select.POLLIN)
+    return bool(poll.poll(0))
+
+
+def has_received(connection: socket.socket) -> bool:
+    """Tell whether bytes have arrived on a connection that were not read.
+
+    :param connection: a connection.
+    """
+    flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+    try:
+        return bool(connection.fd.recv(1, flags))
+    except OSError:
+        return False
--- a/tests/test_transport/test_ingress.py
+++ b/tests/test_transport/test_ingress.py
@@ -7,6 +7,8 @@
 from contextlib import contextmanager
 
 import eventlet
+from eventlet import patcher
+from eventlet.greenio import GreenSocket
 
 from egretdale.coordination.admission import AdmittedRequest
 from egretdale.coordination.exchanges import (
@@ -26,6 +28,9 @@
 
 load_tests = create_loader(__name__)
 
+# The cooperative version would let the server accept the connection.
+_system = patcher.original('socket')
+
 _HEAD = 'Host: claims.example\r\nEgret-Request-Id: r1\r\n'
 
 
@@ -96,6 +101,12 @@
     return connection
 
 
+def _connect_at_once(address: tuple[str, int]) -> socket.socket:
+    connection = GreenSocket(_system.create_connection(address))
+    connection.settimeout(5)
+    return connection
+
+
 def _send(address: tuple[str, int], text: str) -> bytes:
     with _connect(address) as connection:
         connection.sendall(text.encode())
@@ -248,6 +259,41 @@
         assert not forwarder.requests
 
 
+def test_requests_that_have_just_arrived_at_the_end_are_answered() -> None:
+    """Some connections are new, others have been idle."""
+    text = f'GET / HTTP/1.1\r\n{_HEAD}\r\n'.encode()
+    with _open_ingress() as (_, ingress, address):
+        connections = [_connect(address) for _ in range(10)]
+        eventlet.sleep(0.05)
+        ingress.start_draining()
+        # Connecting without a switch to the server's task.
+        connections.extend(_connect_at_once(address) for _ in range(10))
+        for connection in connections:
+            connection.sendall(text)
+        ingress.close_listener()
+        ingress.stop_accepting()
+        for connection in connections:
+            assert _read_all(connection).startswith(b'HTTP/1.1 ')
+            connection.close()
+
+
+def test_a_request_that_is_being_read_at_the_end_is_answered() -> None:
+    """The host does not end before."""
+    head = f'POST / HTTP/1.1\r\n{_HEAD}Content-Length: 4\r\n\r\n'
+    with _open_ingress() as (_, ingress, address):
+        with _connect(address) as connection:
+            connection.sendall(f'{head}ab'.encode())
+            eventlet.sleep(0.05)
+            ingress.start_draining()
+            ingress.close_listener()
+            ingress.stop_accepting()
+            assert ingress.connections.is_busy()
+            connection.sendall(b'cd')
+            assert _read_all(connection).startswith(b'HTTP/1.1 503')
+        eventlet.sleep(0.05)
+        assert not ingress.connections.is_busy()
+
+
 def test_stalled_body_is_a_request_timeout() -> None:
     """An incomplete body is refused with status 408 and not forwarded."""
     with _open_ingress() as (forwarder, _, address):
