Treat a malformed answer of a peer as a failed call

Looked for after reports of operators of similar systems (one malformed message took a process down). It could happen: an answer without a field that has no default raised an error outside of the part that handles broken calls. In the tasks that follow the configuration and the list of backend servers it ended the process with status 70, in the task of a link it ended the link for good. Test: test_a_malformed_answer_of_a_peer_is_a_failure, which failed before (TypeError, ValueError).

--- a/egretdale/transport/peers.py
+++ b/egretdale/transport/peers.py
@@ -114,10 +114,10 @@
         call = _BufferedCall()
         call.client.send_deliver(encode_structure(batch))
         size = len(call.sent.getvalue())
-        outcome = self._exchange(address, call, call.client.recv_deliver)
+        outcome = self._query(address, call, call.client.recv_deliver)
         if isinstance(outcome, Unreachable | Ambiguous):
             return outcome
-        return Delivered(decode_structure(outcome), size)
+        return Delivered(outcome, size)
 
     def claim(
         self, address: str, question: ClaimAsk
@@ -201,7 +201,10 @@
         outcome = self._exchange(address, call, receive, wait_s)
         if isinstance(outcome, Unreachable | Ambiguous):
             return outcome
-        return decode_structure(outcome)
+        try:
+            return decode_structure(outcome)
+        except ValueError as error:
+            return Ambiguous(Cause.MALFORMED, str(error))
 
     def _exchange(
         self,
--- a/tests/test_transport/test_peers.py
+++ b/tests/test_transport/test_peers.py
@@ -4,10 +4,13 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from types import SimpleNamespace
 
 import eventlet
 
 from egretdale.errors import Ambiguous
+from egretdale.protocol.gen import ttypes
+from egretdale.state.messages import Batch
 from egretdale.state.queries import (
     ChangeAsk,
     Changes,
@@ -73,3 +76,20 @@
         reply = client.find_origin(address, OriginAsk('r1', 'claims'))
     assert reply == OriginReply('claims', 'v1', several_versions=True)
     assert asked == [OriginAsk('r1', 'claims')]
+
+
+def test_a_malformed_answer_of_a_peer_is_a_failure() -> None:
+    """It lacks fields that have no default."""
+    handler = SimpleNamespace(
+        follow=lambda ask: ttypes.Changes(),
+        deliver=lambda batch: ttypes.Batch(),
+        find_origin=lambda ask: ttypes.OriginReply(),
+    )
+    listener = listen('127.0.0.1:0')
+    task = eventlet.spawn(PeerServer(listener, handler).run)
+    address = f'127.0.0.1:{listener.getsockname()[1]}'
+    client = PeerClient(_TIMEOUT_S, lambda size: None)
+    asked = ChangeAsk('kind', 5, 100)
+    assert isinstance(client.follow(address, asked), Ambiguous)
+    assert isinstance(client.deliver(address, Batch('h1', 1)), Ambiguous)
+    task.kill()
