Ignore what this version cannot read in batches of peers

An update of a host with an unknown status, as a later version may send, ended the task that sends to the peer which passed it on, for good. A request for a group with a malformed key ended the task in which an allocator decides on waiting requests, of all groups of that host. Both are ignored now, and a link whose task has failed is opened again.

--- a/egretdale/coordination/membership.py
+++ b/egretdale/coordination/membership.py
@@ -117,7 +117,9 @@
         :param batch: a batch from a peer.
         """
         for update in batch.members:
-            self.learn(update)
+            # A later version may send a status that this one doesn't know.
+            if MemberStatus.is_known(update.status):
+                self.learn(update)
 
     def learn(self, update: MemberUpdate) -> None:
         """Apply an update about one host.
--- a/egretdale/coordination/mesh.py
+++ b/egretdale/coordination/mesh.py
@@ -100,6 +100,12 @@
 
     def run(self) -> None:
         """Send batches until the peer is no longer in the member table."""
+        try:
+            self._run()
+        finally:
+            self._mesh.drop_link(self)
+
+    def _run(self) -> None:
         while self._mesh.knows(self.host):
             self._event.wait()
             self._mesh.wait_for_budget()
@@ -110,7 +116,6 @@
             self._asks = []
             self._replies = []
             self.failing = not self._mesh.send(self.host, batch)
-        self._mesh.drop_link(self)
 
 
 class Mesh:
@@ -274,6 +279,18 @@
             answer.replies = self._handler(batch).replies
         return answer
 
+    def accept_answer(self, host: str, answer: Batch, sent_at: float) -> None:
+        """Process the answer to a batch.
+
+        :param host: host that has answered.
+        :param answer: the answer.
+        :param sent_at: when the batch was sent, on the mesh's clock.
+        """
+        for listener in self._listeners:
+            listener.note_reply(host)
+            listener.receive(answer)
+            listener.note_answer(answer, sent_at)
+
     def _try_send(self, host: str, batch: Batch) -> bool:
         member = self.table.find(host)
         if member is None:
@@ -285,10 +302,7 @@
                 self._budget.charge(size)
                 self.sent_bytes += size
                 self.sent_batches += 1
-                for listener in self._listeners:
-                    listener.note_reply(host)
-                    listener.receive(answer)
-                    listener.note_answer(answer, sent_at)
+                self.accept_answer(host, answer, sent_at)
                 return True
             case Unreachable() | Ambiguous():
                 logger.info(
--- a/egretdale/coordination/prefill.py
+++ b/egretdale/coordination/prefill.py
@@ -24,6 +24,7 @@
     GroupReply,
     Release,
 )
+from egretdale.state.groups import is_group_key
 from egretdale.state.prompts import GrantedPrompt, GroupQueue, WaitingPrompt
 from egretdale.state.request_gates import RequestGates
 from egretdale.state.speeds import SpeedTable
@@ -92,7 +93,9 @@
         """
         answer = Batch(self._mesh.table.own_host, 0)
         for message in batch.asks:
-            answer.replies.append(self.handle_message(batch.sender, message))
+            if is_group_key(message.group):
+                reply = self.handle_message(batch.sender, message)
+                answer.replies.append(reply)
         return answer
 
     def handle_message(self, host: str, message: GroupAsk) -> GroupReply:
--- a/egretdale/state/groups.py
+++ b/egretdale/state/groups.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass, field
 
 from egretdale.state.instances import Instance, InstanceTable
@@ -16,6 +17,15 @@
 _SPLIT_FROM = 24
 #: Affinity keys whose ranking is cached until the list of engines changes.
 _CACHED_KEYS = 4096
+_KEY = re.compile(r'[^/].*/[1-9]\d{0,5}/\d{1,6}', re.DOTALL | re.ASCII)
+
+
+def is_group_key(text: str) -> bool:
+    """Tell whether a text is the key of a group, ``service/groups/index``.
+
+    :param text: any text.
+    """
+    return _KEY.fullmatch(text) is not None
 
 
 @dataclass(slots=True)
--- a/egretdale/state/members.py
+++ b/egretdale/state/members.py
@@ -22,6 +22,14 @@
     LEAVING = 3
     GONE = 4
 
+    @classmethod
+    def is_known(cls, number: int) -> bool:
+        """Tell whether a number is the status of a host.
+
+        :param number: any number.
+        """
+        return number in set(map(int, cls))
+
 
 @dataclass(slots=True)
 class Member:
--- a/tests/test_coordination/test_gateway.py
+++ b/tests/test_coordination/test_gateway.py
@@ -31,7 +31,7 @@
 
 
 @contextmanager
-def _open_gateway(platform: object = None) -> Iterator[Gateway]:
+def open_gateway(platform: object = None) -> Iterator[Gateway]:
     settings = GatewaySettings(
         host='own',
         data_centre='dc',
@@ -63,7 +63,7 @@
 
 def test_live_hosts_are_listed_before_others() -> None:
     """Suspect hosts, then leaving ones, are listed if there are no others."""
-    with _open_gateway() as gateway:
+    with open_gateway() as gateway:
         assert gateway.list_addresses() == []
         gateway.membership.learn(_create_update('c', MemberStatus.LEAVING))
         assert gateway.list_addresses() == ['c:1']
@@ -75,7 +75,7 @@
 
 def test_hosts_without_a_way_to_the_servers_are_listed_last() -> None:
     """Callers that ask go to hosts that need not relay their requests."""
-    with _open_gateway() as gateway:
+    with open_gateway() as gateway:
         leaving = _create_update('c', MemberStatus.LEAVING)
         cut_off = replace(_create_update('a', MemberStatus.ALIVE), cut_off=True)
         gateway.membership.learn(leaving)
@@ -90,7 +90,7 @@
 
 def test_a_host_announces_that_it_reaches_no_server() -> None:
     """Peers learn it with its next update."""
-    with _open_gateway() as gateway:
+    with open_gateway() as gateway:
         before = gateway.membership.own.counter
         gateway.membership.announce_link(cut_off=True)
         assert gateway.membership.own.cut_off
@@ -99,7 +99,7 @@
 
 def test_a_seed_is_replaced_by_its_host() -> None:
     """The entry of a seed is removed once the name of its host is known."""
-    with _open_gateway() as gateway:
+    with open_gateway() as gateway:
         table = gateway.mesh.table
         assert table.find('10.0.0.2:2') is not None
         named = replace(
@@ -112,7 +112,7 @@
 
 def test_seeds_of_other_hosts_do_not_become_members() -> None:
     """An update about a seed that its sender cannot name is ignored."""
-    with _open_gateway() as gateway:
+    with open_gateway() as gateway:
         seed = replace(
             _create_update('10.0.0.9:2', MemberStatus.SUSPECT),
             peer_address='10.0.0.9:2',
@@ -123,7 +123,7 @@
 
 def test_a_host_without_configuration_is_not_ready() -> None:
     """A host is ready only after its first configuration."""
-    with _open_gateway() as gateway:
+    with open_gateway() as gateway:
         assert not gateway.is_ready()
         assert gateway.limits().idle_s > 0
 
@@ -150,7 +150,7 @@
 
 def _publish(*writes: Written | Conflict | Unreachable) -> list[str]:
     platform = _ScriptedPlatform(*writes)
-    with _open_gateway(platform) as gateway:
+    with open_gateway(platform) as gateway:
         task = eventlet.spawn(gateway.membership.run_publishing)
         eventlet.sleep(3)
         task.kill()
