Limit the time for a whole head and a whole body of a request

But the timeouts for the head and the body of a request began anew with each byte: a caller that sent single bytes kept its connection and its place for ever, and kept a planned stop waiting until its end. Now a head has the header timeout as a whole, a body the time that its caller waits.

--- a/egretdale/transport/caller_connections.py
+++ b/egretdale/transport/caller_connections.py
@@ -5,11 +5,17 @@
 import socket as sockets
 from typing import Any
 
+import eventlet
+from eventlet import wsgi
+
 from egretdale.transport.sockets import has_received
 from egretdale.util.logs import get_logger
 
 logger = get_logger(__name__)
 
+#: Connections are kept open this much longer than announced, in seconds.
+_IDLE_GRACE_S = 1.0
+
 
 class CallerConnections:
     """The open connections of callers, by what they wait for."""
@@ -60,3 +66,57 @@
                 connection.shutdown(sockets.SHUT_RDWR)
             except OSError as error:
                 logger.info('idle-connection-gone', detail=str(error))
+
+
+class CallerProtocol(wsgi.HttpProtocol):
+    """A connection of a caller, with limits that may change at runtime."""
+
+    _head_timer: eventlet.Timeout | None = None
+
+    def close_after_response(self) -> None:
+        """Announce in the response that the connection closes, and close it."""
+        self.close_connection = 1
+
+    def get_environ(self) -> dict[str, Any]:
+        """Return the WSGI environment with the request target as sent.
+
+        :return: the environment.
+        """
+        self._end_head()
+        self.connection.settimeout(self.server.app.limits().header_s)
+        environ = super().get_environ()
+        environ['egretdale.target'] = self.path
+        environ['egretdale.connection'] = self
+        return environ
+
+    def _read_request_line(self) -> bytes:
+        self._end_head()
+        ingress = self.server.app
+        self.server.keepalive = ingress.limits().idle_s + _IDLE_GRACE_S
+        # The server itself would shut down idle connections when the listener
+        # is closed, also those that have just sent a request.
+        self.conn_state[2] = wsgi.STATE_REQUEST
+        ingress.connections.note_idle(self.connection)
+        line = b''
+        try:
+            line = super()._read_request_line()
+        finally:
+            ingress.connections.note_read(
+                self.connection, is_request=bool(line)
+            )
+        header_s = ingress.limits().header_s
+        self.connection.settimeout(header_s)
+        if line:
+            # The timeout of the socket starts anew with each byte.
+            self._head_timer = eventlet.Timeout(header_s, TimeoutError())
+        return line
+
+    def _end_head(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+
+    def finish(self) -> None:
+        """Close the connection."""
+        self._end_head()
+        self.server.app.connections.note_closed(self.connection)
+        super().finish()
--- a/egretdale/transport/ingress.py
+++ b/egretdale/transport/ingress.py
@@ -18,7 +18,10 @@
 from egretdale.state.gateway_metrics import GatewayMetrics
 from egretdale.state.outcomes import Ran, Reason, Refused
 from egretdale.state.routing import CallerLimits
-from egretdale.transport.caller_connections import CallerConnections
+from egretdale.transport.caller_connections import (
+    CallerConnections,
+    CallerProtocol,
+)
 from egretdale.transport.exchanges import Exchange
 from egretdale.transport.sockets import is_readable
 from egretdale.util.clocks import Clock, convert_to_ms
@@ -32,8 +35,6 @@
 #: Longest time in seconds to accept the connections that wait when the
 #: listener is closed.
 _BACKLOG_TIMEOUT_S = 0.5
-#: Connections are kept open this much longer than announced, in seconds.
-_IDLE_GRACE_S = 1.0
 
 #: ``Retry-After`` of refusals by a host that is shutting down, in seconds;
 #: callers retry at another host.
@@ -56,47 +57,6 @@
         """
 
 
-class _CallerConnection(wsgi.HttpProtocol):
-    """A connection of a caller, with limits that may change at runtime."""
-
-    def close_after_response(self) -> None:
-        """Announce in the response that the connection closes, and close it."""
-        self.close_connection = 1
-
-    def get_environ(self) -> dict[str, Any]:
-        """Return the WSGI environment with the request target as sent.
-
-        :return: the environment.
-        """
-        self.connection.settimeout(self.server.app.limits().header_s)
-        environ = super().get_environ()
-        environ['egretdale.target'] = self.path
-        environ['egretdale.connection'] = self
-        return environ
-
-    def _read_request_line(self) -> bytes:
-        ingress = self.server.app
-        self.server.keepalive = ingress.limits().idle_s + _IDLE_GRACE_S
-        # The server itself would shut down idle connections when the listener
-        # is closed, also those that have just sent a request.
-        self.conn_state[2] = wsgi.STATE_REQUEST
-        ingress.connections.note_idle(self.connection)
-        line = b''
-        try:
-            line = super()._read_request_line()
-        finally:
-            ingress.connections.note_read(
-                self.connection, is_request=bool(line)
-            )
-        self.connection.settimeout(ingress.limits().header_s)
-        return line
-
-    def finish(self) -> None:
-        """Close the connection."""
-        self.server.app.connections.note_closed(self.connection)
-        super().finish()
-
-
 class Ingress:
     """Accepts requests and forwards them to backend servers.
 
@@ -159,7 +119,7 @@
             self,
             log_output=False,
             custom_pool=self._pool,
-            protocol=_CallerConnection,
+            protocol=CallerProtocol,
             url_length_limit=_URL_LIMIT,
             capitalize_response_headers=False,
             debug=False,
@@ -312,12 +272,16 @@
         self, environ: dict[str, Any], request: ForwardRequest
     ) -> Refused | None:
         limit = self.limits().body_bytes
+        limit_s = request.patience_s or self.limits().idle_s
         reader = environ['eventlet.input']
         length = None if reader.chunked_input else reader.content_length or 0
         if length is not None and length > limit:
             return _refuse_large(limit)
         try:
-            request.body = reader.read(limit + 1 if length is None else length)
+            with eventlet.Timeout(limit_s, TimeoutError()):
+                request.body = reader.read(
+                    limit + 1 if length is None else length
+                )
         except TimeoutError:
             detail = 'timeout while reading the body'
             return Refused(Reason.TOO_SLOW, Ran.NO, detail=detail)
