Check keys again after the wait for an engine

Looked for after reports of operators of similar systems (a process that had been paused acted on a permission that had run out). The age of keys was checked before a request waits for an engine, but not after it: a host that waited or was paused then sent a request although it had not confirmed its key for longer than allowed. Now it is checked right before the sending, too. Test: test_keys_are_checked_again_after_the_wait_for_an_engine, which failed before (the request was sent).

--- a/egretdale/coordination/attempt_rules.py
+++ b/egretdale/coordination/attempt_rules.py
@@ -44,9 +44,9 @@
         :return: a refusal if it is not.
         """
         route = progress.admitted.route
-        stale = self._admission.check_key_age(progress.admitted)
+        stale = self.check_key(progress)
         if stale is not None:
-            return refuse_attempt(progress, stale.detail, stale)
+            return stale
         if progress.sent >= route.maximum_attempts:
             return refuse_attempt(progress, 'no attempts are left')
         if progress.may_have_run and not route.is_repeatable():
@@ -56,6 +56,17 @@
             return refuse_attempt(progress, 'no time is left')
         return self.check_quarantine(progress)
 
+    def check_key(self, progress: Progress) -> Refused | None:
+        """Check that the key of a request was confirmed recently.
+
+        :param progress: state of the request.
+        :return: a refusal if it was not.
+        """
+        stale = self._admission.check_key_age(progress.admitted)
+        if stale is None:
+            return None
+        return refuse_attempt(progress, stale.detail, stale)
+
     def check_quarantine(
         self, progress: Progress, *, is_sending: bool = False
     ) -> Refused | None:
--- a/egretdale/coordination/forwarding.py
+++ b/egretdale/coordination/forwarding.py
@@ -264,7 +264,10 @@
         :param progress: state of the request.
         :return: a refusal if it may not.
         """
-        refusal = self._rules.check_quarantine(progress, is_sending=True)
+        # The host may have waited for an engine, or been paused.
+        refusal = self._rules.check_key(
+            progress
+        ) or self._rules.check_quarantine(progress, is_sending=True)
         if refusal is not None:
             return refusal
         if progress.sent and not self._spend_retry(progress.service):
--- a/tests/test_coordination/test_admission.py
+++ b/tests/test_coordination/test_admission.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+from unittest import mock
+
 from egretdale.coordination.admission import AdmittedRequest
 from egretdale.state.outcomes import Ran, Reason, Refused
 from egretdale.state.routing import RequestKind
+from standins.emulation.policies import NoPrefillClient
 from tests.forwarding import (
     ScriptedClient,
+    create_prompt,
     create_request,
     create_route,
     create_table,
@@ -105,6 +109,26 @@
         assert scene.forwarder.admit(hasty).deadline_at == 100.5
 
 
+def test_keys_are_checked_again_after_the_wait_for_an_engine() -> None:
+    """A host that was paused while its request was queued sends nothing."""
+    patient = create_route('/a/', RequestKind.IDEMPOTENT, timeout_s=60.0)
+    client = ScriptedClient()
+    with open_scene(create_table(patient, keys=('k',)), client) as scene:
+        request = create_request(
+            '/a/', key='k', patience_s=60.0, prompt=create_prompt(100, 10)
+        )
+        admitted = scene.forwarder.admit(request)
+
+        def wait(*question: object) -> None:
+            scene.clock.now += 6
+
+        with mock.patch.object(NoPrefillClient, 'request_engine', wait):
+            refused = scene.forwarder.forward(admitted)
+        assert refused.reason == Reason.CONFIGURATION_STALE
+        assert refused.ran == Ran.NO
+        assert not client.attempts
+
+
 def test_requests_of_one_path_caller_and_body_have_one_fingerprint() -> None:
     """IDs, times and keys differ between repetitions of a request."""
     table = create_table(_ROUTE, _PUBLIC, keys=('k', 'k2'))
