--- a/egretdale/coordination/admission.py
+++ b/egretdale/coordination/admission.py
@@ -16,6 +16,8 @@
 #: Retry time in seconds while the configuration is too old to rely on.
 _STALE_RETRY_S = 0.5
 _LOWEST_URGENCY = 9
+#: Parts of a prompt that are fingerprints, the last ones.
+_MAXIMUM_PARTS = 16
 #: Urgency ranks for each step of an organisation's priority; route priorities
 #: below it only rank requests within a step.
 _URGENCY_STEP = 3
@@ -46,8 +48,8 @@
     :ivar deadline_at: clock time at which the caller stops waiting.
     :ivar keyed: whether its route required a key.
     :ivar fingerprints: hashes of what it has in common with other requests:
-        the parts of its prompt but the last, and, as the last one, its method,
-        host name, target, body and organisation together.
+        parts of its prompt but the last, 16 at most, and, as the last one, its
+        method, host name, target, body and organisation together.
     """
 
     request: ForwardRequest
@@ -196,7 +198,8 @@
 ) -> tuple[int, ...]:
     # Keys of an organisation may change between repetitions.
     texts = (request.method, request.host_name, request.target, organisation)
+    shared = request.prompt.parts[-_MAXIMUM_PARTS - 1 : -1]
     return (
-        *(fold_identity(part.identity) for part in request.prompt.parts[:-1]),
+        *(fold_identity(part.identity) for part in shared),
         hash_fields(*(text.encode() for text in texts), request.body),
     )
--- a/egretdale/coordination/quarantine.py
+++ b/egretdale/coordination/quarantine.py
@@ -25,6 +25,8 @@
 _MAXIMUM_STAGGER_S = 1.0
 #: Least time in seconds between two trials of a fingerprint.
 _TRIAL_INTERVAL_S = 5.0
+#: Fingerprints of one request that are recorded for a peer.
+_MAXIMUM_FINGERPRINTS = 32
 #: Shortest retry time in seconds of a quarantined request.
 _MINIMUM_RETRY_S = 5.0
 
@@ -124,7 +126,7 @@
             record = CrashRecord(
                 (crash.name, crash.born_ms),
                 now - convert_to_seconds(crash.age_ms),
-                tuple(crash.fingerprints),
+                tuple(crash.fingerprints[:_MAXIMUM_FINGERPRINTS]),
             )
             if self._note_crash(record, batch.sender, ''):
                 self._keep_blamed(record, batch.sender)
--- a/tests/test_coordination/test_admission.py
+++ b/tests/test_coordination/test_admission.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 from egretdale.coordination.admission import AdmittedRequest
+from egretdale.coordination.exchanges import Prompt, PromptPart
 from egretdale.state.outcomes import Ran, Reason, Refused
 from egretdale.state.routing import RequestKind
 from standins.emulation.policies import NoPrefillClient
@@ -129,6 +130,16 @@
         assert not client.attempts
 
 
+def test_requests_with_many_parts_have_few_fingerprints() -> None:
+    """They are kept and told to all hosts after a crash."""
+    parts = tuple(PromptPart(number, 10) for number in range(1000))
+    with open_scene(create_table(_PUBLIC), ScriptedClient()) as scene:
+        request = create_request('/open/', prompt=Prompt(10000, 10, parts))
+        fingerprints = scene.forwarder.admit(request).fingerprints
+        assert len(fingerprints) <= 32
+        assert parts[-2].identity in fingerprints
+
+
 def test_requests_of_one_path_caller_and_body_have_one_fingerprint() -> None:
     """IDs, times and keys differ between repetitions of a request."""
     table = create_table(_ROUTE, _PUBLIC, keys=('k', 'k2'))
