--- a/tests/test_transport/test_forwarding.py
+++ b/tests/test_transport/test_forwarding.py
@@ -46,10 +46,10 @@
 
 
 def _open(
-    client: HttpForwardClient, address: str, body: bytes = b''
+    client: HttpForwardClient, address: str, body: bytes = b'', **changes: str
 ) -> ForwardedResponse | NotRun | MaybeRun:
     instance = Instance('b0', 'claims', address)
-    request = create_request('/a%2Fb?q', body=body)
+    request = create_request('/a%2Fb?q', body=body, **changes)
     attempt = ForwardAttempt(request, instance, '', 5.0, urgency=0)
     with eventlet.Timeout(5):
         return client.open(attempt)
@@ -152,6 +152,31 @@
         assert len(accepted) == 2
 
 
+def test_a_late_copy_of_an_answer_is_not_the_next_one() -> None:
+    """It arrives while the next request waits on the same connection."""
+    accepted = []
+
+    def script(connection: socket.socket) -> None:
+        accepted.append(connection)
+        answered = []
+        while _read_head(connection):
+            number = len(accepted) + len(answered)
+            answered.append(
+                b'HTTP/1.1 200 OK\r\nEgret-Request-Id: r%d\r\n'
+                b'Content-Length: 2\r\n\r\na%d' % (number, number)
+            )
+            # The second copy of the first answer, then the answer.
+            connection.sendall(b''.join(answered))
+
+    with _open_server(script) as (client, address):
+        body, _ = _read_all(_open(client, address, request_id='r1'))
+        assert body == b'a1'
+        assert isinstance(_open(client, address, request_id='r2'), MaybeRun)
+        body, _ = _read_all(_open(client, address, request_id='r2'))
+        assert body == b'a2'
+        assert len(accepted) == 2
+
+
 def test_response_to_another_request_is_not_forwarded() -> None:
     """A response with another request ID is reported as a failure."""
 
