--- a/egretdale/state/messages.py
+++ b/egretdale/state/messages.py
@@ -161,8 +161,7 @@
     :ivar done: released slots.
     :ivar withdrawn: IDs of waiting requests that no longer need a slot.
     :ivar released: prompts that have ended at their engines.
-    :ivar reports_ends: whether the host reports these; hosts of earlier
-        versions do not.
+    :ivar reports_ends: whether the host does so; earlier versions do not.
     """
 
     group: str
@@ -296,7 +295,7 @@
     :ivar name: name of the backend server.
     :ivar born_ms: its start time in milliseconds.
     :ivar age_ms: milliseconds since the crash.
-    :ivar fingerprints: fingerprints of the request.
+    :ivar fingerprints: those of the request.
     """
 
     name: str
--- a/tests/crashes.py
+++ b/tests/crashes.py
@@ -11,213 +11,38 @@
 import eventlet
 
 from egretdale.coordination.exchanges import (
-    ForwardAttempt,
     ForwardReply,
-    ForwardRequest,
     IncompleteResponse,
     Prompt,
     PromptPart,
-    RelayAttempt,
 )
-from egretdale.coordination.ports import EndOfStream, MaybeRun, NotRun
-from egretdale.state.backpressure import BackendStatement
-from egretdale.state.instances import Instance
 from egretdale.state.outcomes import Refused
-from standins.emulation.hosts import SERVICE, EmulatedHost
-from standins.virtual.hub import VirtualHub, use_virtual_time
-from tests.emulated import HostGroup
+from standins.emulation.hosts import EmulatedHost
+from standins.virtual.hub import use_virtual_time
+from tests.crashing_engines import (
+    DEADLY_PART,
+    CrashingEngines,
+    EngineScene,
+)
 
-#: Seconds after the fifth crash from which requests with the part count.
-CONTACT_S = 3.0
 #: Requests with the part that may reach engines after that.
 ALLOWED_ARRIVALS = 3
 #: Crashes after which the part has to be recognised.
 COUNTED_CRASHES = 5
-#: Parts of the prompts: the one that crashes engines, and the one before it,
-#: which other requests have too.
-DEADLY_PART = 66
+#: Part before the one that crashes engines, which other requests have too.
 COMMON_PART = 7
-_PREFILL_S = 0.05
-_GAP_S = 0.1
-_EVENTS = 8
-#: Seconds from the head of a response until its engine crashes.
-_CRASH_DELAY_S = 0.08
-#: The same from the arrival of a request without a prompt.
-_PLAIN_CRASH_DELAY_S = 0.1
-#: Seconds in which an engine runs a request without a prompt, at least and at
-#: most.
-_PLAIN_WORK_S = (0.01, 0.15)
-_DOWN_S = 3.0
 
 
 @dataclass
-class CrashingEngine:
-    """An engine that crashes when it begins to write on a certain part.
-
-    :ivar name: name under which it is listed.
-    :ivar lives: number of its starts.
-    :ivar running: whether it accepts connections.
-    """
-
-    name: str
-    lives: int = 1
-    running: bool = True
-
-
-@dataclass
-class EngineStream:
-    """A response of an engine, which breaks when the engine crashes."""
-
-    engine: CrashingEngine
-    life: int
-    events: int = _EVENTS
-    sent: int = 0
-    status: int = 200
-    headers: tuple = ()
-    length: int | None = None
-    sealed: bool = True
-    not_run: bool = False
-    statement: BackendStatement = BackendStatement()
-
-    def read(self) -> bytes | EndOfStream | MaybeRun:
-        """Read the next event."""
-        if self.sent == self.events:
-            return EndOfStream()
-        if self.events > 1:
-            eventlet.sleep(_GAP_S)
-        if self.engine.lives != self.life or not self.engine.running:
-            return MaybeRun('reset by the peer')
-        self.sent += 1
-        return f'id: {self.sent}\ndata: x\n\n'.encode()
-
-    def close(self) -> None:
-        """Close the connection."""
-
-
-@dataclass
-class CrashingEngines:
-    """Engines of one service.
-
-    :ivar deadly: parts that crash them.
-    :ivar deadly_bodies: bodies of the requests that crash them.
-    :ivar renames: whether an engine has another name after a crash.
-    :ivar engines: engines by name.
-    :ivar crashed_at: times of the crashes that requests caused.
-    :ivar arrivals: times at which requests that crash engines arrived.
-    """
-
-    hub: VirtualHub
-    deadly: set[int] = field(default_factory=lambda: {DEADLY_PART})
-    deadly_bodies: set[bytes] = field(default_factory=set)
-    renames: bool = True
-    engines: dict[str, CrashingEngine] = field(default_factory=dict)
-    crashed_at: list[float] = field(default_factory=list)
-    arrivals: list[float] = field(default_factory=list)
-    _source: random.Random = field(default_factory=lambda: random.Random(0))
-
-    def open(self, attempt: ForwardAttempt) -> EngineStream | NotRun | MaybeRun:
-        """Run a request."""
-        engine = self.engines.get(attempt.instance.name)
-        if engine is None or not engine.running:
-            return NotRun('refused')
-        is_deadly = self._is_deadly(attempt.request)
-        if is_deadly:
-            self.arrivals.append(self.hub.now)
-        life = engine.lives
-        if not attempt.request.prompt.parts:
-            return self._run_plain(engine, is_deadly=is_deadly)
-        eventlet.sleep(_PREFILL_S)
-        if engine.lives != life or not engine.running:
-            return MaybeRun('reset by the peer')
-        if is_deadly:
-            eventlet.spawn_after(_CRASH_DELAY_S, self._crash, engine, life)
-        return EngineStream(engine, life)
+class CrashScene(EngineScene):
+    """Hosts before engines that requests with a certain part crash.
 
-    def test_connection(self, instance: Instance) -> NotRun | None:
-        """Open a connection to an engine."""
-        engine = self.engines.get(instance.name)
-        if engine is None or not engine.running:
-            return NotRun('refused', is_refused=True)
-        return None
-
-    def relay(self, attempt: RelayAttempt) -> NotRun:
-        """Relay no request."""
-        return NotRun('no other host')
-
-    def crash(self, engine: CrashingEngine) -> None:
-        """Let an engine crash and start again some seconds later."""
-        engine.running = False
-        eventlet.spawn_after(_DOWN_S, self._restart, engine)
-
-    def list_instances(self) -> dict[str, Instance]:
-        """List the engines as a service directory would."""
-        return {
-            name: Instance(
-                name,
-                SERVICE,
-                f'10.0.0.1:{number}',
-                born_ms=engine.lives * 1000,
-                slots=128,
-            )
-            for number, (name, engine) in enumerate(self.engines.items())
-        }
-
-    def count_late_arrivals(self, crashes: int = COUNTED_CRASHES) -> int:
-        """Count the arrivals that the rule limits.
-
-        :param crashes: number of crashes after which it does so.
-        """
-        if len(self.crashed_at) < crashes:
-            return 0
-        since = self.crashed_at[crashes - 1] + CONTACT_S
-        return sum(at > since for at in self.arrivals)
-
-    def _is_deadly(self, request: ForwardRequest) -> bool:
-        parts = request.prompt.parts[:-1]
-        return request.body in self.deadly_bodies or any(
-            part.identity in self.deadly for part in parts
-        )
-
-    def _run_plain(
-        self, engine: CrashingEngine, *, is_deadly: bool
-    ) -> EngineStream | MaybeRun:
-        """Run a request without a prompt, whose response comes at its end."""
-        life = engine.lives
-        if is_deadly:
-            eventlet.sleep(_PLAIN_CRASH_DELAY_S)
-            self._crash(engine, life)
-        else:
-            eventlet.sleep(self._source.uniform(*_PLAIN_WORK_S))
-        if engine.lives != life or not engine.running:
-            return MaybeRun('reset by the peer')
-        return EngineStream(engine, life, events=1)
-
-    def _crash(self, engine: CrashingEngine, life: int) -> None:
-        if engine.lives == life and engine.running:
-            self.crashed_at.append(self.hub.now)
-            self.crash(engine)
-
-    def _restart(self, engine: CrashingEngine) -> None:
-        engine.lives += 1
-        engine.running = True
-        if self.renames:
-            self.engines.pop(engine.name)
-            engine.name = f'{engine.name.partition("-")[0]}-{engine.lives}'
-            self.engines[engine.name] = engine
-
-
-@dataclass
-class CrashScene(HostGroup):
-    """Hosts before engines that some requests crash.
-
-    :ivar engines: the engines.
     :ivar begun: times and shared parts of the requests that began to be
         answered.
     :ivar refused: refusals with the time and the shared parts.
     :ivar sent: times and shared parts of all requests.
     """
 
-    engines: CrashingEngines = field(init=False)
     begun: list[tuple[float, tuple[int, ...]]] = field(default_factory=list)
     refused: list[tuple[float, tuple[int, ...], Refused]] = field(
         default_factory=list
@@ -275,13 +100,6 @@
             case ForwardReply():
                 self._read(reply, started_at, shared)
 
-    def update_lists(self) -> None:
-        """Let all hosts read the list of engines."""
-        instances = self.engines.list_instances()
-        for host in self.hosts.values():
-            if host.list_instances() != instances:
-                host.replace_instances(instances)
-
     def measure_begun(
         self, since: float, until: float, shared: tuple[int, ...] = ()
     ) -> float:
@@ -320,14 +138,7 @@
     """
     with use_virtual_time() as hub:
         scene = CrashScene(hub)
-        scene.engines = CrashingEngines(hub)
-        for number in range(engines):
-            engine = CrashingEngine(f'e{number}')
-            scene.engines.engines[engine.name] = engine
-        for index in range(hosts):
-            scene.add_host(f'h{index}', scene.engines, hosts)
-        scene.update_lists()
-        eventlet.sleep(1)
+        scene.start(CrashingEngines(hub), hosts, engines)
         yield scene
 
 
--- a/tests/repeats.py
+++ b/tests/repeats.py
@@ -18,8 +18,7 @@
 from egretdale.state.outcomes import Ran, Refused
 from egretdale.util.hashing import hash_fields
 from standins.virtual.hub import use_virtual_time
-from tests.crashes import CrashingEngine, CrashingEngines
-from tests.emulated import HostGroup
+from tests.crashing_engines import CrashingEngines, EngineScene
 
 #: Crashes after which a request has to be recognised.
 COUNTED_CRASHES = 3
@@ -69,15 +68,13 @@
 
 
 @dataclass
-class RepeatScene(HostGroup):
+class RepeatScene(EngineScene):
     """Hosts before engines that one repeated request crashes.
 
-    :ivar engines: the engines.
     :ivar has_prompts: whether requests have prompts.
     :ivar calls: all requests.
     """
 
-    engines: CrashingEngines = field(init=False)
     has_prompts: bool = False
     calls: list[Call] = field(default_factory=list)
 
@@ -97,13 +94,6 @@
             eventlet.spawn_n(self._call, call, source)
             eventlet.sleep(source.expovariate(total))
 
-    def update_lists(self) -> None:
-        """Let all hosts read the list of engines."""
-        instances = self.engines.list_instances()
-        for host in self.hosts.values():
-            if host.list_instances() != instances:
-                host.replace_instances(instances)
-
     def count_late_arrivals(self) -> int:
         """Count the arrivals of the deadly request that the rule limits."""
         return self.engines.count_late_arrivals(COUNTED_CRASHES)
@@ -212,14 +202,8 @@
     """
     with use_virtual_time() as hub:
         scene = RepeatScene(hub, has_prompts=has_prompts)
-        scene.engines = CrashingEngines(
+        crashing = CrashingEngines(
             hub, deadly=set(), deadly_bodies={DEADLY_BODY}
         )
-        for number in range(engines):
-            engine = CrashingEngine(f'e{number}')
-            scene.engines.engines[engine.name] = engine
-        for index in range(hosts):
-            scene.add_host(f'h{index}', scene.engines, hosts)
-        scene.update_lists()
-        eventlet.sleep(1)
+        scene.start(crashing, hosts, engines)
         yield scene
--- a/tests/test_coordination/test_quarantine.py
+++ b/tests/test_coordination/test_quarantine.py
@@ -10,12 +10,11 @@
 from tests.crashes import (
     ALLOWED_ARRIVALS,
     COMMON_PART,
-    CONTACT_S,
     COUNTED_CRASHES,
-    DEADLY_PART,
     CrashScene,
     open_crash_scene,
 )
+from tests.crashing_engines import CONTACT_S, DEADLY_PART
 from tests.functions import create_loader
 
 load_tests = create_loader(__name__)
@@ -30,7 +29,7 @@
 
 
 def _check_arrivals(scene: CrashScene) -> None:
-    late = scene.engines.count_late_arrivals()
+    late = scene.engines.count_late_arrivals(COUNTED_CRASHES)
     assert late <= ALLOWED_ARRIVALS, (late, len(scene.engines.crashed_at))
 
 
--- a/tests/test_coordination/test_repeated_requests.py
+++ b/tests/test_coordination/test_repeated_requests.py
@@ -5,7 +5,8 @@
 import eventlet
 
 from egretdale.state.outcomes import Ran
-from tests.crashes import ALLOWED_ARRIVALS, CONTACT_S
+from tests.crashes import ALLOWED_ARRIVALS
+from tests.crashing_engines import CONTACT_S
 from tests.functions import create_loader
 from tests.repeats import (
     COUNTED_CRASHES,
--- a/tests/test_platform/test_backend_demands.py
+++ b/tests/test_platform/test_backend_demands.py
@@ -3,34 +3,25 @@
 from __future__ import annotations
 
 import random
-import tempfile
 from collections.abc import Iterator
-from contextlib import ExitStack, contextmanager
+from contextlib import contextmanager
 from dataclasses import dataclass
-from pathlib import Path
 
 import eventlet
 import urllib3
 
 from egretdale.util.clocks import read_hub_clock
 from soak.clients import Client
-from soak.daemons import (
-    HOST_NAME,
-    Daemon,
-    choose_place,
-    create_daemon,
-    put_configuration,
-    put_server,
-)
+from soak.daemons import HOST_NAME, Daemon, put_configuration, put_server
 from soak.servers import EVENTS, SealedServer
 from soak.world import serve_program
 from standins.objects import ObjectStoreProgram
+from tests.daemons import open_daemons
 from tests.functions import create_loader
 from tests.limits import ALLOWANCE, CONTACT_S, TOLERANCE, WINDOW_S
 
 load_tests = create_loader(__name__)
 
-_DAEMONS = 3
 _CLIENTS = 24
 _LIMIT_PER_S = 2.0
 #: Events that a caller has received when its daemon is killed.
@@ -62,22 +53,7 @@
     for number, version in enumerate(versions):
         address = serve_program(servers[number])
         put_server(store, f'i-{number}', address, version)
-    store_address = serve_program(store)
-    places = [choose_place(f'front-{index}') for index in range(_DAEMONS)]
-    seeds = tuple(place.addresses['control'] for place in places)
-    with ExitStack() as stack:
-        folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
-        daemons = [
-            create_daemon(place, folder, store_address, seeds=seeds)
-            for place in places
-        ]
-        for daemon in daemons:
-            daemon.start()
-            stack.callback(daemon.kill)
-        for daemon in daemons:
-            daemon.wait_until_ready()
-        # The daemons learn of each other and of the servers.
-        eventlet.sleep(_SETTLE_S)
+    with open_daemons(store) as daemons:
         yield _System(daemons, servers, store)
 
 
--- a/tests/test_platform/test_crashing_servers.py
+++ b/tests/test_platform/test_crashing_servers.py
@@ -5,11 +5,9 @@
 import random
 import socket
 import struct
-import tempfile
 from collections.abc import Iterator
-from contextlib import ExitStack, contextmanager
+from contextlib import contextmanager
 from dataclasses import dataclass, field
-from pathlib import Path
 
 import eventlet
 import urllib3
@@ -17,31 +15,23 @@
 
 from egretdale.util.clocks import read_hub_clock
 from soak.clients import Client
-from soak.daemons import (
-    HOST_NAME,
-    Daemon,
-    choose_place,
-    create_daemon,
-    put_configuration,
-    put_server,
-)
+from soak.daemons import HOST_NAME, Daemon, put_configuration, put_server
 from soak.servers import create_body, create_event, EVENTS
 from standins.objects import ObjectStoreProgram
-from soak.world import serve_program
-from tests.crashes import ALLOWED_ARRIVALS, CONTACT_S
+from tests.crashes import ALLOWED_ARRIVALS
+from tests.crashing_engines import CONTACT_S
+from tests.daemons import open_daemons
 from tests.functions import create_loader
 from tests.repeats import COUNTED_CRASHES, DEADLY_BODY
 
 load_tests = create_loader(__name__)
 
-_DAEMONS = 3
 _SERVERS = 3
 _CLIENTS = 12
 _DOWN_S = 1.5
 _CRASH_DELAY_S = 0.05
 _REPEAT_INTERVAL_S = 0.15
 _DAY_S = 14.0
-_SETTLE_S = 2.0
 #: Closes a socket with a reset.
 _RESET = struct.pack('ii', 1, 0)
 
@@ -139,22 +129,7 @@
     put_configuration(store, 1)
     for number in range(_SERVERS):
         put_server(store, f'i-{number}', _CrashingServer(log).address)
-    store_address = serve_program(store)
-    places = [choose_place(f'front-{index}') for index in range(_DAEMONS)]
-    seeds = tuple(place.addresses['control'] for place in places)
-    with ExitStack() as stack:
-        folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
-        daemons = [
-            create_daemon(place, folder, store_address, seeds=seeds)
-            for place in places
-        ]
-        for daemon in daemons:
-            daemon.start()
-            stack.callback(daemon.kill)
-        for daemon in daemons:
-            daemon.wait_until_ready()
-        # The daemons learn of each other and of the servers.
-        eventlet.sleep(_SETTLE_S)
+    with open_daemons(store) as daemons:
         yield daemons, log
 
 
--- a/tests/test_transport/test_forwarding.py
+++ b/tests/test_transport/test_forwarding.py
@@ -6,76 +6,27 @@
 import struct
 import subprocess
 import sys
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
 
 import eventlet
 
-from egretdale.coordination.exchanges import ForwardAttempt, RelayAttempt
+from egretdale.coordination.exchanges import RelayAttempt
 from egretdale.coordination.ports import EndOfStream, MaybeRun, NotRun
 from egretdale.protocol.forwarding import HeaderCodec, HeaderNames
 from egretdale.state.instances import Instance
 from egretdale.transport.forwarding import ForwardedResponse, HttpForwardClient
 from egretdale.util.clocks import read_boot_clock
 from tests.forwarding import create_request
+from tests.backend_sockets import (
+    HEAD,
+    open_response,
+    open_server,
+    read_all,
+    read_head,
+)
 from tests.functions import create_loader
 
 load_tests = create_loader(__name__)
 
-#: Serves one accepted connection.
-Script = Callable[[socket.socket], None]
-
-_HEAD = b'HTTP/1.1 200 OK\r\nEgret-Request-Id: request-1\r\nEgret-Seal: s\r\n'
-
-
-@contextmanager
-def _open_server(script: Script) -> Iterator[tuple[HttpForwardClient, str]]:
-    listener = eventlet.listen(('127.0.0.1', 0))
-
-    def accept() -> None:
-        while True:
-            connection, _ = listener.accept()
-            eventlet.spawn(script, connection)
-
-    server = eventlet.spawn(accept)
-    client = HttpForwardClient(HeaderCodec(HeaderNames()), read_boot_clock)
-    host, port = listener.getsockname()
-    yield client, f'{host}:{port}'
-    server.kill()
-    listener.close()
-
-
-def _open(
-    client: HttpForwardClient, address: str, body: bytes = b'', **changes: str
-) -> ForwardedResponse | NotRun | MaybeRun:
-    instance = Instance('b0', 'claims', address)
-    request = create_request('/a%2Fb?q', body=body, **changes)
-    attempt = ForwardAttempt(request, instance, '', 5.0, urgency=0)
-    with eventlet.Timeout(5):
-        return client.open(attempt)
-
-
-def _read_all(
-    response: ForwardedResponse,
-) -> tuple[bytes, EndOfStream | MaybeRun]:
-    body = b''
-    with eventlet.Timeout(5):
-        while True:
-            step = response.read()
-            if not isinstance(step, bytes):
-                return body, step
-            body += step
-
-
-def _read_head(connection: socket.socket) -> bytes:
-    received = b''
-    while b'\r\n\r\n' not in received:
-        chunk = connection.recv(65536)
-        if not chunk:
-            return received
-        received += chunk
-    return received
-
 
 def _reset(connection: socket.socket) -> None:
     linger = struct.pack('ii', 1, 0)
@@ -87,12 +38,12 @@
     """An orderly close of the connection completes the response."""
 
     def script(connection: socket.socket) -> None:
-        _read_head(connection)
-        connection.sendall(_HEAD + b'\r\nwhole')
+        read_head(connection)
+        connection.sendall(HEAD + b'\r\nwhole')
         connection.close()
 
-    with _open_server(script) as (client, address):
-        body, end = _read_all(_open(client, address))
+    with open_server(script) as (client, address):
+        body, end = read_all(open_response(client, address))
         assert body == b'whole'
         assert isinstance(end, EndOfStream)
 
@@ -101,13 +52,13 @@
     """A response interrupted by a reset is not reported as complete."""
 
     def script(connection: socket.socket) -> None:
-        _read_head(connection)
-        connection.sendall(_HEAD + b'\r\npart')
+        read_head(connection)
+        connection.sendall(HEAD + b'\r\npart')
         eventlet.sleep(0.1)
         _reset(connection)
 
-    with _open_server(script) as (client, address):
-        body, end = _read_all(_open(client, address))
+    with open_server(script) as (client, address):
+        body, end = read_all(open_response(client, address))
         assert body == b'part'
         assert isinstance(end, MaybeRun)
 
@@ -121,12 +72,12 @@
     ):
 
         def script(connection: socket.socket) -> None:
-            _read_head(connection)
-            connection.sendall(_HEAD + framing)  # noqa: B023
+            read_head(connection)
+            connection.sendall(HEAD + framing)  # noqa: B023
             connection.close()
 
-        with _open_server(script) as (client, address):
-            _, end = _read_all(_open(client, address))
+        with open_server(script) as (client, address):
+            _, end = read_all(open_response(client, address))
             assert isinstance(end, MaybeRun), framing
 
 
@@ -136,16 +87,16 @@
 
     def script(connection: socket.socket) -> None:
         accepted.append(connection)
-        while _read_head(connection):
-            response = _HEAD + b'Content-Length: 2\r\n\r\nok'
+        while read_head(connection):
+            response = HEAD + b'Content-Length: 2\r\n\r\nok'
             connection.sendall(response)
             if len(accepted) == 1:
                 eventlet.sleep(0.02)
                 connection.sendall(response)
 
-    with _open_server(script) as (client, address):
+    with open_server(script) as (client, address):
         for _ in range(3):
-            body, end = _read_all(_open(client, address))
+            body, end = read_all(open_response(client, address))
             assert body == b'ok'
             assert isinstance(end, EndOfStream)
             eventlet.sleep(0.05)
@@ -159,7 +110,7 @@
     def script(connection: socket.socket) -> None:
         accepted.append(connection)
         answered = []
-        while _read_head(connection):
+        while read_head(connection):
             number = len(accepted) + len(answered)
             answered.append(
                 b'HTTP/1.1 200 OK\r\nEgret-Request-Id: r%d\r\n'
@@ -168,11 +119,13 @@
             # The second copy of the first answer, then the answer.
             connection.sendall(b''.join(answered))
 
-    with _open_server(script) as (client, address):
-        body, _ = _read_all(_open(client, address, request_id='r1'))
+    with open_server(script) as (client, address):
+        body, _ = read_all(open_response(client, address, request_id='r1'))
         assert body == b'a1'
-        assert isinstance(_open(client, address, request_id='r2'), MaybeRun)
-        body, _ = _read_all(_open(client, address, request_id='r2'))
+        assert isinstance(
+            open_response(client, address, request_id='r2'), MaybeRun
+        )
+        body, _ = read_all(open_response(client, address, request_id='r2'))
         assert body == b'a2'
         assert len(accepted) == 2
 
@@ -181,46 +134,46 @@
     """A response with another request ID is reported as a failure."""
 
     def script(connection: socket.socket) -> None:
-        _read_head(connection)
+        read_head(connection)
         connection.sendall(
             b'HTTP/1.1 200 OK\r\nEgret-Request-Id: old\r\n'
             b'Content-Length: 0\r\n\r\n'
         )
 
-    with _open_server(script) as (client, address):
-        assert isinstance(_open(client, address), MaybeRun)
+    with open_server(script) as (client, address):
+        assert isinstance(open_response(client, address), MaybeRun)
 
 
 def test_invalid_response_leaves_the_outcome_unknown() -> None:
     """After an invalid response, the request may have run."""
 
     def script(connection: socket.socket) -> None:
-        _read_head(connection)
+        read_head(connection)
         connection.sendall(b'\x00\x01nonsense\r\n\r\n')
         connection.close()
 
-    with _open_server(script) as (client, address):
-        assert isinstance(_open(client, address), MaybeRun)
+    with open_server(script) as (client, address):
+        assert isinstance(open_response(client, address), MaybeRun)
 
 
 def test_refused_connection_ran_nothing() -> None:
     """If the connection is refused, nothing was sent."""
-    with _open_server(_reset) as (client, _):
-        assert isinstance(_open(client, '127.0.0.1:1'), NotRun)
+    with open_server(_reset) as (client, _):
+        assert isinstance(open_response(client, '127.0.0.1:1'), NotRun)
 
 
 def test_a_crashed_server_is_told_from_a_reachable_one() -> None:
     """Its host refuses connections; an open one is kept for a request."""
 
     def script(connection: socket.socket) -> None:
-        while _read_head(connection):
-            connection.sendall(_HEAD + b'Content-Length: 2\r\n\r\nok')
+        while read_head(connection):
+            connection.sendall(HEAD + b'Content-Length: 2\r\n\r\nok')
 
-    with _open_server(script) as opened:
+    with open_server(script) as opened:
         client, address = opened
         instance = Instance('b0', 'claims', address)
         assert client.test_connection(instance) is None
-        body, _ = _read_all(_open(client, address))
+        body, _ = read_all(open_response(client, address))
         assert body == b'ok'
         assert client.pool.opened == 1
     assert client.test_connection(instance).is_refused
@@ -230,22 +183,22 @@
     """Its response is read like that of a backend server."""
     heads: list[bytes] = []
     answers = [
-        _HEAD + b'Content-Length: 2\r\n\r\nok',
+        HEAD + b'Content-Length: 2\r\n\r\nok',
         b'HTTP/1.1 421 Misdirected Request\r\nEgret-Request-Id: request-1\r\n'
         b'Content-Length: 0\r\n\r\n',
     ]
 
     def script(connection: socket.socket) -> None:
-        heads.append(_read_head(connection))
+        heads.append(read_head(connection))
         connection.sendall(answers.pop(0))
         connection.close()
 
-    with _open_server(script) as (client, address):
+    with open_server(script) as (client, address):
         request = create_request('/a%2Fb?q', key='secret')
         attempt = RelayAttempt(request, 'h1', address, 2.0, 1, False)
         response = client.relay(attempt)
         assert response.sealed
-        assert _read_all(response)[0] == b'ok'
+        assert read_all(response)[0] == b'ok'
         assert b'POST /a%2Fb?q HTTP/1.1' in heads[0]
         assert b'Egret-Relayed: 1' in heads[0]
         assert b'Authorization: Bearer secret' in heads[0]
@@ -257,11 +210,11 @@
     """A partition may refuse new connections while old ones live on."""
 
     def script(connection: socket.socket) -> None:
-        while _read_head(connection):
-            connection.sendall(_HEAD + b'Content-Length: 2\r\n\r\nok')
+        while read_head(connection):
+            connection.sendall(HEAD + b'Content-Length: 2\r\n\r\nok')
 
-    with _open_server(script) as (client, address):
-        _read_all(_open(client, address))
+    with open_server(script) as (client, address):
+        read_all(open_response(client, address))
         listener = eventlet.listen(('127.0.0.1', 0))
         refusing = f'127.0.0.1:{listener.getsockname()[1]}'
         listener.close()
@@ -276,11 +229,11 @@
     heads = []
 
     def script(connection: socket.socket) -> None:
-        heads.append(_read_head(connection))
-        connection.sendall(_HEAD + b'Content-Length: 0\r\n\r\n')
+        heads.append(read_head(connection))
+        connection.sendall(HEAD + b'Content-Length: 0\r\n\r\n')
 
-    with _open_server(script) as (client, address):
-        _read_all(_open(client, address, body=b'abc'))
+    with open_server(script) as (client, address):
+        read_all(open_response(client, address, body=b'abc'))
     head = heads[0].lower()
     assert heads[0].startswith(b'POST /a%2Fb?q HTTP/1.1\r\n')
     assert b'host: claims.example\r\n' in head
@@ -293,13 +246,13 @@
     """The header of the limit is parsed and still forwarded to the caller."""
 
     def respond(connection: socket.socket) -> None:
-        _read_head(connection)
+        read_head(connection)
         connection.sendall(
-            _HEAD + b'Egret-Request-Limit: 1.9\r\nContent-Length: 0\r\n\r\n'
+            HEAD + b'Egret-Request-Limit: 1.9\r\nContent-Length: 0\r\n\r\n'
         )
 
-    with _open_server(respond) as (client, address):
-        response = _open(client, address)
+    with open_server(respond) as (client, address):
+        response = open_response(client, address)
         assert response.statement.limit_per_s == 1.9
         assert ('Egret-Request-Limit', '1.9') in response.headers
         response.close()
@@ -321,7 +274,7 @@
 except OSError:
     pass
 """
-_CHUNKED = _HEAD.decode() + 'Transfer-Encoding: chunked\r\n\r\n'
+_CHUNKED = HEAD.decode() + 'Transfer-Encoding: chunked\r\n\r\n'
 
 
 def _measure_longest_stall(start: str, repeated: str) -> float:
@@ -344,9 +297,9 @@
         client = HttpForwardClient(HeaderCodec(HeaderNames()), read_boot_clock)
         ticker = eventlet.spawn(tick)
         with eventlet.Timeout(0.5, False):
-            response = _open(client, f'127.0.0.1:{port}')
+            response = open_response(client, f'127.0.0.1:{port}')
             if isinstance(response, ForwardedResponse):
-                _read_all(response)
+                read_all(response)
         eventlet.sleep(0.05)
         ticker.kill()
         sender.kill()
@@ -361,8 +314,8 @@
     for start, repeated in (
         ('', 'x'),
         ('', 'HTTP/1.1 100 Continue\r\n\r\n'),
-        (_HEAD.decode(), 'X-A: b\r\n'),
-        (f'{_HEAD.decode()}\r\n', 'x'),
+        (HEAD.decode(), 'X-A: b\r\n'),
+        (f'{HEAD.decode()}\r\n', 'x'),
         (_CHUNKED, '0'),
         (f'{_CHUNKED}0\r\n', 'X-A: b\r\n'),
     ):
