Give the daemons of a test different ports

The addresses of a daemon were chosen one after the other, each port released before the next was asked for, so the system gave the same port twice to 22 of 20,000 daemons (measured). A daemon with the same address for two purposes ends with 70, two tasks accept on one listener: tried for all six pairs, five end so, and a test run starts dozens of daemons.

The ports are now held until the last one is chosen. The same for the stand-in fleet and the test of the project's own daemon, whose ports on 127.0.0.1 could also be taken by an outgoing connection before the daemon had started.

--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import itertools
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 from dataclasses import dataclass, field
@@ -15,6 +13,7 @@
 import eventlet
 import urllib3
 
+from standins.addresses import choose_addresses, choose_ip
 from standins.objects import ObjectStoreProgram
 
 HOST_NAME = 'claims.example'
@@ -23,14 +22,11 @@
 _START_TIMEOUT_S = 60
 _POLL_INTERVAL_S = 0.05
 _PORTS = ('front', 'ready', 'control', 'directory')
-#: Number of addresses reserved for the daemons of each test process.
-_DAEMONS_PER_PROCESS = 64
-#: Number of values used in each octet of a loopback address.
-_OCTET_VALUES = 250
 _KB_PER_MB = 1024
 _CONNECTIONS = 256
+#: Lines of output in the report of an unexpected exit.
+_REPORTED_LINES = 10
 _OK = 200
-_daemon_numbers = itertools.count()
 
 
 @dataclass(slots=True, frozen=True)
@@ -68,9 +64,14 @@
         )
     )
 
+    @property
+    def log(self) -> Path:
+        """The file with the output of the process."""
+        return self.settings.with_suffix('.log')
+
     def start(self) -> None:
         """Start the process."""
-        log = self.settings.with_suffix('.log').open('ab')
+        log = self.log.open('ab')
         self.process = subprocess.Popen(
             (sys.executable, *self.program),
             cwd=_ROOT,
@@ -123,9 +124,8 @@
         """Wait until the daemon is ready."""
         with eventlet.Timeout(_START_TIMEOUT_S):
             while not self.is_ready():
-                assert self.is_running(), (
-                    'the daemon exited before it was ready'
-                )
+                if not self.is_running():
+                    raise AssertionError(self._describe_exit())
                 eventlet.sleep(_POLL_INTERVAL_S)
 
     def count_descriptors(self) -> int:
@@ -140,6 +140,13 @@
         )
         return int(peak.split()[1]) / _KB_PER_MB
 
+    def _describe_exit(self) -> str:
+        lines = self.log.read_text().splitlines()[-_REPORTED_LINES:]
+        status = self.process.returncode if self.process else None
+        return '\n'.join(
+            (f'the daemon exited with {status} before it was ready', *lines)
+        )
+
 
 def choose_place(name: str) -> DaemonPlace:
     """Choose addresses that no other daemon uses.
@@ -150,15 +157,9 @@
     :param name: name of the host.
     :return: the name and the addresses.
     """
-    number = (
-        os.getpid() * _DAEMONS_PER_PROCESS
-        + next(_daemon_numbers) % _DAEMONS_PER_PROCESS
-    )
-    first, rest = divmod(number, _OCTET_VALUES**2)
-    second, third = divmod(rest, _OCTET_VALUES)
-    ip = f'127.{1 + first % _OCTET_VALUES}.{second}.{third}'
-    addresses = {purpose: _choose_address(ip) for purpose in _PORTS}
-    return DaemonPlace(name, ip, addresses)
+    ip = choose_ip()
+    addresses = choose_addresses(ip, len(_PORTS))
+    return DaemonPlace(name, ip, dict(zip(_PORTS, addresses, strict=True)))
 
 
 def create_daemon(
@@ -265,8 +266,3 @@
         route['resumable'] = True
         route['gap_aim_ms'] = 800
     return route
-
-
-def _choose_address(ip: str) -> str:
-    with socket.create_server((ip, 0)) as listener:
-        return f'{ip}:{listener.getsockname()[1]}'
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -16,21 +16,13 @@
 
 import urllib3
 
+from standins.addresses import choose_addresses, choose_ip
+
 _READY_TIMEOUT_S = 20.0
 _POLL_S = 0.05
 _ROOT = Path(__file__).resolve().parent.parent
 
 
-def find_free_address() -> str:
-    """Find a loopback port that is currently free.
-
-    :return: ``address:port``.
-    """
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{probe.getsockname()[1]}'
-
-
 @dataclass(slots=True)
 class RunningProcess:
     """A process that the fleet started.
@@ -296,12 +288,12 @@
 
     def _create_host_command(self, name: str) -> tuple[list[str], str]:
         index = int(name.rpartition('-')[2])
-        address = find_free_address()
+        address, peer_address = choose_addresses(choose_ip(), 2)
         fields: dict[str, Any] = {
             'host': name,
             'data_centre': f'dc-{index % self.plan.data_centres}',
             'caller_address': address,
-            'peer_address': find_free_address(),
+            'peer_address': peer_address,
             'platform_url': f'http://{self.platform.address}',
             **self.plan.settings,
         }
@@ -327,7 +319,7 @@
     def _start_stand_in(
         self, module: str, name: str = '', options: tuple[str, ...] = ()
     ) -> RunningProcess:
-        address = find_free_address()
+        address = choose_addresses(choose_ip(), 1)[0]
         command = [
             sys.executable,
             '-m',
--- a/tests/test_transport/test_daemon.py
+++ b/tests/test_transport/test_daemon.py
@@ -12,6 +12,7 @@
 
 from egretdale.config import Settings
 from egretdale.transport.daemon import Daemon
+from standins.addresses import choose_addresses, choose_ip
 from standins.engine import EngineProgram
 from standins.models.engine import EngineProfile
 from standins.plain import PlainProgram
@@ -55,8 +56,9 @@
         ):
             stored = {'source': source, 'nonce': '', 'author': '', 'at_s': 0}
             self.platform.store.put('documents', service, json.dumps(stored))
-        self.address = _find_free_address()
-        self.peer_address = _find_free_address()
+        address, peer_address = choose_addresses(choose_ip(), 2)
+        self.address = address
+        self.peer_address = peer_address
         settings = Settings(
             host='host-0',
             data_centre='dc-0',
@@ -90,12 +92,6 @@
         self.platform.store.put('backend-servers', name, json.dumps(listed))
 
 
-def _find_free_address() -> str:
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{probe.getsockname()[1]}'
-
-
 @contextmanager
 def _open_system() -> Iterator[_System]:
     system = _System()
