Tell a host the crashes that it has not reported

A host that had reported the third crash of a fingerprint was taken to know the others too, which are kept for hosts that start later. One that had started since and was told by nobody else lacked them, and so would not have quarantined the request.

--- a/egretdale/coordination/crash_reports.py
+++ b/egretdale/coordination/crash_reports.py
@@ -97,15 +97,16 @@
         is_trial = isinstance(record, TrialRecord)
         self._schedule_flush(0 if is_trial else _FLUSH_S)
 
-    def keep(self, record: Record, expires_at: float, source: str) -> None:
+    def keep(self, record: Record, expires_at: float, known_to: str) -> None:
         """Tell hosts that start later about a record.
 
         :param record: the record.
         :param expires_at: clock time until which they are told.
-        :param source: the host that has reported it.
+        :param known_to: a host that need not be told, empty for none.
         """
         report = self._add(record, expires_at)
-        report.told[source] = self._find_incarnation(source)
+        if known_to:
+            report.told[known_to] = self._find_incarnation(known_to)
 
     def fill(self, host: str, batch: Batch) -> None:
         """Add the records that a peer may not know to a batch.
--- a/egretdale/coordination/quarantine.py
+++ b/egretdale/coordination/quarantine.py
@@ -188,7 +188,8 @@
                 continue
             expires_at = self.history.find_expiry(fingerprint)
             for crash in crashes:
-                self._reports.keep(crash, expires_at, source)
+                known_to = source if crash.is_same_crash(record) else ''
+                self._reports.keep(crash, expires_at, known_to)
 
     def _begin_trial(
         self, admitted: AdmittedRequest, quarantine: Quarantine
--- a/tests/test_coordination/test_crash_reports.py
+++ b/tests/test_coordination/test_crash_reports.py
@@ -9,9 +9,10 @@
 import eventlet
 
 from egretdale.coordination.crash_reports import CrashReports
+from egretdale.coordination.quarantine import RequestQuarantine
 from egretdale.state.crash_records import CrashRecord, RunRecord, TrialRecord
 from egretdale.state.members import MemberStatus, MemberTable
-from egretdale.state.messages import Batch, MemberUpdate
+from egretdale.state.messages import BackendCrash, Batch, MemberUpdate
 from standins.virtual.hub import VirtualHub, use_virtual_time
 from tests.functions import create_loader
 
@@ -118,3 +119,16 @@
             for crash in batch.crashes
         ]
         assert 'e0' in names
+
+
+def test_a_host_that_has_reported_one_crash_is_told_the_others() -> None:
+    """It has started after them and was told by no other host."""
+    with _open_mesh(3) as mesh:
+        quarantine = RequestQuarantine(mesh, mesh.hub.read_now)
+        for number, sender in enumerate(('h1', 'h1', 'h2')):
+            batch = Batch(sender, 1)
+            batch.crashes.append(BackendCrash(f'e{number}', 0, 0, [7]))
+            quarantine.receive(batch)
+        answer = Batch('h0', 1)
+        quarantine.fill('h2', answer)
+        assert {crash.name for crash in answer.crashes} == {'e0', 'e1'}
