Leave no reader of a closed socket in the proxy of the soak

The soak's own process raised "Second simultaneous read" twice as it started a daemon, which then ran on without its handle. On a reset the proxy closed both sockets while the task of the other direction still read one; the hub kept that reader, and the pipe of the new process got its number. Each connection now has an object that knows both tasks and ends the other one before the close.

The object also lets a proxy reset all its connections and refuse further ones, for the crashes of servers that the soak is to play next.

--- a/soak/proxies.py
+++ b/soak/proxies.py
@@ -45,16 +45,19 @@
     :ivar errors: errors that ended the most recent connections.
     """
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, target: str, ip: str = '127.0.0.1') -> None:
         """Start to listen on a free port.
 
         :param target: ``address:port`` to forward connections to.
+        :param ip: address to listen on; one that nothing else uses lets the
+            port be opened again after :meth:`crash`.
         """
         self.harm = Harm.NONE
         self.errors: deque[str] = deque(maxlen=_MAXIMUM_ERRORS)
         self._target = target
-        self._listener = listen('127.0.0.1:0')
-        self.address = f'127.0.0.1:{self._listener.getsockname()[1]}'
+        self._connections: set[_ProxiedConnection] = set()
+        self._listener = listen(f'{ip}:0')
+        self.address = f'{ip}:{self._listener.getsockname()[1]}'
         self._task = eventlet.spawn(self._accept)
 
     def close(self) -> None:
@@ -62,6 +65,39 @@
         self._task.kill()
         self._listener.close()
 
+    def crash(self) -> None:
+        """Reset all connections and refuse further ones."""
+        self.close()
+        for connection in list(self._connections):
+            connection.reset()
+
+    def restart(self) -> None:
+        """Accept connections again after :meth:`crash`."""
+        self._listener = listen(self.address)
+        self._task = eventlet.spawn(self._accept)
+
+    def apply_harm(self, cut: Harm) -> bool:
+        """Delay or hold back received data as the injected fault demands.
+
+        :param cut: fault that holds back data in this direction.
+        :return: whether the data may be forwarded; if not, the connection is
+            reset.
+        """
+        if self.harm == Harm.DELAY:
+            eventlet.sleep(_DELAY_S)
+        while self.harm in {Harm.SILENCE, cut}:
+            eventlet.sleep(_POLL_INTERVAL_S)
+        if self.harm == Harm.LOSE_ANSWER:
+            return cut == Harm.CUT_TO
+        return self.harm != Harm.RESET
+
+    def forget(self, connection: _ProxiedConnection) -> None:
+        """Forget a connection that has ended.
+
+        :param connection: the connection.
+        """
+        self._connections.discard(connection)
+
     def _accept(self) -> None:
         while True:
             connection, _ = self._listener.accept()
@@ -75,41 +111,67 @@
             _reset(connection)
             return
         upstream.settimeout(None)
-        eventlet.spawn_n(self._forward, connection, upstream, Harm.CUT_TO)
-        self._forward(upstream, connection, Harm.CUT_FROM)
+        self._connections.add(_ProxiedConnection(self, connection, upstream))
+
+
+class _ProxiedConnection:
+    """A connection through a proxy, with a task for each direction."""
+
+    __slots__ = ('_proxy', '_sockets', '_tasks')
+
+    def __init__(
+        self,
+        proxy: FaultProxy,
+        connection: socket.socket,
+        upstream: socket.socket,
+    ) -> None:
+        self._proxy = proxy
+        self._sockets = (connection, upstream)
+        self._tasks = {
+            eventlet.spawn(self._forward, connection, upstream, Harm.CUT_TO),
+            eventlet.spawn(self._forward, upstream, connection, Harm.CUT_FROM),
+        }
+
+    def reset(self) -> None:
+        """Reset both sides of the connection."""
+        # The hub would keep a task that reads from a closed socket, and
+        # confuse its number with that of the next socket.
+        for task in self._tasks - {eventlet.getcurrent()}:
+            task.kill()
+        self._proxy.forget(self)
+        for connection in self._sockets:
+            _reset(connection)
 
     def _forward(
         self, source: socket.socket, sink: socket.socket, cut: Harm
     ) -> None:
-        try:
-            while True:
-                chunk = source.recv(_CHUNK_BYTES)
-                if not self._apply_harm(cut):
-                    break
-                if not chunk:
-                    sink.shutdown(sockets.SHUT_WR)
-                    return
-                sink.sendall(chunk)
-        except (OSError, EOFError) as error:
-            # The other direction may already have closed the connection.
-            self.errors.append(repr(error))
-        _reset(source)
-        _reset(sink)
+        if not self._copy(source, sink, cut):
+            self.reset()
+            return
+        self._tasks.discard(eventlet.getcurrent())
+        if not self._tasks:
+            self._proxy.forget(self)
+            for connection in self._sockets:
+                connection.close()
 
-    def _apply_harm(self, cut: Harm) -> bool:
-        """Delay or hold back received data as the injected fault demands.
+    def _copy(
+        self, source: socket.socket, sink: socket.socket, cut: Harm
+    ) -> bool:
+        """Forward one direction.
 
-        :param cut: fault that holds back data in this direction.
-        :return: whether the data may be forwarded; if not, the connection is
-            reset.
+        :return: whether it ended in order.
         """
-        if self.harm == Harm.DELAY:
-            eventlet.sleep(_DELAY_S)
-        while self.harm in {Harm.SILENCE, cut}:
-            eventlet.sleep(_POLL_INTERVAL_S)
-        if self.harm == Harm.LOSE_ANSWER:
-            return cut == Harm.CUT_TO
-        return self.harm != Harm.RESET
+        try:
+            while chunk := source.recv(_CHUNK_BYTES):
+                if not self._proxy.apply_harm(cut):
+                    return False
+                sink.sendall(chunk)
+            if self._proxy.apply_harm(cut):
+                sink.shutdown(sockets.SHUT_WR)
+                return True
+        except (OSError, EOFError) as error:
+            self._proxy.errors.append(repr(error))
+        return False
 
 
 def _reset(connection: socket.socket) -> None:
