Play requests that crash servers in the soak

Each run now has one incident or more: a client repeats a request at random daemons for 8 to 14 s, each server that runs it resets its connections, refuses further ones and is back 1.5 s later as a new start. New promise `budget`, checked from what the servers saw. Responses that a crashed server cut off don't count as lost by a planned stop.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,6 +7,7 @@
 import sys
 import tempfile
 import time
+from collections.abc import Callable
 from pathlib import Path
 from types import MappingProxyType
 
@@ -16,6 +17,7 @@
 from egretdale.util.clocks import read_hub_clock
 from soak.checks import Record, Violation, find_violations
 from soak.faults import Fault, draw_timeline
+from soak.incidents import Incident, draw_incidents
 from soak.reports import Outcome, describe, write_reports
 from soak.servers import count_runs
 from soak.world import LARGE, SMALL, SoakWorld
@@ -45,13 +47,14 @@
     :return: the observations, and the result.
     """
     faults = draw_timeline(seed, length_s, _SIZES[size].daemons)
+    incidents = draw_incidents(seed, length_s)
     world = SoakWorld(_SIZES[size], folder, seed)
     if broken:
         world.use_broken_daemons(broken)
     try:
         world.start()
         began_at = read_hub_clock()
-        _inject_faults(world, faults)
+        _inject_faults(world, faults, incidents)
         recovered_s = _wait_until_served(world)
         steady_at = read_hub_clock()
         eventlet.sleep(_STEADY_PHASE_S)
@@ -62,6 +65,7 @@
     record = Record(
         began_at,
         faults,
+        incidents,
         world.list_attempts(),
         count_runs(world.servers),
         world.evidence,
@@ -73,25 +77,25 @@
     return record, Outcome(seed, size, recovered_s, violations)
 
 
-def _inject_faults(world: SoakWorld, faults: list[Fault]) -> None:
-    began_at = read_hub_clock()
-    pool = eventlet.GreenPool(len(faults) + 1)
+def _inject_faults(
+    world: SoakWorld, faults: list[Fault], incidents: list[Incident]
+) -> None:
+    pool = eventlet.GreenPool(len(faults) + len(incidents) + 1)
     for fault in faults:
-        pool.spawn(
-            _inject_later,
-            world,
-            fault,
-            began_at + fault.at_s - read_hub_clock(),
-        )
+        pool.spawn(_run_later, fault.at_s, world.inject, fault)
+    for incident in incidents:
+        pool.spawn(_run_later, incident.at_s, world.play, incident)
     while pool.running():
         world.handle_unexpected_exits()
         eventlet.sleep(_POLL_INTERVAL_S)
     world.handle_unexpected_exits()
 
 
-def _inject_later(world: SoakWorld, fault: Fault, delay_s: float) -> None:
-    eventlet.sleep(max(0, delay_s))
-    world.inject(fault)
+def _run_later(
+    delay_s: float, run: Callable[..., None], disturbance: Fault | Incident
+) -> None:
+    eventlet.sleep(delay_s)
+    run(disturbance)
 
 
 def _wait_until_served(world: SoakWorld) -> float:
--- a/soak/broken_daemon.py
+++ b/soak/broken_daemon.py
@@ -14,6 +14,7 @@
 from egretdale.coordination.ports import EndOfStream, MaybeRun
 from egretdale.coordination.response_relay import ResponseRelay
 from egretdale.protocol import problems
+from egretdale.state.crashes import CrashHistory
 from egretdale.state.outcomes import Ran, Reason, Refused
 from egretdale.state.routing import Route
 from egretdale.transport.forwarding import ForwardedResponse
@@ -114,6 +115,11 @@
     Admission.decide = refuse
 
 
+def forget_crashes() -> None:
+    """Quarantine no request that crashes backend servers."""
+    CrashHistory.find_quarantine = lambda history, fingerprints: None
+
+
 #: Functions that install a bug, by the violation that the soak test reports.
 BUGS = MappingProxyType(
     {
@@ -125,6 +131,7 @@
         'revoked': ignore_new_configurations,
         'own-end': crash_after_requests,
         'recovery': refuse_after_requests,
+        'budget': forget_crashes,
     }
 )
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -6,8 +6,9 @@
 from dataclasses import dataclass
 
 from soak.clients import Attempt
+from soak.evidence import Evidence, Stop
 from soak.faults import Fault, FaultKind
-from soak.world import Evidence, Stop
+from soak.incidents import CrashLog, Incident
 
 #: Statuses that guarantee that a request did not run and will not.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -20,6 +21,13 @@
 _MINIMUM_SERVED_SHARE = 0.25
 #: Seconds after a fault in which it still excuses violations at a shutdown.
 _AFTERMATH_S = 3.0
+#: Crashes by a request after which it must be recognised, seconds until then,
+#: and how often it may reach servers later.
+_COUNTED_CRASHES = 3
+_RECOGNITION_S = 3.0
+_ALLOWED_ARRIVALS = 3
+#: Seconds in which a daemon that was started anew gets in touch.
+_START_S = 3.0
 #: Faults that excuse nothing during a graceful shutdown.
 _NOT_EXCUSING = frozenset(
     (
@@ -51,6 +59,7 @@
 
     :ivar began_at: start time.
     :ivar faults: the injected faults.
+    :ivar incidents: the incidents.
     :ivar attempts: requests of all clients.
     :ivar runs: number of runs at backend servers, by request ID.
     :ivar evidence: observations of the daemons and the keys.
@@ -59,6 +68,7 @@
 
     began_at: float
     faults: list[Fault]
+    incidents: list[Incident]
     attempts: list[Attempt]
     runs: Counter[str]
     evidence: Evidence
@@ -85,6 +95,8 @@
         violations.extend(_check_attempt(record, attempt))
     for stop in record.evidence.stops:
         violations.extend(_check_stop(record, stop))
+    for incident in record.incidents:
+        violations.extend(_check_incident(record, incident))
     violations.extend(_check_recovery(record))
     return violations
 
@@ -145,7 +157,8 @@
             stop.began_at <= attempt.ended_at <= stop.ended_at
         )
         ran = record.runs[attempt.identity]
-        if at_stop and ran and not attempt.complete:
+        crashed = _has_met_crash(record, attempt)
+        if at_stop and ran and not attempt.complete and not crashed:
             violations.append(
                 Violation(
                     'lost', f'{attempt.identity} was aborted during the {name}'
@@ -154,6 +167,52 @@
     return violations
 
 
+def _has_met_crash(record: Record, attempt: Attempt) -> bool:
+    """Tell whether a server crashed while a request was in progress."""
+    return any(
+        attempt.sent_at < at < attempt.ended_at
+        for log in record.evidence.crashes.values()
+        for at in log.crashed_at
+    )
+
+
+def _check_incident(record: Record, incident: Incident) -> list[Violation]:
+    log = record.evidence.crashes.get(incident.path)
+    if log is None or len(log.crashed_at) < _COUNTED_CRASHES:
+        return []
+    bound = log.crashed_at[_COUNTED_CRASHES - 1] + _RECOGNITION_S
+    hosts = {attempt.identity: attempt.host for attempt in record.attempts}
+    late = sum(
+        at > bound and _is_in_touch(record, hosts[identity], at)
+        for identity, at in log.arrivals.items()
+    )
+    if late <= _ALLOWED_ARRIVALS or _have_all_forgotten(record, log):
+        return []
+    detail = f'{incident.path} reached servers {late} times more'
+    return [Violation('budget', detail)]
+
+
+def _is_in_touch(record: Record, host: int, at: float) -> bool:
+    return not any(
+        absence.daemon == host
+        and absence.began_at < at
+        and at < absence.ended_at + _START_S + _RECOGNITION_S
+        for absence in record.evidence.absences
+    )
+
+
+def _have_all_forgotten(record: Record, log: CrashLog) -> bool:
+    """Tell whether each daemon was lost after the first crash."""
+    lost = {
+        absence.daemon
+        for absence in record.evidence.absences
+        if absence.is_lost
+        and absence.ended_at > log.crashed_at[0]
+        and absence.began_at < max(log.arrivals.values())
+    }
+    return lost == {attempt.host for attempt in record.attempts}
+
+
 def _check_recovery(record: Record) -> list[Violation]:
     steady = [
         attempt.is_served()
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -32,6 +32,7 @@
     :ivar host: index of the daemon that it was sent to.
     :ivar sent_at: time at which it was sent, on the clock of this process.
     :ivar ended_at: time at which its response ended or failed.
+    :ivar path: last part of its path.
     :ivar status: HTTP status of the response, 0 if there was none.
     :ivar sealed: whether a backend server signed the response.
     :ivar complete: whether the response was complete according to its framing.
@@ -46,6 +47,7 @@
     host: int
     sent_at: float
     ended_at: float = 0
+    path: str = 'x'
     status: int = 0
     sealed: bool = False
     complete: bool = False
@@ -125,11 +127,26 @@
         :param keep: whether to keep the connection open.
         :return: the request and its response.
         """
-        kind = self._random.choice(KINDS)
+        attempt = self._create_attempt(self._random.choice(KINDS), host)
+        return self._send(attempt, keep=keep)
+
+    def repeat(self, path: str) -> None:
+        """Send a request to a random daemon that differs in its ID only.
+
+        :param path: last part of its path.
+        """
+        host = self._random.randrange(len(self._addresses))
+        attempt = self._create_attempt('idempotent', host)
+        attempt.path = path
+        self._send(attempt, keep=True)
+
+    def _create_attempt(self, kind: str, host: int) -> Attempt:
         identity = f'{self._name}-{len(self.attempts)}'
-        now = read_hub_clock()
-        attempt = Attempt(identity, kind, self.key, host, now)
+        attempt = Attempt(identity, kind, self.key, host, read_hub_clock())
         self.attempts.append(attempt)
+        return attempt
+
+    def _send(self, attempt: Attempt, *, keep: bool) -> Attempt:
         try:
             self._exchange(attempt, keep=keep)
         except HTTPError:
@@ -150,7 +167,7 @@
         address = self._addresses[attempt.host]
         response = self._pool.request(
             'POST',
-            f'http://{address}{get_path_prefix(attempt.kind)}x',
+            f'http://{address}{get_path_prefix(attempt.kind)}{attempt.path}',
             body=b'{}',
             headers=headers,
             preload_content=False,
--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -27,6 +27,8 @@
 #: Lines of output in the report of an unexpected exit.
 _REPORTED_LINES = 10
 _OK = 200
+#: Time of the first start of all backend servers.
+_BORN_MS = 1700000000000
 
 
 @dataclass(slots=True, frozen=True)
@@ -219,7 +221,11 @@
 
 
 def put_server(
-    store: ObjectStoreProgram, name: str, address: str, version: str = 'v1'
+    store: ObjectStoreProgram,
+    name: str,
+    address: str,
+    version: str = 'v1',
+    starts: int = 0,
 ) -> None:
     """Register a backend server.
 
@@ -227,6 +233,7 @@
     :param name: name of the backend server.
     :param address: its ``address:port``.
     :param version: version of its software.
+    :param starts: number of times that it was started anew.
     """
     entry = {
         'backend': 's1',
@@ -235,7 +242,7 @@
         'version': version,
         'state': 'ready',
         'slots': 64,
-        'born': 1700000000000,
+        'born': _BORN_MS + starts,
         'sequence': 1,
     }
     store.put('servers', name, entry)
--- a/soak/reports.py
+++ b/soak/reports.py
@@ -38,12 +38,13 @@
     :param outcome: the result.
     :return: the lines.
     """
-    lines = [fault.describe() for fault in record.faults]
+    lines = [entry.describe() for entry in (*record.faults, *record.incidents)]
     served = sum(attempt.is_served() for attempt in record.attempts)
     lines.append(
         f'seed {outcome.seed} {outcome.size}: {len(record.faults)} faults,'
         f' {served} of {len(record.attempts)} requests served,'
         f' {len(record.evidence.stops)} graceful shutdowns,'
+        f' {_count_crashes(record)} crashes of servers,'
         f' served again after {outcome.recovered_s:.1f} s'
     )
     lines.extend(
@@ -53,6 +54,10 @@
     return lines
 
 
+def _count_crashes(record: Record) -> int:
+    return sum(len(log.crashed_at) for log in record.evidence.crashes.values())
+
+
 def write_reports(record: Record, outcome: Outcome, folder: Path) -> None:
     """Write the reports of a soak test.
 
@@ -65,6 +70,7 @@
     fields = {
         'outcome': asdict(outcome),
         'timeline': [asdict(fault) for fault in record.faults],
+        'incidents': [asdict(incident) for incident in record.incidents],
         'attainment': measure_attainment(record),
     }
     text = '\n'.join(describe(record, outcome))
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import eventlet
 
@@ -16,6 +16,8 @@
 _EVENT_INTERVAL_S = 0.03
 #: Number of repetitions of the text that makes up a body.
 _REPETITIONS = 20
+#: Prefix of the last part of paths whose requests crash servers.
+DEADLY_PREFIX = 'deadly-'
 
 _OK = '200 OK'
 
@@ -27,6 +29,8 @@
     :ivar organisations: organisations of the requests, by request ID.
     :ivar service_time_s: seconds that a request takes, except for streams.
     :ivar request_limit: limit that it states in its responses, empty for none.
+    :ivar run_deadly: runs a request that crashes the server, given the last
+        part of its path and its ID.
     :ivar arrived_at: times of arrival of the requests, in order.
     """
 
@@ -36,6 +40,7 @@
         self.service_time_s = 0.1
         self.request_limit = ''
         self.arrived_at: list[float] = []
+        self.run_deadly: Callable[[str, str], None] | None = None
 
     def __call__(
         self, environ: Environ, start_response: StartResponse
@@ -51,6 +56,11 @@
         ]
         if self.request_limit:
             headers.append(('Server-Limit', self.request_limit))
+        path = environ['PATH_INFO'].rpartition('/')[2]
+        if self.run_deadly is not None and path.startswith(DEADLY_PREFIX):
+            self.run_deadly(path, identity)
+            start_response(_OK, [('Content-Length', '0')])
+            return []
         if environ['PATH_INFO'].startswith('/stream/'):
             start_response(
                 _OK, [*headers, ('Content-Type', 'text/event-stream')]
--- a/soak/world.py
+++ b/soak/world.py
@@ -4,7 +4,7 @@
 
 import random
 import signal
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 
 import eventlet
@@ -18,9 +18,12 @@
     put_configuration,
     put_server,
 )
+from soak.evidence import Absence, Evidence, Stop
 from soak.faults import Fault, FaultKind
+from soak.incidents import CrashingServers, Incident, repeat_request
 from soak.proxies import FaultProxy, Harm
 from soak.servers import SealedServer
+from standins.addresses import choose_ip
 from standins.objects import ObjectStoreProgram
 from standins.web import listen, serve
 
@@ -51,39 +54,6 @@
 LARGE = Size(_LARGE_DAEMONS, _LARGE_SERVERS, _LARGE_CLIENTS)
 
 
-@dataclass(slots=True)
-class Stop:
-    """A graceful shutdown of a daemon.
-
-    Times are on the clock of this process.
-
-    :ivar daemon: index of the daemon.
-    :ivar began_at: time of the signal.
-    :ivar ended_at: time at which the process had ended.
-    :ivar status: exit status.
-    """
-
-    daemon: int
-    began_at: float
-    ended_at: float
-    status: int
-
-
-@dataclass(slots=True)
-class Evidence:
-    """Observations other than the requests of clients.
-
-    :ivar stops: graceful shutdowns.
-    :ivar revoked_at: times of revocation, by API key.
-    :ivar unexpected_exits: descriptions of exits of daemons that were neither
-        stopped nor killed.
-    """
-
-    stops: list[Stop] = field(default_factory=list)
-    revoked_at: dict[str, float] = field(default_factory=dict)
-    unexpected_exits: list[str] = field(default_factory=list)
-
-
 class SoakWorld:
     """Daemons, backend servers, a metadata store and clients.
 
@@ -112,8 +82,14 @@
         self._key = 'key-0'
         self._expected_exits: set[int] = set()
         self._server_links = [
-            FaultProxy(serve_program(server)) for server in self.servers
+            FaultProxy(serve_program(server), choose_ip())
+            for server in self.servers
         ]
+        self._starts = [0 for _ in self.servers]
+        crashing = CrashingServers(
+            self.servers, self._server_links, self._note_restart
+        )
+        self.evidence.crashes = crashing.logs
         for number in range(size.servers):
             self._list_server(number)
         put_configuration(self.store, self._version, (self._key,))
@@ -126,7 +102,11 @@
             FaultProxy(daemon.place.addresses['front'])
             for daemon in self.daemons
         ]
-        self.clients = self._create_clients(size.clients, seed)
+        self._seed = seed
+        self.clients = [
+            self._create_client(f'c{index}') for index in range(size.clients)
+        ]
+        self._repeating: list[Client] = []
 
     def start(self) -> None:
         """Start the daemons, and the clients once all daemons are ready."""
@@ -160,9 +140,21 @@
     def list_attempts(self) -> list[Attempt]:
         """Return the requests of all clients."""
         return [
-            attempt for client in self.clients for attempt in client.attempts
+            attempt
+            for client in (*self.clients, *self._repeating)
+            for attempt in client.attempts
         ]
 
+    def play(self, incident: Incident) -> None:
+        """Play an incident until it is over.
+
+        :param incident: the incident.
+        """
+        client = self._create_client(f'd{incident.number}')
+        client.key = self._key
+        self._repeating.append(client)
+        repeat_request(client, incident)
+
     def inject(self, fault: Fault) -> None:
         """Inject a fault and wait until it is over.
 
@@ -174,14 +166,9 @@
             case FaultKind.STOP:
                 self._stop(number)
             case FaultKind.KILL:
-                self._expected_exits.add(number)
-                self.daemons[number].kill()
-                eventlet.sleep(fault.for_s)
-                self._restart(number)
+                self._kill(number, fault.for_s)
             case FaultKind.PAUSE:
-                self.daemons[number].signal(signal.SIGSTOP)
-                eventlet.sleep(fault.for_s)
-                self.daemons[number].signal(signal.SIGCONT)
+                self._pause(number, fault.for_s)
             case FaultKind.RELOAD:
                 self.daemons[number].signal(signal.SIGHUP)
             case FaultKind.CALLER_LINK:
@@ -229,6 +216,29 @@
         stop = Stop(number, began_at, read_hub_clock(), status)
         self.evidence.stops.append(stop)
         self._restart(number)
+        self._note_absence(number, began_at, is_lost=True)
+
+    def _kill(self, number: int, for_s: float) -> None:
+        began_at = read_hub_clock()
+        self._expected_exits.add(number)
+        self.daemons[number].kill()
+        eventlet.sleep(for_s)
+        self._restart(number)
+        self._note_absence(number, began_at, is_lost=True)
+
+    def _pause(self, number: int, for_s: float) -> None:
+        began_at = read_hub_clock()
+        self.daemons[number].signal(signal.SIGSTOP)
+        eventlet.sleep(for_s)
+        self.daemons[number].signal(signal.SIGCONT)
+        self._note_absence(number, began_at, is_lost=False)
+
+    def _note_absence(
+        self, number: int, began_at: float, *, is_lost: bool
+    ) -> None:
+        self.evidence.absences.append(
+            Absence(number, began_at, read_hub_clock(), is_lost)
+        )
 
     def _restart(self, number: int) -> None:
         daemon = self.daemons[number]
@@ -248,13 +258,24 @@
         eventlet.spawn_after(_REVOKED_KEY_USE_S, self._distribute_key)
 
     def _distribute_key(self) -> None:
-        for client in self.clients:
+        for client in (*self.clients, *self._repeating):
             client.key = self._key
 
     def _list_server(self, number: int) -> None:
         if f'i-{number}' not in self.store.list_names('servers'):
             address = self._server_links[number].address
-            put_server(self.store, f'i-{number}', address)
+            put_server(
+                self.store,
+                f'i-{number}',
+                address,
+                starts=self._starts[number],
+            )
+
+    def _note_restart(self, number: int) -> None:
+        self._starts[number] += 1
+        if f'i-{number}' in self.store.list_names('servers'):
+            self._unlist_server(number)
+            self._list_server(number)
 
     def _unlist_server(self, number: int) -> None:
         if f'i-{number}' in self.store.list_names('servers'):
@@ -271,12 +292,10 @@
             for place, link in zip(places, self._store_links, strict=True)
         ]
 
-    def _create_clients(self, count: int, seed: int) -> list[Client]:
+    def _create_client(self, name: str) -> Client:
         addresses = [link.address for link in self._caller_links]
-        return [
-            Client(f'c{number}', addresses, random.Random(f'{seed}.{number}'))
-            for number in range(count)
-        ]
+        source = random.Random(f'{self._seed}.{name.removeprefix("c")}')
+        return Client(name, addresses, source)
 
 
 def serve_program(program: object) -> str:
--- a/tests/test_soak/test_checks.py
+++ b/tests/test_soak/test_checks.py
@@ -6,10 +6,11 @@
 
 from soak.checks import Record, find_violations
 from soak.clients import Attempt
+from soak.evidence import Absence, Evidence, Stop
 from soak.faults import Fault, FaultKind, draw_timeline
+from soak.incidents import CrashLog, Incident, draw_incidents
 from soak.proxies import Harm
 from soak.reports import Outcome, describe, measure_attainment
-from soak.world import Evidence, Stop
 from tests.functions import create_loader
 
 load_tests = create_loader(__name__)
@@ -39,6 +40,7 @@
     record = Record(
         100,
         list(faults),
+        [],
         [attempt],
         Counter({_IDENTITY: runs}),
         Evidence(**observed),
@@ -123,6 +125,43 @@
     assert _find(cut, stops=stops, faults=(reload,)) == ['stop', 'lost']
 
 
+def test_an_abort_by_a_crashed_server_is_excused() -> None:
+    """The shutdown did not cause it."""
+    cut = _create_attempt(complete=False, body=b'')
+    stops = [Stop(0, 110.5, 112, 0)]
+    assert _find(cut, stops=stops) == ['lost']
+    crashes = {'deadly-1': CrashLog(crashed_at=[110.9])}
+    assert not _find(cut, stops=stops, crashes=crashes)
+
+
+def _find_late_arrivals(*absences: Absence) -> list[str]:
+    attempts = [
+        Attempt(f'd{number}', 'idempotent', '', number % 2, number, number)
+        for number in range(101, 121)
+    ]
+    arrivals = {entry.identity: entry.sent_at for entry in attempts}
+    log = CrashLog(arrivals, [101, 102, 103])
+    incident = Incident(1, 1, 20)
+    evidence = Evidence(absences=list(absences), crashes={incident.path: log})
+    runs = Counter(arrivals.keys())
+    record = Record(100, [], [incident], attempts, runs, evidence, 200)
+    return [violation.promise for violation in find_violations(record)]
+
+
+def test_a_request_that_goes_on_crashing_servers_is_found() -> None:
+    """Daemons that were just started or paused are excused.
+
+    So are all, if none is left that has known it.
+    """
+    assert _find_late_arrivals() == ['budget']
+    assert _find_late_arrivals(Absence(0, 104, 118, False)) == ['budget']
+    paused = [Absence(host, 104, 118, False) for host in (0, 1)]
+    assert not _find_late_arrivals(*paused)
+    assert _find_late_arrivals(Absence(0, 104, 105, True)) == ['budget']
+    lost = [Absence(host, 104, 105, True) for host in (0, 1)]
+    assert not _find_late_arrivals(*lost)
+
+
 def test_a_system_that_does_not_recover_is_found() -> None:
     """At least a quarter of the requests must be served after the faults."""
     refused = _create_attempt(status=503, body=b'', sealed=False)
@@ -143,8 +182,15 @@
 def test_reports_tell_what_was_broken() -> None:
     """The text names the violated guarantee and the request."""
     runs = Counter({_IDENTITY: 2})
-    record = Record(100, [], [_create_attempt()], runs, Evidence(), 200)
+    record = Record(100, [], [], [_create_attempt()], runs, Evidence(), 200)
     violations = find_violations(record)
     lines = describe(record, Outcome(4, 'small', 0.5, violations))
     assert lines[-1] == f'BROKEN twice: {_IDENTITY} ran 2 times'
     assert measure_attainment(record)[10] == 1
+
+
+def test_a_seed_draws_its_incidents() -> None:
+    """Each soak test has one, a long one several."""
+    assert len(draw_incidents(4, 1)) == 1
+    assert draw_incidents(4, 120) == draw_incidents(4, 120)
+    assert len(draw_incidents(4, 120)) > 2
