Try requests whose crashes may have another cause one at a time

Cause: a request is not quarantined if each of its crashes can be explained by a fingerprint with more crashes that it does not have. Of two requests that were in progress at the same crashes the one with fewer was then let through without limit until it had caught up, although each attempt took 0.7 s to crash an engine. The same rule blamed the parts of prompts that two such requests have in common: they had more crashes than each request, so sound prompts with them were refused for 20 and 200 s.

Now such a request is tried at once, but one at a time on all hosts, as after a quarantine; one that is served clears its fingerprints. Parts are treated so if each crash is that of a request with three or more. Only a request that belongs to the judged fingerprint and has as many crashes explains them entirely, as before.

--- a/egretdale/coordination/quarantine.py
+++ b/egretdale/coordination/quarantine.py
@@ -11,7 +11,8 @@
 from egretdale.coordination.crash_reports import CrashReports
 from egretdale.coordination.mesh import Mesh, MeshListener
 from egretdale.state.crash_records import CrashRecord, RunRecord, TrialRecord
-from egretdale.state.crashes import BLAMED_CRASHES, CrashHistory, Quarantine
+from egretdale.state.crashes import CrashHistory, Quarantine
+from egretdale.state.fingerprint_history import BLAMED_CRASHES
 from egretdale.state.messages import Batch
 from egretdale.state.outcomes import Ran, Reason, Refused
 from egretdale.util.clocks import Clock, convert_to_ms, convert_to_seconds
--- a/egretdale/state/crashes.py
+++ b/egretdale/state/crashes.py
@@ -9,32 +9,26 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from egretdale.state.crash_records import CrashRecord, RunRecord, TrialRecord
+from egretdale.state.fingerprint_history import (
+    BLAMED_CRASHES,
+    FingerprintHistory,
+    choose_duration,
+)
 from egretdale.util.clocks import Clock
 
-#: Crashes after which a fingerprint is quarantined.
-BLAMED_CRASHES = 3
-#: Seconds after the first of them until other requests with the fingerprint
+#: Seconds after the first crash of a fingerprint until other requests with it
 #: have had time to show that it does no harm. Several servers may be lost at
 #: once.
 _FIRST_HEARING_S = 2.5
 #: The same after the last of them.
 _LAST_HEARING_S = 0.5
-#: Seconds within which crashes may have one cause, such as the loss of a rack.
-_SERIES_S = 1.0
-#: Seconds for which a fingerprint is quarantined after one series of crashes,
-#: and the factor for each further series.
-_QUARANTINE_S = 2.0
-_QUARANTINE_FACTOR = 10
-#: Seconds for which a crash counts.
-_RETENTION_S = 600.0
 #: Seconds between two searches for crashes that no longer count.
 _EXPIRY_INTERVAL_S = 10.0
-#: Most fingerprints, and most crashes of a fingerprint, that are kept.
+#: Most fingerprints that are kept.
 _MAXIMUM_FINGERPRINTS = 512
-_MAXIMUM_CRASHES = 16
 
 
 @dataclass(slots=True, frozen=True)
@@ -43,7 +37,8 @@
 
     :ivar fingerprint: the fingerprint.
     :ivar crashes: number of crashes.
-    :ivar ends_at: clock time from which single requests are tried.
+    :ivar ends_at: clock time from which single requests are tried, minus
+        infinity if something else may have caused the crashes.
     """
 
     fingerprint: int
@@ -51,54 +46,6 @@
     ends_at: float
 
 
-@dataclass(slots=True)
-class FingerprintHistory:
-    """Crashes while requests with a fingerprint were in progress.
-
-    :ivar crashes: one such request for each of the latest crashes, since a
-        request with the fingerprint was last served.
-    :ivar tried_at: clock time at which a host last sent a request with the
-        fingerprint although it is quarantined.
-    :ivar tried_by: ID of that request, empty if another host sent it.
-    """
-
-    crashes: list[CrashRecord] = field(default_factory=list)
-    tried_at: float = -math.inf
-    tried_by: str = ''
-
-    def add(self, record: CrashRecord) -> bool:
-        """Add a request, unless one is known for that crash.
-
-        :param record: the request.
-        :return: whether the crash was not known and is one of the latest.
-        """
-        if self.find(record) is not None:
-            return False
-        self.crashes.append(record)
-        if len(self.crashes) <= _MAXIMUM_CRASHES:
-            return True
-        oldest = min(self.crashes, key=_get_time)
-        self.crashes.remove(oldest)
-        return oldest is not record
-
-    def find(self, crash: CrashRecord) -> CrashRecord | None:
-        """Find the request that was in progress at a crash.
-
-        :param crash: any request at the crash.
-        :return: a request with the fingerprint, ``None`` if there was none.
-        """
-        for entry in self.crashes:
-            if entry.is_same_crash(crash):
-                return entry
-        return None
-
-    @property
-    def expires_at(self) -> float:
-        """Clock time until which the crashes are kept."""
-        times = [crash.at for crash in self.crashes]
-        return max(times) + _RETENTION_S + choose_duration(times)
-
-
 class CrashHistory:
     """Crashes by the fingerprints of the requests that were in progress."""
 
@@ -241,61 +188,41 @@
         history = self._histories[fingerprint]
         if len(history.crashes) < BLAMED_CRASHES:
             return None
-        times = sorted(
-            crash.at
+        rivals = [
+            rival
+            for other, rival in self._histories.items()
+            if fingerprints and other not in fingerprints
+        ]
+        suspicious = [
+            crash
             for crash in history.crashes
-            if not self._is_explained(crash, fingerprint, fingerprints)
-        )
-        if len(times) < BLAMED_CRASHES:
+            if not history.has_narrower_cause(crash, fingerprint, rivals)
+        ]
+        times = sorted(crash.at for crash in suspicious)
+        if not self._is_heard(times):
             return None
-        heard_at = max(
-            times[0] + _FIRST_HEARING_S,
-            times[BLAMED_CRASHES - 1] + _LAST_HEARING_S,
-        )
-        if self._clock() < heard_at:
-            return None
-        ends_at = times[-1] + choose_duration(times)
+        unexplained = [
+            crash.at
+            for crash in suspicious
+            if not history.has_likelier_cause(crash, fingerprint, rivals)
+        ]
+        ends_at = -math.inf
+        if len(unexplained) >= BLAMED_CRASHES:
+            ends_at = max(unexplained) + choose_duration(unexplained)
         return Quarantine(fingerprint, len(times), ends_at)
 
-    def _is_explained(
-        self,
-        crash: CrashRecord,
-        fingerprint: int,
-        fingerprints: tuple[int, ...],
-    ) -> bool:
-        """Tell whether a request without a fingerprint caused a crash.
+    def _is_heard(self, times: list[float]) -> bool:
+        """Tell whether there are enough crashes and time has passed since.
 
-        A likelier cause is a fingerprint with more crashes, or one with as
-        many that only requests with the judged fingerprint have.
-
-        :param crash: a crash of the judged fingerprint.
-        :param fingerprint: the judged fingerprint.
-        :param fingerprints: fingerprints of the request, empty for any.
+        :param times: clock times of the crashes in order.
         """
-        if not fingerprints:
+        if len(times) < BLAMED_CRASHES:
             return False
-        judged = self._histories[fingerprint]
-        return any(
-            self._is_likelier(history, judged, fingerprint, crash)
-            for other, history in self._histories.items()
-            if other not in fingerprints
+        return self._clock() >= max(
+            times[0] + _FIRST_HEARING_S,
+            times[BLAMED_CRASHES - 1] + _LAST_HEARING_S,
         )
 
-    def _is_likelier(
-        self,
-        history: FingerprintHistory,
-        judged: FingerprintHistory,
-        fingerprint: int,
-        crash: CrashRecord,
-    ) -> bool:
-        surplus = len(history.crashes) - len(judged.crashes)
-        if surplus < 0:
-            return False
-        found = history.find(crash)
-        if found is None:
-            return False
-        return surplus > 0 or fingerprint in found.fingerprints
-
     def _expire(self) -> None:
         now = self._clock()
         if now < self._expired_at + _EXPIRY_INTERVAL_S:
@@ -312,25 +239,3 @@
 
     def _count_crashes(self, fingerprint: int) -> int:
         return len(self._histories[fingerprint].crashes)
-
-
-def _get_time(crash: CrashRecord) -> float:
-    return crash.at
-
-
-def choose_duration(times: list[float]) -> float:
-    """Choose how long a fingerprint is quarantined after its last crash.
-
-    Each series of crashes that is not over at once makes it more likely that
-    the fingerprint is their cause.
-
-    :param times: clock times of the crashes.
-    :return: seconds.
-    """
-    series = 0
-    began_at = -math.inf
-    for at in sorted(times):
-        if at >= began_at + _SERIES_S:
-            series += 1
-            began_at = at
-    return _QUARANTINE_S * _QUARANTINE_FACTOR ** (series - 1)
