--- a/egretdale/coordination/attempt_recorder.py
+++ b/egretdale/coordination/attempt_recorder.py
@@ -81,6 +81,7 @@
             revision=progress.admitted.revision,
             outcome=label,
             detail=detail,
+            states_leaving=_states_leaving(outcome),
             took_ms=convert_to_ms(took_s),
         )
 
@@ -99,3 +100,10 @@
         case MaybeRun(detail=detail):
             return 'may-have-run', detail
     return str(outcome.status), ''
+
+
+def _states_leaving(outcome: ForwardResponse | NotRun | MaybeRun) -> bool:
+    match outcome:
+        case NotRun() | MaybeRun():
+            return False
+    return outcome.statement.leaving is True
--- a/egretdale/protocol/forwarding.py
+++ b/egretdale/protocol/forwarding.py
@@ -65,6 +65,7 @@
         from all hosts together.
     :ivar rejection_limit: requests that the backend server can reject in a
         second without falling over.
+    :ivar leaving: present if the backend server accepts no new work.
     :ivar relayed: present if another host has relayed the request; number of
         backend servers that it has sent it to.
     :ivar reserved: other headers that callers must not set.
@@ -85,6 +86,7 @@
     urgency: str = 'Egret-Urgency'
     request_limit: str = 'Egret-Request-Limit'
     rejection_limit: str = 'Egret-Rejection-Limit'
+    leaving: str = 'Egret-Leaving'
     relayed: str = 'Egret-Relayed'
     reserved: tuple[str, ...] = ()
 
@@ -264,9 +266,11 @@
     def _parse_statement(self, present: Mapping[str, str]) -> BackendStatement:
         limit = self.names.request_limit
         brittle = self.names.rejection_limit
+        leaving = self.names.leaving
         return BackendStatement(
             _parse_rate(limit, present.get(limit.lower())),
             _parse_rate(brittle, present.get(brittle.lower())),
+            _parse_flag(leaving, present.get(leaving.lower())),
         )
 
     def _list_forwarded(self, headers: Iterable[Header]) -> list[Header]:
@@ -326,6 +330,15 @@
     return float(text)
 
 
+def _parse_flag(name: str, text: str | None) -> bool | Invalid:
+    match text if text is None else text.strip():
+        case None | '0':
+            return False
+        case '1':
+            return True
+    return Invalid(name, f'is neither 0 nor 1: {text[:_SHOWN_TEXT]!r}')
+
+
 def _parse_duration(text: str | None) -> float | None | Invalid:
     if text is None:
         return None
--- a/egretdale/state/backpressure.py
+++ b/egretdale/state/backpressure.py
@@ -16,10 +16,12 @@
         all hosts together; ``None`` if it states no limit.
     :ivar rejections_per_s: requests that it can reject in a second without
         falling over; ``None`` for any number.
+    :ivar leaving: whether it accepts no new work.
     """
 
     limit_per_s: float | Invalid | None = None
     rejections_per_s: float | Invalid | None = None
+    leaving: bool | Invalid = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/test_protocol/test_forwarding.py
+++ b/tests/test_protocol/test_forwarding.py
@@ -161,6 +161,20 @@
         assert isinstance(statement.rejections_per_s, Invalid), text
 
 
+def test_a_server_states_whether_it_leaves() -> None:
+    """Anything but the two figures is reported as invalid."""
+    for text, leaving in (('1', True), (' 1 ', True), ('0', False)):
+        headers = [('egret-leaving', text)]
+        metadata = _CODEC.parse_response('r1', 503, headers)
+        assert metadata.statement.leaving is leaving, text
+        assert metadata.headers == headers
+    for text in ('', 'yes', '-1', '1.0', '2', '1' * 400, '\u0661'):
+        headers = [('Egret-Leaving', text)]
+        statement = _CODEC.parse_response('r1', 200, headers).statement
+        assert isinstance(statement.leaving, Invalid), text
+    assert not _CODEC.parse_response('r1', 200, []).statement.leaving
+
+
 def test_resumed_streams_name_the_event_and_the_request() -> None:
     """Both headers are read, and forwarded as the caller sent them."""
     request = _read(('Last-Event-Id', '7'), ('egret-resumes', 'r0'))
