--- a/soak/servers.py
+++ b/soak/servers.py
@@ -29,6 +29,7 @@
     :ivar organisations: organisations of the requests, by request ID.
     :ivar service_time_s: seconds that a request takes, except for streams.
     :ivar request_limit: limit that it states in its responses, empty for none.
+    :ivar leaving: whether it says in its responses that it leaves.
     :ivar run_deadly: runs a request that crashes the server, given the last
         part of its path and its ID.
     :ivar arrived_at: times of arrival of the requests, in order.
@@ -39,6 +40,7 @@
         self.organisations: dict[str, str] = {}
         self.service_time_s = 0.1
         self.request_limit = ''
+        self.leaving = False
         self.arrived_at: list[float] = []
         self.run_deadly: Callable[[str, str], None] | None = None
 
@@ -56,6 +58,8 @@
         ]
         if self.request_limit:
             headers.append(('Server-Limit', self.request_limit))
+        if self.leaving:
+            headers.append(('Server-Leaving', '1'))
         path = environ['PATH_INFO'].rpartition('/')[2]
         if self.run_deadly is not None and path.startswith(DEADLY_PREFIX):
             self.run_deadly(path, identity)
--- a/standins/emulation/hosts.py
+++ b/standins/emulation/hosts.py
@@ -27,6 +27,7 @@
 from egretdale.coordination.reachability import ReachabilityMonitor
 from egretdale.coordination.selection import BackendSelection
 from egretdale.errors import Cause, Unreachable
+from egretdale.protocol.forwarding import HeaderCodec, HeaderNames
 from egretdale.state.backpressure import BackendStatement
 from egretdale.state.freshness import Confirmation
 from egretdale.state.gateway_metrics import GatewayMetrics
@@ -56,6 +57,7 @@
 _RETRY_ALLOWANCE = 40
 _RETRY_WINDOW_S = 10.0
 _MISDIRECTED = 421
+_codec = HeaderCodec(HeaderNames())
 _UNAVAILABLE = 503
 
 
@@ -283,7 +285,12 @@
             return HostResponse(None, _UNAVAILABLE, sealed=False)
         case Refused(detail=detail):
             return MaybeRun(detail)
-    return HostResponse(reply, reply.status)
+    metadata = _codec.parse_response(
+        request.request_id, reply.status, reply.headers
+    )
+    return HostResponse(
+        reply, reply.status, metadata.headers, statement=metadata.statement
+    )
 
 
 def create_hosts(
--- a/tests/daemons.py
+++ b/tests/daemons.py
@@ -5,11 +5,21 @@
 import tempfile
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass
 from pathlib import Path
 
 import eventlet
+import urllib3
 
-from soak.daemons import Daemon, choose_place, create_daemon
+from soak.daemons import (
+    HOST_NAME,
+    Daemon,
+    choose_place,
+    create_daemon,
+    put_configuration,
+    put_server,
+)
+from soak.servers import SealedServer
 from soak.world import serve_program
 from standins.objects import ObjectStoreProgram
 
@@ -41,3 +51,78 @@
         # The daemons learn of each other and of the servers.
         eventlet.sleep(_SETTLE_S)
         yield daemons
+
+
+@dataclass
+class System:
+    """Daemons before backend servers of given software versions.
+
+    :ivar daemons: the daemons.
+    :ivar servers: backend servers, listed as ``i-0``, ``i-1`` and so on.
+    :ivar store: the platform's store.
+    """
+
+    daemons: list[Daemon]
+    servers: list[SealedServer]
+    store: ObjectStoreProgram
+
+    def list_caller_addresses(self) -> list[str]:
+        """Return the addresses of the daemons for callers."""
+        return [daemon.place.addresses['front'] for daemon in self.daemons]
+
+
+@contextmanager
+def open_system(*versions: str) -> Iterator[System]:
+    """Run three daemons before backend servers.
+
+    :param versions: software version of each server.
+    """
+    store = ObjectStoreProgram()
+    put_configuration(store, 1)
+    servers = [SealedServer() for _ in versions]
+    for number, version in enumerate(versions):
+        address = serve_program(servers[number])
+        put_server(store, f'i-{number}', address, version)
+    with open_daemons(store) as daemons:
+        yield System(daemons, servers, store)
+
+
+def list_server(system: System, number: int, version: str) -> None:
+    """Start a backend server and list it.
+
+    :param system: the system.
+    :param number: number in its name.
+    :param version: its software version.
+    """
+    server = SealedServer()
+    system.servers.append(server)
+    put_server(system.store, f'i-{number}', serve_program(server), version)
+
+
+def read_stream(
+    address: str, identity: str, events: int, **headers: str
+) -> list[bytes]:
+    """Read a stream until a number of events and close the connection.
+
+    :param address: ``address:port`` of a daemon.
+    :param identity: ID of the request.
+    :param events: number of events to read.
+    :param headers: further headers.
+    :return: the events.
+    """
+    pool = urllib3.PoolManager(retries=False, timeout=5)
+    response = pool.request(
+        'POST',
+        f'http://{address}/stream/x',
+        body=b'{}',
+        headers={'Host': HOST_NAME, 'Attempt-Id': identity, **headers},
+        preload_content=False,
+    )
+    received = b''
+    while received.count(b'\n\n') < events:
+        chunk = response.read1(1024)
+        if not chunk:
+            break
+        received += chunk
+    response.close()
+    return received.split(b'\n\n')[:-1]
--- a/tests/emulated.py
+++ b/tests/emulated.py
@@ -66,8 +66,11 @@
         instances = known.list_instances()
         self.add_host(name, client, self._count)
         self.hosts[name].replace_instances(instances)
+        self.announce(name)
+
+    def announce(self, name: str) -> None:
+        """Let a host join; it sends a batch to each host that it knows."""
         self._tell(name, MemberStatus.ALIVE)
-        # A host that joins sends a batch to each host that it knows.
         for host in self.hosts:
             if host != name:
                 self.hosts[name].mesh.probe(host)
--- a/tests/test_platform/test_backend_demands.py
+++ b/tests/test_platform/test_backend_demands.py
@@ -3,20 +3,13 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterator
-from contextlib import contextmanager
-from dataclasses import dataclass
 
 import eventlet
-import urllib3
 
 from egretdale.util.clocks import read_hub_clock
 from soak.clients import Client
-from soak.daemons import HOST_NAME, Daemon, put_configuration, put_server
-from soak.servers import EVENTS, SealedServer
-from soak.world import serve_program
-from standins.objects import ObjectStoreProgram
-from tests.daemons import open_daemons
+from soak.servers import EVENTS
+from tests.daemons import open_system, read_stream
 from tests.functions import create_loader
 from tests.limits import ALLOWANCE, CONTACT_S, TOLERANCE, WINDOW_S
 
@@ -32,35 +25,10 @@
 _SETTLE_S = 2.0
 
 
-@dataclass
-class _System:
-    """Daemons before backend servers of given software versions."""
-
-    daemons: list[Daemon]
-    servers: list[SealedServer]
-    store: ObjectStoreProgram
-
-    def list_callers_addresses(self) -> list[str]:
-        """Return the addresses of the daemons for callers."""
-        return [daemon.place.addresses['front'] for daemon in self.daemons]
-
-
-@contextmanager
-def _open_system(*versions: str) -> Iterator[_System]:
-    store = ObjectStoreProgram()
-    put_configuration(store, 1)
-    servers = [SealedServer() for _ in versions]
-    for number, version in enumerate(versions):
-        address = serve_program(servers[number])
-        put_server(store, f'i-{number}', address, version)
-    with open_daemons(store) as daemons:
-        yield _System(daemons, servers, store)
-
-
 def test_daemons_keep_the_limit_of_a_backend_server() -> None:
     """All daemons together send it no more than it accepts."""
-    with _open_system('v1', 'v1', 'v1') as system:
-        addresses = system.list_callers_addresses()
+    with open_system('v1', 'v1', 'v1') as system:
+        addresses = system.list_caller_addresses()
         clients = [
             Client(f'c{number}', addresses, random.Random(number))
             for number in range(_CLIENTS)
@@ -88,35 +56,13 @@
         assert served > len(attempts) / 2
 
 
-def _stream(
-    address: str, identity: str, events: int, **headers: str
-) -> list[bytes]:
-    """Read a stream until a number of events and close the connection."""
-    pool = urllib3.PoolManager(retries=False, timeout=5)
-    response = pool.request(
-        'POST',
-        f'http://{address}/stream/x',
-        body=b'{}',
-        headers={'Host': HOST_NAME, 'Attempt-Id': identity, **headers},
-        preload_content=False,
-    )
-    received = b''
-    while received.count(b'\n\n') < events:
-        chunk = response.read1(1024)
-        if not chunk:
-            break
-        received += chunk
-    response.close()
-    return received.split(b'\n\n')[:-1]
-
-
 def test_callers_resume_streams_at_their_version_after_a_kill() -> None:
     """The daemon that began them and one engine of each version are lost."""
     versions = ('v1', 'v2', 'v1', 'v2')
-    with _open_system(*versions) as system:
-        addresses = system.list_callers_addresses()
+    with open_system(*versions) as system:
+        addresses = system.list_caller_addresses()
         for number in range(_STREAMS):
-            events = _stream(addresses[0], f'a-{number}', _RECEIVED)
+            events = read_stream(addresses[0], f'a-{number}', _RECEIVED)
             assert len(events) >= _RECEIVED
         eventlet.sleep(_SETTLE_S)
         system.daemons[0].kill()
@@ -126,7 +72,7 @@
         for number in range(_STREAMS):
             resumed = {'Resumes': f'a-{number}', 'Last-Event-Id': '3'}
             address = addresses[1 + number % 2]
-            events = _stream(address, f'b-{number}', EVENTS, **resumed)
+            events = read_stream(address, f'b-{number}', EVENTS, **resumed)
             assert len(events) == EVENTS - _RECEIVED, events
         ran = {
             identity: version
