Tell peers once of any kind of record, not only of crashes

A move: CrashReports becomes PeerReports, which is given how to write a record into a batch, so that what hosts tell each other of leaving servers can use the same.

--- a/egretdale/coordination/crash_reports.py
+++ b/egretdale/coordination/peer_reports.py
@@ -1,21 +1,20 @@
-"""Tells peers about crashes of backend servers and about requests since."""
+"""Tells each peer once what this host has seen."""
 
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
 from dataclasses import dataclass, field
 
 import eventlet
 from eventlet.greenthread import GreenThread
 
 from egretdale.coordination.mesh import Mesh
-from egretdale.state.crash_records import CrashRecord, RunRecord, TrialRecord
-from egretdale.state.messages import BackendCrash, Batch, FingerprintRun
-from egretdale.util.clocks import Clock, convert_to_ms
+from egretdale.state.messages import Batch
+from egretdale.util.clocks import Clock
 
 #: Delay in seconds within which reports are sent together.
-_FLUSH_S = 0.05
+FLUSH_S = 0.05
 #: Batches in a second that a host sends at most to tell all others.
 _BATCHES_PER_S = 200
 #: Seconds until hosts that were not reached are told again.
@@ -27,12 +26,12 @@
 #: Reports that are told at a time.
 _MAXIMUM_REPORTS = 256
 
-#: What peers are told.
-Record = CrashRecord | RunRecord | TrialRecord
+#: Adds a record to a batch, given the clock time.
+RecordWriter = Callable[[Batch, Hashable, float], None]
 
 
 @dataclass(slots=True)
-class CrashReport:
+class PeerReport:
     """A record that peers are told.
 
     :ivar record: the record.
@@ -42,7 +41,7 @@
     :ivar told: incarnations of the hosts that know it, by name.
     """
 
-    record: Record
+    record: Hashable
     expires_at: float
     urgent_until: float = 0
     told: dict[str, int] = field(default_factory=dict)
@@ -56,48 +55,45 @@
         return self.told.get(host) == incarnation
 
 
-class CrashReports:
+class PeerReports:
     """Records that peers are told, each one once."""
 
     __slots__ = (
         '_clock',
         '_flush_at',
-        '_is_suspected',
         '_mesh',
         '_next_flush_at',
         '_reports',
         '_timer',
+        '_write',
     )
 
-    def __init__(
-        self, mesh: Mesh, clock: Clock, is_suspected: Callable[[int], bool]
-    ) -> None:
+    def __init__(self, mesh: Mesh, clock: Clock, write: RecordWriter) -> None:
         """Create reports without records.
 
         :param mesh: links to peers.
         :param clock: monotonic clock.
-        :param is_suspected: tells whether a fingerprint still has crashes.
+        :param write: adds a record to a batch.
         """
         self._mesh = mesh
         self._clock = clock
-        self._is_suspected = is_suspected
-        self._reports: dict[Record, CrashReport] = {}
+        self._write = write
+        self._reports: dict[Hashable, PeerReport] = {}
         self._timer: GreenThread | None = None
         self._flush_at = math.inf
         self._next_flush_at = -math.inf
 
-    def announce(self, record: Record) -> None:
+    def announce(self, record: Hashable, delay_s: float = FLUSH_S) -> None:
         """Tell all peers about a record of this host at once.
 
         :param record: the record.
+        :param delay_s: delay in seconds within which records are sent together.
         """
         until = self._clock() + _ANNOUNCED_S
         self._add(record, until).urgent_until = until
-        # Other hosts may be about to send such a request too.
-        is_trial = isinstance(record, TrialRecord)
-        self._schedule_flush(0 if is_trial else _FLUSH_S)
+        self._schedule_flush(delay_s)
 
-    def keep(self, record: Record, expires_at: float, known_to: str) -> None:
+    def keep(self, record: Hashable, expires_at: float, known_to: str) -> None:
         """Tell hosts that start later about a record.
 
         :param record: the record.
@@ -127,7 +123,7 @@
         unknown.sort(key=_rank_report)
         for report in unknown[-_REPORTS_PER_BATCH:]:
             report.told[host] = incarnation
-            self._add_to_batch(batch, report.record, now)
+            self._write(batch, report.record, now)
 
     def note_failure(self, host: str) -> None:
         """Tell a host everything again that could not be reached.
@@ -137,14 +133,14 @@
         for report in self._reports.values():
             report.told.pop(host, None)
 
-    def _add(self, record: Record, expires_at: float) -> CrashReport:
+    def _add(self, record: Hashable, expires_at: float) -> PeerReport:
         now = self._clock()
         for known in list(self._reports.values()):
             if known.expires_at <= now:
                 self._reports.pop(known.record)
         report = self._reports.get(record)
         if report is None:
-            report = CrashReport(record, expires_at)
+            report = PeerReport(record, expires_at)
             self._reports[record] = report
         report.expires_at = max(report.expires_at, expires_at)
         if len(self._reports) > _MAXIMUM_REPORTS:
@@ -152,22 +148,6 @@
             self._reports.pop(first.record)
         return report
 
-    def _add_to_batch(self, batch: Batch, record: Record, now: float) -> None:
-        match record:
-            case CrashRecord(incarnation=(name, born_ms)):
-                suspected = list(
-                    filter(self._is_suspected, record.fingerprints)
-                )
-                age_ms = convert_to_ms(now - record.at)
-                if suspected:
-                    batch.crashes.append(
-                        BackendCrash(name, born_ms, age_ms, suspected)
-                    )
-            case RunRecord():
-                batch.runs.append(_create_run(record, now))
-            case TrialRecord():
-                batch.trials.append(_create_run(record, now))
-
     def _schedule_flush(self, delay_s: float) -> None:
         flush_at = max(self._clock() + delay_s, self._next_flush_at)
         if self._flush_at <= flush_at:
@@ -207,16 +187,11 @@
         return 0 if member is None else member.update.incarnation
 
 
-def _create_run(record: RunRecord | TrialRecord, now: float) -> FingerprintRun:
-    age_ms = convert_to_ms(now - record.began_at)
-    return FingerprintRun(record.fingerprint, age_ms)
-
-
-def _get_expiry(report: CrashReport) -> float:
+def _get_expiry(report: PeerReport) -> float:
     return report.expires_at
 
 
-def _rank_report(report: CrashReport) -> tuple[bool, float]:
+def _rank_report(report: PeerReport) -> tuple[bool, float]:
     """Rank reports for a batch, the most important one last.
 
     Those of quarantined fingerprints are kept the longest.
--- a/egretdale/coordination/quarantine.py
+++ b/egretdale/coordination/quarantine.py
@@ -8,12 +8,12 @@
 from __future__ import annotations
 
 from egretdale.coordination.admission import AdmittedRequest
-from egretdale.coordination.crash_reports import CrashReports
 from egretdale.coordination.mesh import Mesh, MeshListener
+from egretdale.coordination.peer_reports import PeerReports
 from egretdale.state.crash_records import CrashRecord, RunRecord, TrialRecord
 from egretdale.state.crashes import CrashHistory, Quarantine
 from egretdale.state.fingerprint_history import BLAMED_CRASHES
-from egretdale.state.messages import Batch
+from egretdale.state.messages import BackendCrash, Batch, FingerprintRun
 from egretdale.state.outcomes import Ran, Reason, Refused
 from egretdale.util.clocks import Clock, convert_to_ms, convert_to_seconds
 from egretdale.util.logs import get_logger
@@ -47,7 +47,7 @@
         :param clock: monotonic clock.
         """
         self.history = CrashHistory(clock)
-        self._reports = CrashReports(mesh, clock, self.history.is_suspected)
+        self._reports = PeerReports(mesh, clock, self._write)
         self._mesh = mesh
         self._clock = clock
 
@@ -145,6 +145,27 @@
         """
         self._reports.note_failure(host)
 
+    def _write(
+        self,
+        batch: Batch,
+        record: CrashRecord | RunRecord | TrialRecord,
+        now: float,
+    ) -> None:
+        match record:
+            case CrashRecord(incarnation=(name, born_ms)):
+                suspected = list(
+                    filter(self.history.is_suspected, record.fingerprints)
+                )
+                age_ms = convert_to_ms(now - record.at)
+                if suspected:
+                    batch.crashes.append(
+                        BackendCrash(name, born_ms, age_ms, suspected)
+                    )
+            case RunRecord():
+                batch.runs.append(_create_run(record, now))
+            case TrialRecord():
+                batch.trials.append(_create_run(record, now))
+
     def _note_crash(
         self, record: CrashRecord, source: str, request_id: str
     ) -> bool:
@@ -198,7 +219,8 @@
         request_id = admitted.request.request_id
         trial = TrialRecord(quarantine.fingerprint, self._clock())
         self.history.note_trial(trial, request_id)
-        self._reports.announce(trial)
+        # Other hosts may be about to send such a request too.
+        self._reports.announce(trial, delay_s=0)
         logger.info(
             'fingerprint-tried',
             request_id=request_id,
@@ -236,5 +258,10 @@
     )
 
 
+def _create_run(record: RunRecord | TrialRecord, now: float) -> FingerprintRun:
+    age_ms = convert_to_ms(now - record.began_at)
+    return FingerprintRun(record.fingerprint, age_ms)
+
+
 def _format_all(fingerprints: tuple[int, ...]) -> str:
     return ','.join(f'{fingerprint:x}' for fingerprint in fingerprints)
--- a/tests/test_coordination/test_crash_reports.py
+++ b/tests/test_coordination/test_peer_reports.py
@@ -1,4 +1,4 @@
-"""Tests of the reports about crashes that hosts send each other."""
+"""Tests of the reports that hosts send each other."""
 
 from __future__ import annotations
 
@@ -8,11 +8,16 @@
 
 import eventlet
 
-from egretdale.coordination.crash_reports import CrashReports
+from egretdale.coordination.peer_reports import PeerReports
 from egretdale.coordination.quarantine import RequestQuarantine
 from egretdale.state.crash_records import CrashRecord, RunRecord, TrialRecord
 from egretdale.state.members import MemberStatus, MemberTable
-from egretdale.state.messages import BackendCrash, Batch, MemberUpdate
+from egretdale.state.messages import (
+    BackendCrash,
+    Batch,
+    FingerprintRun,
+    MemberUpdate,
+)
 from standins.virtual.hub import VirtualHub, use_virtual_time
 from tests.functions import create_loader
 
@@ -32,7 +37,7 @@
 
     hub: VirtualHub
     table: MemberTable
-    reports: CrashReports = field(init=False)
+    reports: PeerReports = field(init=False)
     batches: dict[str, list[tuple[float, Batch]]] = field(default_factory=dict)
 
     def probe(self, host: str) -> None:
@@ -42,6 +47,19 @@
         self.batches.setdefault(host, []).append((self.hub.now, batch))
 
 
+def _write(
+    batch: Batch, record: CrashRecord | RunRecord | TrialRecord, now: float
+) -> None:
+    match record:
+        case CrashRecord(incarnation=(name, born_ms)):
+            crash = BackendCrash(name, born_ms, 0, list(record.fingerprints))
+            batch.crashes.append(crash)
+        case RunRecord(fingerprint=fingerprint):
+            batch.runs.append(FingerprintRun(fingerprint))
+        case TrialRecord(fingerprint=fingerprint):
+            batch.trials.append(FingerprintRun(fingerprint))
+
+
 @contextmanager
 def _open_mesh(hosts: int = _HOSTS) -> Iterator[_RecordingMesh]:
     with use_virtual_time() as hub:
@@ -53,7 +71,7 @@
                 MemberUpdate(name, 1, 0, alive, 'dc', name, name), hub.now
             )
         mesh = _RecordingMesh(hub, table)
-        mesh.reports = CrashReports(mesh, hub.read_now, lambda _: True)
+        mesh.reports = PeerReports(mesh, hub.read_now, _write)
         yield mesh
 
 
@@ -75,7 +93,7 @@
 def test_trials_are_told_at_once() -> None:
     """Other hosts may be about to send such a request too."""
     with _open_mesh() as mesh:
-        mesh.reports.announce(TrialRecord(7, mesh.hub.now))
+        mesh.reports.announce(TrialRecord(7, mesh.hub.now), delay_s=0)
         sent_at = mesh.hub.now
         eventlet.sleep(0.01)
         at, batch = mesh.batches['h194'][0]
