Send no work to backend servers that say that they leave

Class of fault: a promise that rests on one source of knowledge although the host has heard it from another.

A departure is now a fact of an incarnation that is never withdrawn, kept in one place (state/departures.py, beside the table that every choice asks): from responses of any status, from responses that another host relayed (which names the engine), from the list and from peers. Hosts tell the allocators of the service, which tell the others; asks name leaving engines as avoided. If no other server can do it, a leaving one still gets work for 1.5 s after it was heard of and 0.5 s after the list has said so, within drain_ms: refusing then would cost callers that can be served.

BackendUpdate has a new optional field, age_ms; daemons of before ignore the updates.

--- a/egretdale/coordination/attempt_sender.py
+++ b/egretdale/coordination/attempt_sender.py
@@ -25,13 +25,13 @@
 
     __slots__ = (
         '_admission',
-        '_backpressure',
         '_client',
         '_clock',
         '_links',
         '_loads',
         '_prefill_client',
         '_recorder',
+        '_selection',
     )
 
     def __init__(
@@ -51,7 +51,7 @@
         :param clock: monotonic clock.
         """
         self._admission = admission
-        self._backpressure = selection.backpressure
+        self._selection = selection
         self._links = selection.links
         self._loads = selection.loads
         self._prefill_client = selection.prefill_client
@@ -133,10 +133,8 @@
             if not isinstance(outcome, NotRun | MaybeRun):
                 opened = True
                 self.note_heard(incarnation)
-                self._backpressure.note_statement(
-                    choice.instance,
-                    outcome.statement,
-                    attempt.request.request_id,
+                self._selection.note_statement(
+                    choice.instance, outcome, attempt.request.request_id
                 )
                 if outcome.status < _REDIRECTION:
                     first_token_ms = convert_to_ms(self._clock() - sent_at)
--- a/egretdale/coordination/backend_choice.py
+++ b/egretdale/coordination/backend_choice.py
@@ -87,12 +87,7 @@
         :return: the choice, a refusal when all backend servers have reached
             their limits, or ``None`` when there is none.
         """
-        candidates = [
-            instance
-            for instance in self._instances.list_ready(service)
-            if instance.name not in avoided
-            and instance.runs_version(software_version)
-        ]
+        candidates = self._list_candidates(service, avoided, software_version)
         healthy = [
             instance
             for instance in candidates
@@ -144,6 +139,30 @@
         self._loads.forget(instance.incarnation)
         self._gates.forget(instance.incarnation)
 
+    def _list_candidates(
+        self, service: str, avoided: Collection[str], software_version: str
+    ) -> list[Instance]:
+        """List the backend servers that can serve a request.
+
+        :param service: service name.
+        :param avoided: names of backend servers that failed the request.
+        :param software_version: version that they must run, empty for any.
+        :return: backend servers; leaving ones only if there are no others.
+        """
+        for listed in (
+            self._instances.list_ready(service),
+            self._instances.list_last_resorts(service),
+        ):
+            candidates = [
+                instance
+                for instance in listed
+                if instance.name not in avoided
+                and instance.runs_version(software_version)
+            ]
+            if candidates:
+                return candidates
+        return []
+
     def _exclude_limited(self, candidates: list[Instance]) -> list[Instance]:
         """Exclude backend servers that accept no request of this host now.
 
--- a/egretdale/coordination/exchanges.py
+++ b/egretdale/coordination/exchanges.py
@@ -149,6 +149,20 @@
     is_repeatable: bool
 
 
+@dataclass(slots=True, frozen=True)
+class BackendIdentity:
+    """The backend server that sent a response which a host relays.
+
+    :ivar service: its service.
+    :ivar name: its name.
+    :ivar born_ms: its start time in milliseconds.
+    """
+
+    service: str
+    name: str
+    born_ms: int
+
+
 class ForwardResponse(Protocol):
     """A response of a backend server whose head has been read.
 
@@ -160,6 +174,8 @@
     :ivar not_run: whether the backend server reports that it did not run the
         request.
     :ivar statement: what the backend server says about further requests.
+    :ivar backend: the backend server, if another host has relayed the response
+        and says so.
     """
 
     status: int
@@ -168,6 +184,7 @@
     sealed: bool
     not_run: bool
     statement: BackendStatement
+    backend: BackendIdentity | None
 
     def read(self) -> bytes | EndOfStream | MaybeRun:
         """Read the next bytes of the body."""
@@ -212,12 +229,15 @@
     :ivar length: length of the body in bytes, ``None`` if unknown.
     :ivar chunks: chunks of the body; raises :class:`IncompleteResponse` if
         the body cannot be completed.
+    :ivar backend: the backend server, if another host has relayed the request
+        to this one.
     """
 
     status: int
     headers: Sequence[tuple[str, str]]
     length: int | None
     chunks: Iterator[bytes]
+    backend: BackendIdentity | None = None
 
 
 #: Outcome of forwarding a request: a response to relay, or a refusal.
--- a/egretdale/coordination/forwarding.py
+++ b/egretdale/coordination/forwarding.py
@@ -87,9 +87,7 @@
         self._sender = AttemptSender(
             admission, selection, metrics, client, clock
         )
-        self._relay = PeerRelay(
-            selection.mesh, admission, client, clock, source
-        )
+        self._relay = PeerRelay(selection, admission, client, clock, source)
         self._selection = selection
         self._clock = clock
         self._source = source
@@ -123,6 +121,7 @@
             response.headers,
             response.length,
             ResponseRelay(self, progress, outcome),
+            outcome.identify_backend() if admitted.request.is_relayed else None,
         )
 
     def continue_stream(
--- a/egretdale/coordination/gateway.py
+++ b/egretdale/coordination/gateway.py
@@ -242,6 +242,11 @@
             'Backend servers that fall over when they reject much',
             self._selection.backpressure.table.count_brittle,
         )
+        self.metrics.add_gauge(
+            'leaving_backend_servers',
+            'Listed backend servers that are known to leave',
+            self.instances.table.count_leaving,
+        )
         self.metrics.add_gauge(
             'backends_lost',
             'Whether this host reaches no backend server',
--- a/egretdale/coordination/peer_relay.py
+++ b/egretdale/coordination/peer_relay.py
@@ -19,9 +19,9 @@
     IncompleteResponse,
     RelayAttempt,
 )
-from egretdale.coordination.mesh import Mesh
 from egretdale.coordination.ports import EndOfStream, MaybeRun, NotRun
 from egretdale.coordination.progress import Progress
+from egretdale.coordination.selection import BackendSelection
 from egretdale.state.members import Member
 from egretdale.state.outcomes import Ran, Reason, Refused
 from egretdale.util.clocks import Clock, convert_to_ms
@@ -47,13 +47,14 @@
         '_avoided_until',
         '_client',
         '_clock',
+        '_departures',
         '_mesh',
         '_source',
     )
 
     def __init__(
         self,
-        mesh: Mesh,
+        selection: BackendSelection,
         admission: Admission,
         client: ForwardClient,
         clock: Clock,
@@ -61,13 +62,14 @@
     ) -> None:
         """Create a relay.
 
-        :param mesh: knows the hosts.
+        :param selection: knows the hosts and the backend servers.
         :param admission: measures remaining times.
         :param client: client of the hosts.
         :param clock: monotonic clock.
         :param source: random source.
         """
-        self._mesh = mesh
+        self._mesh = selection.mesh
+        self._departures = selection.departures
         self._admission = admission
         self._client = client
         self._clock = clock
@@ -88,7 +90,7 @@
             host = member.update.host
             sent_at = self._clock()
             outcome = self._client.relay(self._create_attempt(progress, member))
-            self._log(progress, host, outcome, sent_at)
+            self._record(progress, host, outcome, sent_at)
             match outcome:
                 case NotRun():
                     self._avoid(host)
@@ -152,17 +154,20 @@
                 self._avoided_until.pop(avoided)
         self._avoided_until[host] = now + _AVOID_S
 
-    def _log(
+    def _record(
         self,
         progress: Progress,
         host: str,
         outcome: ForwardResponse | NotRun | MaybeRun,
         sent_at: float,
     ) -> None:
+        request_id = progress.admitted.request.request_id
+        if not isinstance(outcome, NotRun | MaybeRun):
+            self._departures.note_relayed(outcome, request_id)
         label, detail = describe_outcome(outcome)
         logger.info(
             'relayed',
-            request_id=progress.admitted.request.request_id,
+            request_id=request_id,
             host=host,
             attempts=progress.sent,
             outcome=label,
--- a/egretdale/coordination/peer_reports.py
+++ b/egretdale/coordination/peer_reports.py
@@ -104,11 +104,18 @@
         if known_to:
             report.told[known_to] = self._find_incarnation(known_to)
 
-    def fill(self, host: str, batch: Batch) -> None:
+    def fill(
+        self,
+        host: str,
+        batch: Batch,
+        is_wanted: Callable[[Hashable], bool] | None = None,
+    ) -> None:
         """Add the records that a peer may not know to a batch.
 
         :param host: receiving host.
         :param batch: the batch.
+        :param is_wanted: tells whether a record is for that host, ``None`` if
+            all are.
         """
         if not self._reports:
             return
@@ -119,6 +126,7 @@
             for report in self._reports.values()
             if report.expires_at > now
             and not report.is_known_to(host, incarnation)
+            and (is_wanted is None or is_wanted(report.record))
         ]
         unknown.sort(key=_rank_report)
         for report in unknown[-_REPORTS_PER_BATCH:]:
--- a/egretdale/coordination/prefill_client.py
+++ b/egretdale/coordination/prefill_client.py
@@ -11,9 +11,8 @@
 from egretdale.coordination.mesh import Mesh, MeshListener
 from egretdale.coordination.backend_choice import BackendChoice
 from egretdale.coordination.prefill import QUEUED, PrefillAllocator
-from egretdale.state.groups import GroupMap
+from egretdale.state.groups import GroupMap, find_prompt_allocator
 from egretdale.state.instances import InstanceTable
-from egretdale.state.members import find_owner
 from egretdale.state.messages import (
     Ask,
     Batch,
@@ -273,7 +272,7 @@
             self._send(self._find_owner(group), GroupAsk(group))
 
     def _find_owner(self, group: str) -> str:
-        return find_owner(self._mesh.table, f'prefill/{group}')
+        return find_prompt_allocator(self._mesh.table, group)
 
     def _is_avoided(self, owner: str) -> bool:
         if owner == self._mesh.table.own_host:
@@ -310,8 +309,8 @@
         match reply:
             case Grant(backend=backend, prefill_tokens=tokens):
                 instance = self._instances.find(backend)
-                if instance is None or instance.leaving:
-                    # This host has a newer list than the allocator.
+                if instance is None or self._instances.is_leaving(instance):
+                    # This host knows more than the allocator.
                     return None
                 if not instance.runs_version(software_version):
                     return None
--- a/egretdale/coordination/progress.py
+++ b/egretdale/coordination/progress.py
@@ -6,7 +6,7 @@
 
 from egretdale.coordination.admission import AdmittedRequest
 from egretdale.coordination.backend_choice import BackendChoice
-from egretdale.coordination.exchanges import ForwardResponse
+from egretdale.coordination.exchanges import BackendIdentity, ForwardResponse
 
 
 @dataclass(slots=True)
@@ -48,3 +48,10 @@
     sent_at: float
     opened_at: float
     is_written: bool = False
+
+    def identify_backend(self) -> BackendIdentity:
+        """Identify the backend server to another host."""
+        instance = self.choice.instance
+        return BackendIdentity(
+            instance.service, instance.name, instance.born_ms
+        )
--- a/egretdale/coordination/selection.py
+++ b/egretdale/coordination/selection.py
@@ -11,6 +11,8 @@
     BackendChooser,
 )
 from egretdale.coordination.backpressure import BackpressureTracker
+from egretdale.coordination.departures import DepartureTracker
+from egretdale.coordination.exchanges import ForwardResponse
 from egretdale.coordination.mesh import Mesh
 from egretdale.coordination.prefill import PrefillAllocator
 from egretdale.coordination.prefill_client import PrefillClient
@@ -45,6 +47,7 @@
     :ivar links: whether this host reaches the backend servers.
     :ivar origins: software versions at which streams began.
     :ivar backpressure: what backend servers ask for.
+    :ivar departures: tells peers which backend servers leave.
     :ivar quarantine: requests that crash backend servers.
     :ivar chooser: chooses backend servers by the knowledge of this host.
     :ivar speeds: speeds of engines that this host has learned as an allocator.
@@ -56,6 +59,7 @@
         'allocator',
         'backpressure',
         'chooser',
+        'departures',
         'instances',
         'links',
         'loads',
@@ -93,6 +97,7 @@
         self.loads = LoadTable(clock)
         self.links = BackendLinks()
         self.backpressure = BackpressureTracker(mesh.table, instances, clock)
+        self.departures = DepartureTracker(mesh, instances, clock)
         self.origins = StreamOrigins(mesh, instances, clock, is_list_current)
         self.quarantine = RequestQuarantine(mesh, clock)
         limits = self.backpressure.table
@@ -119,6 +124,7 @@
             mesh, self.allocator, instances, clock, silent
         )
         mesh.add_listener(self.backpressure)
+        mesh.add_listener(self.departures)
         mesh.add_listener(self.origins)
         mesh.add_listener(self.quarantine)
         mesh.add_listener(self.prefill_client)
@@ -138,9 +144,7 @@
         service = progress.service
         # Only the allocator knows how much of a limit all hosts have used.
         if request.prompt.tokens or self.backpressure.is_any_limited(service):
-            ask = create_ask(
-                progress, self.chooser.list_suspended(service), left_s
-            )
+            ask = create_ask(progress, self._list_avoided(service), left_s)
             choice = self.prefill_client.request_engine(service, ask)
             if choice is not None:
                 return choice
@@ -152,6 +156,20 @@
             software_version=progress.software_version,
         )
 
+    def note_statement(
+        self, instance: Instance, response: ForwardResponse, request_id: str
+    ) -> None:
+        """Record what a backend server says about further requests.
+
+        :param instance: the backend server.
+        :param response: its response.
+        :param request_id: ID of the request.
+        """
+        self.backpressure.note_statement(
+            instance, response.statement, request_id
+        )
+        self.departures.note_response(instance, response, request_id)
+
     def is_cut_off(self) -> bool:
         """Tell whether this host reaches no backend server."""
         return self.links.is_cut_off(self.instances.count())
@@ -165,3 +183,16 @@
         self.allocator.forget(instance)
         self.backpressure.forget(instance.incarnation)
         self.links.forget(instance.incarnation)
+
+    def _list_avoided(self, service: str) -> list[str]:
+        """List the backend servers that an allocator must not grant.
+
+        :param service: service name.
+        :return: names of those that are suspended or that leave, which the
+            allocator may not know.
+        """
+        leaving = self.instances.list_leaving(service)
+        return [
+            *self.chooser.list_suspended(service),
+            *(instance.name for instance in leaving),
+        ]
--- a/egretdale/protocol/forwarding.py
+++ b/egretdale/protocol/forwarding.py
@@ -2,28 +2,32 @@
 
 from __future__ import annotations
 
-import re
+from urllib.parse import quote
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from egretdale.coordination.exchanges import (
+    BackendIdentity,
     ForwardAttempt,
     ForwardRequest,
-    Prompt,
-    PromptPart,
     RelayAttempt,
 )
 from egretdale.errors import Invalid
+from egretdale.protocol.header_values import (
+    parse_backend,
+    parse_duration,
+    parse_flag,
+    parse_prompt,
+    parse_rate,
+    parse_relayed,
+)
 from egretdale.state.backpressure import BackendStatement
-from egretdale.util.clocks import convert_to_ms, convert_to_seconds
+from egretdale.util.clocks import convert_to_ms
 
 #: Name and value of a header, as sent.
 Header = tuple[str, str]
 
-_HEXADECIMAL = 16
-_DECIMAL = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
-#: Characters of a malformed header that are logged.
-_SHOWN_TEXT = 40
+_MISDIRECTED_REQUEST = 421
 #: Hop-by-hop headers and headers that each hop sets itself; not forwarded.
 _HOP_HEADERS = frozenset(
     (
@@ -68,6 +72,8 @@
     :ivar leaving: present if the backend server accepts no new work.
     :ivar relayed: present if another host has relayed the request; number of
         backend servers that it has sent it to.
+    :ivar backend: backend server whose response another host has relayed, set
+        by that host.
     :ivar reserved: other headers that callers must not set.
     """
 
@@ -88,6 +94,7 @@
     rejection_limit: str = 'Egret-Rejection-Limit'
     leaving: str = 'Egret-Leaving'
     relayed: str = 'Egret-Relayed'
+    backend: str = 'Egret-Backend'
     reserved: tuple[str, ...] = ()
 
 
@@ -116,6 +123,8 @@
     :ivar not_run: whether the request was not run.
     :ivar headers: headers to forward.
     :ivar statement: what the backend server says about further requests.
+    :ivar backend: the backend server, if another host has relayed the response
+        and says so.
     """
 
     matches: bool
@@ -123,6 +132,7 @@
     not_run: bool
     headers: list[Header]
     statement: BackendStatement
+    backend: BackendIdentity | None
 
 
 @dataclass(slots=True)
@@ -134,9 +144,12 @@
 
     names: HeaderNames
     _dropped: frozenset[str] = field(init=False, default=frozenset())
+    _dropped_from_responses: frozenset[str] = field(
+        init=False, default=frozenset()
+    )
 
     def __post_init__(self) -> None:
-        """Collect the headers of callers that are not forwarded."""
+        """Collect the headers that are not forwarded."""
         names = self.names
         withheld = (
             names.credentials,
@@ -148,6 +161,7 @@
             *names.reserved,
         )
         self._dropped = _HOP_HEADERS | {name.lower() for name in withheld}
+        self._dropped_from_responses = _HOP_HEADERS | {names.backend.lower()}
 
     def parse_request(self, head: RequestHead) -> ForwardRequest | Invalid:
         """Parse the head of a request.
@@ -162,7 +176,7 @@
         request_id = present.get(names.request_id.lower(), '')
         if not request_id:
             return Invalid(names.request_id, 'is missing')
-        patience_s = _parse_duration(present.get(names.deadline_ms.lower()))
+        patience_s = parse_duration(present.get(names.deadline_ms.lower()))
         if isinstance(patience_s, Invalid):
             return Invalid(names.deadline_ms, patience_s.message)
         host_name, _, _ = present.get('host', '').partition(':')
@@ -182,7 +196,7 @@
             head.arrived_at,
             present.get(names.last_event_id.lower(), ''),
             present.get(names.resumed_request.lower(), ''),
-            _parse_relayed(present.get(names.relayed.lower(), '')),
+            parse_relayed(present.get(names.relayed.lower(), '')),
         )
 
     def build_relay_headers(self, attempt: RelayAttempt) -> list[Header]:
@@ -246,7 +260,7 @@
         for name, text in headers:
             lowered = name.lower()
             present[lowered] = text
-            if lowered not in _HOP_HEADERS:
+            if lowered not in self._dropped_from_responses:
                 forwarded.append((name, text))
         response_id = present.get(names.request_id.lower(), request_id)
         not_run = (
@@ -261,16 +275,26 @@
             not_run,
             forwarded,
             self._parse_statement(present),
+            parse_backend(present.get(names.backend.lower(), '')),
         )
 
+    def build_backend_header(self, backend: BackendIdentity) -> Header:
+        """Build the header that tells another host who sent a response.
+
+        :param backend: the backend server.
+        :return: the header.
+        """
+        parts = (backend.service, backend.name, str(backend.born_ms))
+        return self.names.backend, ';'.join(quote(part) for part in parts)
+
     def _parse_statement(self, present: Mapping[str, str]) -> BackendStatement:
         limit = self.names.request_limit
         brittle = self.names.rejection_limit
         leaving = self.names.leaving
         return BackendStatement(
-            _parse_rate(limit, present.get(limit.lower())),
-            _parse_rate(brittle, present.get(brittle.lower())),
-            _parse_flag(leaving, present.get(leaving.lower())),
+            parse_rate(limit, present.get(limit.lower())),
+            parse_rate(brittle, present.get(brittle.lower())),
+            parse_flag(leaving, present.get(leaving.lower())),
         )
 
     def _list_forwarded(self, headers: Iterable[Header]) -> list[Header]:
@@ -285,63 +309,3 @@
         if scheme.lower() != self.names.scheme.lower():
             return ''
         return key.strip()
-
-
-_MISDIRECTED_REQUEST = 421
-
-
-def parse_prompt(counts: str, parts: str) -> Prompt:
-    """Parse the headers that describe a prompt.
-
-    :param counts: prompt tokens and output limit, separated by a comma.
-    :param parts: parts as hash, colon and tokens, separated by commas.
-    :return: the prompt, without the values that cannot be parsed.
-    """
-    prompt_tokens, _, output = counts.partition(',')
-    parsed = []
-    for entry in parts.split(','):
-        identity, _, tokens = entry.strip().partition(':')
-        if not tokens.isdigit():
-            continue
-        try:
-            number = int(identity, _HEXADECIMAL)
-        except ValueError:
-            continue
-        parsed.append(PromptPart(number, int(tokens)))
-    return Prompt(
-        _parse_count(prompt_tokens), _parse_count(output), tuple(parsed)
-    )
-
-
-def _parse_relayed(text: str) -> int:
-    return _parse_count(text) if text else -1
-
-
-def _parse_count(text: str) -> int:
-    stripped = text.strip()
-    return int(stripped) if stripped.isdigit() else 0
-
-
-def _parse_rate(name: str, text: str | None) -> float | Invalid | None:
-    if text is None:
-        return None
-    if _DECIMAL.fullmatch(text.strip()) is None:
-        return Invalid(name, f'is not a decimal number: {text[:_SHOWN_TEXT]!r}')
-    return float(text)
-
-
-def _parse_flag(name: str, text: str | None) -> bool | Invalid:
-    match text if text is None else text.strip():
-        case None | '0':
-            return False
-        case '1':
-            return True
-    return Invalid(name, f'is neither 0 nor 1: {text[:_SHOWN_TEXT]!r}')
-
-
-def _parse_duration(text: str | None) -> float | None | Invalid:
-    if text is None:
-        return None
-    if not text.strip().isdigit():
-        return Invalid('', 'must be a whole number of milliseconds')
-    return convert_to_seconds(int(text))
--- a/egretdale/protocol/gen/ttypes.py
+++ b/egretdale/protocol/gen/ttypes.py
@@ -1443,6 +1443,7 @@
      - name
      - incarnation
      - leaving
+     - age_ms
 
     """
 
@@ -1451,14 +1452,16 @@
         'name',
         'incarnation',
         'leaving',
+        'age_ms',
     )
 
 
-    def __init__(self, service_name=None, name=None, incarnation=None, leaving=None,):
+    def __init__(self, service_name=None, name=None, incarnation=None, leaving=None, age_ms=None,):
         self.service_name = service_name
         self.name = name
         self.incarnation = incarnation
         self.leaving = leaving
+        self.age_ms = age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1489,6 +1492,11 @@
                     self.leaving = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1515,6 +1523,10 @@
             oprot.writeFieldBegin('leaving', TType.BOOL, 4)
             oprot.writeBool(self.leaving)
             oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 5)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3257,6 +3269,7 @@
     (2, TType.STRING, 'name', 'UTF8', None, ),  # 2
     (3, TType.I64, 'incarnation', None, None, ),  # 3
     (4, TType.BOOL, 'leaving', None, None, ),  # 4
+    (5, TType.I32, 'age_ms', None, None, ),  # 5
 )
 all_structs.append(BackendLimit)
 BackendLimit.thrift_spec = (
--- a/egretdale/protocol/peer.thrift
+++ b/egretdale/protocol/peer.thrift
@@ -100,6 +100,7 @@
   2: string name
   3: i64 incarnation
   4: bool leaving
+  5: i32 age_ms
 }
 
 struct BackendLimit {
--- a/egretdale/state/groups.py
+++ b/egretdale/state/groups.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from egretdale.state.instances import Instance, InstanceTable
+from egretdale.state.members import MemberTable, find_owner
 from egretdale.util.hashing import hash_text, rank_by_rendezvous
 
 #: Number of engines from which a service is split into two groups; the number
@@ -71,6 +72,14 @@
         # The host that asks has a different list of engines.
         return _split(service, int(count), groups.ready).get(group, [])
 
+    def list_groups(self, service: str) -> list[str]:
+        """List the groups of a service.
+
+        :param service: service name.
+        :return: group keys; at least one, also without engines.
+        """
+        return list(self._find(service).members) or [f'{service}/1/0']
+
     def rank(self, service: str, key: str) -> tuple[str, ...]:
         """Rank the groups for a request.
 
@@ -101,6 +110,16 @@
         return groups
 
 
+def find_prompt_allocator(table: MemberTable, group: str) -> str:
+    """Find the host that allocates the engines of a group to prompts.
+
+    :param table: membership table.
+    :param group: group key.
+    :return: name of the host.
+    """
+    return find_owner(table, f'prefill/{group}')
+
+
 def _rank_groups(
     service: str, groups: ServiceGroups, key: str
 ) -> tuple[str, ...]:
--- a/egretdale/state/instances.py
+++ b/egretdale/state/instances.py
@@ -4,14 +4,20 @@
 
 from dataclasses import dataclass
 
+from egretdale.state.departures import (
+    Departure,
+    DepartureTable,
+    Incarnation,
+)
 from egretdale.state.software_versions import VersionHistory
 from egretdale.util.clocks import Clock
 
 #: Software version of backend servers that do not tell theirs.
 UNKNOWN_VERSION = 'unknown'
 
-#: Name and start time in milliseconds of one start of a backend server.
-Incarnation = tuple[str, int]
+#: Seconds after the list said that a backend server leaves in which it gets
+#: work that no other one can do. The list may say so seconds late.
+_LISTED_USE_S = 0.5
 
 
 @dataclass(slots=True, frozen=True)
@@ -25,7 +31,7 @@
     :ivar born_ms: start time in milliseconds since the Unix epoch, 0 if
         unknown.
     :ivar slots: number of requests that it processes concurrently.
-    :ivar leaving: whether it no longer accepts new work.
+    :ivar leaving: whether the list says that it no longer accepts new work.
     :ivar software_version: version of its software.
     """
 
@@ -63,6 +69,7 @@
     period: its backend server may only have been unable to renew it.
 
     :ivar versions: software versions that served recently.
+    :ivar departures: backend servers that leave, whoever has said so.
     """
 
     __slots__ = (
@@ -70,7 +77,9 @@
         '_clock',
         '_lapse_s',
         '_lapsing',
+        '_leaving',
         '_listed',
+        'departures',
         'versions',
     )
 
@@ -82,11 +91,13 @@
             during an outage of the list.
         """
         self.versions = VersionHistory(clock)
+        self.departures = DepartureTable(clock)
         self._clock = clock
         self._lapse_s = lapse_s
         self._listed: dict[str, Instance] = {}
         self._lapsing: dict[str, float] = {}
         self._by_service: dict[str, list[Instance]] = {}
+        self._leaving: dict[str, list[Instance]] = {}
 
     def replace(
         self, instances: dict[str, Instance], *, after_outage: bool
@@ -112,6 +123,7 @@
             if lapsing in kept and lapsing not in instances
         }
         self._listed = kept
+        self._add_listed_departures()
         self._index()
         return gone
 
@@ -139,6 +151,47 @@
         """
         return self._by_service.get(service, [])
 
+    def list_leaving(self, service: str) -> list[Instance]:
+        """List the backend servers of a service that are leaving.
+
+        :param service: service name.
+        """
+        return self._leaving.get(service, [])
+
+    def count_leaving(self) -> int:
+        """Count the listed backend servers that are leaving."""
+        return sum(map(len, self._leaving.values()))
+
+    def list_last_resorts(self, service: str) -> list[Instance]:
+        """List the leaving backend servers that may still get some work.
+
+        :param service: service name.
+        :return: backend servers for requests that no other one can serve.
+        """
+        return [
+            instance
+            for instance in self.list_leaving(service)
+            if self.departures.is_usable(instance.incarnation)
+        ]
+
+    def is_leaving(self, instance: Instance) -> bool:
+        """Tell whether a backend server leaves, whoever has said so.
+
+        :param instance: its entry.
+        """
+        return self.departures.find(instance.incarnation) is not None
+
+    def note_leaving(self, departure: Departure) -> bool:
+        """Record that a backend server leaves, also one that is not listed.
+
+        :param departure: its departure.
+        :return: whether that was not known.
+        """
+        if not self.departures.add(departure):
+            return False
+        self._index()
+        return True
+
     def find(self, name: str) -> Instance | None:
         """Find a backend server.
 
@@ -166,7 +219,24 @@
             for instance in self._listed.values()
         )
         self._by_service = {}
+        self._leaving = {}
         for instance in self._listed.values():
-            if not instance.leaving:
-                ready = self._by_service.setdefault(instance.service, [])
-                ready.append(instance)
+            is_leaving = self.is_leaving(instance)
+            index = self._leaving if is_leaving else self._by_service
+            index.setdefault(instance.service, []).append(instance)
+
+    def _add_listed_departures(self) -> None:
+        now = self._clock()
+        for instance in self._listed.values():
+            if instance.leaving:
+                self.departures.add(
+                    Departure(
+                        instance.service,
+                        instance.incarnation,
+                        now,
+                        now + _LISTED_USE_S,
+                    )
+                )
+        self.departures.refresh(
+            {entry.incarnation for entry in self._listed.values()}
+        )
--- a/egretdale/state/messages.py
+++ b/egretdale/state/messages.py
@@ -231,12 +231,14 @@
     :ivar name: name of the backend server.
     :ivar incarnation: its incarnation in the platform's list.
     :ivar leaving: whether it no longer accepts new work.
+    :ivar age_ms: milliseconds since a host first knew.
     """
 
     service_name: str
     name: str
     incarnation: int
     leaving: bool
+    age_ms: int = 0
 
 
 @dataclass(slots=True)
--- a/egretdale/transport/exchanges.py
+++ b/egretdale/transport/exchanges.py
@@ -9,6 +9,7 @@
 
 from egretdale.coordination.admission import AdmittedRequest
 from egretdale.coordination.exchanges import (
+    BackendIdentity,
     CallerGone,
     ForwardOutcome,
     ForwardReply,
@@ -52,6 +53,12 @@
         :param request_id: ID of the request.
         """
 
+    def build_backend_header(self, backend: BackendIdentity) -> tuple[str, str]:
+        """Build the header that tells another host who sent a response.
+
+        :param backend: the backend server.
+        """
+
     def log_end(self, request: ForwardRequest, outcome: str) -> None:
         """Log how a request ended.
 
@@ -169,6 +176,8 @@
 
     def _start(self, reply: ForwardReply) -> Iterable[bytes]:
         headers = list(reply.headers)
+        if reply.backend is not None:
+            headers.append(self._owner.build_backend_header(reply.backend))
         if reply.length is not None:
             headers.append(('Content-Length', str(reply.length)))
         self._start_response(f'{reply.status} ', headers)
--- a/egretdale/transport/forwarding.py
+++ b/egretdale/transport/forwarding.py
@@ -47,6 +47,8 @@
     :ivar sealed: whether the backend server signed it.
     :ivar not_run: whether the request was not run.
     :ivar statement: what the backend server says about further requests.
+    :ivar backend: the backend server, if another host has relayed the response
+        and says so.
     """
 
     __slots__ = (
@@ -55,6 +57,7 @@
         '_is_unframed',
         '_pool',
         '_response',
+        'backend',
         'headers',
         'length',
         'not_run',
@@ -84,6 +87,7 @@
         self.sealed = metadata.sealed
         self.not_run = metadata.not_run
         self.statement = metadata.statement
+        self.backend = metadata.backend
         self.length = _parse_length(response)
         self._pool = pool
         self._address = address
--- a/egretdale/transport/ingress.py
+++ b/egretdale/transport/ingress.py
@@ -10,7 +10,11 @@
 from eventlet.greenpool import GreenPool
 
 from egretdale.coordination.admission import AdmittedRequest
-from egretdale.coordination.exchanges import ForwardOutcome, ForwardRequest
+from egretdale.coordination.exchanges import (
+    BackendIdentity,
+    ForwardOutcome,
+    ForwardRequest,
+)
 from egretdale.errors import Invalid
 from egretdale.protocol.forwarding import HeaderCodec, RequestHead
 from egretdale.protocol.framing import is_framing_unambiguous
@@ -217,6 +221,14 @@
         """
         return max(0, admitted.deadline_at - self._clock())
 
+    def build_backend_header(self, backend: BackendIdentity) -> tuple[str, str]:
+        """Build the header that tells another host who sent a response.
+
+        :param backend: the backend server.
+        :return: name and value.
+        """
+        return self._codec.build_backend_header(backend)
+
     def log_end(self, request: ForwardRequest, outcome: str) -> None:
         """Log how a request ended.
 
--- a/standins/emulation/hosts.py
+++ b/standins/emulation/hosts.py
@@ -11,6 +11,7 @@
 from egretdale.coordination.admission import Admission, FreshnessLimits
 from egretdale.coordination.budgets import RetryBudgets, RetryBudgetSettings
 from egretdale.coordination.exchanges import (
+    BackendIdentity,
     ForwardClient,
     ForwardReply,
     IncompleteResponse,
@@ -247,6 +248,7 @@
     sealed: bool = True
     not_run: bool = False
     statement: BackendStatement = BackendStatement()
+    backend: BackendIdentity | None = None
 
     def read(self) -> bytes | EndOfStream | MaybeRun:
         """Read the next chunk."""
@@ -289,7 +291,11 @@
         request.request_id, reply.status, reply.headers
     )
     return HostResponse(
-        reply, reply.status, metadata.headers, statement=metadata.statement
+        reply,
+        reply.status,
+        metadata.headers,
+        statement=metadata.statement,
+        backend=reply.backend,
     )
 
 
--- a/tests/forwarding.py
+++ b/tests/forwarding.py
@@ -10,6 +10,7 @@
 from egretdale.coordination.admission import Admission, FreshnessLimits
 from egretdale.coordination.budgets import RetryBudgets, RetryBudgetSettings
 from egretdale.coordination.exchanges import (
+    BackendIdentity,
     ForwardAttempt,
     ForwardRequest,
     Prompt,
@@ -152,6 +153,7 @@
     sealed: bool = True
     not_run: bool = False
     statement: BackendStatement = BackendStatement()
+    backend: BackendIdentity | None = None
     closed: bool = False
 
     def read(self) -> bytes | EndOfStream | MaybeRun:
--- a/tests/leaving.py
+++ b/tests/leaving.py
@@ -36,6 +36,8 @@
 #: Events of a whole response.
 EVENTS = 4
 _RESPONSE_S = 0.05
+#: Seconds in which requests in progress end.
+_SETTLE_S = 0.5
 _LEAVING = ('Egret-Leaving', '1')
 _SERVED_BY = 'Test-Served-By'
 
@@ -250,7 +252,11 @@
         return ending
 
     def measure_served(self, since: float = 0) -> float:
-        """Measure the share of the requests since a time that were served."""
+        """Measure the share of the requests since a time that were served.
+
+        :param since: the time; those in progress now end first.
+        """
+        eventlet.sleep(_SETTLE_S)
         counted = [entry for entry in self.endings if entry.sent_at >= since]
         return sum(entry.is_served() for entry in counted) / len(counted)
 
--- a/tests/test_protocol/test_forwarding.py
+++ b/tests/test_protocol/test_forwarding.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from egretdale.coordination.exchanges import (
+    BackendIdentity,
     ForwardAttempt,
     ForwardRequest,
     RelayAttempt,
@@ -12,8 +13,8 @@
     HeaderCodec,
     HeaderNames,
     RequestHead,
-    parse_prompt,
 )
+from egretdale.protocol.header_values import parse_prompt
 from egretdale.state.instances import Instance
 from tests.functions import create_loader
 
@@ -175,6 +176,21 @@
     assert not _CODEC.parse_response('r1', 200, []).statement.leaving
 
 
+def test_a_relayed_response_names_its_backend_server() -> None:
+    """The header is for the other host and not for the caller."""
+    for name in ('i-1', 'a;b', 'a\r\nX: y', '\u00fc %3B', ''):
+        backend = BackendIdentity('claims', name, 7)
+        header, text = _CODEC.build_backend_header(backend)
+        assert text.isascii() and text.isprintable()
+        headers = [(header.lower(), text), ('Egret-Leaving', '1')]
+        metadata = _CODEC.parse_response('r1', 200, headers)
+        assert metadata.backend == backend
+        assert metadata.headers == [('Egret-Leaving', '1')]
+    for text in ('', 'a;b', 'a;b;-1', 'a;b;1;2', 'a;b;\u0661x', 'a;b;c'):
+        headers = [('Egret-Backend', text)]
+        assert _CODEC.parse_response('r1', 200, headers).backend is None, text
+
+
 def test_resumed_streams_name_the_event_and_the_request() -> None:
     """Both headers are read, and forwarded as the caller sent them."""
     request = _read(('Last-Event-Id', '7'), ('egret-resumes', 'r0'))
