Join no streams of two versions after the loss of all hosts

Cause: a host that had just started took the only version of its list for the one that began the stream when no peer knew better; the engines of the old version had just left. The test test_hosts_that_all_started_rely_on_the_only_version asked for that and is replaced by a stricter one: the only version is relied on only if a record shows that no other one has served.

The versions that serve are recorded in the platform when they change (one host writes, two more check; 8 calls or fewer a change at 6 and at 195 hosts, none between changes), and read by a host that has run for less than 30 s when it needs them. A resumed stream goes on if one version served throughout, and is refused as not run otherwise.

--- a/egretdale/coordination/gateway.py
+++ b/egretdale/coordination/gateway.py
@@ -29,6 +29,8 @@
 from egretdale.coordination.ports import Network, Platform
 from egretdale.coordination.reachability import ReachabilityMonitor
 from egretdale.coordination.selection import BackendSelection
+from egretdale.coordination.stream_origins import ListKnowledge
+from egretdale.coordination.version_record import VersionRecorder
 from egretdale.state.gateway_metrics import GatewayMetrics
 from egretdale.state.instances import InstanceTable
 from egretdale.state.members import MemberStatus, MemberTable
@@ -96,6 +98,7 @@
         '_reachability',
         '_selection',
         '_table',
+        '_version_recorder',
         'configuration',
         'forwarder',
         'instances',
@@ -155,6 +158,7 @@
         tasks.start(self.configuration.run_watch)
         tasks.start(self.instances.run_watch)
         tasks.start(self.instances.run_expiry)
+        tasks.start(self._version_recorder.run)
         tasks.start(self.membership.run_publishing)
         tasks.start(self.membership.run_probes)
         tasks.start(self._reachability.run)
@@ -263,9 +267,7 @@
             self._list_speeds,
         )
         self.metrics.add_gauge(
-            'peer_bytes',
-            'Bytes sent to peers',
-            lambda: self.mesh.sent_bytes,
+            'peer_bytes', 'Bytes sent to peers', lambda: self.mesh.sent_bytes
         )
 
     def _list_speeds(self) -> dict[str, float]:
@@ -291,12 +293,23 @@
         settings = self.settings
         dependencies = self._dependencies
         table = InstanceTable(dependencies.clock, LAPSE_S)
+        self._version_recorder = VersionRecorder(
+            dependencies.platform,
+            self._table,
+            table.versions,
+            self._is_list_current,
+            clock=dependencies.clock,
+            wall_clock=dependencies.wall_clock,
+            source=dependencies.source,
+        )
         self._selection = BackendSelection(
             self.mesh,
             table,
             dependencies.clock,
             self.metrics.silent_allocators,
-            is_list_current=self._is_list_current,
+            list_knowledge=ListKnowledge(
+                self._is_list_current, self._version_recorder.restore
+            ),
         )
         self._reachability = ReachabilityMonitor(
             self._selection,
--- a/egretdale/coordination/selection.py
+++ b/egretdale/coordination/selection.py
@@ -19,7 +19,10 @@
 from egretdale.coordination.progress import Progress
 from egretdale.coordination.prompt_asks import create_ask
 from egretdale.coordination.quarantine import RequestQuarantine
-from egretdale.coordination.stream_origins import StreamOrigins
+from egretdale.coordination.stream_origins import (
+    ListKnowledge,
+    StreamOrigins,
+)
 from egretdale.state.instances import Instance, InstanceTable
 from egretdale.state.links import BackendLinks
 from egretdale.state.loads import LoadTable
@@ -77,7 +80,7 @@
         clock: Clock,
         silent: Counter,
         *,
-        is_list_current: Callable[[], bool],
+        list_knowledge: ListKnowledge,
         speeds: SpeedTable | None = None,
         create_chooser: ChooserFactory = BackendChooser,
     ) -> None:
@@ -87,8 +90,8 @@
         :param instances: backend servers.
         :param clock: monotonic clock.
         :param silent: counts requests whose allocator did not reply.
-        :param is_list_current: tells whether the list of backend servers holds
-            the latest changes.
+        :param list_knowledge: what can be known about the list of backend
+            servers.
         :param speeds: speeds of engines, ``None`` to learn them.
         :param create_chooser: creates the chooser.
         """
@@ -98,7 +101,7 @@
         self.links = BackendLinks()
         self.backpressure = BackpressureTracker(mesh.table, instances, clock)
         self.departures = DepartureTracker(mesh, instances, clock)
-        self.origins = StreamOrigins(mesh, instances, clock, is_list_current)
+        self.origins = StreamOrigins(mesh, instances, clock, list_knowledge)
         self.quarantine = RequestQuarantine(mesh, clock)
         limits = self.backpressure.table
         self.chooser = create_chooser(
--- a/egretdale/coordination/stream_origins.py
+++ b/egretdale/coordination/stream_origins.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 
 import eventlet
 from eventlet.queue import Empty, LightQueue
@@ -45,6 +46,19 @@
 _MAXIMUM_ASKED = 12
 
 
+@dataclass(slots=True, frozen=True)
+class ListKnowledge:
+    """What a host can find out about its list of backend servers.
+
+    :ivar is_current: tells whether the list holds the latest changes.
+    :ivar restore_history: reads which software versions served before this
+        host started, and tells whether that is known.
+    """
+
+    is_current: Callable[[], bool]
+    restore_history: Callable[[], bool]
+
+
 class StreamOrigins(MeshListener):
     """Records where streams began and finds it out for resumed ones.
 
@@ -56,7 +70,7 @@
         '_announced',
         '_clock',
         '_instances',
-        '_is_list_current',
+        '_knowledge',
         '_mesh',
         '_pending',
         '_table',
@@ -67,20 +81,19 @@
         mesh: Mesh,
         instances: InstanceTable,
         clock: Clock,
-        is_list_current: Callable[[], bool],
+        knowledge: ListKnowledge,
     ) -> None:
         """Create a component without streams.
 
         :param mesh: links to peers.
         :param instances: backend servers.
         :param clock: monotonic clock.
-        :param is_list_current: tells whether the list of backend servers holds
-            the latest changes.
+        :param knowledge: what can be known about the list of backend servers.
         """
+        self._knowledge = knowledge
         self._mesh = mesh
         self._instances = instances
         self._clock = clock
-        self._is_list_current = is_list_current
         self._table = OriginTable(clock)
         # Services whose streams are sent to keepers.
         self._announced: set[str] = set()
@@ -191,7 +204,7 @@
             return origin
         versions = self._instances.versions
         only = versions.find_only(service)
-        if only and versions.is_complete() and self._is_list_current():
+        if only and versions.is_complete() and self._knowledge.is_current():
             return Origin(service, only)
         return None
 
@@ -208,13 +221,27 @@
                 origin = Origin(reply.service_name, reply.software_version)
                 return origin, host
             replies.append(reply)
-        only = self._instances.versions.find_only(ask.service_name)
         several = any(entry.several_versions for entry in replies)
-        if not only or several or (asked and not replies):
+        if several or (asked and not replies):
+            return None, ''
+        only = self._find_only(ask.service_name)
+        if not only:
             return None, ''
-        # After an outage of all hosts or of the list, no host knows more.
         return Origin(ask.service_name, only), self._mesh.table.own_host
 
+    def _find_only(self, service: str) -> str:
+        """Find the only version that served, also if all hosts were lost.
+
+        :param service: service name.
+        :return: the version, empty if there may have been several.
+        """
+        versions = self._instances.versions
+        if not versions.find_only(service):
+            return ''
+        if not versions.is_complete() and not self._knowledge.restore_history():
+            return ''
+        return versions.find_only(service)
+
     def _receive_replies(
         self, asked: list[Member], ask: OriginAsk
     ) -> Iterator[tuple[str, OriginReply]]:
--- a/egretdale/state/software_versions.py
+++ b/egretdale/state/software_versions.py
@@ -3,15 +3,38 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from egretdale.state.stream_origins import ORIGIN_RETENTION_S
-from egretdale.util.clocks import Clock
+from egretdale.util.clocks import (
+    MILLISECONDS_PER_SECOND,
+    Clock,
+    convert_to_seconds,
+)
+
+#: Seconds by which the wall clocks of two hosts may differ.
+_CLOCK_DIFFERENCE_S = 10.0
+
+
+@dataclass(slots=True, frozen=True)
+class RecordedVersion:
+    """A software version that serves or has served, as kept in the platform.
+
+    :ivar service: service name.
+    :ivar software_version: the version.
+    :ivar left_ms: wall-clock time in milliseconds at which its last backend
+        server had left, 0 while there is one.
+    """
+
+    service: str
+    software_version: str
+    left_ms: int = 0
 
 
 class VersionHistory:
     """Software versions by service, with those that have left recently."""
 
-    __slots__ = ('_began_at', '_clock', '_left_at', '_listed')
+    __slots__ = ('_began_at', '_clock', '_is_restored', '_left_at', '_listed')
 
     def __init__(self, clock: Clock) -> None:
         """Create an empty history.
@@ -20,6 +43,7 @@
         """
         self._clock = clock
         self._began_at = float('inf')
+        self._is_restored = False
         self._listed: dict[str, set[str]] = {}
         self._left_at: dict[tuple[str, str], float] = {}
 
@@ -68,4 +92,70 @@
 
     def is_complete(self) -> bool:
         """Tell whether it covers the life of all running streams."""
-        return self._began_at + ORIGIN_RETENTION_S <= self._clock()
+        covered_s = self._clock() - self._began_at
+        return self._is_restored or covered_s >= ORIGIN_RETENTION_S
+
+    def list_current(self) -> frozenset[tuple[str, str]]:
+        """List the services with the versions that are listed now."""
+        return frozenset(
+            (service, version)
+            for service, versions in self._listed.items()
+            for version in versions
+        )
+
+    def restore(self, recorded: Iterable[RecordedVersion], now_ms: int) -> None:
+        """Add what earlier processes of the hosts have recorded.
+
+        A version that was listed then and is not now left in between.
+
+        :param recorded: the versions that served.
+        :param now_ms: wall-clock time in milliseconds.
+        """
+        now = self._clock()
+        current = self.list_current()
+        for entry in recorded:
+            key = (entry.service, entry.software_version)
+            left_s = float(0)
+            if entry.left_ms:
+                left_s = convert_to_seconds(now_ms - entry.left_ms)
+            left_s -= _CLOCK_DIFFERENCE_S
+            if key not in current and left_s < ORIGIN_RETENTION_S:
+                self._left_at.setdefault(key, now - max(0, left_s))
+        self._is_restored = True
+
+
+def update_record(
+    recorded: Iterable[RecordedVersion],
+    current: frozenset[tuple[str, str]],
+    now_ms: int,
+) -> list[RecordedVersion]:
+    """Bring the record of the versions up to date.
+
+    :param recorded: the record.
+    :param current: services with the versions that are listed.
+    :param now_ms: wall-clock time in milliseconds.
+    :return: the record; an equal one if nothing has to be written.
+    """
+    by_key = {
+        (entry.service, entry.software_version): entry for entry in recorded
+    }
+    changed = {
+        key: RecordedVersion(*key)
+        for key in current
+        if key not in by_key or by_key[key].left_ms
+    }
+    changed.update(
+        (key, RecordedVersion(*key, now_ms))
+        for key, entry in by_key.items()
+        if not entry.left_ms and key not in current
+    )
+    if not changed:
+        return list(by_key.values())
+    retention_s = ORIGIN_RETENTION_S + 2 * _CLOCK_DIFFERENCE_S
+    earliest_ms = now_ms - retention_s * MILLISECONDS_PER_SECOND
+    merged = {**by_key, **changed}.values()
+    return [
+        entry
+        for entry in merged
+        if not entry.left_ms or entry.left_ms > earliest_ms
+    ]
--- a/standins/emulation/hosts.py
+++ b/standins/emulation/hosts.py
@@ -27,6 +27,7 @@
 )
 from egretdale.coordination.reachability import ReachabilityMonitor
 from egretdale.coordination.selection import BackendSelection
+from egretdale.coordination.stream_origins import ListKnowledge
 from egretdale.errors import Cause, Unreachable
 from egretdale.protocol.forwarding import HeaderCodec, HeaderNames
 from egretdale.state.backpressure import BackendStatement
@@ -166,7 +167,7 @@
             self._instances,
             clock,
             metrics.silent_allocators,
-            is_list_current=_is_list_current,
+            list_knowledge=ListKnowledge(_is_list_current, _restore_nothing),
             speeds=speeds,
             create_chooser=policy.create_chooser,
         )
@@ -229,6 +230,10 @@
     return True
 
 
+def _restore_nothing() -> bool:
+    return False
+
+
 def _ignore_link(is_cut_off: bool) -> None:
     """Tell no peer, as membership is not emulated."""
 
--- a/tests/forwarding.py
+++ b/tests/forwarding.py
@@ -22,6 +22,7 @@
 from egretdale.coordination.mesh import Mesh
 from egretdale.coordination.ports import EndOfStream, MaybeRun, NotRun
 from egretdale.coordination.selection import BackendSelection
+from egretdale.coordination.stream_origins import ListKnowledge
 from egretdale.state.backpressure import BackendStatement
 from egretdale.state.gateway_metrics import GatewayMetrics
 from egretdale.state.freshness import Confirmation
@@ -260,7 +261,7 @@
         instances,
         clock,
         metrics.silent_allocators,
-        is_list_current=lambda: True,
+        list_knowledge=ListKnowledge(lambda: True, bool),
     )
     selection.prefill_client = NoPrefillClient()
     forwarder = Forwarder(
--- a/tests/test_coordination/test_stream_origins.py
+++ b/tests/test_coordination/test_stream_origins.py
@@ -10,12 +10,16 @@
 
 from egretdale.coordination.mesh import Mesh
 from egretdale.coordination.ports import Delivered
-from egretdale.coordination.stream_origins import StreamOrigins
+from egretdale.coordination.stream_origins import (
+    ListKnowledge,
+    StreamOrigins,
+)
 from egretdale.errors import Cause, Unreachable
 from egretdale.state.instances import Instance, InstanceTable
 from egretdale.state.members import MemberTable
 from egretdale.state.messages import Batch, MemberUpdate, StreamOrigin
 from egretdale.state.queries import OriginAsk, OriginReply
+from egretdale.state.software_versions import RecordedVersion
 from egretdale.state.stream_origins import Origin
 from standins.virtual.hub import VirtualHub, use_virtual_time
 from tests.functions import create_loader
@@ -60,6 +64,17 @@
     instances: InstanceTable
     origins: StreamOrigins
     is_list_current: bool = True
+    recorded: list[RecordedVersion] | None = None
+    reads: int = 0
+
+    def restore_history(self) -> bool:
+        """Read the record of the versions, if there is one."""
+        self.reads += 1
+        if self.recorded is None:
+            return False
+        now_ms = round(self.hub.now * 1000)
+        self.instances.versions.restore(self.recorded, now_ms)
+        return True
 
     def list_versions(self, *versions: str) -> None:
         """Replace the list by an engine for each version."""
@@ -87,7 +102,10 @@
         instances = InstanceTable(hub.read_now, 2)
         scene = _Scene(hub, network, instances, None)
         scene.origins = StreamOrigins(
-            mesh, instances, hub.read_now, lambda: scene.is_list_current
+            mesh,
+            instances,
+            hub.read_now,
+            ListKnowledge(lambda: scene.is_list_current, scene.restore_history),
         )
         mesh.add_listener(scene.origins)
         scene.list_versions(*versions)
@@ -124,11 +142,29 @@
         assert scene.find() == _ALONE
 
 
-def test_hosts_that_all_started_rely_on_the_only_version() -> None:
-    """After an outage of all hosts no one knows more."""
+def test_hosts_that_all_started_rely_on_the_record_of_versions() -> None:
+    """After an outage of all hosts no host knows more than the platform."""
     with _open_scene('v1', age_s=1) as scene:
         scene.peers.replies.update({'p0': OriginReply(), 'p1': OriginReply()})
-        assert scene.find() == _ALONE
+        assert scene.find() is None
+        scene.recorded = [RecordedVersion(_SERVICE, 'v1')]
+        for _ in range(3):
+            assert scene.find() == _ALONE
+        assert scene.reads == 2
+
+
+def test_a_version_that_left_with_all_hosts_is_not_forgotten() -> None:
+    """The record holds a version that the list no longer has."""
+    for left_ms in (0, 1):
+        with _open_scene('v1', age_s=1) as scene:
+            scene.peers.replies['p0'] = OriginReply()
+            scene.recorded = [
+                RecordedVersion(_SERVICE, 'v0', left_ms),
+                RecordedVersion(_SERVICE, 'v1'),
+            ]
+            assert scene.find() is None
+            eventlet.sleep(45)
+            assert scene.find() == _ALONE
 
 
 def test_an_old_list_is_not_relied_on() -> None:
--- /dev/null
+++ b/tests/test_coordination/test_version_record.py
@@ -0,0 +1,230 @@
+"""Tests of the record of the software versions that served."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+import eventlet
+import msgspec
+
+from egretdale.coordination.ports import StoredObject, Written
+from egretdale.coordination.version_record import (
+    RECORD_KIND,
+    RECORD_NAME,
+    VersionRecorder,
+)
+from egretdale.errors import Cause, Conflict, Missing, Unreachable
+from egretdale.state.members import MemberTable
+from egretdale.state.messages import MemberUpdate
+from egretdale.state.software_versions import RecordedVersion, VersionHistory
+from standins.virtual.hub import VirtualHub, use_virtual_time
+from tests.functions import create_loader
+
+load_tests = create_loader(__name__)
+
+_SERVICE = 'claims'
+_WALL_S = 1_700_000_000
+
+
+@dataclass
+class _Store:
+    """A store of one object that counts the calls.
+
+    :ivar is_down: whether it cannot be reached.
+    :ivar loses_replies: whether writes take effect without a reply.
+    """
+
+    stored: StoredObject | None = None
+    calls: int = 0
+    writes: int = 0
+    is_down: bool = False
+    loses_replies: bool = False
+
+    def read(
+        self, kind: str, name: str
+    ) -> StoredObject | Missing | Unreachable:
+        """Read the object."""
+        assert (kind, name) == (RECORD_KIND, RECORD_NAME)
+        self.calls += 1
+        eventlet.sleep(0.004)
+        if self.is_down:
+            return Unreachable(Cause.SILENT)
+        return self.stored or Missing(name)
+
+    def write(
+        self, kind: str, name: str, body: bytes, expected: int
+    ) -> Written | Conflict | Unreachable:
+        """Write the object."""
+        self.calls += 1
+        eventlet.sleep(0.004)
+        if self.is_down:
+            return Unreachable(Cause.SILENT)
+        version = self.stored.version if self.stored else 0
+        if expected != version:
+            return Conflict(version)
+        self.writes += 1
+        self.stored = StoredObject(name, version + 1, body)
+        if self.loses_replies:
+            return Unreachable(Cause.SILENT)
+        return Written(version + 1)
+
+    def list_versions(self) -> dict[str, bool]:
+        """Return the recorded versions and whether they still serve."""
+        entries = msgspec.json.decode(
+            self.stored.body, type=list[RecordedVersion]
+        )
+        return {entry.software_version: not entry.left_ms for entry in entries}
+
+
+@dataclass
+class _Scene:
+    """Hosts that keep a record in one store.
+
+    :ivar lost: names of the hosts that do not run.
+    """
+
+    hub: VirtualHub
+    store: _Store = field(default_factory=_Store)
+    histories: dict[str, VersionHistory] = field(default_factory=dict)
+    recorders: dict[str, VersionRecorder] = field(default_factory=dict)
+
+    def start(self, name: str, members: MemberTable) -> None:
+        """Start a host."""
+        history = VersionHistory(self.hub.read_now)
+        self.histories[name] = history
+        recorder = VersionRecorder(
+            self.store,
+            members,
+            history,
+            lambda: True,
+            clock=self.hub.read_now,
+            wall_clock=lambda: _WALL_S + self.hub.now,
+            source=random.Random(name),
+        )
+        self.recorders[name] = recorder
+        eventlet.spawn(recorder.run)
+
+    def list_versions(self, *versions: str) -> None:
+        """Give all hosts a list with an engine of each version."""
+        for history in self.histories.values():
+            history.update((_SERVICE, version) for version in versions)
+
+
+@contextmanager
+def _open_scene(hosts: int = 6) -> Iterator[_Scene]:
+    with use_virtual_time() as hub:
+        scene = _Scene(hub)
+        names = [f'h{index}' for index in range(hosts)]
+        for own in names:
+            members = MemberTable(own)
+            for name in names:
+                update = MemberUpdate(name, 1, 0, 0, 'dc', name, name)
+                members.apply(update, hub.now)
+            scene.start(own, members)
+        yield scene
+
+
+def _restart(scene: _Scene, *versions: str) -> VersionHistory:
+    """Start a host anew that knows only its list, and let it restore."""
+    scene.start('new', MemberTable('new'))
+    history = scene.histories['new']
+    history.update((_SERVICE, version) for version in versions)
+    assert not history.is_complete()
+    assert scene.recorders['new'].restore()
+    assert history.is_complete()
+    return history
+
+
+def test_the_versions_of_an_upgrade_are_recorded_with_few_calls() -> None:
+    """Also by many hosts; nothing is called while versions stay the same."""
+    for hosts in (6, 195):
+        with _open_scene(hosts) as scene:
+            for versions in (('v1',), ('v1', 'v2'), ('v2',)):
+                before = scene.store.calls
+                scene.list_versions(*versions)
+                eventlet.sleep(20)
+                assert scene.store.calls - before <= 8, scene.store.calls
+                serving = {
+                    version
+                    for version, serves in scene.store.list_versions().items()
+                    if serves
+                }
+                assert serving == set(versions)
+            assert scene.store.writes == 3
+            before = scene.store.calls
+            eventlet.sleep(600)
+            assert scene.store.calls == before
+
+
+def test_other_hosts_record_when_the_first_one_does_not() -> None:
+    """It is lost, or a daemon of an earlier build."""
+    with _open_scene() as scene:
+        first = scene.recorders['h0']._members.rank_live(RECORD_KIND)[0]
+        scene.histories.pop(first)
+        scene.list_versions('v1', 'v2')
+        eventlet.sleep(10)
+        assert scene.store.list_versions() == {'v1': True, 'v2': True}
+
+
+def test_the_record_is_written_once_the_store_is_back() -> None:
+    """A write whose reply was lost is not repeated."""
+    with _open_scene() as scene:
+        scene.store.is_down = True
+        scene.list_versions('v1')
+        eventlet.sleep(60)
+        assert scene.store.calls < 3 * 20, scene.store.calls
+        scene.store.is_down = False
+        scene.store.loses_replies = True
+        eventlet.sleep(12)
+        assert scene.store.writes == 1
+        assert scene.store.list_versions() == {'v1': True}
+
+
+def test_a_version_that_left_counts_until_its_streams_have_ended() -> None:
+    """It left before the loss of all hosts, or while none was running."""
+    with _open_scene() as scene:
+        scene.list_versions('v1')
+        eventlet.sleep(10)
+        scene.list_versions('v1', 'v2')
+        eventlet.sleep(10)
+        assert _restart(scene, 'v2').list_recent(_SERVICE) == {'v1', 'v2'}
+        scene.list_versions('v2')
+        eventlet.sleep(10)
+        assert _restart(scene, 'v2').list_recent(_SERVICE) == {'v1', 'v2'}
+        eventlet.sleep(35)
+        assert _restart(scene, 'v2').find_only(_SERVICE) == 'v2'
+
+
+def test_a_host_alone_with_the_recorded_version_knows_it() -> None:
+    """Nothing else has served."""
+    with _open_scene() as scene:
+        scene.list_versions('v1')
+        eventlet.sleep(10)
+        assert _restart(scene, 'v1').find_only(_SERVICE) == 'v1'
+
+
+def test_a_record_that_cannot_be_read_tells_nothing() -> None:
+    """It is missing, malformed or out of reach; concurrent readers wait."""
+    with _open_scene(1) as scene:
+        recorder = scene.recorders['h0']
+        for body in (None, b'{', b'[{"service": 1}]', b'\xff'):
+            scene.store.stored = (
+                None if body is None else StoredObject(RECORD_NAME, 1, body)
+            )
+            before = scene.store.calls
+            threads = [eventlet.spawn(recorder.restore) for _ in range(20)]
+            assert not any(thread.wait() for thread in threads)
+            assert scene.store.calls == before + 1
+            eventlet.sleep(1)
+
+
+def test_a_malformed_record_is_replaced() -> None:
+    """The next change of the versions does not wait for an operator."""
+    with _open_scene() as scene:
+        scene.store.stored = StoredObject(RECORD_NAME, 3, b'{')
+        scene.list_versions('v1')
+        eventlet.sleep(10)
+        assert scene.store.list_versions() == {'v1': True}
