Play servers that leave in the soak

Drawn apart from the faults and the incidents, so that the seeds stay as they were: a server says in its responses that it leaves, in half of the cases without the list saying so, and starts again under its name.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,12 +16,16 @@
 
 from egretdale.util.clocks import read_hub_clock
 from soak.checks import Record, Violation, find_violations
+from soak.departures import Departure, draw_departures
 from soak.faults import Fault, draw_timeline
 from soak.incidents import Incident, draw_incidents
 from soak.reports import Outcome, describe, write_reports
 from soak.servers import count_runs
 from soak.world import LARGE, SMALL, SoakWorld
 
+#: What happens at a time of a soak test.
+Disturbance = Fault | Incident | Departure
+
 _SIZES = MappingProxyType({'small': SMALL, 'large': LARGE})
 _SECONDS_PER_MINUTE = 60
 _POLL_INTERVAL_S = 0.1
@@ -48,13 +52,21 @@
     """
     faults = draw_timeline(seed, length_s, _SIZES[size].daemons)
     incidents = draw_incidents(seed, length_s)
+    departures = draw_departures(seed, length_s, _SIZES[size].servers)
     world = SoakWorld(_SIZES[size], folder, seed)
     if broken:
         world.use_broken_daemons(broken)
     try:
         world.start()
         began_at = read_hub_clock()
-        _inject_faults(world, faults, incidents)
+        _disturb(
+            world,
+            [
+                *((world.inject, fault) for fault in faults),
+                *((world.play, incident) for incident in incidents),
+                *((world.depart, departure) for departure in departures),
+            ],
+        )
         recovered_s = _wait_until_served(world)
         steady_at = read_hub_clock()
         eventlet.sleep(_STEADY_PHASE_S)
@@ -66,6 +78,7 @@
         began_at,
         faults,
         incidents,
+        departures,
         world.list_attempts(),
         count_runs(world.servers),
         world.evidence,
@@ -77,24 +90,20 @@
     return record, Outcome(seed, size, recovered_s, violations)
 
 
-def _inject_faults(
-    world: SoakWorld, faults: list[Fault], incidents: list[Incident]
+def _disturb(
+    world: SoakWorld, steps: list[tuple[Callable[..., None], Disturbance]]
 ) -> None:
-    pool = eventlet.GreenPool(len(faults) + len(incidents) + 1)
-    for fault in faults:
-        pool.spawn(_run_later, fault.at_s, world.inject, fault)
-    for incident in incidents:
-        pool.spawn(_run_later, incident.at_s, world.play, incident)
+    pool = eventlet.GreenPool(len(steps) + 1)
+    for run, disturbance in steps:
+        pool.spawn(_run_later, run, disturbance)
     while pool.running():
         world.handle_unexpected_exits()
         eventlet.sleep(_POLL_INTERVAL_S)
     world.handle_unexpected_exits()
 
 
-def _run_later(
-    delay_s: float, run: Callable[..., None], disturbance: Fault | Incident
-) -> None:
-    eventlet.sleep(delay_s)
+def _run_later(run: Callable[..., None], disturbance: Disturbance) -> None:
+    eventlet.sleep(disturbance.at_s)
     run(disturbance)
 
 
--- a/soak/broken_daemon.py
+++ b/soak/broken_daemon.py
@@ -11,6 +11,7 @@
 from egretdale.coordination.admission import Admission
 from egretdale.coordination.configuration import ConfigurationFollower
 from egretdale.coordination.attempt_rules import AttemptRules
+from egretdale.coordination.departures import DepartureTracker
 from egretdale.coordination.ports import EndOfStream, MaybeRun
 from egretdale.coordination.response_relay import ResponseRelay
 from egretdale.protocol import problems
@@ -121,6 +122,11 @@
 
 
 #: Functions that install a bug, by the violation that the soak test reports.
+def ignore_departures() -> None:
+    """Ignore that a backend server says that it leaves."""
+    DepartureTracker.note_response = lambda *ignored: None
+
+
 BUGS = MappingProxyType(
     {
         'twice': retry_unsafe_requests,
@@ -132,6 +138,7 @@
         'own-end': crash_after_requests,
         'recovery': refuse_after_requests,
         'budget': forget_crashes,
+        'drain': ignore_departures,
     }
 )
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from soak.clients import Attempt
+from soak.departures import Departure, DepartureLog
 from soak.evidence import Evidence, Stop
 from soak.faults import Fault, FaultKind
 from soak.incidents import CrashLog, Incident
@@ -28,6 +29,9 @@
 _ALLOWED_ARRIVALS = 3
 #: Seconds in which a daemon that was started anew gets in touch.
 _START_S = 3.0
+#: Seconds after a daemon has passed on that a server leaves until requests that
+#: clients send to that daemon must not reach the server.
+_DRAIN_S = 2.0
 #: Faults that excuse nothing during a graceful shutdown.
 _NOT_EXCUSING = frozenset(
     (
@@ -60,6 +64,7 @@
     :ivar began_at: start time.
     :ivar faults: the injected faults.
     :ivar incidents: the incidents.
+    :ivar departures: the departures of servers.
     :ivar attempts: requests of all clients.
     :ivar runs: number of runs at backend servers, by request ID.
     :ivar evidence: observations of the daemons and the keys.
@@ -69,6 +74,7 @@
     began_at: float
     faults: list[Fault]
     incidents: list[Incident]
+    departures: list[Departure]
     attempts: list[Attempt]
     runs: Counter[str]
     evidence: Evidence
@@ -97,6 +103,8 @@
         violations.extend(_check_stop(record, stop))
     for incident in record.incidents:
         violations.extend(_check_incident(record, incident))
+    for log in record.evidence.departures:
+        violations.extend(_check_departure(record, log))
     violations.extend(_check_recovery(record))
     return violations
 
@@ -192,6 +200,38 @@
     return [Violation('budget', detail)]
 
 
+def _check_departure(record: Record, log: DepartureLog) -> list[Violation]:
+    reached = set(log.arrivals)
+    attempts = [
+        attempt for attempt in record.attempts if attempt.identity in reached
+    ]
+    told = [attempt for attempt in attempts if attempt.told_at]
+    told.sort(key=_get_told_at, reverse=True)
+    # The first response of each daemon comes last.
+    told_at = {attempt.host: attempt.told_at for attempt in told}
+    return [
+        Violation('drain', f'{attempt.identity} reached a server that left')
+        for attempt in attempts
+        if _is_late(record, attempt, told_at.get(attempt.host, float('inf')))
+    ]
+
+
+def _is_late(record: Record, attempt: Attempt, told_at: float) -> bool:
+    if attempt.sent_at <= told_at + _DRAIN_S:
+        return False
+    # A daemon that was lost or paused since is excused.
+    return not any(
+        absence.daemon == attempt.host
+        and absence.began_at < attempt.sent_at
+        and absence.ended_at > told_at
+        for absence in record.evidence.absences
+    )
+
+
+def _get_told_at(attempt: Attempt) -> float:
+    return attempt.told_at
+
+
 def _is_in_touch(record: Record, host: int, at: float) -> bool:
     return not any(
         absence.daemon == host
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -37,6 +37,8 @@
     :ivar sealed: whether a backend server signed the response.
     :ivar complete: whether the response was complete according to its framing.
     :ivar body: body of the response, as far as it was received.
+    :ivar told_at: time of a head of a response that says that its server
+        leaves, 0 if it does not.
     :ivar retry_after_s: seconds after which the client may retry, as stated in
         the response; ``None`` if not stated.
     """
@@ -52,6 +54,7 @@
     sealed: bool = False
     complete: bool = False
     body: bytes = b''
+    told_at: float = 0
     retry_after_s: float | None = None
 
     def is_correct(self) -> bool:
@@ -174,6 +177,8 @@
         )
         attempt.status = response.status
         attempt.sealed = 'Server-Seal' in response.headers
+        if 'Server-Leaving' in response.headers:
+            attempt.told_at = read_hub_clock()
         if 'Retry-After' in response.headers:
             attempt.retry_after_s = float(response.headers['Retry-After'])
         for chunk in response.stream(1024):
--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -226,6 +226,7 @@
     address: str,
     version: str = 'v1',
     starts: int = 0,
+    state: str = 'ready',
 ) -> None:
     """Register a backend server.
 
@@ -234,13 +235,14 @@
     :param address: its ``address:port``.
     :param version: version of its software.
     :param starts: number of times that it was started anew.
+    :param state: ``ready`` or ``draining``.
     """
     entry = {
         'backend': 's1',
         'address': address,
         'zone': 'z1',
         'version': version,
-        'state': 'ready',
+        'state': state,
         'slots': 64,
         'born': _BORN_MS + starts,
         'sequence': 1,
--- a/soak/evidence.py
+++ b/soak/evidence.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from soak.departures import DepartureLog
 from soak.incidents import CrashLog
 
 
@@ -52,6 +53,7 @@
     :ivar absences: times for which daemons were stopped, killed or paused.
     :ivar crashes: what the servers saw of requests that crash them, by the
         last part of the path.
+    :ivar departures: what servers saw of their departures.
     """
 
     stops: list[Stop] = field(default_factory=list)
@@ -59,3 +61,4 @@
     unexpected_exits: list[str] = field(default_factory=list)
     absences: list[Absence] = field(default_factory=list)
     crashes: dict[str, CrashLog] = field(default_factory=dict)
+    departures: list[DepartureLog] = field(default_factory=list)
--- a/soak/reports.py
+++ b/soak/reports.py
@@ -38,7 +38,10 @@
     :param outcome: the result.
     :return: the lines.
     """
-    lines = [entry.describe() for entry in (*record.faults, *record.incidents)]
+    lines = [
+        entry.describe()
+        for entry in (*record.faults, *record.incidents, *record.departures)
+    ]
     served = sum(attempt.is_served() for attempt in record.attempts)
     lines.append(
         f'seed {outcome.seed} {outcome.size}: {len(record.faults)} faults,'
@@ -71,6 +74,7 @@
         'outcome': asdict(outcome),
         'timeline': [asdict(fault) for fault in record.faults],
         'incidents': [asdict(incident) for incident in record.incidents],
+        'departures': [asdict(entry) for entry in record.departures],
         'attainment': measure_attainment(record),
     }
     text = '\n'.join(describe(record, outcome))
--- a/soak/world.py
+++ b/soak/world.py
@@ -18,6 +18,7 @@
     put_configuration,
     put_server,
 )
+from soak.departures import Departure, DepartureLog
 from soak.evidence import Absence, Evidence, Stop
 from soak.faults import Fault, FaultKind
 from soak.incidents import CrashingServers, Incident, repeat_request
@@ -44,6 +45,7 @@
 
 #: Seconds for which some clients keep using a revoked key.
 _REVOKED_KEY_USE_S = 8.0
+_POLL_INTERVAL_S = 0.02
 _LARGE_DAEMONS = 40
 _LARGE_SERVERS = 12
 _LARGE_CLIENTS = 200
@@ -155,6 +157,29 @@
         self._repeating.append(client)
         repeat_request(client, incident)
 
+    def depart(self, departure: Departure) -> None:
+        """Let a server leave, and start it again under its name.
+
+        :param departure: the departure.
+        """
+        number = departure.target % len(self.servers)
+        server = self.servers[number]
+        log = DepartureLog(read_hub_clock())
+        self.evidence.departures.append(log)
+        life = self._starts[number]
+        before = len(server.runs)
+        server.leaving = True
+        if departure.is_listed:
+            self._list_leaving(number)
+        until = log.began_at + departure.for_s
+        while read_hub_clock() < until and self._starts[number] == life:
+            eventlet.sleep(_POLL_INTERVAL_S)
+        server.leaving = False
+        log.arrivals = server.runs[before:]
+        # A crash may have started it again already.
+        if self._starts[number] == life:
+            self._note_restart(number)
+
     def inject(self, fault: Fault) -> None:
         """Inject a fault and wait until it is over.
 
@@ -271,6 +296,16 @@
                 starts=self._starts[number],
             )
 
+    def _list_leaving(self, number: int) -> None:
+        if f'i-{number}' in self.store.list_names('servers'):
+            put_server(
+                self.store,
+                f'i-{number}',
+                self._server_links[number].address,
+                starts=self._starts[number],
+                state='draining',
+            )
+
     def _note_restart(self, number: int) -> None:
         self._starts[number] += 1
         if f'i-{number}' in self.store.list_names('servers'):
--- a/tests/test_soak/test_checks.py
+++ b/tests/test_soak/test_checks.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from collections import Counter
+from itertools import pairwise
 
 from soak.checks import Record, find_violations
 from soak.clients import Attempt
+from soak.departures import DepartureLog, draw_departures
 from soak.evidence import Absence, Evidence, Stop
 from soak.faults import Fault, FaultKind, draw_timeline
 from soak.incidents import CrashLog, Incident, draw_incidents
@@ -41,6 +43,7 @@
         100,
         list(faults),
         [],
+        [],
         [attempt],
         Counter({_IDENTITY: runs}),
         Evidence(**observed),
@@ -144,7 +147,7 @@
     incident = Incident(1, 1, 20)
     evidence = Evidence(absences=list(absences), crashes={incident.path: log})
     runs = Counter(arrivals.keys())
-    record = Record(100, [], [incident], attempts, runs, evidence, 200)
+    record = Record(100, [], [incident], [], attempts, runs, evidence, 200)
     return [violation.promise for violation in find_violations(record)]
 
 
@@ -162,6 +165,33 @@
     assert not _find_late_arrivals(*lost)
 
 
+def test_a_request_to_a_server_that_leaves_is_found() -> None:
+    """Unless its daemon was lost or paused since it passed that on."""
+    log = DepartureLog(100, ['c0-0', _IDENTITY])
+    attempt = _create_attempt('idempotent')
+    told = Attempt('c0-0', 'idempotent', 'key-0', 0, 107, told_at=107.9)
+    for sent_at, absences, found in (
+        (110, [], ['drain']),
+        (109.8, [], []),
+        (110, [Absence(0, 108, 108.5, False)], []),
+        (110, [Absence(1, 108, 108.5, True)], ['drain']),
+    ):
+        attempt.sent_at = sent_at
+        evidence = Evidence(departures=[log], absences=absences)
+        record = Record(
+            100,
+            [],
+            [],
+            [],
+            [told, attempt],
+            Counter({_IDENTITY: 1, 'c0-0': 1}),
+            evidence,
+            200,
+        )
+        promises = [entry.promise for entry in find_violations(record)]
+        assert promises.count('drain') == len(found), (sent_at, promises)
+
+
 def test_a_system_that_does_not_recover_is_found() -> None:
     """At least a quarter of the requests must be served after the faults."""
     refused = _create_attempt(status=503, body=b'', sealed=False)
@@ -182,13 +212,23 @@
 def test_reports_tell_what_was_broken() -> None:
     """The text names the violated guarantee and the request."""
     runs = Counter({_IDENTITY: 2})
-    record = Record(100, [], [], [_create_attempt()], runs, Evidence(), 200)
+    record = Record(100, [], [], [], [_create_attempt()], runs, Evidence(), 200)
     violations = find_violations(record)
     lines = describe(record, Outcome(4, 'small', 0.5, violations))
     assert lines[-1] == f'BROKEN twice: {_IDENTITY} ran 2 times'
     assert measure_attainment(record)[10] == 1
 
 
+def test_a_seed_draws_its_departures() -> None:
+    """Each run has one or more, and they do not overlap."""
+    assert len(draw_departures(4, 1, 3)) == 1
+    drawn = draw_departures(4, 120, 3)
+    assert drawn == draw_departures(4, 120, 3)
+    assert len(drawn) > 2
+    for first, second in pairwise(drawn):
+        assert first.at_s + first.for_s <= second.at_s
+
+
 def test_a_seed_draws_its_incidents() -> None:
     """Each soak test has one, a long one several."""
     assert len(draw_incidents(4, 1)) == 1
