Apply a departure to a life that began before its response

Found by reading the fix: a host whose list is old takes the response of a server that has restarted under its name for one of its former life. If the response came after the start time of the new life, that life is taken to leave for 30 s, or until it says so itself; not for longer, since the clocks of hosts and servers may differ.

--- a/egretdale/coordination/departures.py
+++ b/egretdale/coordination/departures.py
@@ -128,7 +128,13 @@
         self, service: str, incarnation: Incarnation, request_id: str
     ) -> None:
         now = self._clock()
-        departure = Departure(service, incarnation, now, now + _RESPONSE_USE_S)
+        departure = Departure(
+            service,
+            incarnation,
+            now,
+            now + _RESPONSE_USE_S,
+            self._instances.read_wall_ms(),
+        )
         self._note(departure, self._mesh.table.own_host, request_id)
 
     def _note(self, departure: Departure, source: str, request_id: str) -> None:
--- a/egretdale/coordination/gateway.py
+++ b/egretdale/coordination/gateway.py
@@ -264,19 +264,12 @@
         self.metrics.add_gauges(
             'prefill_tokens_per_second',
             'Speed that this host has learned as an allocator',
-            self._list_speeds,
+            self._selection.speeds.list_known_rates,
         )
         self.metrics.add_gauge(
             'peer_bytes', 'Bytes sent to peers', lambda: self.mesh.sent_bytes
         )
 
-    def _list_speeds(self) -> dict[str, float]:
-        return {
-            service: speed.tokens_per_s
-            for service, speed in self._selection.speeds.list_services().items()
-            if speed.is_known()
-        }
-
     def _run_joining(self) -> None:
         while self.configuration.table is None:
             eventlet.sleep(_JOINING_CHECK_S)
@@ -292,7 +285,9 @@
     def _build_forwarder(self) -> None:
         settings = self.settings
         dependencies = self._dependencies
-        table = InstanceTable(dependencies.clock, LAPSE_S)
+        table = InstanceTable(
+            dependencies.clock, LAPSE_S, dependencies.wall_clock
+        )
         self._version_recorder = VersionRecorder(
             dependencies.platform,
             self._table,
--- a/egretdale/state/departures.py
+++ b/egretdale/state/departures.py
@@ -25,18 +25,24 @@
     :ivar since: clock time at which a host first knew.
     :ivar usable_until: clock time until which it may get work that no other
         backend server can do.
+    :ivar stated_ms: wall-clock time in milliseconds of a response to this host
+        that said so, 0 if the list or a peer did.
+    :ivar expires_at: clock time until which it is only assumed.
     """
 
     service: str
     incarnation: Incarnation
     since: float
     usable_until: float
+    stated_ms: int = 0
+    expires_at: float = float('inf')
 
 
 class DepartureTable:
     """Backend servers that leave, by incarnation.
 
-    A departure is never withdrawn; a later life has another start time.
+    A departure that was told is never withdrawn; a later life has another start
+    time.
     """
 
     __slots__ = ('_clock', '_departures', '_kept_until')
@@ -61,7 +67,10 @@
         if known is not None:
             usable_until = min(known.usable_until, departure.usable_until)
             self._departures[incarnation] = replace(
-                known, usable_until=usable_until
+                known,
+                usable_until=usable_until,
+                stated_ms=max(known.stated_ms, departure.stated_ms),
+                expires_at=max(known.expires_at, departure.expires_at),
             )
             return False
         if len(self._departures) >= _MAXIMUM_DEPARTURES:
@@ -86,6 +95,21 @@
         departure = self._departures.get(incarnation)
         return departure is not None and self._clock() < departure.usable_until
 
+    def expire(self) -> bool:
+        """Drop the departures that were only assumed for a time.
+
+        :return: whether there were any.
+        """
+        now = self._clock()
+        expired = [
+            incarnation
+            for incarnation, departure in self._departures.items()
+            if departure.expires_at <= now
+        ]
+        for incarnation in expired:
+            self._forget(incarnation)
+        return bool(expired)
+
     def refresh(self, listed: set[Incarnation]) -> None:
         """Keep the listed backend servers and drop those gone for long.
 
--- a/egretdale/state/instances.py
+++ b/egretdale/state/instances.py
@@ -10,7 +10,7 @@
     Incarnation,
 )
 from egretdale.state.software_versions import VersionHistory
-from egretdale.util.clocks import Clock
+from egretdale.util.clocks import Clock, WallClock, convert_to_ms
 
 #: Software version of backend servers that do not tell theirs.
 UNKNOWN_VERSION = 'unknown'
@@ -18,6 +18,9 @@
 #: Seconds after the list said that a backend server leaves in which it gets
 #: work that no other one can do. The list may say so seconds late.
 _LISTED_USE_S = 0.5
+#: Seconds for which a backend server is assumed to leave that has restarted, if
+#: its former life seemed to say so when the present one was running already.
+_ASSUMED_S = 30.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -79,17 +82,23 @@
         '_lapsing',
         '_leaving',
         '_listed',
+        '_wall_clock',
         'departures',
         'versions',
     )
 
-    def __init__(self, clock: Clock, lapse_s: float) -> None:
+    def __init__(
+        self, clock: Clock, lapse_s: float, wall_clock: WallClock | None = None
+    ) -> None:
         """Create an empty table.
 
         :param clock: monotonic clock.
         :param lapse_s: seconds for which an entry is kept that disappeared
             during an outage of the list.
+        :param wall_clock: wall clock, which start times are compared with;
+            ``None`` if ``clock`` tells the same time.
         """
+        self._wall_clock = wall_clock or clock
         self.versions = VersionHistory(clock)
         self.departures = DepartureTable(clock)
         self._clock = clock
@@ -122,8 +131,10 @@
             for lapsing, until in self._lapsing.items()
             if lapsing in kept and lapsing not in instances
         }
+        known_before = self._listed
         self._listed = kept
         self._add_listed_departures()
+        self._add_assumed_departures(known_before)
         self._index()
         return gone
 
@@ -139,7 +150,7 @@
         dropped = [self._listed.pop(name) for name in expired]
         for name in expired:
             self._lapsing.pop(name)
-        if dropped:
+        if self.departures.expire() or dropped:
             self._index()
         return dropped
 
@@ -181,6 +192,10 @@
         """
         return self.departures.find(instance.incarnation) is not None
 
+    def read_wall_ms(self) -> int:
+        """Return the wall-clock time in milliseconds."""
+        return convert_to_ms(self._wall_clock())
+
     def note_leaving(self, departure: Departure) -> bool:
         """Record that a backend server leaves, also one that is not listed.
 
@@ -240,3 +255,31 @@
         self.departures.refresh(
             {entry.incarnation for entry in self._listed.values()}
         )
+
+    def _add_assumed_departures(
+        self, known_before: dict[str, Instance]
+    ) -> None:
+        """Add the departures of backend servers that restarted unnoticed.
+
+        The response that said so may be of the present life, while this host
+        still had the entry of the former one.
+
+        :param known_before: entries of the former list, by name.
+        """
+        now = self._clock()
+        for name, instance in self._listed.items():
+            known = known_before.get(name)
+            if known is None or known.born_ms >= instance.born_ms:
+                continue
+            departure = self.departures.find(known.incarnation)
+            if departure is None or departure.stated_ms < instance.born_ms:
+                continue
+            self.departures.add(
+                Departure(
+                    instance.service,
+                    instance.incarnation,
+                    now,
+                    now,
+                    expires_at=now + _ASSUMED_S,
+                )
+            )
--- a/egretdale/state/speeds.py
+++ b/egretdale/state/speeds.py
@@ -278,6 +278,14 @@
         """Return the speeds by service name."""
         return dict(self._by_service)
 
+    def list_known_rates(self) -> dict[str, float]:
+        """Return the learned speeds in tokens per second by service name."""
+        return {
+            service: speed.tokens_per_s
+            for service, speed in self._by_service.items()
+            if speed.is_known()
+        }
+
     def forget(self, engine: str) -> None:
         """Remove an engine that has stopped.
 
--- a/tests/test_coordination/test_leaving.py
+++ b/tests/test_coordination/test_leaving.py
@@ -149,6 +149,20 @@
         assert reached > _RATE * 4 / 10, reached
 
 
+def test_a_restarted_server_that_leaves_gets_no_work() -> None:
+    """The list was old when it said so, and then says that it is ready."""
+    with open_leaving_scene() as scene:
+        scene.servers.lives['e0'] = round(scene.hub.now * 1000)
+        eventlet.sleep(0.5)
+        _leave(scene, 'e0')
+        scene.send(_RATE, 1)
+        eventlet.sleep(DRAIN_S)
+        scene.list_servers()
+        listed_at = scene.hub.now
+        scene.send(_RATE, 2, seed=2)
+        _check(scene, listed_at)
+
+
 def test_streams_are_not_resumed_at_a_server_that_leaves() -> None:
     """Neither within their response nor by their callers."""
     with open_leaving_scene() as scene:
--- a/tests/test_state/test_departures.py
+++ b/tests/test_state/test_departures.py
@@ -64,6 +64,37 @@
     assert table.count_leaving() == 1
 
 
+def test_a_response_of_a_life_that_was_not_listed_yet_counts_for_it() -> None:
+    """The list was old when the server said that it leaves."""
+    for stated_ms, is_leaving in ((4999, False), (5000, True), (0, False)):
+        clock = ManualClock()
+        table = InstanceTable(clock, 2)
+        table.replace({'a': _create_entry(1)}, after_outage=False)
+        table.note_leaving(
+            Departure('claims', _FIRST, clock.now, clock.now, stated_ms)
+        )
+        restarted = {'a': _create_entry(5000)}
+        table.replace(restarted, after_outage=False)
+        assert bool(table.list_leaving('claims')) is is_leaving, stated_ms
+        # Clocks may differ, so it is not held for long without a response.
+        clock.now += 31
+        table.expire()
+        assert not table.list_leaving('claims')
+        table.replace(restarted, after_outage=False)
+        assert not table.list_leaving('claims')
+
+
+def test_an_assumed_departure_that_a_response_confirms_stays() -> None:
+    """It does not end with the assumption."""
+    clock = ManualClock()
+    table = DepartureTable(clock)
+    table.add(Departure('claims', _FIRST, 100, 100, expires_at=130))
+    table.add(Departure('claims', _FIRST, 101, 101, 101000))
+    clock.now += 60
+    assert not table.expire()
+    assert table.find(_FIRST) is not None
+
+
 def test_departures_are_forgotten_long_after_the_entry() -> None:
     """Those of listed backend servers are kept."""
     clock = ManualClock()
