--- a/egretdale/state/instances.py
+++ b/egretdale/state/instances.py
@@ -204,7 +204,9 @@
         """
         if not self.departures.add(departure):
             return False
-        self._index()
+        listed = self._listed.get(departure.incarnation[0])
+        if listed is not None and self.is_leaving(listed):
+            self._index()
         return True
 
     def find(self, name: str) -> Instance | None:
--- a/egretdale/state/speeds.py
+++ b/egretdale/state/speeds.py
@@ -274,10 +274,6 @@
         """
         return self._by_service.setdefault(service, ServiceSpeed())
 
-    def list_services(self) -> dict[str, ServiceSpeed]:
-        """Return the speeds by service name."""
-        return dict(self._by_service)
-
     def list_known_rates(self) -> dict[str, float]:
         """Return the learned speeds in tokens per second by service name."""
         return {
