--- a/tests/test_coordination/test_version_record.py
+++ b/tests/test_coordination/test_version_record.py
@@ -8,20 +8,19 @@
 from dataclasses import dataclass, field
 
 import eventlet
-import msgspec
 
-from egretdale.coordination.ports import StoredObject, Written
+from egretdale.coordination.ports import StoredObject
 from egretdale.coordination.version_record import (
     RECORD_KIND,
     RECORD_NAME,
     VersionRecorder,
 )
-from egretdale.errors import Cause, Conflict, Missing, Unreachable
 from egretdale.state.members import MemberTable
 from egretdale.state.messages import MemberUpdate
-from egretdale.state.software_versions import RecordedVersion, VersionHistory
+from egretdale.state.software_versions import VersionHistory
 from standins.virtual.hub import VirtualHub, use_virtual_time
 from tests.functions import create_loader
+from tests.version_store import VersionStore
 
 load_tests = create_loader(__name__)
 
@@ -29,65 +28,12 @@
 _WALL_S = 1_700_000_000
 
 
-@dataclass
-class _Store:
-    """A store of one object that counts the calls.
-
-    :ivar is_down: whether it cannot be reached.
-    :ivar loses_replies: whether writes take effect without a reply.
-    """
-
-    stored: StoredObject | None = None
-    calls: int = 0
-    writes: int = 0
-    is_down: bool = False
-    loses_replies: bool = False
-
-    def read(
-        self, kind: str, name: str
-    ) -> StoredObject | Missing | Unreachable:
-        """Read the object."""
-        assert (kind, name) == (RECORD_KIND, RECORD_NAME)
-        self.calls += 1
-        eventlet.sleep(0.004)
-        if self.is_down:
-            return Unreachable(Cause.SILENT)
-        return self.stored or Missing(name)
-
-    def write(
-        self, kind: str, name: str, body: bytes, expected: int
-    ) -> Written | Conflict | Unreachable:
-        """Write the object."""
-        self.calls += 1
-        eventlet.sleep(0.004)
-        if self.is_down:
-            return Unreachable(Cause.SILENT)
-        version = self.stored.version if self.stored else 0
-        if expected != version:
-            return Conflict(version)
-        self.writes += 1
-        self.stored = StoredObject(name, version + 1, body)
-        if self.loses_replies:
-            return Unreachable(Cause.SILENT)
-        return Written(version + 1)
-
-    def list_versions(self) -> dict[str, bool]:
-        """Return the recorded versions and whether they still serve."""
-        entries = msgspec.json.decode(
-            self.stored.body, type=list[RecordedVersion]
-        )
-        return {entry.software_version: not entry.left_ms for entry in entries}
-
-
 @dataclass
 class _Scene:
-    """Hosts that keep a record in one store.
-
-    :ivar lost: names of the hosts that do not run.
-    """
+    """Hosts that keep a record in one store."""
 
     hub: VirtualHub
-    store: _Store = field(default_factory=_Store)
+    store: VersionStore = field(default_factory=VersionStore)
     histories: dict[str, VersionHistory] = field(default_factory=dict)
     recorders: dict[str, VersionRecorder] = field(default_factory=dict)
 
