--- a/standins/emulation/hosts.py
+++ b/standins/emulation/hosts.py
@@ -3,40 +3,29 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 import eventlet
 
 from egretdale.coordination.admission import Admission, FreshnessLimits
 from egretdale.coordination.budgets import RetryBudgets, RetryBudgetSettings
 from egretdale.coordination.exchanges import (
-    BackendIdentity,
     ForwardClient,
-    ForwardReply,
-    IncompleteResponse,
-    RelayAttempt,
 )
 from egretdale.coordination.forwarding import Forwarder
 from egretdale.coordination.mesh import Mesh
 from egretdale.coordination.ports import (
     Delivered,
-    EndOfStream,
-    MaybeRun,
-    NotRun,
 )
 from egretdale.coordination.reachability import ReachabilityMonitor
 from egretdale.coordination.selection import BackendSelection
 from egretdale.coordination.stream_origins import ListKnowledge
 from egretdale.errors import Cause, Unreachable
-from egretdale.protocol.forwarding import HeaderCodec, HeaderNames
-from egretdale.state.backpressure import BackendStatement
 from egretdale.state.freshness import Confirmation
 from egretdale.state.gateway_metrics import GatewayMetrics
 from egretdale.state.instances import Instance, InstanceTable
 from egretdale.state.members import MemberStatus, MemberTable
 from egretdale.state.messages import Batch, MemberUpdate
-from egretdale.state.outcomes import Ran, Reason, Refused
 from egretdale.state.queries import OriginAsk, OriginReply
 from egretdale.state.routing import (
     CallerLimits,
@@ -53,14 +42,11 @@
 HOST_NAME = 'prompts.example'
 #: Urgency that engines assume for requests without one.
 _DEFAULT_URGENCY = 5
-_LATENCY_S = 0.001
+LATENCY_S = 0.001
 _BYTES_PER_S = 4096.0
 _RETRY_RATIO = 0.2
 _RETRY_ALLOWANCE = 40
 _RETRY_WINDOW_S = 10.0
-_MISDIRECTED = 421
-_codec = HeaderCodec(HeaderNames())
-_UNAVAILABLE = 503
 
 
 @dataclass(slots=True)
@@ -97,12 +83,12 @@
         :param address: address of the peer.
         :param batch: the batch.
         """
-        eventlet.sleep(_LATENCY_S)
+        eventlet.sleep(LATENCY_S)
         host = self._hosts.get(address)
         if host is None:
             return Unreachable(Cause.REFUSED)
         answer = host.mesh.handle(batch)
-        eventlet.sleep(_LATENCY_S)
+        eventlet.sleep(LATENCY_S)
         return Delivered(answer, 0)
 
     def find_origin(
@@ -113,12 +99,12 @@
         :param address: address of the host.
         :param ask: the question.
         """
-        eventlet.sleep(_LATENCY_S)
+        eventlet.sleep(LATENCY_S)
         host = self._hosts.get(address)
         if host is None:
             return Unreachable(Cause.REFUSED)
         answer = host.find_origin(ask)
-        eventlet.sleep(_LATENCY_S)
+        eventlet.sleep(LATENCY_S)
         return answer
 
 
@@ -238,72 +224,6 @@
     """Tell no peer, as membership is not emulated."""
 
 
-@dataclass(slots=True)
-class HostResponse:
-    """A response that a host relays to another one.
-
-    :ivar reply: the response of the engine, ``None`` if the host refused the
-        request.
-    """
-
-    reply: ForwardReply | None
-    status: int = 200
-    headers: Sequence[tuple[str, str]] = ()
-    length: int | None = None
-    sealed: bool = True
-    not_run: bool = False
-    statement: BackendStatement = BackendStatement()
-    backend: BackendIdentity | None = None
-
-    def read(self) -> bytes | EndOfStream | MaybeRun:
-        """Read the next chunk."""
-        if self.reply is None:
-            return EndOfStream()
-        try:
-            return next(self.reply.chunks, EndOfStream())
-        except IncompleteResponse as incomplete:
-            return MaybeRun(str(incomplete))
-
-    def close(self) -> None:
-        """Close the connection."""
-        if self.reply is not None:
-            self.reply.chunks.close()
-
-
-def relay_to_host(
-    hosts: dict[str, EmulatedHost], attempt: RelayAttempt
-) -> HostResponse | NotRun | MaybeRun:
-    """Have a host forward the request of another one.
-
-    :param hosts: hosts by name.
-    :param attempt: the request and the host.
-    """
-    eventlet.sleep(_LATENCY_S)
-    host = hosts.get(attempt.host)
-    if host is None:
-        return NotRun('refused', is_refused=True)
-    request = replace(attempt.request, relayed_attempts=attempt.attempts)
-    reply = host.forwarder.forward(host.forwarder.admit(request))
-    eventlet.sleep(_LATENCY_S)
-    match reply:
-        case Refused(reason=Reason.HOST_CUT_OFF):
-            return HostResponse(None, _MISDIRECTED, sealed=False, not_run=True)
-        case Refused(ran=Ran.NO):
-            return HostResponse(None, _UNAVAILABLE, sealed=False)
-        case Refused(detail=detail):
-            return MaybeRun(detail)
-    metadata = _codec.parse_response(
-        request.request_id, reply.status, reply.headers
-    )
-    return HostResponse(
-        reply,
-        reply.status,
-        metadata.headers,
-        statement=metadata.statement,
-        backend=reply.backend,
-    )
-
-
 def create_hosts(
     workload: Workload, policy: Policy, client: ForwardClient, clock: Clock
 ) -> list[EmulatedHost]:
--- a/tests/leaving.py
+++ b/tests/leaving.py
@@ -23,9 +23,8 @@
     SERVICE,
     EmulatedHost,
     EmulatedNetwork,
-    HostResponse,
-    relay_to_host,
 )
+from standins.emulation.relays import HostResponse, relay_to_host
 from standins.virtual.hub import VirtualHub, use_virtual_time
 from tests.emulated import LoadedHosts
 from tests.forwarding import ScriptedResponse, create_prompt
--- a/tests/partitions.py
+++ b/tests/partitions.py
@@ -20,7 +20,8 @@
 from egretdale.coordination.ports import MaybeRun, NotRun
 from egretdale.state.instances import Instance
 from egretdale.state.outcomes import Refused
-from standins.emulation.hosts import SERVICE, EmulatedHost, relay_to_host
+from standins.emulation.hosts import SERVICE, EmulatedHost
+from standins.emulation.relays import relay_to_host
 from standins.virtual.hub import VirtualHub, use_virtual_time
 from tests.emulated import LoadedHosts
 from tests.forwarding import ScriptedResponse, create_prompt
