Read each object of the platform by itself, whatever its bytes

Cause: JSON of other programs was decoded at a dozen places, each with its own list of errors (no RecursionError, no UnicodeDecodeError), and a page of the store was decoded as a whole. Ports, names and figures of entries, and counts of callers, were not limited to what sockets, headers and messages can carry. Change: one decoder for all such text, whose errors are values; pages are split into their objects where they cannot be decoded as a whole; one function splits addresses; figures have the range of messages.

--- a/egretdale/config.py
+++ b/egretdale/config.py
@@ -193,5 +193,5 @@
         return msgspec.yaml.decode(source, type=settings_type)
     except msgspec.ValidationError as wrong:
         return split_validation_error(wrong)
-    except (msgspec.DecodeError, ValueError) as malformed:
+    except (msgspec.DecodeError, ValueError, RecursionError) as malformed:
         return Invalid('$', f'not well formed: {malformed}')
--- a/egretdale/coordination/backends.py
+++ b/egretdale/coordination/backends.py
@@ -10,10 +10,12 @@
 
 from egretdale.coordination.mesh import MeshListener
 from egretdale.coordination.ports import Listing, Platform
+from egretdale.errors import Invalid
 from egretdale.state.backends import BackendAddress
 from egretdale.state.messages import BackendUpdate, Batch
 from egretdale.util.clocks import Clock
 from egretdale.util.hashing import rank_by_rendezvous
+from egretdale.util.json_text import decode_json
 from egretdale.util.logs import get_logger
 
 logger = get_logger(__name__)
@@ -255,10 +257,9 @@
 
 
 def _decode_entry(name: str, body: bytes) -> BackendAddress | None:
-    try:
-        listed = msgspec.json.decode(body, type=ListedBackend)
-    except msgspec.MsgspecError as malformed:
-        logger.warning('backend-malformed', backend=name, error=str(malformed))
+    listed = decode_json(body, ListedBackend)
+    if isinstance(listed, Invalid):
+        logger.warning('backend-malformed', backend=name, error=listed.message)
         return None
     return BackendAddress(
         listed.service,
--- a/egretdale/coordination/claims.py
+++ b/egretdale/coordination/claims.py
@@ -22,9 +22,16 @@
     StoredObject,
     Written,
 )
-from egretdale.errors import Ambiguous, Conflict, Missing, Unreachable
+from egretdale.errors import (
+    Ambiguous,
+    Conflict,
+    Invalid,
+    Missing,
+    Unreachable,
+)
 from egretdale.state.members import MemberStatus, MemberTable
 from egretdale.state.queries import ClaimAsk, ClaimReply
+from egretdale.util.json_text import decode_json
 from egretdale.util.logs import get_logger
 
 logger = get_logger(__name__)
@@ -140,7 +147,9 @@
         stored = self._platform.read(DECISION_KIND, process)
         if not isinstance(stored, StoredObject):
             return ClaimReply(ClaimVerdict.UNKNOWN)
-        decisions = msgspec.json.decode(stored.body, type=StoredDecisions)
+        decisions = decode_json(stored.body, StoredDecisions)
+        if isinstance(decisions, Invalid):
+            return _report_malformed(process, decisions)
         suffix = question.key.removeprefix(process)
         if suffix in decisions.finished:
             return ClaimReply(ClaimVerdict.RAN)
@@ -215,7 +224,9 @@
     ) -> ClaimReply | None:
         if not isinstance(stored, StoredObject):
             return None
-        claim = msgspec.json.decode(stored.body, type=StoredClaim)
+        claim = decode_json(stored.body, StoredClaim)
+        if isinstance(claim, Invalid):
+            return _report_malformed(stored.name, claim)
         if claim.nonce == question.nonce:
             return ClaimReply(ClaimVerdict.RUN, question.host)
         if claim.fingerprint != question.fingerprint:
@@ -250,8 +261,8 @@
             case Missing():
                 return True
             case StoredObject(version=version, body=body):
-                held = msgspec.json.decode(body, type=StoredClaim)
-        if held.nonce != question.nonce:
+                held = decode_json(body, StoredClaim)
+        if isinstance(held, Invalid) or held.nonce != question.nonce:
             return True
         nonce = question.nonce if ran else ''
         claim = StoredClaim(
@@ -271,3 +282,8 @@
 
 def _name_claim(key: str) -> str:
     return hashlib.sha256(key.encode()).hexdigest()
+
+
+def _report_malformed(name: str, malformed: Invalid) -> ClaimReply:
+    logger.warning('claim-malformed', name=name, detail=malformed.message)
+    return ClaimReply(ClaimVerdict.UNKNOWN)
--- a/egretdale/coordination/configuration.py
+++ b/egretdale/coordination/configuration.py
@@ -122,8 +122,11 @@
             logger.info('configuration-source-regained')
         newest = 0
         for entry in listing.entries:
-            self._name = entry.name
-            newest = max(newest, self._apply(entry.body, 'platform'))
+            version = self._apply(entry.body, 'platform')
+            if version > newest:
+                # Another writer's object of this kind must not be confirmed.
+                self._name = entry.name
+                newest = version
         if newest and newest == self.version:
             self.confirmation.confirm(confirmed_at)
 
--- a/egretdale/coordination/instances.py
+++ b/egretdale/coordination/instances.py
@@ -22,6 +22,7 @@
 from egretdale.state.messages import Batch, Revision
 from egretdale.state.queries import DocumentCopy
 from egretdale.util.clocks import Clock
+from egretdale.util.json_text import decode_json
 from egretdale.util.logs import get_logger
 
 logger = get_logger(__name__)
@@ -35,8 +36,6 @@
 
 _EXPIRY_CHECK_S = 0.25
 
-_copy_decoder = msgspec.json.Decoder(list[tuple[str, str]])
-
 #: Decodes an entry; the arguments are its name and its body.
 InstanceDecoder = Callable[[str, bytes], Instance | Invalid]
 
@@ -57,6 +56,7 @@
         '_fetcher',
         '_listing',
         '_lost_at',
+        '_malformed',
         '_on_gone',
         '_regained_at',
         '_watch',
@@ -99,6 +99,8 @@
         self._listing = Listing(0, ())
         self._fetcher = CopyFetcher(INSTANCE_KIND, peers, self._apply_copy)
         self._lost_at: float | None = None
+        # Bodies of the entries that were left out, by name.
+        self._malformed: dict[str, bytes] = {}
         self._regained_at = float('-inf')
 
     def run_watch(self) -> None:
@@ -162,8 +164,7 @@
     def copy(self) -> DocumentCopy:
         """Return a copy of the list for a peer."""
         entries = [
-            (entry.name, entry.body.decode(errors='replace'))
-            for entry in self._listing.entries
+            (entry.name, entry.read_text()) for entry in self._listing.entries
         ]
         source = msgspec.json.encode(entries).decode()
         return DocumentCopy(INSTANCE_KIND, self._listing.version, source)
@@ -171,11 +172,10 @@
     def _apply_copy(self, copy: DocumentCopy, host: str) -> None:
         if self._lost_at is None or copy.revision <= self._listing.version:
             return
-        try:
-            entries = _copy_decoder.decode(copy.source)
-        except msgspec.MsgspecError as malformed:
+        entries = decode_json(copy.source, list[tuple[str, str]])
+        if isinstance(entries, Invalid):
             logger.warning(
-                'backend-list-malformed', origin=host, error=str(malformed)
+                'backend-list-malformed', origin=host, error=entries.message
             )
             return
         objects = tuple(
@@ -189,14 +189,14 @@
         for entry in listing.entries:
             decoded = self._decode(entry.name, entry.body)
             if isinstance(decoded, Invalid):
-                logger.warning(
-                    'backend-malformed',
-                    backend=entry.name,
-                    path=decoded.path,
-                    detail=decoded.message,
-                )
+                self._report_malformed(entry, decoded)
             else:
                 instances[entry.name] = decoded
+        self._malformed = {
+            malformed.name: malformed.body
+            for malformed in listing.entries
+            if malformed.name not in instances
+        }
         self._log_changes(instances, origin)
         since_outage_s = self._clock() - self._regained_at
         gone = self.table.replace(
@@ -220,6 +220,16 @@
                     revision=self._listing.version,
                 )
 
+    def _report_malformed(self, entry: StoredObject, invalid: Invalid) -> None:
+        if self._malformed.get(entry.name) == entry.body:
+            return
+        logger.warning(
+            'backend-malformed',
+            backend=entry.name,
+            path=invalid.path,
+            detail=invalid.message,
+        )
+
     def _report_gone(self, instance: Instance) -> None:
         logger.info(
             'backend-gone', backend=instance.name, service=instance.service
--- a/egretdale/coordination/leases.py
+++ b/egretdale/coordination/leases.py
@@ -9,8 +9,9 @@
     StoredObject,
     Written,
 )
-from egretdale.errors import Missing
+from egretdale.errors import Invalid, Missing
 from egretdale.util.clocks import Clock
+from egretdale.util.json_text import decode_json
 from egretdale.util.logs import get_logger
 
 logger = get_logger(__name__)
@@ -18,6 +19,8 @@
 LEASE_KIND = 'leases'
 
 _SAFETY_SHARE = 0.5
+#: Holder of a lease whose object cannot be read.
+_UNKNOWN_HOLDER = '?'
 
 
 class StoredLease(msgspec.Struct, frozen=True):
@@ -147,7 +150,13 @@
 
     def _has_expired(self, stored: StoredObject) -> bool:
         now = self._clock()
-        lease = msgspec.json.decode(stored.body, type=StoredLease)
+        lease = decode_json(stored.body, StoredLease)
+        if isinstance(lease, Invalid):
+            logger.warning(
+                'lease-malformed', name=self.name, detail=lease.message
+            )
+            # It may be held, so it expires like one that is not renewed.
+            lease = StoredLease(_UNKNOWN_HOLDER, 0, self._lifetime_s)
         if lease.holder in {'', self._process}:
             return True
         if stored.version != self._seen_version:
--- a/egretdale/coordination/listing_relay.py
+++ b/egretdale/coordination/listing_relay.py
@@ -124,9 +124,7 @@
             changes.large = True
             return changes
         changes.entries = [
-            ObjectCopy(
-                entry.name, entry.version, entry.body.decode(errors='replace')
-            )
+            ObjectCopy(entry.name, entry.version, entry.read_text())
             for entry in entries
         ]
         changes.gone = [
--- a/egretdale/coordination/membership.py
+++ b/egretdale/coordination/membership.py
@@ -11,11 +11,12 @@
 
 from egretdale.coordination.mesh import Mesh, MeshListener
 from egretdale.coordination.ports import Listing, Platform, Written
-from egretdale.errors import Unreachable
+from egretdale.errors import Invalid, Unreachable
 from egretdale.state.member_records import PendingBroadcast, StoredMember
 from egretdale.state.members import Member, MemberStatus, MemberTable
 from egretdale.state.messages import Batch, MemberUpdate
 from egretdale.util.clocks import Clock
+from egretdale.util.json_text import decode_json
 from egretdale.util.logs import get_logger
 
 logger = get_logger(__name__)
@@ -278,11 +279,10 @@
             if entry.name == self.own.host:
                 self._stored_version = entry.version
                 continue
-            try:
-                stored = msgspec.json.decode(entry.body, type=StoredMember)
-            except msgspec.MsgspecError as malformed:
+            stored = decode_json(entry.body, StoredMember)
+            if isinstance(stored, Invalid):
                 logger.warning(
-                    'member-malformed', host=entry.name, error=str(malformed)
+                    'member-malformed', host=entry.name, error=stored.message
                 )
                 continue
             self.learn(stored.update)
--- a/egretdale/coordination/ports.py
+++ b/egretdale/coordination/ports.py
@@ -33,6 +33,16 @@
     version: int
     body: bytes
 
+    def read_text(self) -> str:
+        """Return the body as text, empty if it is not valid UTF-8.
+
+        Replacement characters could make another host read a valid object.
+        """
+        try:
+            return self.body.decode()
+        except UnicodeDecodeError:
+            return ''
+
 
 @dataclass(slots=True, frozen=True)
 class Listing:
--- a/egretdale/coordination/prompt_asks.py
+++ b/egretdale/coordination/prompt_asks.py
@@ -31,7 +31,7 @@
         maximum_tokens=prompt.maximum_output,
         prefix=0 if part is None else fold_identity(part.identity),
         avoided=[*progress.avoided, *suspended],
-        shared_tokens=prompt.count_shared(),
+        shared_tokens=min(prompt.count_shared(), prompt.tokens),
         urgency=admitted.urgency,
         target_ms=convert_to_ms(admitted.route.target_s),
         left_ms=convert_to_ms(left_s),
--- a/egretdale/coordination/replica.py
+++ b/egretdale/coordination/replica.py
@@ -27,6 +27,7 @@
 from egretdale.state.messages import Batch, Revision
 from egretdale.state.queries import DocumentCopy
 from egretdale.util.clocks import Clock
+from egretdale.util.json_text import decode_json
 from egretdale.util.logs import get_logger
 
 logger = get_logger(__name__)
@@ -323,11 +324,10 @@
         return self._clock() - self._started_at >= confirmation_s
 
     def _apply_object(self, entry: StoredObject) -> None:
-        try:
-            stored = msgspec.json.decode(entry.body, type=StoredDocument)
-        except msgspec.MsgspecError as malformed:
+        stored = decode_json(entry.body, StoredDocument)
+        if isinstance(stored, Invalid):
             logger.warning(
-                'document-malformed', service=entry.name, error=str(malformed)
+                'document-malformed', service=entry.name, error=stored.message
             )
             return
         self.accept(entry.name, entry.version, stored.source)
--- a/egretdale/coordination/submission.py
+++ b/egretdale/coordination/submission.py
@@ -25,6 +25,7 @@
 )
 from egretdale.state.documents import HistoryEntry, parse_document
 from egretdale.util.clocks import WallClock
+from egretdale.util.json_text import decode_json
 from egretdale.util.logs import get_logger
 
 logger = get_logger(__name__)
@@ -230,4 +231,8 @@
 
 
 def _decode_document(entry: StoredObject) -> StoredDocument:
-    return msgspec.json.decode(entry.body, type=StoredDocument)
+    stored = decode_json(entry.body, StoredDocument)
+    if isinstance(stored, Invalid):
+        # Another writer has replaced it; it can be replaced in turn.
+        return StoredDocument('', '', '', 0)
+    return stored
--- a/egretdale/coordination/version_record.py
+++ b/egretdale/coordination/version_record.py
@@ -15,7 +15,7 @@
 from eventlet.semaphore import Semaphore
 
 from egretdale.coordination.ports import Platform, StoredObject, Written
-from egretdale.errors import Missing, Unreachable
+from egretdale.errors import Invalid, Missing, Unreachable
 from egretdale.state.members import MemberTable, list_owners
 from egretdale.state.software_versions import (
     RecordedVersion,
@@ -23,6 +23,7 @@
     update_record,
 )
 from egretdale.util.clocks import Clock, WallClock, convert_to_ms
+from egretdale.util.json_text import decode_json
 from egretdale.util.logs import get_logger
 
 logger = get_logger(__name__)
@@ -43,8 +44,6 @@
 #: Seconds for which the record is not read again after a failed read.
 _READ_INTERVAL_S = 0.3
 
-_decoder = msgspec.json.Decoder(tuple[RecordedVersion, ...])
-
 
 class VersionRecorder:
     """Writes the record when versions change, and reads it after a start."""
@@ -194,11 +193,11 @@
     """
     if isinstance(stored, Missing):
         return None
-    try:
-        return _decoder.decode(stored.body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as malformed:
-        logger.warning('versions-malformed', detail=str(malformed))
+    recorded = decode_json(stored.body, tuple[RecordedVersion, ...])
+    if isinstance(recorded, Invalid):
+        logger.warning('versions-malformed', detail=recorded.message)
         return None
+    return recorded
 
 
 def _format(
--- a/egretdale/protocol/completions.py
+++ b/egretdale/protocol/completions.py
@@ -6,7 +6,7 @@
 
 from egretdale.errors import Invalid
 from egretdale.util.hashing import hash_text
-from egretdale.util.validation import split_validation_error
+from egretdale.util.json_text import decode_json
 
 CONTINUE_FIELD = 'continue_from'
 
@@ -57,12 +57,9 @@
     :param body: request body.
     :return: the fields, or the path of the first invalid field.
     """
-    try:
-        request = msgspec.json.decode(body, type=CompletionRequest)
-    except msgspec.ValidationError as wrong:
-        return split_validation_error(wrong)
-    except (msgspec.DecodeError, ValueError, RecursionError) as malformed:
-        return Invalid('$', f'not well formed: {malformed}')
+    request = decode_json(body, CompletionRequest)
+    if isinstance(request, Invalid):
+        return request
     if request.max_tokens < 0:
         return Invalid('$.max_tokens', 'must not be below 0')
     if not request.read_input():
@@ -104,7 +101,7 @@
     try:
         fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
         text = ''.join(_read_texts(b''.join(chunks)))
-    except (msgspec.MsgspecError, ValueError):
+    except (msgspec.MsgspecError, ValueError, RecursionError):
         return None
     continuation = msgspec.json.encode({'text': text, 'events': events})
     return msgspec.json.encode(
--- a/egretdale/protocol/header_values.py
+++ b/egretdale/protocol/header_values.py
@@ -12,8 +12,14 @@
 )
 from egretdale.errors import Invalid
 from egretdale.util.clocks import convert_to_seconds
+from egretdale.util.json_text import MAXIMUM_I32
 
 _HEXADECIMAL = 16
+#: Enough for the largest number that 64 bits can hold.
+_DIGITS = re.compile('[0-9]{1,18}')
+_IDENTITY = re.compile('[0-9a-fA-F]{1,64}')
+#: Largest count, which messages between hosts can carry.
+_MAXIMUM_COUNT = MAXIMUM_I32
 _DECIMAL = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
 #: Characters of a malformed header that are logged.
 _SHOWN_TEXT = 40
@@ -30,13 +36,9 @@
     parsed = []
     for entry in parts.split(','):
         identity, _, tokens = entry.strip().partition(':')
-        if not tokens.isdigit():
-            continue
-        try:
+        if _IDENTITY.fullmatch(identity) and is_number(tokens):
             number = int(identity, _HEXADECIMAL)
-        except ValueError:
-            continue
-        parsed.append(PromptPart(number, int(tokens)))
+            parsed.append(PromptPart(number, parse_count(tokens)))
     return Prompt(
         parse_count(prompt_tokens), parse_count(output), tuple(parsed)
     )
@@ -58,9 +60,9 @@
     :return: the backend server, ``None`` if it is unknown.
     """
     match text.split(';'):
-        case [service, name, born_ms] if born_ms.isdecimal():
+        case [service, name, born_ms] if is_number(born_ms):
             return BackendIdentity(
-                unquote(service), unquote(name), parse_count(born_ms)
+                unquote(service), unquote(name), int(born_ms)
             )
     return None
 
@@ -69,10 +71,19 @@
     """Parse a whole number.
 
     :param text: the header or a part of it.
-    :return: the number, 0 if it cannot be parsed.
+    :return: the number, at most what messages between hosts can carry; 0 if it
+        cannot be parsed.
     """
     stripped = text.strip()
-    return int(stripped) if stripped.isdigit() else 0
+    return min(int(stripped), _MAXIMUM_COUNT) if is_number(stripped) else 0
+
+
+def is_number(text: str) -> bool:
+    """Tell whether a text consists of a few decimal digits.
+
+    :param text: the text, possibly with digits that are not ASCII.
+    """
+    return _DIGITS.fullmatch(text) is not None
 
 
 def parse_rate(name: str, text: str | None) -> float | Invalid | None:
@@ -112,6 +123,6 @@
     """
     if text is None:
         return None
-    if not text.strip().isdigit():
+    if not is_number(text.strip()):
         return Invalid('', 'must be a whole number of milliseconds')
     return convert_to_seconds(int(text))
--- a/egretdale/state/timelines.py
+++ b/egretdale/state/timelines.py
@@ -7,7 +7,8 @@
 from types import MappingProxyType
 from typing import Any
 
-import msgspec
+from egretdale.errors import Invalid
+from egretdale.util.json_text import decode_json
 
 #: Events that begin an impairment of a host, with the events that end it.
 _IMPAIRMENTS = MappingProxyType(
@@ -71,9 +72,8 @@
     start = line.find('{')
     if start < 0:
         return None
-    try:
-        facts = msgspec.json.decode(line[start:], type=dict[str, Any])
-    except msgspec.MsgspecError:
+    facts = decode_json(line[start:], dict[str, Any])
+    if isinstance(facts, Invalid):
         return None
     event = facts.get('event')
     if not isinstance(event, str):
--- a/egretdale/transport/backend_connections.py
+++ b/egretdale/transport/backend_connections.py
@@ -11,7 +11,10 @@
 from urllib3.response import HTTPResponse
 
 from egretdale.coordination.ports import NotRun
+from egretdale.errors import Invalid
+from egretdale.protocol.header_values import is_number
 from egretdale.transport.sockets import ResetAwareSocket
+from egretdale.util.addresses import split_address
 from egretdale.util.clocks import Clock
 
 #: Connect timeout in seconds; a lost SYN packet is retransmitted only after a
@@ -98,10 +101,11 @@
         :param address: ``address:port`` of the backend server.
         :return: the connection, or the reason for the failure.
         """
-        host, _, port = address.rpartition(':')
+        place = split_address(address)
+        if isinstance(place, Invalid):
+            return NotRun(f'cannot connect: {place.message}')
         connection = BackendConnection(
-            host,
-            int(port),
+            *place,
             timeout=_CONNECT_TIMEOUT_S,
             socket_options=_SOCKET_OPTIONS,
         )
@@ -165,6 +169,6 @@
 def _parse_keep_alive(text: str) -> float:
     for parameter in text.split(','):
         name, _, seconds = parameter.strip().partition('=')
-        if name.lower() == 'timeout' and seconds.isdigit():
-            return max(float(0), int(seconds) - _IDLE_MARGIN_S)
+        if name.lower() == 'timeout' and is_number(seconds):
+            return max(float(0), float(seconds) - _IDLE_MARGIN_S)
     return IDLE_TIMEOUT_S
--- a/egretdale/transport/backends.py
+++ b/egretdale/transport/backends.py
@@ -20,8 +20,10 @@
     MaybeRun,
     NotRun,
 )
-from egretdale.errors import Cause, Unreachable
+from egretdale.errors import Cause, Invalid, Unreachable
 from egretdale.state.backends import LoadReport
+from egretdale.util.addresses import split_address
+from egretdale.util.json_text import decode_json
 
 _CONNECTIONS_PER_POOL = 256
 _MAXIMUM_POOLS = 64
@@ -203,11 +205,12 @@
             response = self._pool.request(
                 'GET', f'http://{address}/load', timeout=_LOAD_TIMEOUT_S
             )
-            return msgspec.json.decode(response.data, type=LoadReport)
         except HTTPError as failed:
             return Unreachable(Cause.BROKEN, str(failed))
-        except msgspec.MsgspecError as malformed:
-            return Unreachable(Cause.MALFORMED, str(malformed))
+        report = decode_json(response.data, LoadReport)
+        if isinstance(report, Invalid):
+            return Unreachable(Cause.MALFORMED, report.message)
+        return report
 
     def send_order(self, address: str, order: EngineOrder) -> bool:
         """Send an order to load a model.
@@ -234,6 +237,9 @@
         call: BackendCall,
         headers: dict[str, str],
     ) -> HttpBackendStream | NotRun | MaybeRun:
+        place = split_address(address)
+        if isinstance(place, Invalid):
+            return NotRun(f'cannot connect: {place.message}')
         timeout = urllib3.Timeout(
             connect=_CONNECT_TIMEOUT_S, read=call.first_byte_s
         )
--- a/egretdale/transport/client.py
+++ b/egretdale/transport/client.py
@@ -9,6 +9,7 @@
 from urllib3.exceptions import HTTPError, NewConnectionError
 
 from egretdale.errors import Cause, Invalid, Unreachable
+from egretdale.util.json_text import decode_json
 
 _TIMEOUT_S = 5.0
 _WRITE_TIMEOUT_S = 30.0
@@ -107,7 +108,8 @@
             return Unreachable(Cause.BROKEN, f'{address}: {failure}')
         expected = response.status in _OK_STATUSES
         decoded_type: Any = response_type if expected else Invalid
-        try:
-            return msgspec.json.decode(response.data, type=decoded_type)
-        except msgspec.MsgspecError as malformed:
-            return Unreachable(Cause.MALFORMED, f'{address}: {malformed}')
+        decoded = decode_json(response.data, decoded_type)
+        if expected and isinstance(decoded, Invalid):
+            detail = f'{address}: {decoded.message}'
+            return Unreachable(Cause.MALFORMED, detail)
+        return decoded
--- a/egretdale/transport/operators.py
+++ b/egretdale/transport/operators.py
@@ -29,6 +29,7 @@
 from egretdale.state.identity import decode_refusal
 from egretdale.state.members import MemberStatus
 from egretdale.transport.refusals import RefusalRegistry
+from egretdale.util.json_text import decode_json
 
 #: The WSGI callable that starts a response.
 StartResponse = Callable[..., Any]
@@ -189,10 +190,9 @@
         self, environ: dict[str, Any], service: str, *, settle_only: bool
     ) -> Response:
         body = environ['wsgi.input'].read(_MAXIMUM_BODY)
-        try:
-            submitted = msgspec.json.decode(body, type=SubmitBody)
-        except msgspec.MsgspecError as error:
-            return _fail(_BAD_REQUEST, Invalid('$', str(error)))
+        submitted = decode_json(body, SubmitBody)
+        if isinstance(submitted, Invalid):
+            return _fail(_BAD_REQUEST, submitted)
         submission = Submission(
             service,
             submitted.source,
--- a/egretdale/transport/peers.py
+++ b/egretdale/transport/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import struct
 from collections import defaultdict
 from collections.abc import Callable
 from typing import Any
@@ -15,7 +16,7 @@
 from thrift.transport.TTransport import TMemoryBuffer, TTransportException
 
 from egretdale.coordination.ports import Delivered
-from egretdale.errors import Ambiguous, Cause, Unreachable
+from egretdale.errors import Ambiguous, Cause, Invalid, Unreachable
 from egretdale.protocol.gen import Peer
 from egretdale.protocol.wire import (
     create_protocol,
@@ -38,6 +39,7 @@
     send_frame,
 )
 from egretdale.transport.peer_calls import BasePeerHandler
+from egretdale.util.addresses import split_address
 from egretdale.util.clocks import convert_to_seconds
 from egretdale.util.logs import get_logger
 
@@ -55,7 +57,10 @@
     ValueError,
     TypeError,
     UnicodeDecodeError,
+    LookupError,
     OverflowError,
+    RecursionError,
+    struct.error,
     TApplicationException,
 )
 _CONNECTION_ERRORS = (OSError, FrameError, *_DECODING_ERRORS)
@@ -235,11 +240,11 @@
         idle = self._idle[address]
         if idle:
             return idle.pop()
-        host, _, port = address.rpartition(':')
+        place = split_address(address)
+        if isinstance(place, Invalid):
+            return Unreachable(Cause.MALFORMED, place.message)
         try:
-            connection = socket.create_connection(
-                (host, int(port)), self.timeout_s
-            )
+            connection = socket.create_connection(place, self.timeout_s)
         except TimeoutError as slow:
             return Unreachable(Cause.SILENT, str(slow))
         except OSError as refused:
--- a/standins/objects.py
+++ b/standins/objects.py
@@ -15,6 +15,8 @@
 _WATCH_POLL_S = 0.01
 _PREFIX = '/api/objects/'
 _OK = '200 OK'
+#: Stands for the text of a raw object within an encoded response.
+_RAW_MARK = b'"@raw-%d@"'
 
 
 @dataclass(slots=True)
@@ -33,6 +35,16 @@
     is_gone: bool
 
 
+@dataclass(slots=True, frozen=True)
+class RawSpec:
+    """Content of an object that another program has written.
+
+    :ivar text: its text as sent, not necessarily valid JSON.
+    """
+
+    text: bytes
+
+
 class ObjectStoreProgram:
     """Lists, watches, creates and replaces objects over HTTP.
 
@@ -94,7 +106,8 @@
         self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
         """Serve a request."""
-        path = environ['PATH_INFO'].removeprefix(_PREFIX)
+        path_info = environ['PATH_INFO'].encode('latin-1').decode()
+        path = path_info.removeprefix(_PREFIX)
         kind, _, name = path.partition('/')
         query = parse_qs(environ.get('QUERY_STRING', ''))
         self.calls.append(f'{environ["REQUEST_METHOD"]} {path}')
@@ -167,7 +180,12 @@
 def _respond(
     start_response: StartResponse, status: str, body: dict[str, Any]
 ) -> Iterable[bytes]:
-    encoded = json.dumps(body).encode()
+    raw_specs: list[bytes] = []
+    encoded = json.dumps(
+        body, default=lambda raw: _mark_raw(raw, raw_specs)
+    ).encode()
+    for number, text in enumerate(raw_specs):
+        encoded = encoded.replace(_RAW_MARK % number, text, 1)
     start_response(
         status,
         [
@@ -176,3 +194,9 @@
         ],
     )
     return [encoded]
+
+
+def _mark_raw(raw: RawSpec, raw_specs: list[bytes]) -> str:
+    """Stand for a text that is put in after the encoding."""
+    raw_specs.append(raw.text)
+    return (_RAW_MARK % (len(raw_specs) - 1)).decode().strip('"')
--- a/tests/daemons.py
+++ b/tests/daemons.py
@@ -16,6 +16,7 @@
     Daemon,
     choose_place,
     create_daemon,
+    get_path_prefix,
     put_configuration,
     put_server,
 )
@@ -126,3 +127,22 @@
         received += chunk
     response.close()
     return received.split(b'\n\n')[:-1]
+
+
+def send_request(
+    daemon: Daemon, identity: str, kind: str = 'non_idempotent'
+) -> urllib3.BaseHTTPResponse:
+    """Send a request without a body to a daemon.
+
+    :param daemon: the daemon.
+    :param identity: ID of the request.
+    :param kind: kind of the request.
+    :return: the response.
+    """
+    pool = urllib3.PoolManager(retries=False, timeout=5)
+    address = daemon.place.addresses['front']
+    return pool.request(
+        'POST',
+        f'http://{address}{get_path_prefix(kind)}x',
+        headers={'Host': HOST_NAME, 'Attempt-Id': identity},
+    )
