Accept only complete, well-formed heads and chunks of responses

Cause: the parser of the standard library takes the end of the connection for the end of a head, drops a line that is no field and all lines after it, and takes a cut size line ("0" of "0a") for the last chunk. Without its length, a body counts as one that ends with its connection.

--- a/egretdale/protocol/framing.py
+++ b/egretdale/protocol/framing.py
@@ -1,22 +1,69 @@
-"""Checks of the framing of HTTP requests."""
+"""Syntax of the heads and the framing of HTTP/1.1 messages (RFC 9112)."""
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+import re
+from collections.abc import Iterable, Sequence
 
+LINE_END = b'\r\n'
 
-def is_framing_unambiguous(headers: Iterable[tuple[str, str]]) -> bool:
-    """Return whether all parsers agree where the body of a request ends.
+_TOKEN = r"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
+#: Visible characters, spaces, tabs and bytes beyond ASCII.
+_TEXT = r'[\t -~\x80-\xff]*'
+REQUEST_LINE = re.compile(
+    rf'{_TOKEN} (?P<target>[!-~]+) HTTP/[0-9]\.[0-9]\r\n'.encode()
+)
+STATUS_LINE = re.compile(
+    rf'HTTP/1\.[0-9] (?P<status>[1-9][0-9]{{2}})(?: {_TEXT})?\r\n'.encode()
+)
+FIELD_LINE = re.compile(
+    rf'(?P<name>{_TOKEN}):[\t ]*(?P<text>{_TEXT})\r\n'.encode()
+)
+#: Size of a chunk in hexadecimal digits, and chunk extensions.
+CHUNK_SIZE_LINE = re.compile(
+    rf'(?P<size>[0-9A-Fa-f]{{1,15}})[\t ]*(?:;{_TEXT})?\r\n'.encode()
+)
+_LENGTH = re.compile('[0-9]{1,18}')
+
+
+def parse_fields(lines: Iterable[bytes]) -> list[tuple[str, str]] | None:
+    """Parse the field lines of a head.
+
+    Parsers that skip lines of another form disagree on the body of a message.
+
+    :param lines: field lines with their ends.
+    :return: names and values, or ``None`` if a line is no field.
+    """
+    fields = []
+    for line in lines:
+        parsed = FIELD_LINE.fullmatch(line)
+        if parsed is None:
+            return None
+        name = parsed['name'].decode('latin-1')
+        fields.append((name, parsed['text'].decode('latin-1')))
+    return fields
+
+
+def is_chunked(fields: Iterable[tuple[str, str]]) -> bool:
+    """Tell whether the body of a message is sent in chunks.
+
+    :param fields: names and values of its header fields.
+    """
+    return any(name.lower() == 'transfer-encoding' for name, _ in fields)
+
+
+def is_framing_unambiguous(fields: Sequence[tuple[str, str]]) -> bool:
+    """Return whether all parsers agree where the body of a message ends.
 
     Other framing would allow request smuggling.
 
-    :param headers: headers as sent.
-    :return: false if the headers give more than one length, a malformed
+    :param fields: names and values as sent.
+    :return: false if the fields give more than one length, a malformed
         length or an unsupported transfer encoding.
     """
     lengths = []
     encodings = []
-    for name, text in headers:
+    for name, text in fields:
         match name.lower():
             case 'content-length':
                 lengths.append(text.strip())
@@ -26,4 +73,4 @@
         return False
     if encodings:
         return encodings == ['chunked']
-    return all(length.isascii() and length.isdigit() for length in lengths)
+    return all(_LENGTH.fullmatch(length) for length in lengths)
--- a/egretdale/transport/backend_connections.py
+++ b/egretdale/transport/backend_connections.py
@@ -14,6 +14,7 @@
 from egretdale.errors import Invalid
 from egretdale.protocol.header_values import is_number
 from egretdale.transport.sockets import ResetAwareSocket
+from egretdale.transport.strict_client import StrictConnection
 from egretdale.util.addresses import split_address
 from egretdale.util.clocks import Clock
 
@@ -34,7 +35,7 @@
 )
 
 
-class BackendConnection(HTTPConnection):
+class BackendConnection(StrictConnection):
     """A connection to a backend server that reports resets as errors."""
 
     def _new_conn(self) -> ResetAwareSocket:
@@ -135,6 +136,8 @@
         """
         if (
             connection.sock is None
+            # Bytes after a complete response belong to no request.
+            or connection.sock.unread
             or response.headers.get('connection', '').lower() == 'close'
         ):
             connection.close()
--- a/egretdale/transport/backends.py
+++ b/egretdale/transport/backends.py
@@ -22,6 +22,7 @@
 )
 from egretdale.errors import Cause, Invalid, Unreachable
 from egretdale.state.backends import LoadReport
+from egretdale.transport.strict_client import StrictPoolManager
 from egretdale.util.addresses import split_address
 from egretdale.util.json_text import decode_json
 
@@ -119,13 +120,13 @@
             seconds.
         """
         self._progress_s = progress_s
-        self._pool = urllib3.PoolManager(
+        self._pool = StrictPoolManager(
             num_pools=_MAXIMUM_POOLS,
             maxsize=_CONNECTIONS_PER_POOL,
             retries=False,
         )
         # Connections of this pool are closed after one request.
-        self._fresh_pool = urllib3.PoolManager(
+        self._fresh_pool = StrictPoolManager(
             num_pools=_MAXIMUM_POOLS, maxsize=1, retries=False
         )
 
@@ -232,7 +233,7 @@
 
     def _send(
         self,
-        pool: urllib3.PoolManager,
+        pool: StrictPoolManager,
         address: str,
         call: BackendCall,
         headers: dict[str, str],
--- /dev/null
+++ b/egretdale/transport/message_reader.py
@@ -0,0 +1,211 @@
+"""Strict reading of HTTP messages, before the parsers of the libraries.
+
+These parsers take the end of a connection for the end of a head or of a body in
+chunks, and skip lines that are no header fields.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections import deque
+from collections.abc import Callable
+from http.client import HTTPException
+from re import Pattern
+from typing import BinaryIO
+
+from egretdale.protocol.framing import (
+    CHUNK_SIZE_LINE,
+    FIELD_LINE,
+    LINE_END,
+    is_chunked,
+    is_framing_unambiguous,
+    parse_fields,
+)
+
+_HEXADECIMAL = 16
+#: Longest line and longest head or trailer section in bytes.
+_MAXIMUM_LINE = 65536
+_MAXIMUM_HEAD = 131072
+_SHOWN_BYTES = 60
+
+
+class MalformedMessageError(HTTPException):
+    """A message that violates HTTP, or ends before it is complete."""
+
+
+class _Part(enum.Enum):
+    """The part of a body in chunks that is read next."""
+
+    SIZE = enum.auto()
+    CONTENT = enum.auto()
+    CONTENT_END = enum.auto()
+    TRAILERS = enum.auto()
+    NOTHING = enum.auto()
+
+
+class MessageReader:
+    """A file of received bytes that verifies the framing of messages.
+
+    A head is read as a whole and handed out line by line once it is known to
+    be complete. A body in chunks is verified while it is read.
+    """
+
+    __slots__ = ('_left', '_lines', '_on_read', '_part', '_section', '_source')
+
+    def __init__(
+        self, received: BinaryIO, on_read: Callable[[int], None] | None = None
+    ) -> None:
+        """Create a reader.
+
+        :param received: buffered file of the connection.
+        :param on_read: called with the number of bytes of each read.
+        """
+        self._source = received
+        self._on_read = on_read
+        self._lines: deque[bytes] = deque()
+        self._part: _Part | None = None
+        # Bytes left of a chunk, and bytes of a section of lines so far.
+        self._left = 0
+        self._section = 0
+
+    @property
+    def closed(self) -> bool:
+        """Whether the file is closed."""
+        return self._source.closed
+
+    def start_message(self) -> None:
+        """Expect the first line of a message."""
+        self._part = None
+        self._lines.clear()
+
+    def read_head(self, start_line: bytes, pattern: Pattern[bytes]) -> None:
+        """Read the rest of a head, which is then handed out line by line.
+
+        :param start_line: first line, which has been read and is not handed
+            out again.
+        :param pattern: form of the first line.
+        :raises MalformedMessageError: the head is malformed or incomplete.
+        """
+        if pattern.fullmatch(start_line) is None:
+            raise _report('the first line is malformed', start_line)
+        self._section = 0
+        lines: list[bytes] = []
+        while not lines or lines[-1] != LINE_END:
+            lines.append(self._read_section_line())
+        fields = parse_fields(lines[:-1])
+        if fields is None:
+            raise MalformedMessageError('a line of the head is no field')
+        if not is_framing_unambiguous(fields):
+            raise MalformedMessageError('ambiguous message framing')
+        self._lines.extend(lines)
+        self._part = _Part.SIZE if is_chunked(fields) else None
+
+    def hand_out(self, line: bytes) -> None:
+        """Hand out a line that has been read before the others.
+
+        :param line: the line.
+        """
+        self._lines.appendleft(line)
+
+    def readline(self, limit: int = -1) -> bytes:
+        """Read a line.
+
+        :param limit: maximum number of bytes, no limit if negative.
+        :return: the line, without its end if it is too long.
+        :raises MalformedMessageError: the framing of a chunk is malformed or
+            incomplete.
+        """
+        if self._lines:
+            return self._lines.popleft()
+        match self._part:
+            case None:
+                return self._count(self._source.readline(limit))
+            case _Part.SIZE:
+                return self._read_size()
+            case _Part.TRAILERS:
+                return self._read_trailer()
+            case _Part.CONTENT_END:
+                return self._check_content_end(self._read_line())
+        return b''
+
+    def read(self, size: int = -1) -> bytes:
+        """Read bytes until there are as many as wanted, or the end.
+
+        :param size: number of bytes, all if negative.
+        """
+        if self._part is _Part.CONTENT_END:
+            ending = self._count(self._source.read(len(LINE_END)))
+            return self._check_content_end(ending)
+        return self._note_content(self._source.read(self._clamp(size)))
+
+    def read1(self, size: int = -1) -> bytes:
+        """Read bytes with at most one wait.
+
+        :param size: maximum number of bytes, no limit if negative.
+        """
+        return self._note_content(self._source.read1(self._clamp(size)))
+
+    def flush(self) -> None:
+        """Do nothing; the file is only read."""
+
+    def close(self) -> None:
+        """Close the file."""
+        self._source.close()
+
+    def _clamp(self, size: int) -> int:
+        if self._part is not _Part.CONTENT:
+            return size
+        return self._left if size < 0 else min(size, self._left)
+
+    def _note_content(self, content: bytes) -> bytes:
+        if self._part is _Part.CONTENT:
+            self._left -= len(content)
+            if not self._left:
+                self._part = _Part.CONTENT_END
+        return self._count(content)
+
+    def _read_size(self) -> bytes:
+        line = self._read_line()
+        parsed = CHUNK_SIZE_LINE.fullmatch(line)
+        if parsed is None:
+            raise _report('the size of a chunk is malformed', line)
+        self._left = int(parsed['size'], _HEXADECIMAL)
+        self._section = 0
+        self._part = _Part.CONTENT if self._left else _Part.TRAILERS
+        return line
+
+    def _read_trailer(self) -> bytes:
+        line = self._read_section_line()
+        if line == LINE_END:
+            self._part = _Part.NOTHING
+        elif FIELD_LINE.fullmatch(line) is None:
+            raise _report('a trailer is no field', line)
+        return line
+
+    def _check_content_end(self, ending: bytes) -> bytes:
+        if ending != LINE_END:
+            raise _report('a chunk does not end with its size', ending)
+        self._part = _Part.SIZE
+        return ending
+
+    def _read_section_line(self) -> bytes:
+        line = self._read_line()
+        self._section += len(line)
+        if self._section > _MAXIMUM_HEAD:
+            raise MalformedMessageError('the head is too long')
+        return line
+
+    def _read_line(self) -> bytes:
+        line = self._count(self._source.readline(_MAXIMUM_LINE))
+        if not line.endswith(LINE_END):
+            raise _report('a line has no end', line)
+        return line
+
+    def _count(self, received: bytes) -> bytes:
+        if self._on_read is not None:
+            self._on_read(len(received))
+        return received
+
+
+def _report(problem: str, received: bytes) -> MalformedMessageError:
+    return MalformedMessageError(f'{problem}: {received[:_SHOWN_BYTES]!r}')
--- a/egretdale/transport/platform.py
+++ b/egretdale/transport/platform.py
@@ -17,6 +17,7 @@
     Missing,
     Unreachable,
 )
+from egretdale.transport.strict_client import StrictPoolManager
 from egretdale.util.buckets import TokenBucket
 from egretdale.util.clocks import Clock
 from egretdale.util.logs import get_logger
@@ -106,7 +107,7 @@
         self._count = count
         self._failures = 0
         self._open_until = float('-inf')
-        self._pool = urllib3.PoolManager(
+        self._pool = StrictPoolManager(
             maxsize=_CONNECTIONS, retries=False, num_pools=2
         )
 
--- a/egretdale/transport/sockets.py
+++ b/egretdale/transport/sockets.py
@@ -24,6 +24,15 @@
     """
 
     _reads = 0
+    #: Bytes that were received and not read by the parser of a response.
+    unread = 0
+
+    def note_read(self, size: int) -> None:
+        """Record that a parser has read bytes.
+
+        :param size: number of bytes.
+        """
+        self.unread -= size
 
     def recv_into(self, buffer: Any, nbytes: int = 0, flags: int = 0) -> int:
         """Receive bytes into a buffer.
@@ -50,6 +59,7 @@
                     errno.ECONNABORTED, 'reset by the peer'
                 ) from reset
             else:
+                self.unread += received
                 self._yield_at_times()
                 return received
 
