Run only requests that were sent whole and are well-formed

Cause: the server's parser takes the end of the connection for the end of a head, a cut size line for the last chunk, and drops a line that is no field with all lines after it. Of a repeated field, the first one counted here, the last one at the backend server. Change: the reader that verifies responses verifies requests as well, before the server's parser, on all listeners; malformed ones get status 400 and close their connection. Targets go on as sent; repeated fields of the request are refused.

--- a/egretdale/protocol/forwarding.py
+++ b/egretdale/protocol/forwarding.py
@@ -144,6 +144,7 @@
 
     names: HeaderNames
     _dropped: frozenset[str] = field(init=False, default=frozenset())
+    _single: frozenset[str] = field(init=False, default=frozenset())
     _dropped_from_responses: frozenset[str] = field(
         init=False, default=frozenset()
     )
@@ -160,6 +161,18 @@
             names.relayed,
             *names.reserved,
         )
+        single = (
+            'Host',
+            names.request_id,
+            names.credentials,
+            names.deadline_ms,
+            names.token_counts,
+            names.prompt_parts,
+            names.last_event_id,
+            names.resumed_request,
+            names.relayed,
+        )
+        self._single = frozenset(name.lower() for name in single)
         self._dropped = _HOP_HEADERS | {name.lower() for name in withheld}
         self._dropped_from_responses = _HOP_HEADERS | {names.backend.lower()}
 
@@ -171,7 +184,11 @@
         """
         present: dict[str, str] = {}
         for name, text in head.headers:
-            present.setdefault(name.lower(), text)
+            lowered = name.lower()
+            if lowered in present and lowered in self._single:
+                # The backend server could read another one than this host.
+                return Invalid(name, 'is given more than once')
+            present[lowered] = text
         names = self.names
         request_id = present.get(names.request_id.lower(), '')
         if not request_id:
--- a/egretdale/transport/caller_connections.py
+++ b/egretdale/transport/caller_connections.py
@@ -9,6 +9,7 @@
 from eventlet import wsgi
 
 from egretdale.transport.sockets import has_received
+from egretdale.transport.strict_server import StrictProtocol
 from egretdale.util.logs import get_logger
 
 logger = get_logger(__name__)
@@ -68,7 +69,7 @@
                 logger.info('idle-connection-gone', detail=str(error))
 
 
-class CallerProtocol(wsgi.HttpProtocol):
+class CallerProtocol(StrictProtocol):
     """A connection of a caller, with limits that may change at runtime."""
 
     _head_timer: eventlet.Timeout | None = None
@@ -85,7 +86,7 @@
         self._end_head()
         self.connection.settimeout(self.server.app.limits().header_s)
         environ = super().get_environ()
-        environ['egretdale.target'] = self.path
+        environ['egretdale.target'] = self.read_target()
         environ['egretdale.connection'] = self
         return environ
 
@@ -115,6 +116,14 @@
         if self._head_timer is not None:
             self._head_timer.cancel()
 
+    def note_malformed(self, detail: str) -> None:
+        """Log and count a malformed request.
+
+        :param detail: what is malformed.
+        """
+        self._end_head()
+        self.server.app.note_malformed(detail)
+
     def finish(self) -> None:
         """Close the connection."""
         self._end_head()
--- a/egretdale/transport/daemon.py
+++ b/egretdale/transport/daemon.py
@@ -20,6 +20,7 @@
 from egretdale.transport.platform import PlatformClient
 from egretdale.transport.process_exit import ProcessExit
 from egretdale.transport.refusals import RefusalRegistry
+from egretdale.transport.strict_server import StrictProtocol
 from egretdale.util.clocks import read_hub_clock, read_wall_clock
 from egretdale.util.logs import get_logger
 from egretdale.util.tasks import TaskGroup
@@ -143,6 +144,7 @@
             self._dispatch,
             log=_DiscardedLog(),
             max_size=self._settings.maximum_connections,
+            protocol=StrictProtocol,
             url_length_limit=_URL_LIMIT,
             socket_timeout=None,
             debug=False,
--- a/egretdale/transport/gateway.py
+++ b/egretdale/transport/gateway.py
@@ -22,6 +22,7 @@
 from egretdale.transport.peer_calls import GatewayHandler
 from egretdale.transport.peers import PeerClient, PeerServer, listen
 from egretdale.transport.process_exit import ProcessExit
+from egretdale.transport.strict_server import StrictProtocol
 from egretdale.util.clocks import read_boot_clock, read_wall_clock
 from egretdale.util.logs import get_logger
 from egretdale.util.tasks import TaskGroup
@@ -229,6 +230,7 @@
         listener,
         application,
         log_output=False,
+        protocol=StrictProtocol,
         max_size=_AUXILIARY_CONNECTIONS,
         socket_timeout=_AUXILIARY_TIMEOUT_S,
         debug=False,
--- a/egretdale/transport/ingress.py
+++ b/egretdale/transport/ingress.py
@@ -17,7 +17,6 @@
 )
 from egretdale.errors import Invalid
 from egretdale.protocol.forwarding import HeaderCodec, RequestHead
-from egretdale.protocol.framing import is_framing_unambiguous
 from egretdale.protocol.problems import choose_status
 from egretdale.state.gateway_metrics import GatewayMetrics
 from egretdale.state.outcomes import Ran, Reason, Refused
@@ -27,6 +26,7 @@
     CallerProtocol,
 )
 from egretdale.transport.exchanges import Exchange
+from egretdale.transport.message_reader import MalformedMessageError
 from egretdale.transport.sockets import is_readable
 from egretdale.util.clocks import Clock, convert_to_ms
 from egretdale.util.logs import get_logger
@@ -34,6 +34,12 @@
 logger = get_logger(__name__)
 
 _URL_LIMIT = 16384
+_BODY_ERRORS = (
+    MalformedMessageError,
+    OSError,
+    ValueError,
+    wsgi.ChunkReadError,
+)
 #: A caller that receives no bytes for this many seconds is disconnected.
 _WRITE_TIMEOUT_S = 20.0
 #: Longest time in seconds to accept the connections that wait when the
@@ -189,10 +195,6 @@
     def _read_request(
         self, environ: dict[str, Any]
     ) -> ForwardRequest | Refused:
-        if not is_framing_unambiguous(environ['headers_raw']):
-            return Refused(
-                Reason.BAD_REQUEST, Ran.NO, detail='ambiguous message framing'
-            )
         head = RequestHead(
             environ['REQUEST_METHOD'],
             environ['egretdale.target'],
@@ -229,6 +231,16 @@
         """
         return self._codec.build_backend_header(backend)
 
+    def note_malformed(self, detail: str) -> None:
+        """Log and count a request that was refused while it was read.
+
+        :param detail: what is malformed.
+        """
+        self._metrics.refused.labels(Reason.BAD_REQUEST, Ran.NO).inc()
+        logger.info(
+            'refused', reason=Reason.BAD_REQUEST, ran=Ran.NO, detail=detail
+        )
+
     def log_end(self, request: ForwardRequest, outcome: str) -> None:
         """Log how a request ended.
 
@@ -297,7 +309,7 @@
         except TimeoutError:
             detail = 'timeout while reading the body'
             return Refused(Reason.TOO_SLOW, Ran.NO, detail=detail)
-        except (OSError, ValueError, wsgi.ChunkReadError) as error:
+        except _BODY_ERRORS as error:
             return Refused(Reason.BAD_REQUEST, Ran.NO, detail=str(error))
         if length is not None and len(request.body) < length:
             return Refused(
--- a/egretdale/transport/request_reader.py
+++ b/egretdale/transport/request_reader.py
@@ -17,6 +17,7 @@
 )
 from egretdale.protocol.tokens import decode_stream_token
 from egretdale.state.outcomes import Reason
+from egretdale.transport.message_reader import MalformedMessageError
 from egretdale.transport.refusals import RefusalRegistry
 from egretdale.util.hashing import hash_text
 
@@ -152,7 +153,7 @@
             return BadRequest(
                 Reason.BAD_REQUEST, 'timeout while reading the body'
             )
-        except (OSError, ValueError) as error:
+        except (MalformedMessageError, OSError, ValueError) as error:
             return BadRequest(
                 Reason.BAD_REQUEST, f'cannot read the body: {error}'
             )
