Resume streams after the ID of the last event, read as the format says

Cause: the ID was what followed the last "id:" anywhere in the bytes, so that the text "months paid: 2" decided where another engine went on. The same place knew no line ends but LF, took the ID of an earlier event for one that has none, and counted events of the first part for a part that was resumed. Change: a module reads the event-stream format. Without a usable ID of the last event a stream breaks off; the first event after a resumption must follow.

--- a/egretdale/coordination/forwarding.py
+++ b/egretdale/coordination/forwarding.py
@@ -125,11 +125,12 @@
         )
 
     def continue_stream(
-        self, progress: Progress, last_event_id: str
+        self, progress: Progress, broken: OpenedResponse, last_event_id: str
     ) -> OpenedResponse | None:
         """Resume a stream on another backend server.
 
         :param progress: state of the request.
+        :param broken: the response that broke off.
         :param last_event_id: ID of the last event that the caller received.
         :return: the resumed response, or ``None`` if there is none.
         """
--- a/egretdale/coordination/response_relay.py
+++ b/egretdale/coordination/response_relay.py
@@ -8,13 +8,12 @@
 from egretdale.coordination.exchanges import IncompleteResponse
 from egretdale.coordination.ports import EndOfStream, MaybeRun
 from egretdale.coordination.progress import OpenedResponse, Progress
+from egretdale.state.event_streams import EventSplitter
 from egretdale.state.routing import RequestKind
 from egretdale.util.logs import get_logger
 
 logger = get_logger(__name__)
 
-_EVENT_END = b'\n\n'
-_ID_FIELD = b'id:'
 _REDIRECTION = 300
 #: Longest incomplete event that is buffered, in bytes.
 _MAXIMUM_EVENT_BYTES = 262144
@@ -24,11 +23,12 @@
     """Interface to the forwarder that opened a relayed response."""
 
     def continue_stream(
-        self, progress: Progress, last_event_id: str
+        self, progress: Progress, broken: OpenedResponse, last_event_id: str
     ) -> OpenedResponse | None:
         """Resume a stream on another backend server.
 
         :param progress: state of the request.
+        :param broken: the response that broke off.
         :param last_event_id: ID of the last event that the caller received.
         :return: the resumed response, or ``None`` if there is none.
         """
@@ -60,58 +60,6 @@
         """
 
 
-class EventSplitter:
-    """Splits a stream into complete events and buffers the rest.
-
-    :ivar last_event_id: ID of the last complete event.
-    :ivar has_events: whether there was a complete event.
-    """
-
-    __slots__ = ('_buffer', 'has_events', 'last_event_id')
-
-    def __init__(self) -> None:
-        """Create a splitter without data."""
-        self.last_event_id = ''
-        self.has_events = False
-        self._buffer = b''
-
-    def split(self, chunk: bytes) -> bytes:
-        """Add a chunk and return the events that it completes.
-
-        :param chunk: next chunk of the stream.
-        :return: complete events, possibly none.
-        :raises IncompleteResponse: an incomplete event is too long.
-        """
-        buffered = self._buffer + chunk
-        end = buffered.rfind(_EVENT_END)
-        if end < 0:
-            self._buffer = buffered
-            if len(buffered) > _MAXIMUM_EVENT_BYTES:
-                raise IncompleteResponse('an event is too long')
-            return b''
-        end += len(_EVENT_END)
-        self._buffer = buffered[end:]
-        complete = buffered[:end]
-        self.has_events = True
-        self._update_last_event_id(complete)
-        return complete
-
-    def has_incomplete_event(self) -> bool:
-        """Tell whether the last event is incomplete."""
-        return bool(self._buffer)
-
-    def discard(self) -> None:
-        """Drop an incomplete event."""
-        self._buffer = b''
-
-    def _update_last_event_id(self, events: bytes) -> None:
-        at = events.rfind(_ID_FIELD)
-        if at < 0:
-            return
-        line, _, _ = events[at + len(_ID_FIELD) :].partition(b'\n')
-        self.last_event_id = line.strip().decode('latin-1')
-
-
 class ResponseRelay:
     """Iterates over the body of a response for the caller.
 
@@ -174,7 +122,7 @@
         chunk = self._opened.response.read()
         match chunk:
             case EndOfStream(by_close=by_close):
-                self._finish(by_close=by_close)
+                return self._finish(by_close=by_close)
             case MaybeRun(detail=detail):
                 self._recover(detail)
             case _:
@@ -185,19 +133,27 @@
     def _split(self, chunk: bytes) -> bytes:
         if self._splitter is None:
             return chunk
-        return self._splitter.split(chunk)
+        complete = self._splitter.split(chunk)
+        if self._splitter.is_misplaced:
+            self._recover('the resumed stream does not go on')
+        elif self._splitter.buffered_bytes > _MAXIMUM_EVENT_BYTES:
+            raise IncompleteResponse('an event is too long')
+        return complete
 
-    def _finish(self, *, by_close: bool) -> None:
+    def _finish(self, *, by_close: bool) -> bytes:
         splitter = self._splitter
+        rest = b''
         if splitter is not None:
             if splitter.has_incomplete_event():
                 self._recover('the stream ended within an event')
-                return
+                return rest
             if by_close and not splitter.has_events:
                 self._recover('the stream ended before its first event')
-                return
+                return rest
+            rest = splitter.finish()
         self._ended = True
         self._forwarder.note_completion(self._progress, self._opened)
+        return rest
 
     def _recover(self, detail: str) -> None:
         self._opened.response.close()
@@ -213,11 +169,11 @@
         self._ended = True
         splitter = self._splitter
         resumable = self._progress.admitted.route.resumable
-        if splitter is None or not resumable:
+        if splitter is None or not resumable or not splitter.can_resume():
             raise IncompleteResponse(detail)
-        splitter.discard()
+        splitter.resume()
         opened = self._forwarder.continue_stream(
-            self._progress, splitter.last_event_id
+            self._progress, self._opened, splitter.last_event_id
         )
         if opened is None:
             raise IncompleteResponse(detail)
--- /dev/null
+++ b/egretdale/state/event_streams.py
@@ -0,0 +1,172 @@
+"""Events of a stream in the event-stream format of the HTML standard."""
+
+from __future__ import annotations
+
+import re
+
+_EVENT_END = b'\n\n'
+#: Two line ends in a row. A lone CR is a line end, too.
+_ANY_EVENT_END = re.compile(rb'(?:\r\n|\r(?!\n)|\n){2}')
+_OTHER_LINE_END = re.compile(rb'\r\n|\r')
+_LINE_END = b'\n'
+_LINE_ENDS = b'\r\n'
+_BYTE_ORDER_MARK = b'\xef\xbb\xbf'
+_COMMENT = b':'
+_ID_FIELD = b'id'
+#: IDs that a header can hold and that no parser of headers changes.
+_HEADER_VALUE = re.compile(rb'[!-~](?:[ -~]{0,254}[!-~])?')
+_NUMBER = re.compile('[0-9]{1,18}')
+
+
+class EventSplitter:
+    """Splits a stream into complete events and buffers the rest.
+
+    :ivar has_events: whether there was a complete event since the stream began
+        or was resumed.
+    :ivar last_event_id: ID of the last complete event, empty if it has none.
+    :ivar is_misplaced: whether the first event after a resumption is not one
+        that follows the last event before it.
+    """
+
+    __slots__ = (
+        '_buffer',
+        '_resumed_after',
+        '_was_passed',
+        'has_events',
+        'is_misplaced',
+        'last_event_id',
+    )
+
+    def __init__(self) -> None:
+        """Create a splitter without data."""
+        self.has_events = False
+        self.is_misplaced = False
+        self.last_event_id = ''
+        self._buffer = b''
+        self._resumed_after = ''
+        self._was_passed = False
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Length of the incomplete event."""
+        return len(self._buffer)
+
+    def split(self, chunk: bytes) -> bytes:
+        """Add a chunk and return the events that it completes.
+
+        :param chunk: next chunk of the stream.
+        :return: complete events, none if they are misplaced.
+        """
+        buffered = self._buffer + chunk
+        end = _find_end(buffered)
+        complete = buffered[:end]
+        self._buffer = buffered[end:]
+        if not complete or not self._note_events(_normalise(complete)):
+            return b''
+        return complete
+
+    def finish(self) -> bytes:
+        """Return what follows the last event at the end of the stream."""
+        rest = self._buffer
+        self._buffer = b''
+        return rest
+
+    def has_incomplete_event(self) -> bool:
+        """Tell whether the last event is incomplete."""
+        return bool(self._buffer.strip(_LINE_ENDS))
+
+    def can_resume(self) -> bool:
+        """Tell whether another response can go on after the last event."""
+        return bool(self.last_event_id) or not self._was_passed
+
+    def resume(self) -> None:
+        """Drop an incomplete event; the next chunk is of another response."""
+        self._buffer = b''
+        self._resumed_after = self.last_event_id
+        self.has_events = False
+        self.is_misplaced = False
+
+    def _note_events(self, text: bytes) -> bool:
+        last_id = _find_last_id(text)
+        if last_id is None:
+            return True
+        if self._resumed_after and not self.has_events:
+            if not _is_later(_find_first_id(text), self._resumed_after):
+                self.is_misplaced = True
+                return False
+        self.last_event_id = last_id
+        self.has_events = True
+        self._was_passed = True
+        return True
+
+
+def _find_end(received: bytes) -> int:
+    """Find the end of the last complete event."""
+    if b'\r' not in received:
+        at = received.rfind(_EVENT_END)
+        return 0 if at < 0 else at + len(_EVENT_END)
+    end = 0
+    for found in _ANY_EVENT_END.finditer(received):
+        end = found.end()
+    return end
+
+
+def _normalise(text: bytes) -> bytes:
+    """Replace all line ends by LF, and drop a byte order mark."""
+    if b'\r' in text:
+        text = _OTHER_LINE_END.sub(_LINE_END, text)
+    return text.removeprefix(_BYTE_ORDER_MARK)
+
+
+def _find_first_id(text: bytes) -> str:
+    """Find the ID of the first event.
+
+    :param text: complete events.
+    :return: the ID, empty if the event has none.
+    """
+    while text:
+        event, _, text = text.lstrip(_LINE_END).partition(_EVENT_END)
+        identity = _parse_id(event)
+        if identity is not None:
+            return identity
+    return ''
+
+
+def _find_last_id(text: bytes) -> str | None:
+    """Find the ID of the last event.
+
+    :param text: complete events.
+    :return: the ID, empty if the event has none; ``None`` if there is no event.
+    """
+    while text:
+        text, _, event = text.rstrip(_LINE_END).rpartition(_EVENT_END)
+        identity = _parse_id(event)
+        if identity is not None:
+            return identity
+    return None
+
+
+def _parse_id(event: bytes) -> str | None:
+    """Parse the ID of an event.
+
+    :param event: lines of the event without the end of the last one.
+    :return: the ID; empty if there is none that a header can hold, ``None`` if
+        the lines are no event but comments.
+    """
+    identity: str | None = None
+    for line in event.split(_LINE_END):
+        name, _, text = line.partition(_COMMENT)
+        if not name:
+            continue
+        identity = identity or ''
+        text = text.removeprefix(b' ')
+        if name == _ID_FIELD and b'\x00' not in text:
+            is_usable = _HEADER_VALUE.fullmatch(text)
+            identity = text.decode('latin-1') if is_usable else ''
+    return identity
+
+
+def _is_later(identity: str, before: str) -> bool:
+    if _NUMBER.fullmatch(identity) and _NUMBER.fullmatch(before):
+        return int(identity) > int(before)
+    return identity not in {'', before}
