Believe a refusal only if it is shown to answer the request

Cause: a response without an ID counted as the answer to whatever request was sent last. Besides, a server's 503 or 429 without its word that the request did not run was passed on as it was, which promises that to callers. Change: without an ID a response counts only on a connection that no other request was sent on; repeated IDs never do. 408, 421, 429 and 503 without the server's word become an unknown outcome where a request must not run twice.

--- a/egretdale/coordination/forwarding.py
+++ b/egretdale/coordination/forwarding.py
@@ -32,6 +32,8 @@
 
 _REDIRECTION = 300
 _SERVER_ERROR = 500
+#: Statuses that tell callers that a request has not run and never will.
+_NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
 class Forwarder:
@@ -330,6 +332,12 @@
             return None
         progress.may_have_run = True
         failed = response.status >= _SERVER_ERROR
+        is_promise = response.status in _NOT_RUN_STATUSES
+        if is_promise and not progress.admitted.route.is_repeatable():
+            # To the caller, this status would say that it has not run.
+            response.close()
+            self._sender.end(progress, choice)
+            return None
         if not response.sealed or (failed and self._rules.may_retry(progress)):
             response.close()
             self._sender.end(progress, choice)
--- a/egretdale/protocol/forwarding.py
+++ b/egretdale/protocol/forwarding.py
@@ -262,24 +262,33 @@
         return headers
 
     def parse_response(
-        self, request_id: str, status: int, headers: Iterable[Header]
+        self,
+        request_id: str,
+        status: int,
+        headers: Iterable[Header],
+        *,
+        is_first: bool = True,
     ) -> ResponseMetadata:
         """Parse the headers of a response.
 
         :param request_id: ID of the request that was sent.
         :param status: HTTP status.
         :param headers: headers as the backend server sent them.
+        :param is_first: whether no other request was sent on the connection;
+            a response without an ID may otherwise answer an earlier one.
         :return: what the headers state.
         """
         names = self.names
         present: dict[str, str] = {}
         forwarded = []
+        request_ids = []
         for name, text in headers:
             lowered = name.lower()
             present[lowered] = text
+            if lowered == names.request_id.lower():
+                request_ids.append(text)
             if lowered not in self._dropped_from_responses:
                 forwarded.append((name, text))
-        response_id = present.get(names.request_id.lower(), request_id)
         not_run = (
             names.not_run.lower() in present or status == _MISDIRECTED_REQUEST
         )
@@ -287,7 +296,7 @@
             names.seal.lower() in present and 'content-encoding' not in present
         )
         return ResponseMetadata(
-            response_id == request_id,
+            request_ids == [request_id] or (is_first and not request_ids),
             sealed,
             not_run,
             forwarded,
--- a/egretdale/transport/backend_connections.py
+++ b/egretdale/transport/backend_connections.py
@@ -6,7 +6,6 @@
 from collections import deque
 from dataclasses import dataclass
 
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 from urllib3.response import HTTPResponse
 
@@ -36,7 +35,12 @@
 
 
 class BackendConnection(StrictConnection):
-    """A connection to a backend server that reports resets as errors."""
+    """A connection to a backend server that reports resets as errors.
+
+    :ivar requests: number of requests that were sent on it.
+    """
+
+    requests = 0
 
     def _new_conn(self) -> ResetAwareSocket:
         created = ResetAwareSocket(sockets.AF_INET, sockets.SOCK_STREAM)
@@ -59,7 +63,7 @@
     :ivar usable_until: clock time until which it may be reused.
     """
 
-    connection: HTTPConnection
+    connection: BackendConnection
     usable_until: float
 
 
@@ -80,7 +84,7 @@
         self._clock = clock
         self._idle: dict[str, deque[IdleConnection]] = {}
 
-    def take(self, address: str) -> HTTPConnection | None:
+    def take(self, address: str) -> BackendConnection | None:
         """Take an idle connection that can still be used.
 
         :param address: ``address:port`` of the backend server.
@@ -96,7 +100,7 @@
             entry.connection.close()
         return None
 
-    def connect(self, address: str) -> HTTPConnection | NotRun:
+    def connect(self, address: str) -> BackendConnection | NotRun:
         """Open a connection.
 
         :param address: ``address:port`` of the backend server.
@@ -126,7 +130,10 @@
         return connection
 
     def release(
-        self, address: str, connection: HTTPConnection, response: HTTPResponse
+        self,
+        address: str,
+        connection: BackendConnection,
+        response: HTTPResponse,
     ) -> None:
         """Return a connection after a complete response, if it is reusable.
 
@@ -146,7 +153,7 @@
         self.keep(address, connection, keep_s)
 
     def keep(
-        self, address: str, connection: HTTPConnection, keep_s: float
+        self, address: str, connection: BackendConnection, keep_s: float
     ) -> None:
         """Keep a connection that is not in use.
 
--- a/egretdale/transport/forwarding.py
+++ b/egretdale/transport/forwarding.py
@@ -5,7 +5,6 @@
 from http.client import HTTPException
 
 from urllib3 import HTTPHeaderDict
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 from urllib3.response import HTTPResponse
 from urllib3.util import SKIP_HEADER
@@ -25,6 +24,7 @@
 from egretdale.state.instances import Instance
 from egretdale.transport.backend_connections import (
     IDLE_TIMEOUT_S,
+    BackendConnection,
     ConnectionPool,
 )
 from egretdale.util.clocks import Clock
@@ -70,7 +70,7 @@
         self,
         pool: ConnectionPool,
         address: str,
-        connection: HTTPConnection,
+        connection: BackendConnection,
         response: HTTPResponse,
         metadata: ResponseMetadata,
     ) -> None:
@@ -179,7 +179,7 @@
 
     def _send(
         self,
-        connection: HTTPConnection | NotRun,
+        connection: BackendConnection | NotRun,
         address: str,
         request: ForwardRequest,
         headers: list[Header],
@@ -197,7 +197,7 @@
 
     def _exchange(
         self,
-        connection: HTTPConnection,
+        connection: BackendConnection,
         address: str,
         request: ForwardRequest,
         sent_headers: list[Header],
@@ -206,6 +206,7 @@
         for name in ('Accept-Encoding', 'User-Agent'):
             if name not in headers:
                 headers[name] = SKIP_HEADER
+        connection.requests += 1
         connection.request(
             request.method,
             request.target,
@@ -216,11 +217,15 @@
         )
         response = connection.getresponse()
         metadata = self._codec.parse_response(
-            request.request_id, response.status, response.headers.items()
+            request.request_id,
+            response.status,
+            response.headers.items(),
+            is_first=connection.requests == 1,
         )
         if not metadata.matches:
             connection.close()
-            return MaybeRun('the response belongs to another request')
+            detail = 'the response may belong to another request'
+            return MaybeRun(f'{detail}: status {response.status}')
         return ForwardedResponse(
             self.pool, address, connection, response, metadata
         )
--- a/tests/test_protocol/test_forwarding.py
+++ b/tests/test_protocol/test_forwarding.py
@@ -67,7 +67,8 @@
     )
     assert not request.is_relayed
     attempt = RelayAttempt(request, 'h1', '10.0.0.2:80', 1.5, 1, True)
-    relayed = _read(*_CODEC.build_relay_headers(attempt))
+    sent = _CODEC.build_relay_headers(attempt)
+    relayed = _CODEC.parse_request(RequestHead('POST', '/a', sent, 0))
     assert relayed.is_relayed
     assert relayed.relayed_attempts == 1
     assert relayed.key == 'secret'
@@ -78,6 +79,33 @@
     assert 'egret-relayed' not in _write(relayed)
 
 
+def test_repeated_fields_of_a_request_are_refused() -> None:
+    """A backend server could read another value than this host."""
+    for name in ('Egret-Request-Id', 'egret-deadline-ms', 'HOST'):
+        assert isinstance(_read((name, '1'), (name.lower(), '1')), Invalid)
+    assert isinstance(_read(('egret-request-id', 'r1')), Invalid)
+    assert isinstance(_read(('X-A', '1'), ('X-A', '1')), ForwardRequest)
+
+
+def test_a_response_without_an_id_may_answer_an_earlier_request() -> None:
+    """It counts only on a connection that no other request was sent on."""
+    named = ('Egret-Request-Id', 'r1')
+    earlier = ('egret-request-id', 'r0')
+    for headers, first, later in (
+        ([named], True, True),
+        ([], True, False),
+        ([earlier], False, False),
+        ([named, earlier], False, False),
+        ([earlier, named], False, False),
+        ([named, named], False, False),
+    ):
+        for is_first, expected in ((True, first), (False, later)):
+            metadata = _CODEC.parse_response(
+                'r1', 503, headers, is_first=is_first
+            )
+            assert metadata.matches == expected, headers
+
+
 def test_keys_are_not_forwarded() -> None:
     """The key is read but not sent to the backend server."""
     request = _read(('Authorization', 'Bearer secret'))
