Reset failed responses to callers of HTTP/1.0

Evidence: test_interrupted_response_of_an_old_caller_is_reset failed before (no reset), and passes now; the 78 tests of transport and of the whole path pass.

--- a/egretdale/transport/caller_connections.py
+++ b/egretdale/transport/caller_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket as sockets
+import struct
 from typing import Any
 
 import eventlet
@@ -16,6 +17,7 @@
 
 #: Connections are kept open this much longer than announced, in seconds.
 _IDLE_GRACE_S = 1.0
+_OLD_VERSION = 'HTTP/1.0'
 
 
 class CallerConnections:
@@ -78,6 +80,19 @@
         """Announce in the response that the connection closes, and close it."""
         self.close_connection = 1
 
+    def abort_response(self) -> None:
+        """Make a response that has failed look incomplete to the caller.
+
+        Callers of HTTP/1.0 take an orderly close for the end of a response.
+        """
+        if self.request_version == _OLD_VERSION:
+            linger = struct.pack('ii', 1, 0)
+            self.connection.setsockopt(
+                sockets.SOL_SOCKET, sockets.SO_LINGER, linger
+            )
+            # The server would shut the connection down in order.
+            self.connection.fd.close()
+
     def get_environ(self) -> dict[str, Any]:
         """Return the WSGI environment with the request target as sent.
 
--- a/egretdale/transport/exchanges.py
+++ b/egretdale/transport/exchanges.py
@@ -71,6 +71,7 @@
     """A forwarded request, from its admission to its last chunk."""
 
     __slots__ = (
+        '_abort',
         '_admitted',
         '_chunks',
         '_closed',
@@ -87,6 +88,7 @@
         connection: Any,
         admitted: AdmittedRequest,
         start_response: Callable[..., Any],
+        abort: Callable[[], None],
     ) -> None:
         """Start watching the caller and the deadline.
 
@@ -94,8 +96,10 @@
         :param connection: socket of the caller.
         :param admitted: the admitted request.
         :param start_response: WSGI callable.
+        :param abort: makes a response that has begun look incomplete.
         """
         self._owner = owner
+        self._abort = abort
         self._admitted = admitted
         self._start_response = start_response
         self._closed = False
@@ -152,6 +156,8 @@
             raise
         except BaseException as error:
             self._log_failure(error)
+            self._watch.stop()
+            self._abort()
             raise
 
     def close(self) -> None:
--- a/egretdale/transport/ingress.py
+++ b/egretdale/transport/ingress.py
@@ -179,7 +179,13 @@
             return self.refuse(start_response, admitted, request.request_id)
         connection = environ['eventlet.input'].get_socket()
         connection.settimeout(_WRITE_TIMEOUT_S)
-        exchange = Exchange(self, connection, admitted, start_response)
+        exchange = Exchange(
+            self,
+            connection,
+            admitted,
+            start_response,
+            environ['egretdale.connection'].abort_response,
+        )
         return exchange.respond()
 
     def _admit(self, request: ForwardRequest) -> AdmittedRequest | Refused:
--- a/tests/test_transport/test_ingress.py
+++ b/tests/test_transport/test_ingress.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import errno
+import socket
 from collections.abc import Iterator
 
 import eventlet
@@ -94,6 +96,28 @@
     raise IncompleteResponse('reset')
 
 
+def test_interrupted_response_of_an_old_caller_is_reset() -> None:
+    """Its end would otherwise be the end of the connection.
+
+    A response that is whole ends in order.
+    """
+    text = f'GET / HTTP/1.0\r\n{HEAD}\r\n'
+    with open_ingress() as (forwarder, _, address):
+        forwarder.respond = lambda: ForwardReply(
+            200, [], None, iter((b'id: 1\n\n',))
+        )
+        assert send(address, text).endswith(b'\r\n\r\nid: 1\n\n')
+        forwarder.respond = lambda: ForwardReply(
+            200, [], None, _interrupt_response()
+        )
+        with connect(address) as connection:
+            connection.sendall(text.encode())
+            eventlet.sleep(0.1)
+            # The cooperative socket would report a reset as an end.
+            error = connection.fd.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        assert error == errno.ECONNRESET
+
+
 def test_interrupted_response_does_not_look_complete() -> None:
     """A failed chunked response ends without the last chunk."""
     with open_ingress() as (forwarder, ingress, address):
