--- a/egretdale/coordination/forwarding.py
+++ b/egretdale/coordination/forwarding.py
@@ -18,11 +18,11 @@
     ForwardOutcome,
     ForwardReply,
     ForwardRequest,
-    ForwardResponse,
 )
 from egretdale.coordination.peer_relay import PeerRelay
 from egretdale.coordination.ports import MaybeRun, NotRun
 from egretdale.coordination.progress import OpenedResponse, Progress
+from egretdale.coordination.response_acceptance import ResponseAcceptance
 from egretdale.coordination.response_relay import ResponseRelay
 from egretdale.coordination.selection import BackendSelection
 from egretdale.state.gateway_metrics import GatewayMetrics
@@ -31,18 +31,15 @@
 from egretdale.util.clocks import Clock
 
 _REDIRECTION = 300
-_SERVER_ERROR = 500
-#: Statuses that tell callers that a request has not run and never will.
-_NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
 class Forwarder:
     """Sends each request to backend servers until one of them responds."""
 
     __slots__ = (
+        '_acceptance',
         '_admission',
         '_budgets',
-        '_chooser',
         '_clock',
         '_crashes',
         '_loads',
@@ -78,7 +75,6 @@
         :param source: random source.
         """
         self._admission = admission
-        self._chooser = selection.chooser
         self._loads = selection.loads
         self._budgets = budgets
         self._rules = AttemptRules(admission, budgets, selection.quarantine)
@@ -89,6 +85,9 @@
         self._sender = AttemptSender(
             admission, selection, metrics, client, clock
         )
+        self._acceptance = ResponseAcceptance(
+            self._rules, self._sender, selection
+        )
         self._relay = PeerRelay(selection, admission, client, clock, source)
         self._selection = selection
         self._clock = clock
@@ -147,10 +146,7 @@
             if outcome.continues(broken):
                 return outcome
             # No part of another kind of response may reach the caller.
-            outcome.response.close()
-            self._sender.end(progress, outcome.choice)
-            incarnation = outcome.choice.instance.incarnation
-            self._loads.note_outcome(incarnation, failed=True)
+            self._acceptance.drop(progress, outcome)
 
     def note_progress(self, progress: Progress, opened: OpenedResponse) -> None:
         """Record that a response goes on.
@@ -309,57 +305,6 @@
             case _:
                 progress.sent += 1
                 opened = OpenedResponse(outcome, choice, sent_at, self._clock())
-                return self._accept_response(progress, opened)
+                if self._acceptance.accept(progress, opened):
+                    return opened
         return None
-
-    def _accept_response(
-        self,
-        progress: Progress,
-        opened: OpenedResponse,
-    ) -> OpenedResponse | Refused | None:
-        """Decide whether to relay a response or try again.
-
-        :param progress: state of the request.
-        :param opened: the response.
-        :return: the response to relay, ``None`` to try again.
-        """
-        choice = opened.choice
-        response = opened.response
-        incarnation = choice.instance.incarnation
-        if response.not_run:
-            response.close()
-            self._sender.end(progress, choice, rejected=True)
-            return None
-        progress.may_have_run = True
-        failed = response.status >= _SERVER_ERROR
-        is_promise = response.status in _NOT_RUN_STATUSES
-        if is_promise and not progress.admitted.route.is_repeatable():
-            # To the caller, this status would say that it has not run.
-            response.close()
-            self._sender.end(progress, choice)
-            return None
-        if not response.sealed or (failed and self._rules.may_retry(progress)):
-            response.close()
-            self._sender.end(progress, choice)
-            self._loads.note_outcome(incarnation, failed=True)
-            return None
-        self._chooser.note(choice, progress.admitted.request.prompt)
-        self._note_start(progress, choice, response)
-        return opened
-
-    def _note_start(
-        self,
-        progress: Progress,
-        choice: BackendChoice,
-        response: ForwardResponse,
-    ) -> None:
-        route = progress.admitted.route
-        if response.status >= _REDIRECTION or not route.resumable:
-            return
-        instance = choice.instance
-        progress.software_version = instance.software_version
-        self._origins.note_start(
-            instance,
-            progress.admitted.request.request_id,
-            is_split=len(route.services) > 1,
-        )
