Go on with streams of the project's interface only by their continuation

Change: one function compares the heads for both interfaces; the next engine is tried. Evidence: test_stream_relay failed on the code before (the error's text in the stream) and passes now; tests of streams and forwarding pass.

--- a/egretdale/coordination/attempts.py
+++ b/egretdale/coordination/attempts.py
@@ -23,6 +23,7 @@
 from egretdale.coordination.slot_clients import SlotClients
 from egretdale.coordination.slot_client import ActiveSlot, SlotClient
 from egretdale.state.documents import RequestClass
+from egretdale.state.event_streams import continues_stream
 from egretdale.state.messages import Ask, Denial
 from egretdale.state.queries import ClaimAsk
 from egretdale.state.metrics import DaemonMetrics
@@ -216,6 +217,9 @@
         )
         if isinstance(stream, NotRun | MaybeRun):
             return False
+        if not continues_stream(stream, attempt.stream):
+            stream.close()
+            return False
         attempt.stream = stream
         return True
 
--- a/egretdale/coordination/progress.py
+++ b/egretdale/coordination/progress.py
@@ -7,6 +7,7 @@
 from egretdale.coordination.admission import AdmittedRequest
 from egretdale.coordination.backend_choice import BackendChoice
 from egretdale.coordination.exchanges import BackendIdentity, ForwardResponse
+from egretdale.state.event_streams import continues_stream
 
 
 @dataclass(slots=True)
@@ -54,10 +55,7 @@
 
         :param broken: the other response, the beginning of a stream.
         """
-        return (
-            self.response.status == broken.response.status
-            and _read_media_type(self) == _read_media_type(broken)
-        )
+        return continues_stream(self.response, broken.response)
 
     def identify_backend(self) -> BackendIdentity:
         """Identify the backend server to another host."""
@@ -65,10 +63,3 @@
         return BackendIdentity(
             instance.service, instance.name, instance.born_ms
         )
-
-
-def _read_media_type(opened: OpenedResponse) -> str:
-    for name, text in opened.response.headers:
-        if name.lower() == 'content-type':
-            return text.partition(';')[0].strip().lower()
-    return ''
--- a/egretdale/coordination/stream_relay.py
+++ b/egretdale/coordination/stream_relay.py
@@ -11,10 +11,12 @@
 )
 from egretdale.coordination.ports import EndOfStream, MaybeRun
 from egretdale.coordination.requests import StreamLog, StreamReply
+from egretdale.state.event_streams import continues_stream
 from egretdale.state.outcomes import Answered, Ran, Reason, Refused
 
 _MAXIMUM_RECONNECTS = 2
 _PAUSE_POLL_S = 0.05
+_NOT_CONTINUED = 'the engine answered with something else than the stream'
 
 
 class StreamRelay:
@@ -139,8 +141,10 @@
             if isinstance(attempt, Refused):
                 return attempt
             if isinstance(attempt, Attempt):
-                self._switch_attempt(attempt)
-                return None
+                if continues_stream(attempt.stream, self._attempt.stream):
+                    self._switch_attempt(attempt)
+                    return None
+                self._manager.fail(self._state, attempt, _NOT_CONTINUED)
 
     def _reconnect(self) -> bool:
         attempt = self._attempt
--- a/egretdale/state/event_streams.py
+++ b/egretdale/state/event_streams.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Sequence
+from typing import Protocol
 
 _EVENT_END = b'\n\n'
 #: Two line ends in a row. A lone CR is a line end, too.
@@ -18,6 +20,30 @@
 _NUMBER = re.compile('[0-9]{1,18}')
 
 
+class ResponseHead(Protocol):
+    """The head of a response.
+
+    :ivar status: HTTP status.
+    :ivar headers: header fields in order.
+    """
+
+    status: int
+    headers: Sequence[tuple[str, str]]
+
+
+def continues_stream(response: ResponseHead, broken: ResponseHead) -> bool:
+    """Tell whether a response can go on where another one broke off.
+
+    An error, or a response of another media type, is no part of the stream.
+
+    :param response: head of the response.
+    :param broken: head of the one that broke off.
+    """
+    return response.status == broken.status and (
+        _read_media_type(response) == _read_media_type(broken)
+    )
+
+
 class EventSplitter:
     """Splits a stream into complete events and buffers the rest.
 
@@ -170,3 +196,10 @@
     if _NUMBER.fullmatch(identity) and _NUMBER.fullmatch(before):
         return int(identity) > int(before)
     return identity not in {'', before}
+
+
+def _read_media_type(response: ResponseHead) -> str:
+    for name, text in response.headers:
+        if name.lower() == 'content-type':
+            return text.partition(';')[0].strip().lower()
+    return ''
