--- a/egretdale/transport/platform.py
+++ b/egretdale/transport/platform.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
 
 import msgspec
 import urllib3
@@ -14,12 +13,14 @@
     Ambiguous,
     Cause,
     Conflict,
+    Invalid,
     Missing,
     Unreachable,
 )
 from egretdale.transport.strict_client import StrictPoolManager
 from egretdale.util.buckets import TokenBucket
 from egretdale.util.clocks import Clock
+from egretdale.util.json_text import decode_json, split_array, split_object
 from egretdale.util.logs import get_logger
 
 logger = get_logger(__name__)
@@ -59,10 +60,6 @@
     objects: tuple[ObjectBody, ...]
 
 
-_object_decoder: Any = msgspec.json.Decoder(ObjectBody)
-_listing_decoder: Any = msgspec.json.Decoder(ListingBody)
-
-
 class PlatformClient:
     """Calls the platform with a rate limit and a circuit breaker.
 
@@ -125,7 +122,7 @@
             return Unreachable(response.cause, response.detail)
         if response.status == _NOT_FOUND:
             return Missing(name)
-        decoded = _decode(response, _object_decoder)
+        decoded = _decode_object(response)
         if isinstance(decoded, Unreachable):
             return decoded
         return _to_stored(decoded)
@@ -172,7 +169,7 @@
             return Conflict(0)
         if response.status not in {_OK, _CREATED}:
             return Ambiguous(Cause.STATUS, str(response.status))
-        decoded = _decode(response, _object_decoder)
+        decoded = _decode_object(response)
         if isinstance(decoded, Unreachable):
             return Ambiguous(decoded.cause, decoded.detail)
         return Written(decoded.version)
@@ -183,9 +180,11 @@
         response = self._call(call, 'GET', path, timeout_s=timeout_s)
         if isinstance(response, Unreachable | Ambiguous):
             return Unreachable(response.cause, response.detail)
-        decoded = _decode(response, _listing_decoder)
-        if isinstance(decoded, Unreachable):
-            return decoded
+        if response.status != _OK:
+            return Unreachable(Cause.STATUS, str(response.status))
+        decoded = decode_listing(response.data)
+        if isinstance(decoded, Invalid):
+            return Unreachable(Cause.MALFORMED, decoded.message)
         entries = tuple(_to_stored(entry) for entry in decoded.objects)
         return Listing(decoded.version, entries)
 
@@ -250,13 +249,42 @@
             logger.warning('platform-breaker-open', open_s=_BREAKER_OPEN_S)
 
 
-def _decode(response: urllib3.BaseHTTPResponse, decoder: Any) -> Any:
+def decode_listing(source: bytes) -> ListingBody | Invalid:
+    """Decode a listing in which other programs may have written objects.
+
+    :param source: JSON text.
+    :return: the listing, without objects that cannot be decoded, or why it is
+        none.
+    """
+    listing = decode_json(source, ListingBody)
+    if not isinstance(listing, Invalid):
+        return listing
+    members = split_object(source)
+    if isinstance(members, Invalid):
+        return members
+    version = decode_json(members.get('version', b''), int)
+    elements = split_array(members.get('objects', b''))
+    if isinstance(version, Invalid) or isinstance(elements, Invalid):
+        return listing
+    decoded = [decode_json(element, ObjectBody) for element in elements]
+    for entry in decoded:
+        if isinstance(entry, Invalid):
+            logger.warning('object-malformed', detail=entry.message)
+    return ListingBody(
+        version,
+        tuple(stored for stored in decoded if isinstance(stored, ObjectBody)),
+    )
+
+
+def _decode_object(
+    response: urllib3.BaseHTTPResponse,
+) -> ObjectBody | Unreachable:
     if response.status != _OK:
         return Unreachable(Cause.STATUS, str(response.status))
-    try:
-        return decoder.decode(response.data)
-    except msgspec.MsgspecError as error:
-        return Unreachable(Cause.MALFORMED, str(error))
+    decoded = decode_json(response.data, ObjectBody)
+    if isinstance(decoded, Invalid):
+        return Unreachable(Cause.MALFORMED, decoded.message)
+    return decoded
 
 
 def _to_stored(entry: ObjectBody) -> StoredObject:
