--- a/egretdale/transport/message_reader.py
+++ b/egretdale/transport/message_reader.py
@@ -100,8 +100,8 @@
         self._lines.extend(lines)
         self._part = _Part.SIZE if is_chunked(fields) else None
 
-    def hand_out(self, line: bytes) -> None:
-        """Hand out a line that has been read before the others.
+    def push_back(self, line: bytes) -> None:
+        """Return a line that was read, so that it is the next one.
 
         :param line: the line.
         """
@@ -184,7 +184,7 @@
 
     def _check_content_end(self, ending: bytes) -> bytes:
         if ending != LINE_END:
-            raise _report('a chunk does not end with its size', ending)
+            raise _report('a chunk is longer than its size', ending)
         self._part = _Part.SIZE
         return ending
 
--- a/egretdale/transport/strict_client.py
+++ b/egretdale/transport/strict_client.py
@@ -53,7 +53,7 @@
             status = int(STATUS_LINE.fullmatch(line)['status'])
             if status == _SWITCHING_PROTOCOLS:
                 raise MalformedMessageError('the protocol is switched')
-        reader.hand_out(line)
+        reader.push_back(line)
 
 
 class StrictConnection(HTTPConnection):
--- a/egretdale/util/json_text.py
+++ b/egretdale/util/json_text.py
@@ -77,16 +77,12 @@
     if key is None:
         return None, b''
     name = decode_json(key.group(), str)
-    separator, text = _split_first(member[key.end() :].lstrip())
-    if isinstance(name, Invalid) or separator != b':':
+    gap, _, text = member[key.end() :].partition(b':')
+    if isinstance(name, Invalid) or gap.strip():
         return None, b''
     return name, text.strip()
 
 
-def _split_first(text: bytes) -> tuple[bytes, bytes]:
-    return text[:1], text[1:]
-
-
 def _split(
     source: bytes, opening: bytes, closing: bytes
 ) -> list[bytes] | Invalid:
@@ -99,8 +95,8 @@
     for token in _TOKEN.finditer(source):
         text = token.group()
         depth += _DEPTH_CHANGES.get(text, 0)
-        # The top level ends with the closing bracket.
-        if depth == (text == b','):
+        is_separator = depth == 1 and text == b','
+        if is_separator or not depth:
             parts.append(source[began_at : token.start()].strip())
             began_at = token.end()
         if not depth:
