--- a/standins/objects.py
+++ b/standins/objects.py
@@ -151,19 +151,23 @@
         since = int(query['watch'][0])
         if since < self._discarded_revision:
             return _respond(start_response, '410 Gone', {})
-        events: list[dict[str, Any]] = []
+        events = self._list_events(kind, since)
         for _ in range(int(query['wait_ms'][0]) // 10):
-            events = [
-                {'object': event.body, 'is_gone': event.is_gone}
-                for event in self._events
-                if event.revision > since and event.kind == kind
-            ]
             if events:
                 break
             eventlet.sleep(_WATCH_POLL_S)
+            # Read after each wait, so that ``as_of`` covers no unseen event.
+            events = self._list_events(kind, since)
         answer = {'events': events, 'as_of': self.revision}
         return _respond(start_response, _OK, answer)
 
+    def _list_events(self, kind: str, since: int) -> list[dict[str, Any]]:
+        return [
+            {'object': event.body, 'is_gone': event.is_gone}
+            for event in self._events
+            if event.revision > since and event.kind == kind
+        ]
+
     def _write(
         self, start_response: StartResponse, kind: str, body: dict[str, Any]
     ) -> Iterable[bytes]:
--- a/tests/raw_engines.py
+++ b/tests/raw_engines.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import socket
-import struct
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -116,16 +115,6 @@
         return self.answer(self, request, connection)
 
 
-def reset(connection: socket.socket) -> None:
-    """Reset a connection.
-
-    :param connection: the connection.
-    """
-    linger = struct.pack('ii', 1, 0)
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    connection.close()
-
-
 @dataclass(frozen=True)
 class RawReply:
     """What a caller received on one connection.
--- a/tests/test_platform/test_broken_streams.py
+++ b/tests/test_platform/test_broken_streams.py
@@ -14,8 +14,9 @@
 from soak.daemons import HOST_NAME, Daemon, put_configuration, put_server
 from standins.objects import ObjectStoreProgram
 from tests.daemons import open_daemons
+from tests.endings import end_by_reset
 from tests.functions import create_loader
-from tests.raw_engines import RawEngine, RawReply, RawRequest, ask, reset
+from tests.raw_engines import RawEngine, RawReply, RawRequest, ask
 
 load_tests = create_loader(__name__)
 
@@ -163,7 +164,7 @@
             # A reset discards what the daemon has not read yet.
             eventlet.sleep(0.02)
             if self.begin is _begin_in_chunks:
-                reset(connection)
+                end_by_reset(connection)
             return False
         if self.sent == 2:
             self.error(engine, request, connection)
--- a/tests/test_platform/test_odd_entries.py
+++ b/tests/test_platform/test_odd_entries.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Iterator
-from contextlib import contextmanager
 
 import eventlet
 from hypothesis import given, settings, strategies
@@ -26,12 +24,12 @@
 from egretdale.util.clocks import read_boot_clock
 from standins import platform_path  # noqa: F401
 from standins.objects import ObjectStoreProgram, RawSpec
-from standins.web import listen, serve
 from soak.daemons import put_configuration, put_server
 from soak.servers import SealedServer
 from soak.world import serve_program
 from tests.daemons import open_daemons, send_request
 from tests.functions import create_loader
+from tests.object_store import open_store
 from tests.odd_entries import JSON_VALUES, ODD_ENTRIES, create_entry
 from thrift.transport.TTransport import TMemoryBuffer
 
@@ -40,7 +38,6 @@
     decode_engine,
 )
 from egretdale_platform.pages import StorePage, decode_page  # isort: skip
-from egretdale_platform.store import StoreClient  # isort: skip
 
 load_tests = create_loader(__name__)
 
@@ -48,15 +45,6 @@
 _KINDS = ('servers', 'config', 'software-versions', 'others')
 
 
-@contextmanager
-def _open_store() -> Iterator[tuple[ObjectStoreProgram, StoreClient]]:
-    program = ObjectStoreProgram()
-    listener = listen('127.0.0.1:0')
-    server = eventlet.spawn(serve, listener, program)
-    yield program, StoreClient(f'127.0.0.1:{listener.getsockname()[1]}')
-    server.kill()
-
-
 def test_odd_entries_name_no_backend_server() -> None:
     """Each entry is left out by itself; the decoder never raises."""
     assert isinstance(decode_engine('i-1', create_entry()), Instance)
@@ -78,7 +66,7 @@
 
 
 def _check_page(kind: str, label: str, text: bytes) -> None:
-    with _open_store() as (program, client):
+    with open_store() as (program, client):
         program.put(kind, 'a', {'n': 1})
         program.put(kind, 'odd', RawSpec(text))
         program.put(kind, 'z', {'n': 1})
@@ -99,7 +87,7 @@
 def test_an_object_whose_name_is_odd_is_read_and_paged() -> None:
     """Names are escaped in the calls to the store."""
     names = ('a&b=c', 'a#b', 'a?b', 'a b', 'a/b', 'ä', 'é"\\', '%41', 'zz')
-    with _open_store() as (program, client):
+    with open_store() as (program, client):
         program.page_size = 2
         for name in names:
             program.put('servers', name, {})
@@ -170,7 +158,7 @@
 def test_hosts_that_read_through_others_leave_out_the_same_entries() -> None:
     """Bytes that are no text must not become a valid entry on the way."""
     for label, text in ODD_ENTRIES.items():
-        with _open_store() as (program, client):
+        with open_store() as (program, client):
             program.put('servers', 'odd', RawSpec(text))
             program.put('servers', 'sound', RawSpec(create_entry()))
             listing = client.list_objects('instances')
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -2,32 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
-from contextlib import contextmanager
-
 import eventlet
 
 from egretdale.coordination.ports import Listing, Written
 from egretdale.errors import Ambiguous, Conflict, Missing, Unreachable
-from standins.objects import ObjectStoreProgram
-from standins.web import listen, serve
-from standins import platform_path  # noqa: F401
 from tests.functions import create_loader
-
-from egretdale_platform.store import StoreClient  # isort: skip
+from tests.object_store import open_store
 
 load_tests = create_loader(__name__)
 
 
-@contextmanager
-def _open_store() -> Iterator[tuple[ObjectStoreProgram, StoreClient]]:
-    program = ObjectStoreProgram()
-    listener = listen('127.0.0.1:0')
-    server = eventlet.spawn(serve, listener, program)
-    yield program, StoreClient(f'127.0.0.1:{listener.getsockname()[1]}')
-    server.kill()
-
-
 def _list_names(listing: Listing | Unreachable) -> list[str]:
     assert isinstance(listing, Listing), listing
     return [entry.name for entry in listing.entries]
@@ -35,7 +19,7 @@
 
 def test_lists_are_read_page_by_page() -> None:
     """All pages of the platform's kind are combined into one listing."""
-    with _open_store() as (program, client):
+    with open_store() as (program, client):
         program.page_size = 2
         for index in range(5):
             program.put('servers', f's{index}', {})
@@ -47,7 +31,7 @@
 
 def test_watches_return_the_whole_listing_with_its_changes() -> None:
     """The listing reflects created, changed and removed objects."""
-    with _open_store() as (program, client):
+    with open_store() as (program, client):
         program.put('servers', 'a', {'n': 1})
         program.put('servers', 'b', {})
         first = client.list_objects('instances')
@@ -61,7 +45,7 @@
 
 def test_a_quiet_watch_returns_what_is_known() -> None:
     """Without a change, the known objects are returned after the timeout."""
-    with _open_store() as (program, client):
+    with open_store() as (program, client):
         program.put('servers', 'a', {})
         first = client.list_objects('instances')
         program.put('others', 'x', {})
@@ -70,12 +54,28 @@
         assert again.version == program.revision
 
 
+def test_a_change_at_the_end_of_a_watch_is_not_skipped() -> None:
+    """The stand-in reports changes that it covers by the revision it states.
+
+    It skipped those made in the last pause of a watch.
+    """
+    with open_store() as (program, client):
+        program.put('servers', 'a', {})
+        first = client.list_objects('instances')
+        put_later = eventlet.spawn_after(0.015, program.put, 'servers', 'b', {})
+        listing = client.watch('instances', first.version, 0.02)
+        put_later.wait()
+        if listing.version < program.revision:
+            listing = client.watch('instances', listing.version, 1)
+        assert _list_names(listing) == ['a', 'b']
+
+
 def test_a_lost_history_leads_to_a_full_list() -> None:
     """A watch lists all objects again if the store dropped its history.
 
     Otherwise objects removed in the meantime would remain in the listing.
     """
-    with _open_store() as (program, client):
+    with open_store() as (program, client):
         program.put('servers', 'a', {})
         first = client.list_objects('instances')
         program.remove('servers', 'a')
@@ -91,7 +91,7 @@
     A refused write certainly had no effect; after other errors that is
     unknown.
     """
-    with _open_store() as (program, client):
+    with open_store() as (program, client):
         program.refusing = '503 Service Unavailable'
         assert isinstance(client.list_objects('instances'), Unreachable)
         assert isinstance(client.read('members', 'a'), Unreachable)
@@ -104,7 +104,7 @@
 
 def test_writes_depend_on_the_expected_revision() -> None:
     """A write with an outdated revision returns the stored revision."""
-    with _open_store() as (program, client):
+    with open_store() as (program, client):
         created = client.write('members', 'a', b'{"n": 1}', 0)
         assert isinstance(created, Written)
         lost = client.write('members', 'a', b'{"n": 2}', 0)
--- a/tests/test_transport/test_cut_requests.py
+++ b/tests/test_transport/test_cut_requests.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import socket
-import struct
 from collections.abc import Callable
 
 import eventlet
 from hypothesis import given, settings, strategies
 
+from tests.endings import ENDINGS, end_by_halves
 from tests.functions import create_loader
 from tests.ingress import ScriptedForwarder, connect, open_ingress, read_all
 
@@ -77,25 +77,6 @@
 )
 
 
-def _end_orderly(connection: socket.socket) -> None:
-    connection.close()
-
-
-def _end_by_halves(connection: socket.socket) -> None:
-    connection.shutdown(socket.SHUT_WR)
-    eventlet.sleep(0.01)
-    connection.close()
-
-
-def _end_by_reset(connection: socket.socket) -> None:
-    linger = struct.pack('ii', 1, 0)
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    connection.close()
-
-
-_ENDINGS = (_end_orderly, _end_by_halves, _end_by_reset)
-
-
 def _send(
     address: tuple[str, int],
     sent: bytes,
@@ -144,7 +125,7 @@
         for label, sent in _REQUESTS.items():
             for cut, _ in enumerate(sent):
                 begun = sent[:cut]
-                _send(address, begun, _end_by_halves)
+                _send(address, begun, end_by_halves)
                 assert not forwarder.requests, (label, begun)
         eventlet.sleep(0.1)
         assert not forwarder.requests
@@ -155,7 +136,7 @@
 @given(
     strategies.sampled_from(sorted(_REQUESTS)),
     strategies.integers(0, 400),
-    strategies.sampled_from(_ENDINGS),
+    strategies.sampled_from(ENDINGS),
 )
 def test_requests_cut_by_any_end_are_not_run(
     label: str, cut: int, end: Callable[[socket.socket], None]
--- a/tests/test_transport/test_cut_responses.py
+++ b/tests/test_transport/test_cut_responses.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import socket
-import struct
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
@@ -23,6 +22,7 @@
     read_head,
 )
 from tests.forwarding import create_request
+from tests.endings import ENDINGS, end_orderly
 from tests.functions import create_loader
 
 load_tests = create_loader(__name__)
@@ -79,28 +79,9 @@
 _ODD_CHUNK_ENDS = (b'', b'\n', b'xx', b'\r\r', b'HTTP/1.1 200 OK\r\n\r\n')
 
 
-def _end_orderly(connection: socket.socket) -> None:
-    connection.close()
-
-
-def _end_by_halves(connection: socket.socket) -> None:
-    connection.shutdown(socket.SHUT_WR)
-    connection.recv(1)
-    connection.close()
-
-
-def _end_by_reset(connection: socket.socket) -> None:
-    linger = struct.pack('ii', 1, 0)
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    connection.close()
-
-
-_ENDINGS = (_end_orderly, _end_by_halves, _end_by_reset)
-
-
 @contextmanager
 def _serve(
-    received: bytes, end: Callable[[socket.socket], None] = _end_orderly
+    received: bytes, end: Callable[[socket.socket], None] = end_orderly
 ) -> Iterator[tuple[HttpForwardClient, str]]:
     def respond(connection: socket.socket) -> None:
         read_head(connection)
@@ -122,7 +103,7 @@
 
 def _read(
     received: bytes,
-    end: Callable[[socket.socket], None] = _end_orderly,
+    end: Callable[[socket.socket], None] = end_orderly,
     send: Callable[..., ForwardedResponse | NotRun | MaybeRun] = open_response,
 ) -> tuple[bytes, bool]:
     """Return the body of a response and whether it seems complete."""
@@ -165,7 +146,7 @@
 @given(
     strategies.sampled_from(sorted(_RESPONSES)),
     strategies.integers(0, 400),
-    strategies.sampled_from(_ENDINGS),
+    strategies.sampled_from(ENDINGS),
     strategies.sampled_from((open_response, _relay)),
 )
 def test_cuts_of_any_kind_do_not_look_complete(
