--- a/egretdale/coordination/attempt_recorder.py
+++ b/egretdale/coordination/attempt_recorder.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from egretdale.coordination.backend_choice import BackendChoice
 from egretdale.coordination.backpressure import BackpressureTracker
 from egretdale.coordination.exchanges import ForwardResponse
@@ -17,22 +19,26 @@
 class AttemptRecorder:
     """Logs and counts each attempt to run a forwarded request."""
 
-    __slots__ = ('_backpressure', '_clock', '_metrics')
+    __slots__ = ('_backpressure', '_clock', '_measure_list_age', '_metrics')
 
     def __init__(
         self,
         metrics: GatewayMetrics,
         backpressure: BackpressureTracker,
+        measure_list_age: Callable[[], float],
         clock: Clock,
     ) -> None:
         """Create a recorder.
 
         :param metrics: metrics.
         :param backpressure: what backend servers ask for.
+        :param measure_list_age: returns the age of the list of backend
+            servers in seconds.
         :param clock: monotonic clock.
         """
         self._metrics = metrics
         self._backpressure = backpressure
+        self._measure_list_age = measure_list_age
         self._clock = clock
 
     def record(
@@ -79,12 +85,18 @@
             urgency=progress.admitted.urgency,
             waited_ms=convert_to_ms(waited_s),
             revision=progress.admitted.revision,
+            list_age_ms=self._read_list_age_ms(),
             outcome=label,
             detail=detail,
             states_leaving=_states_leaving(outcome),
             took_ms=convert_to_ms(took_s),
         )
 
+    def _read_list_age_ms(self) -> int | None:
+        """Return the age of the list, ``None`` if it was never read."""
+        age_s = self._measure_list_age()
+        return None if age_s == float('inf') else convert_to_ms(age_s)
+
 
 def describe_outcome(
     outcome: ForwardResponse | NotRun | MaybeRun,
--- a/egretdale/coordination/attempt_sender.py
+++ b/egretdale/coordination/attempt_sender.py
@@ -55,7 +55,12 @@
         self._links = selection.links
         self._loads = selection.loads
         self._prefill_client = selection.prefill_client
-        self._recorder = AttemptRecorder(metrics, selection.backpressure, clock)
+        self._recorder = AttemptRecorder(
+            metrics,
+            selection.backpressure,
+            selection.list_knowledge.measure_age,
+            clock,
+        )
         self._client = client
         self._clock = clock
 
--- a/egretdale/coordination/gateway.py
+++ b/egretdale/coordination/gateway.py
@@ -279,8 +279,10 @@
         self.membership.announce_link(cut_off=is_cut_off)
 
     def _is_list_current(self) -> bool:
-        age_s = self.instances.confirmation.measure_age()
-        return age_s <= _CURRENT_LIST_AGE_S
+        return self._measure_list_age() <= _CURRENT_LIST_AGE_S
+
+    def _measure_list_age(self) -> float:
+        return self.instances.confirmation.measure_age()
 
     def _build_forwarder(self) -> None:
         settings = self.settings
@@ -303,7 +305,9 @@
             dependencies.clock,
             self.metrics.silent_allocators,
             list_knowledge=ListKnowledge(
-                self._is_list_current, self._version_recorder.restore
+                self._is_list_current,
+                self._version_recorder.restore,
+                self._measure_list_age,
             ),
         )
         self._reachability = ReachabilityMonitor(
--- a/egretdale/coordination/instances.py
+++ b/egretdale/coordination/instances.py
@@ -54,6 +54,7 @@
         '_clock',
         '_decode',
         '_fetcher',
+        '_is_older',
         '_listing',
         '_lost_at',
         '_malformed',
@@ -98,6 +99,7 @@
         self._on_gone = on_gone
         self._listing = Listing(0, ())
         self._fetcher = CopyFetcher(INSTANCE_KIND, peers, self._apply_copy)
+        self._is_older = False
         self._lost_at: float | None = None
         # Bodies of the entries that were left out, by name.
         self._malformed: dict[str, bytes] = {}
@@ -119,6 +121,7 @@
             self._lost_at = None
             self._regained_at = now
         self.confirmation.confirm(confirmed_at)
+        self._note_order(listing)
         # The list of a reader may be older than a copy from another peer.
         if listing.version > self._listing.version:
             self._apply(listing, 'platform')
@@ -169,6 +172,17 @@
         source = msgspec.json.encode(entries).decode()
         return DocumentCopy(INSTANCE_KIND, self._listing.version, source)
 
+    def _note_order(self, listing: Listing) -> None:
+        """Log the first of several lists in a row that are older."""
+        is_older = listing.version < self._listing.version
+        if is_older and not self._is_older:
+            logger.info(
+                'backend-list-older',
+                revision=listing.version,
+                known=self._listing.version,
+            )
+        self._is_older = is_older
+
     def _apply_copy(self, copy: DocumentCopy, host: str) -> None:
         if self._lost_at is None or copy.revision <= self._listing.version:
             return
--- a/egretdale/coordination/selection.py
+++ b/egretdale/coordination/selection.py
@@ -56,6 +56,7 @@
     :ivar speeds: speeds of engines that this host has learned as an allocator.
     :ivar allocator: allocator of this host.
     :ivar prefill_client: asks the allocators of all hosts for engines.
+    :ivar list_knowledge: what can be known about the list of backend servers.
     """
 
     __slots__ = (
@@ -65,6 +66,7 @@
         'departures',
         'instances',
         'links',
+        'list_knowledge',
         'loads',
         'mesh',
         'origins',
@@ -97,6 +99,7 @@
         """
         self.mesh = mesh
         self.instances = instances
+        self.list_knowledge = list_knowledge
         self.loads = LoadTable(clock)
         self.links = BackendLinks()
         self.backpressure = BackpressureTracker(mesh.table, instances, clock)
--- a/egretdale/coordination/stream_origins.py
+++ b/egretdale/coordination/stream_origins.py
@@ -53,10 +53,13 @@
     :ivar is_current: tells whether the list holds the latest changes.
     :ivar restore_history: reads which software versions served before this
         host started, and tells whether that is known.
+    :ivar measure_age: returns the seconds since the list was known to hold the
+        latest changes.
     """
 
     is_current: Callable[[], bool]
     restore_history: Callable[[], bool]
+    measure_age: Callable[[], float]
 
 
 class StreamOrigins(MeshListener):
--- a/egretdale/transport/backend_connections.py
+++ b/egretdale/transport/backend_connections.py
@@ -38,9 +38,11 @@
     """A connection to a backend server that reports resets as errors.
 
     :ivar requests: number of requests that were sent on it.
+    :ivar idle_s: seconds for which it was idle before the last one.
     """
 
     requests = 0
+    idle_s = float(0)
 
     def _new_conn(self) -> ResetAwareSocket:
         created = ResetAwareSocket(sockets.AF_INET, sockets.SOCK_STREAM)
@@ -60,10 +62,12 @@
     """A pooled connection that is not in use.
 
     :ivar connection: the connection.
+    :ivar idle_since: clock time since which it has been idle.
     :ivar usable_until: clock time until which it may be reused.
     """
 
     connection: BackendConnection
+    idle_since: float
     usable_until: float
 
 
@@ -96,6 +100,7 @@
             entry = idle.pop()
             # Readable data is the end or an unrequested response.
             if entry.usable_until > now and entry.connection.is_connected:
+                entry.connection.idle_s = now - entry.idle_since
                 return entry.connection
             entry.connection.close()
         return None
@@ -165,7 +170,8 @@
         if len(idle) >= _MAXIMUM_IDLE_PER_ADDRESS:
             connection.close()
             return
-        idle.append(IdleConnection(connection, self._clock() + keep_s))
+        now = self._clock()
+        idle.append(IdleConnection(connection, now, now + keep_s))
 
     def close_idle(self, address: str) -> None:
         """Close the idle connections to a backend server.
--- a/egretdale/transport/forwarding.py
+++ b/egretdale/transport/forwarding.py
@@ -27,7 +27,7 @@
     BackendConnection,
     ConnectionPool,
 )
-from egretdale.util.clocks import Clock
+from egretdale.util.clocks import Clock, convert_to_ms
 
 _CHUNK_BYTES = 65536
 _EXCHANGE_ERRORS = (
@@ -190,7 +190,9 @@
             return self._exchange(connection, address, request, headers)
         except _EXCHANGE_ERRORS as error:
             connection.close()
-            return MaybeRun(f'no response: {error!r}')
+            return MaybeRun(
+                f'no response: {error!r}; {_describe_use(connection)}'
+            )
         except BaseException:
             connection.close()
             raise
@@ -225,12 +227,23 @@
         if not metadata.matches:
             connection.close()
             detail = 'the response may belong to another request'
-            return MaybeRun(f'{detail}: status {response.status}')
+            return MaybeRun(
+                f'{detail}: status {response.status}; '
+                f'{_describe_use(connection)}'
+            )
         return ForwardedResponse(
             self.pool, address, connection, response, metadata
         )
 
 
+def _describe_use(connection: BackendConnection) -> str:
+    idle_ms = convert_to_ms(connection.idle_s)
+    return (
+        f'request {connection.requests} on its connection, which was idle for '
+        f'{idle_ms} ms'
+    )
+
+
 def _parse_length(response: HTTPResponse) -> int | None:
     text = response.headers.get('content-length', '')
     return int(text) if text.isdigit() else None
--- a/standins/emulation/hosts.py
+++ b/standins/emulation/hosts.py
@@ -153,7 +153,9 @@
             self._instances,
             clock,
             metrics.silent_allocators,
-            list_knowledge=ListKnowledge(_is_list_current, _restore_nothing),
+            list_knowledge=ListKnowledge(
+                _is_list_current, _restore_nothing, float
+            ),
             speeds=speeds,
             create_chooser=policy.create_chooser,
         )
--- a/tests/forwarding.py
+++ b/tests/forwarding.py
@@ -261,7 +261,7 @@
         instances,
         clock,
         metrics.silent_allocators,
-        list_knowledge=ListKnowledge(lambda: True, bool),
+        list_knowledge=ListKnowledge(lambda: True, bool, float),
     )
     selection.prefill_client = NoPrefillClient()
     forwarder = Forwarder(
--- a/tests/test_coordination/test_lost_hosts.py
+++ b/tests/test_coordination/test_lost_hosts.py
@@ -113,7 +113,7 @@
             Mesh(members, self, clock, 4096),
             instances,
             clock,
-            ListKnowledge(lambda: True, recorder.restore),
+            ListKnowledge(lambda: True, recorder.restore, float),
         )
         return _Host(instances, origins, recorder)
 
--- a/tests/test_coordination/test_stream_origins.py
+++ b/tests/test_coordination/test_stream_origins.py
@@ -105,7 +105,9 @@
             mesh,
             instances,
             hub.read_now,
-            ListKnowledge(lambda: scene.is_list_current, scene.restore_history),
+            ListKnowledge(
+                lambda: scene.is_list_current, scene.restore_history, float
+            ),
         )
         mesh.add_listener(scene.origins)
         scene.list_versions(*versions)
