Skip late second answers before the answer that is waited for

What callers saw: if a backend server answers a request twice, the second time while the next request waits on the kept connection, the next request failed: 502 if it must not run twice, another run elsewhere if it may.

Cause: the connection did not know which requests it had carried, so a response with the ID of an earlier one could only be taken for a fault of the connection, which was closed although the own answer was on its way.

Each connection now knows the IDs and methods of its last 64 requests. A response with one of these IDs is read to its end and dropped like an interim response, if it has a length or chunks, and the wait goes on within the caller's deadline. One that does not end within 2 s is given up, so that requests that may be repeated are tried elsewhere. Responses with an unknown ID, with several or without one are treated as before. Each skipped answer is logged (late-answer-skipped) and counted (gauge late_answers_skipped).

--- a/egretdale/protocol/framing.py
+++ b/egretdale/protocol/framing.py
@@ -24,6 +24,8 @@
     rf'(?P<size>[0-9A-Fa-f]{{1,15}})[\t ]*(?:;{_TEXT})?\r\n'.encode()
 )
 _LENGTH = re.compile('[0-9]{1,18}')
+#: Statuses of responses without a body.
+_BODILESS_STATUSES = frozenset((204, 304))
 
 
 def parse_fields(lines: Iterable[bytes]) -> list[tuple[str, str]] | None:
@@ -52,6 +54,27 @@
     return any(name.lower() == 'transfer-encoding' for name, _ in fields)
 
 
+def find_length(fields: Iterable[tuple[str, str]]) -> int | None:
+    """Find the announced length of the body of a message.
+
+    :param fields: names and values of its header fields.
+    :return: length in bytes, ``None`` if none is announced.
+    """
+    for name, text in fields:
+        if name.lower() == 'content-length':
+            return int(text)
+    return None
+
+
+def has_body(method: str, status: int) -> bool:
+    """Tell whether a response has a body.
+
+    :param method: method of the request.
+    :param status: status of the response.
+    """
+    return method != 'HEAD' and status not in _BODILESS_STATUSES
+
+
 def is_framing_unambiguous(fields: Sequence[tuple[str, str]]) -> bool:
     """Return whether all parsers agree where the body of a message ends.
 
--- a/egretdale/transport/backend_connections.py
+++ b/egretdale/transport/backend_connections.py
@@ -4,7 +4,10 @@
 
 import socket as sockets
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass
+from functools import partial
+from typing import Any
 
 from urllib3.exceptions import HTTPError
 from urllib3.response import HTTPResponse
@@ -12,10 +15,14 @@
 from egretdale.coordination.ports import NotRun
 from egretdale.errors import Invalid
 from egretdale.protocol.header_values import is_number
+from egretdale.transport.carried_requests import CarriedRequests
 from egretdale.transport.sockets import ResetAwareSocket
-from egretdale.transport.strict_client import StrictConnection
+from egretdale.transport.strict_client import StrictConnection, StrictResponse
 from egretdale.util.addresses import split_address
 from egretdale.util.clocks import Clock
+from egretdale.util.logs import get_logger
+
+logger = get_logger(__name__)
 
 #: Connect timeout in seconds; a lost SYN packet is retransmitted only after a
 #: second.
@@ -34,9 +41,40 @@
 )
 
 
+class BackendResponse(StrictResponse):
+    """A response before which late answers to earlier requests are skipped."""
+
+    def __init__(
+        self,
+        carried: CarriedRequests,
+        sock: Any,
+        *arguments: Any,
+        **options: Any,
+    ) -> None:
+        """Create a response that has not been read.
+
+        :param carried: requests that its connection has carried.
+        :param sock: socket of the connection.
+        """
+        super().__init__(sock, *arguments, **options)
+        self._carried = carried
+
+    def find_earlier_method(
+        self, status: int, fields: Sequence[tuple[str, str]]
+    ) -> str | None:
+        """Find the earlier request of the connection that a response answers.
+
+        :param status: status of the response.
+        :param fields: names and values of its header fields.
+        :return: method of that request, ``None`` if it answers the last one.
+        """
+        return self._carried.find_earlier_method(status, fields)
+
+
 class BackendConnection(StrictConnection):
     """A connection to a backend server that reports resets as errors.
 
+    :ivar carried: the last requests that were sent on it.
     :ivar requests: number of requests that were sent on it.
     :ivar idle_s: seconds for which it was idle before the last one.
     """
@@ -44,6 +82,19 @@
     requests = 0
     idle_s = float(0)
 
+    def __init__(
+        self, carried: CarriedRequests, host: str, port: int, **options: Any
+    ) -> None:
+        """Create a connection that is not open.
+
+        :param carried: record of the requests that will be sent on it.
+        :param host: address of the backend server.
+        :param port: its port.
+        """
+        super().__init__(host, port, **options)
+        self.carried = carried
+        self.response_class = partial(BackendResponse, carried)
+
     def _new_conn(self) -> ResetAwareSocket:
         created = ResetAwareSocket(sockets.AF_INET, sockets.SOCK_STREAM)
         try:
@@ -75,9 +126,10 @@
     """Idle connections to backend servers, reused last in, first out.
 
     :ivar opened: number of connections opened so far.
+    :ivar skipped: number of late answers to earlier requests that were skipped.
     """
 
-    __slots__ = ('_clock', '_idle', 'opened')
+    __slots__ = ('_clock', '_idle', 'opened', 'skipped')
 
     def __init__(self, clock: Clock) -> None:
         """Create an empty pool.
@@ -85,6 +137,7 @@
         :param clock: monotonic clock.
         """
         self.opened = 0
+        self.skipped = 0
         self._clock = clock
         self._idle: dict[str, deque[IdleConnection]] = {}
 
@@ -115,6 +168,7 @@
         if isinstance(place, Invalid):
             return NotRun(f'cannot connect: {place.message}')
         connection = BackendConnection(
+            CarriedRequests(partial(self._note_skipped, address)),
             *place,
             timeout=_CONNECT_TIMEOUT_S,
             socket_options=_SOCKET_OPTIONS,
@@ -181,6 +235,18 @@
         for entry in self._idle.pop(address, ()):
             entry.connection.close()
 
+    def _note_skipped(
+        self, address: str, current: str, earlier: str, status: int
+    ) -> None:
+        self.skipped += 1
+        logger.info(
+            'late-answer-skipped',
+            request_id=current,
+            answered_id=earlier,
+            address=address,
+            status=status,
+        )
+
 
 def _parse_keep_alive(text: str) -> float:
     for parameter in text.split(','):
--- a/egretdale/transport/forwarding.py
+++ b/egretdale/transport/forwarding.py
@@ -209,6 +209,9 @@
             if name not in headers:
                 headers[name] = SKIP_HEADER
         connection.requests += 1
+        connection.carried.note(
+            self._codec.names.request_id, request.request_id, request.method
+        )
         connection.request(
             request.method,
             request.target,
--- a/egretdale/transport/gateway.py
+++ b/egretdale/transport/gateway.py
@@ -99,12 +99,13 @@
         self._stopping = False
         self._tasks = TaskGroup(self._end.crash)
         clock = read_boot_clock
+        client = HttpForwardClient(interface.codec, clock)
         self.gateway = Gateway(
             settings,
             GatewayDependencies(
                 interface.platform,
                 PeerClient(settings.peer_timeout_s, self._ignore_bytes),
-                HttpForwardClient(interface.codec, clock),
+                client,
                 clock,
                 read_wall_clock,
                 random.Random(),
@@ -125,6 +126,11 @@
             'Requests in progress',
             lambda: self._ingress.active,
         )
+        self.gateway.metrics.add_gauge(
+            'late_answers_skipped',
+            'Answers of backend servers to earlier requests that were skipped',
+            lambda: client.pool.skipped,
+        )
         self._listeners = {
             address: listen(address) for address in self._list_addresses()
         }
--- a/egretdale/transport/message_reader.py
+++ b/egretdale/transport/message_reader.py
@@ -78,12 +78,15 @@
         self._part = None
         self._lines.clear()
 
-    def read_head(self, start_line: bytes, pattern: Pattern[bytes]) -> None:
+    def read_head(
+        self, start_line: bytes, pattern: Pattern[bytes]
+    ) -> list[tuple[str, str]]:
         """Read the rest of a head, which is then handed out line by line.
 
         :param start_line: first line, which has been read and is not handed
             out again.
         :param pattern: form of the first line.
+        :return: names and values of the header fields.
         :raises MalformedMessageError: the head is malformed or incomplete.
         """
         if pattern.fullmatch(start_line) is None:
@@ -99,6 +102,21 @@
             raise MalformedMessageError('ambiguous message framing')
         self._lines.extend(lines)
         self._part = _Part.SIZE if is_chunked(fields) else None
+        return fields
+
+    def skip_body(self, length: int | None) -> None:
+        """Read the body that follows a head to its end, and drop it.
+
+        :param length: length of a body in bytes, ``None`` if it is in chunks.
+        :raises MalformedMessageError: the body is malformed or incomplete.
+        """
+        self._lines.clear()
+        if length is None:
+            while self._part is not _Part.NOTHING:
+                self._skip_part()
+            return
+        while length:
+            length -= len(self._skip(min(length, _MAXIMUM_LINE)))
 
     def push_back(self, line: bytes) -> None:
         """Return a line that was read, so that it is the next one.
@@ -152,6 +170,18 @@
         """Close the file."""
         self._source.close()
 
+    def _skip_part(self) -> None:
+        if self._part is _Part.CONTENT:
+            self._skip(_MAXIMUM_LINE)
+        else:
+            self.readline()
+
+    def _skip(self, size: int) -> bytes:
+        dropped = self.read1(size)
+        if not dropped:
+            raise MalformedMessageError('a body is incomplete')
+        return dropped
+
     def _clamp(self, size: int) -> int:
         if self._part is not _Part.CONTENT:
             return size
--- a/egretdale/transport/strict_client.py
+++ b/egretdale/transport/strict_client.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from http.client import HTTPResponse
 from typing import Any
 
+import eventlet
 from urllib3 import HTTPConnectionPool, HTTPSConnectionPool, PoolManager
 from urllib3.connection import HTTPConnection
 
-from egretdale.protocol.framing import STATUS_LINE
+from egretdale.protocol.framing import (
+    STATUS_LINE,
+    find_length,
+    has_body,
+    is_chunked,
+)
 from egretdale.transport.message_reader import (
     MalformedMessageError,
     MessageReader,
@@ -17,6 +24,8 @@
 _SWITCHING_PROTOCOLS = 101
 _OK = 200
 _MAXIMUM_STATUS_LINE = 8192
+#: Longest time in seconds for reading a response that is skipped.
+_SKIP_TIMEOUT_S = 2.0
 
 
 class StrictResponse(HTTPResponse):
@@ -33,7 +42,7 @@
         self.fp: Any = MessageReader(self.fp, on_read)
 
     def begin(self) -> None:
-        """Read the head, skipping interim responses.
+        """Read the head, skipping interim and late responses.
 
         :raises MalformedMessageError: the head is malformed or incomplete.
         """
@@ -41,20 +50,43 @@
             self._read_head(self.fp)
         super().begin()
 
+    def find_earlier_method(
+        self, status: int, fields: Sequence[tuple[str, str]]
+    ) -> str | None:
+        """Find the earlier request of the connection that a response answers.
+
+        :param status: status of the response.
+        :param fields: names and values of its header fields.
+        :return: method of that request, ``None`` if it answers the last one.
+        """
+
     def _read_head(self, reader: MessageReader) -> None:
-        status = 0
-        while status < _OK:
+        line = b''
+        is_expected = False
+        while not is_expected:
             reader.start_message()
             line = reader.readline(_MAXIMUM_STATUS_LINE)
             if not line:
                 # The parser reports that there is no response.
                 return
-            reader.read_head(line, STATUS_LINE)
-            status = int(STATUS_LINE.fullmatch(line)['status'])
-            if status == _SWITCHING_PROTOCOLS:
-                raise MalformedMessageError('the protocol is switched')
+            is_expected = self._is_expected(line, reader)
         reader.push_back(line)
 
+    def _is_expected(self, line: bytes, reader: MessageReader) -> bool:
+        """Read the rest of a head, and the body as well if it is skipped."""
+        fields = reader.read_head(line, STATUS_LINE)
+        status = int(STATUS_LINE.fullmatch(line)['status'])
+        if status == _SWITCHING_PROTOCOLS:
+            raise MalformedMessageError('the protocol is switched')
+        if status < _OK:
+            return False
+        method = self.find_earlier_method(status, fields)
+        if method is None:
+            return True
+        if has_body(method, status):
+            _skip_body(reader, fields)
+        return False
+
 
 class StrictConnection(HTTPConnection):
     """A connection that accepts only complete, well-formed responses."""
@@ -81,3 +113,14 @@
             'http': StrictConnectionPool,
             'https': HTTPSConnectionPool,
         }
+
+
+def _skip_body(
+    reader: MessageReader, fields: Sequence[tuple[str, str]]
+) -> None:
+    length = find_length(fields)
+    if length is None and not is_chunked(fields):
+        raise MalformedMessageError('a late response ends with its connection')
+    slow = MalformedMessageError('a late response does not end')
+    with eventlet.Timeout(_SKIP_TIMEOUT_S, slow):
+        reader.skip_body(length)
