Keep connections of callers for as long as the idle limit in force allows

A host timed each connection by the limit at the end of its last response: after a raise, connections that were waiting were closed as if there had been none, and a request that was sent on one met its end. The idle limit also went on within the request line, so that a request whose first bytes had arrived was cut, and `Keep-Alive` named the second of grace too, after which the connection closed at once.

The wait for the first byte is now separate from the reading of the head: it ends when bytes or the end have arrived, and reads the limit again when the time is up. The time for heads starts with the first byte. A connection whose request has begun counts as one in progress, so that a planned stop does not close it as idle.

--- a/egretdale/transport/caller_connections.py
+++ b/egretdale/transport/caller_connections.py
@@ -9,8 +9,13 @@
 import eventlet
 from eventlet import wsgi
 
-from egretdale.transport.sockets import has_received
+from egretdale.transport.sockets import (
+    has_received,
+    is_readable,
+    wait_until_readable,
+)
 from egretdale.transport.strict_server import StrictProtocol
+from egretdale.util.clocks import read_hub_clock
 from egretdale.util.logs import get_logger
 
 logger = get_logger(__name__)
@@ -99,7 +104,10 @@
         :return: the environment.
         """
         self._end_head()
-        self.connection.settimeout(self.server.app.limits().header_s)
+        limits = self.server.app.limits()
+        self.connection.settimeout(limits.header_s)
+        # Announced to callers that ask for it.
+        self.server.keepalive = limits.idle_s
         environ = super().get_environ()
         environ['egretdale.target'] = self.read_target()
         environ['egretdale.connection'] = self
@@ -107,25 +115,57 @@
 
     def _read_request_line(self) -> bytes:
         self._end_head()
-        ingress = self.server.app
-        self.server.keepalive = ingress.limits().idle_s + _IDLE_GRACE_S
         # The server itself would shut down idle connections when the listener
         # is closed, also those that have just sent a request.
         self.conn_state[2] = wsgi.STATE_REQUEST
+        ingress = self.server.app
         ingress.connections.note_idle(self.connection)
-        line = b''
+        has_begun = self._wait_for_request()
+        ingress.connections.note_read(self.connection, is_request=has_begun)
+        if not has_begun:
+            return b''
+        self.connection.settimeout(None)
+        # Unlike that of the socket, it does not start anew with each byte.
+        self._head_timer = eventlet.Timeout(
+            ingress.limits().header_s, TimeoutError()
+        )
         try:
-            line = super()._read_request_line()
-        finally:
-            ingress.connections.note_read(
-                self.connection, is_request=bool(line)
-            )
-        header_s = ingress.limits().header_s
-        self.connection.settimeout(header_s)
-        if line:
-            # The timeout of the socket starts anew with each byte.
-            self._head_timer = eventlet.Timeout(header_s, TimeoutError())
-        return line
+            return self._read_line()
+        except ConnectionError as gone:
+            logger.info('caller-gone', detail=str(gone))
+        return b''
+
+    def _read_line(self) -> bytes:
+        self._reader.start_message()
+        return self._reader.readline(self.server.url_length_limit)
+
+    def _wait_for_request(self) -> bool:
+        """Wait until a request begins to arrive.
+
+        The idle timeout may be raised meanwhile.
+
+        :return: whether it did, or the connection has ended, in time.
+        """
+        if self._has_buffered():
+            return True
+        ingress = self.server.app
+        since = read_hub_clock()
+        while not is_readable(self.connection):
+            limit_s = ingress.limits().idle_s + _IDLE_GRACE_S
+            left_s = since + limit_s - read_hub_clock()
+            if left_s <= 0:
+                return False
+            wait_until_readable(self.connection, left_s)
+        return True
+
+    def _has_buffered(self) -> bool:
+        """Tell whether the next request came with the one before."""
+        self.connection.setblocking(False)
+        try:
+            return bool(self._received.peek(1))
+        except OSError as gone:
+            logger.info('caller-gone', detail=str(gone))
+        return False
 
     def _end_head(self) -> None:
         if self._head_timer is not None:
--- a/egretdale/transport/sockets.py
+++ b/egretdale/transport/sockets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+from contextlib import suppress
 from typing import Any
 
 import eventlet
@@ -81,6 +82,18 @@
     return bool(poll.poll(0))
 
 
+def wait_until_readable(connection: socket.socket, limit_s: float) -> None:
+    """Wait until a socket has data or its end.
+
+    :param connection: an open socket.
+    :param limit_s: longest wait in seconds.
+    """
+    with suppress(TimeoutError, hubs.IOClosed):
+        hubs.trampoline(
+            connection, read=True, timeout=limit_s, timeout_exc=TimeoutError
+        )
+
+
 def has_received(connection: socket.socket) -> bool:
     """Tell whether bytes have arrived on a connection that were not read.
 
--- a/egretdale/transport/strict_server.py
+++ b/egretdale/transport/strict_server.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import BinaryIO
+
 from eventlet import wsgi
 
 from egretdale.protocol.framing import REQUEST_LINE
@@ -27,11 +29,14 @@
     """
 
     _reader: MessageReader
+    #: Buffered file of the connection.
+    _received: BinaryIO
 
     def setup(self) -> None:
         """Prepare the connection."""
         super().setup()
-        self._reader = MessageReader(self.rfile)
+        self._received = self.rfile
+        self._reader = MessageReader(self._received)
         self.rfile = self._reader
 
     def handle_one_request(self) -> None:
--- a/tests/ingress.py
+++ b/tests/ingress.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 import eventlet
@@ -24,6 +24,11 @@
 _system = patcher.original('socket')
 
 HEAD = 'Host: claims.example\r\nEgret-Request-Id: r1\r\n'
+LIMITS = CallerLimits(body_bytes=1000, header_s=1.0, idle_s=0.2)
+
+
+def read_fixed_limits() -> CallerLimits:
+    return LIMITS
 
 
 def respond_ok() -> ForwardReply:
@@ -70,13 +75,14 @@
 
 
 @contextmanager
-def open_ingress() -> Iterator[tuple[ScriptedForwarder, Ingress, str]]:
+def open_ingress(
+    read_limits: Callable[[], CallerLimits] = read_fixed_limits,
+) -> Iterator[tuple[ScriptedForwarder, Ingress, str]]:
     forwarder = ScriptedForwarder()
-    limits = CallerLimits(body_bytes=1000, header_s=1.0, idle_s=0.2)
     ingress = Ingress(
         HeaderCodec(HeaderNames()),
         forwarder,
-        lambda: limits,
+        read_limits,
         read_boot_clock,
         maximum_connections=50,
         metrics=GatewayMetrics(),
