Take no host for cut off while connections to sound servers hang for a second

Servers that stand still accept connections until their queue of new ones is full; then SYNs get no answer. Each host took three such connections for a partition from all servers after 0.5 s, relayed its requests to hosts that believed the same, and was listed last for callers. A request whose service has one or two servers was refused with "no backend server is available" after 0.5 to 1 s, although they went on right after.

The cause is that a connection that hangs was treated like one that is refused. It now counts for a partition only if nothing was heard for 1.7 s since the first one began; refused and reset ones count at once as before. Requests try servers again to which connections hung, within the same 1.7 s and their own time, before they are refused or relayed; none of them was sent anywhere, so the promise of a refusal holds.

--- a/egretdale/coordination/attempt_sender.py
+++ b/egretdale/coordination/attempt_sender.py
@@ -97,14 +97,6 @@
         self._links.note_heard()
         self._loads.note_heard(incarnation)
 
-    def suspend(self, incarnation: Incarnation) -> None:
-        """Record that a backend server could not be reached.
-
-        :param incarnation: its incarnation.
-        """
-        self._links.note_failure(incarnation)
-        self._loads.suspend(incarnation)
-
     def end(
         self,
         progress: Progress,
--- a/egretdale/coordination/forwarding.py
+++ b/egretdale/coordination/forwarding.py
@@ -4,6 +4,8 @@
 
 import random
 
+import eventlet
+
 from egretdale.coordination.admission import Admission, AdmittedRequest
 from egretdale.coordination.attempt_rules import (
     AttemptRules,
@@ -31,6 +33,8 @@
 from egretdale.util.clocks import Clock
 
 _REDIRECTION = 300
+#: Seconds until backend servers to which connections hung are tried again.
+_RECONNECT_S = 0.1
 
 
 class Forwarder:
@@ -228,6 +232,9 @@
             if refusal is not None:
                 return refusal
             choice = self._select(progress, may_relay=may_relay)
+            if choice is None:
+                eventlet.sleep(_RECONNECT_S)
+                continue
             if not isinstance(choice, BackendChoice):
                 return choice
             refusal = self._check_sending(progress)
@@ -241,12 +248,13 @@
 
     def _select(
         self, progress: Progress, *, may_relay: bool
-    ) -> BackendChoice | ForwardReply | Refused:
+    ) -> BackendChoice | ForwardReply | Refused | None:
         """Select a backend server, or have another host forward a request.
 
         :param progress: state of the request.
         :param may_relay: whether another host may forward it.
-        :return: the backend server, the response of the host, or a refusal.
+        :return: the backend server, the response of the host, a refusal, or
+            ``None`` if backend servers are worth another try.
         """
         if may_relay and self._selection.is_cut_off():
             relayed = self._relay.forward(progress)
@@ -258,11 +266,32 @@
             return refuse_attempt(progress, choice.detail, choice)
         if choice is not None:
             return choice
+        if self._has_hanging(progress):
+            return None
         relayed = self._relay.forward(progress) if may_relay else None
         return relayed or refuse_attempt(
             progress, 'no backend server is available'
         )
 
+    def _has_hanging(self, progress: Progress) -> bool:
+        """Tell whether backend servers may go on that were tried in vain.
+
+        They are no longer avoided.
+
+        :param progress: state of the request.
+        """
+        if self._selection.is_cut_off():
+            return False
+        waiting = [
+            instance.name
+            for instance in progress.hanging
+            if self._loads.may_stand_still(instance.incarnation)
+        ]
+        progress.hanging.clear()
+        for name in waiting:
+            progress.avoided.remove(name)
+        return bool(waiting)
+
     def _check_sending(self, progress: Progress) -> Refused | None:
         """Check that a request may be sent now to the chosen backend server.
 
@@ -294,8 +323,12 @@
         sent_at = self._clock()
         outcome = self._sender.send(progress, choice, last_event_id)
         match outcome:
-            case NotRun():
-                self._sender.suspend(incarnation)
+            case NotRun(is_hanging=is_hanging):
+                if is_hanging:
+                    progress.hanging.append(choice.instance)
+                self._selection.note_unreachable(
+                    incarnation, sent_at, is_hanging=is_hanging
+                )
                 self._selection.quarantine.withdraw_trial(progress.admitted)
             case MaybeRun():
                 progress.sent += 1
--- a/egretdale/coordination/ports.py
+++ b/egretdale/coordination/ports.py
@@ -237,11 +237,13 @@
     :ivar detail: what was observed.
     :ivar at_fault: whether the backend server should be avoided for a while.
     :ivar is_refused: whether its host refused the connection.
+    :ivar is_hanging: whether there was no reply to the connection in time.
     """
 
     detail: str
     at_fault: bool = True
     is_refused: bool = False
+    is_hanging: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/egretdale/coordination/progress.py
+++ b/egretdale/coordination/progress.py
@@ -8,6 +8,7 @@
 from egretdale.coordination.backend_choice import BackendChoice
 from egretdale.coordination.exchanges import BackendIdentity, ForwardResponse
 from egretdale.state.event_streams import continues_stream
+from egretdale.state.instances import Instance
 
 
 @dataclass(slots=True)
@@ -17,6 +18,7 @@
     :ivar admitted: the admitted request.
     :ivar service: service that the request is sent to.
     :ivar avoided: names of the backend servers that were tried.
+    :ivar hanging: backend servers among them to which connections hung.
     :ivar sent: number of backend servers that the request was sent to, without
         unreachable ones.
     :ivar may_have_run: whether a backend server may have run the request.
@@ -27,6 +29,7 @@
     admitted: AdmittedRequest
     service: str
     avoided: list[str] = field(default_factory=list)
+    hanging: list[Instance] = field(default_factory=list)
     sent: int = 0
     may_have_run: bool = False
     software_version: str = ''
--- a/egretdale/coordination/reachability.py
+++ b/egretdale/coordination/reachability.py
@@ -104,15 +104,17 @@
         ]
 
     def _test(self, instance: Instance) -> None:
+        began_at = self._clock()
         try:
             failure = self._client.test_connection(instance)
         finally:
             self._testing.discard(instance.name)
         incarnation = instance.incarnation
         match failure:
-            case NotRun(detail=detail):
-                self._links.note_failure(incarnation)
-                self._loads.suspend(incarnation)
+            case NotRun(detail=detail, is_hanging=is_hanging):
+                self._selection.note_unreachable(
+                    incarnation, began_at, is_hanging=is_hanging
+                )
                 logger.info(
                     'backend-unreachable',
                     backend=instance.name,
--- a/egretdale/coordination/selection.py
+++ b/egretdale/coordination/selection.py
@@ -23,7 +23,7 @@
     ListKnowledge,
     StreamOrigins,
 )
-from egretdale.state.instances import Instance, InstanceTable
+from egretdale.state.instances import Incarnation, Instance, InstanceTable
 from egretdale.state.links import BackendLinks
 from egretdale.state.loads import LoadTable
 from egretdale.state.outcomes import Refused
@@ -101,7 +101,7 @@
         self.instances = instances
         self.list_knowledge = list_knowledge
         self.loads = LoadTable(clock)
-        self.links = BackendLinks()
+        self.links = BackendLinks(clock)
         self.backpressure = BackpressureTracker(mesh.table, instances, clock)
         self.departures = DepartureTracker(mesh, instances, clock)
         self.origins = StreamOrigins(mesh, instances, clock, list_knowledge)
@@ -176,6 +176,20 @@
         )
         self.departures.note_response(instance, response, request_id)
 
+    def note_unreachable(
+        self, incarnation: Incarnation, began_at: float, *, is_hanging: bool
+    ) -> None:
+        """Record that a backend server could not be reached.
+
+        :param incarnation: its incarnation.
+        :param began_at: clock time at which the connection began.
+        :param is_hanging: whether there was no reply to it.
+        """
+        self.links.note_failure(incarnation, began_at, is_hanging=is_hanging)
+        if is_hanging:
+            self.loads.note_hanging(incarnation, began_at)
+        self.loads.suspend(incarnation)
+
     def is_cut_off(self) -> bool:
         """Tell whether this host reaches no backend server."""
         return self.links.is_cut_off(self.instances.count())
--- a/egretdale/state/loads.py
+++ b/egretdale/state/loads.py
@@ -16,6 +16,9 @@
 _SUSPENSION_MAXIMUM_S = 3.0
 #: Seconds in which a single request is sent after a suspension.
 _TRIAL_S = 0.6
+#: Longest standstill of a sound backend server in seconds. It accepts no
+#: connections meanwhile once its queue of new ones is full.
+STANDSTILL_S = 1.7
 
 
 @dataclass(slots=True)
@@ -32,6 +35,9 @@
         whether it can be reached again after a suspension.
     :ivar heard_at: clock time of the last bytes from it, or of the first of
         the requests that run there.
+    :ivar hanging_since: clock time at which the first connection began that
+        hung, since it was last heard from.
+    :ivar hung_at: clock time at which the last one did.
     """
 
     running: int = 0
@@ -41,6 +47,8 @@
     suspension_s: float = 0
     tried_until: float = field(default=float('-inf'))
     heard_at: float = field(default=float('-inf'))
+    hanging_since: float = field(default=float('inf'))
+    hung_at: float = field(default=float('-inf'))
 
 
 class LoadTable:
@@ -99,6 +107,31 @@
         load.heard_at = self._clock()
         load.suspension_s = 0
         load.suspended_until = float('-inf')
+        load.hanging_since = float('inf')
+
+    def note_hanging(self, incarnation: Incarnation, began_at: float) -> None:
+        """Record that a connection to a backend server hung.
+
+        :param incarnation: incarnation of the backend server.
+        :param began_at: clock time at which it was opened.
+        """
+        load = self.find(incarnation)
+        now = self._clock()
+        if now > load.hung_at + _SUSPENSION_MAXIMUM_S:
+            load.hanging_since = float('inf')
+        load.hung_at = now
+        since = max(began_at, load.heard_at)
+        load.hanging_since = min(load.hanging_since, since)
+
+    def may_stand_still(self, incarnation: Incarnation) -> bool:
+        """Tell whether a backend server may go on that accepts no connections.
+
+        :param incarnation: incarnation of the backend server.
+        """
+        load = self._loads.get(incarnation)
+        if load is None:
+            return False
+        return self._clock() < load.hanging_since + STANDSTILL_S
 
     def is_silent(self, incarnation: Incarnation, since: float) -> bool:
         """Tell whether a backend server with requests has sent nothing.
--- a/egretdale/transport/backend_connections.py
+++ b/egretdale/transport/backend_connections.py
@@ -129,7 +129,11 @@
                 # Idle connections would hang, too; a refusal may concern new
                 # ones only, and broken ones are noticed when they are taken.
                 self.close_idle(address)
-            return NotRun(f'cannot connect: {error}', is_refused=is_refused)
+            return NotRun(
+                f'cannot connect: {error}',
+                is_refused=is_refused,
+                is_hanging=isinstance(error, TimeoutError),
+            )
         # From here on, the deadline of the caller limits all waits.
         connection.timeout = None
         return connection
