Add servers that answer twice or stand still to the soak

Stutters: a share of the servers send 2 to 10 in 100 of their responses once more, 0 to 0.3 s later and between two responses of the connection. Silences: one server up to all stand still for 1 to 1.4 s while the configuration changes idle timeouts, timeouts or routes; when they go on, they close the connections that became too old, with what has arrived on them unread. Both are drawn by seed, beside the faults and again alone in a calm phase of 8 s.

The new check `calm` demands that every request of that phase is served.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -4,6 +4,7 @@
 
 from egretdale.util import greening  # noqa: F401, I001
 
+import shutil
 import sys
 import tempfile
 import time
@@ -16,16 +17,11 @@
 
 from egretdale.util.clocks import read_hub_clock
 from soak.checks import Record, Violation, find_violations
-from soak.departures import Departure, draw_departures
-from soak.faults import Fault, draw_timeline
-from soak.incidents import Incident, draw_incidents
 from soak.reports import Outcome, describe, write_reports
 from soak.servers import count_runs
+from soak.timelines import Disturbance, draw_disturbances
 from soak.world import LARGE, SMALL, SoakWorld
 
-#: What happens at a time of a soak test.
-Disturbance = Fault | Incident | Departure
-
 _SIZES = MappingProxyType({'small': SMALL, 'large': LARGE})
 _SECONDS_PER_MINUTE = 60
 _POLL_INTERVAL_S = 0.1
@@ -50,10 +46,10 @@
     :param broken: name of the deliberate bug of the daemons, empty for none.
     :return: the observations, and the result.
     """
-    faults = draw_timeline(seed, length_s, _SIZES[size].daemons)
-    incidents = draw_incidents(seed, length_s)
-    departures = draw_departures(seed, length_s, _SIZES[size].servers)
     world = SoakWorld(_SIZES[size], folder, seed)
+    timeline = draw_disturbances(
+        seed, length_s, len(world.daemons), len(world.servers)
+    )
     if broken:
         world.use_broken_daemons(broken)
     try:
@@ -62,27 +58,31 @@
         _disturb(
             world,
             [
-                *((world.inject, fault) for fault in faults),
-                *((world.play, incident) for incident in incidents),
-                *((world.depart, departure) for departure in departures),
+                *((world.inject, fault) for fault in timeline.faults),
+                *((world.play, incident) for incident in timeline.incidents),
+                *((world.depart, entry) for entry in timeline.departures),
+                *((world.lapse, lapse) for lapse in timeline.lapses),
             ],
         )
         recovered_s = _wait_until_served(world)
         steady_at = read_hub_clock()
         eventlet.sleep(_STEADY_PHASE_S)
+        calm_at = read_hub_clock()
+        _disturb(
+            world, [(world.lapse, lapse) for lapse in timeline.calm_lapses]
+        )
         world.stop_clients()
         eventlet.sleep(_FINISH_S)
     finally:
         world.close()
     record = Record(
         began_at,
-        faults,
-        incidents,
-        departures,
+        timeline,
         world.list_attempts(),
         count_runs(world.servers),
         world.evidence,
         steady_at,
+        calm_at,
     )
     violations = find_violations(record)
     if recovered_s < 0:
@@ -159,7 +159,8 @@
     :param seeds: number of consecutive seeds.
     :param minutes: minutes of faults for each seed.
     :param size: name of the size.
-    :param output: folder for reports, ``None`` to write none.
+    :param output: folder for reports, and for the logs of the daemons if a
+        guarantee was violated; ``None`` to write none.
     :param broken: name of the deliberate bug of the daemons, empty for none.
     :param fresh: whether the current time is the first seed.
     """
@@ -176,6 +177,9 @@
             )
             if output is not None:
                 write_reports(record, outcome, output)
+            if output is not None and outcome.violations:
+                logs = output / f'soak-{size}-{current}-logs'
+                shutil.copytree(folder, logs, dirs_exist_ok=True)
         click.echo('\n'.join(describe(record, outcome)))
         failed += bool(outcome.violations)
     sys.exit(1 if failed else 0)
--- a/soak/broken_daemon.py
+++ b/soak/broken_daemon.py
@@ -6,18 +6,25 @@
 
 import os
 import sys
+from dataclasses import replace
+from http.client import HTTPException
 from types import MappingProxyType
 
 from egretdale.coordination.admission import Admission
 from egretdale.coordination.configuration import ConfigurationFollower
 from egretdale.coordination.attempt_rules import AttemptRules
 from egretdale.coordination.departures import DepartureTracker
-from egretdale.coordination.ports import EndOfStream, MaybeRun
+from egretdale.coordination.ports import EndOfStream, MaybeRun, NotRun
 from egretdale.coordination.response_relay import ResponseRelay
 from egretdale.protocol import problems
+from egretdale.protocol.forwarding import HeaderCodec, ResponseMetadata
 from egretdale.state.crashes import CrashHistory
 from egretdale.state.outcomes import Ran, Reason, Refused
 from egretdale.state.routing import Route
+from egretdale.transport.backend_connections import (
+    BackendConnection,
+    ConnectionPool,
+)
 from egretdale.transport.forwarding import ForwardedResponse
 from egretdale.transport.gateway import GatewayDaemon
 from egretdale.transport.ingress import Ingress
@@ -27,6 +34,8 @@
 
 #: Number of requests that are served before some of the bugs set in.
 _SERVED_REQUESTS = 20
+#: Seconds for which one of the bugs waits for a response.
+_PATIENCE_S = 0.6
 
 
 def retry_unsafe_requests() -> None:
@@ -121,12 +130,51 @@
     CrashHistory.find_quarantine = lambda history, fingerprints: None
 
 
-#: Functions that install a bug, by the violation that the soak test reports.
 def ignore_departures() -> None:
     """Ignore that a backend server says that it leaves."""
     DepartureTracker.note_response = lambda *ignored: None
 
 
+def confuse_responses() -> None:
+    """Take each response for that of the request that was sent last."""
+    parse = HeaderCodec.parse_response
+
+    def parse_any(*fields: object, **options: object) -> ResponseMetadata:
+        return replace(parse(*fields, **options), matches=True)
+
+    HeaderCodec.parse_response = parse_any
+
+
+def fail_after_copies() -> None:
+    """Give up requests before whose response another one arrives."""
+    parse = HeaderCodec.parse_response
+
+    def parse_own(*fields: object, **options: object) -> ResponseMetadata:
+        metadata = parse(*fields, **options)
+        if not metadata.matches:
+            raise HTTPException('unexpected response')
+        return metadata
+
+    HeaderCodec.parse_response = parse_own
+
+
+def give_up_on_silence() -> None:
+    """Take backend servers for lost that do not respond at once."""
+    connect = ConnectionPool.connect
+
+    def connect_briefly(
+        pool: ConnectionPool, address: str
+    ) -> BackendConnection | NotRun:
+        connection = connect(pool, address)
+        if isinstance(connection, BackendConnection):
+            connection.timeout = _PATIENCE_S
+        return connection
+
+    ConnectionPool.connect = connect_briefly
+
+
+#: Functions that install a bug, by the violation that the soak test reports and
+#: what shows it.
 BUGS = MappingProxyType(
     {
         'twice': retry_unsafe_requests,
@@ -139,6 +187,9 @@
         'recovery': refuse_after_requests,
         'budget': forget_crashes,
         'drain': ignore_departures,
+        'mixed-copy': confuse_responses,
+        'calm-copy': fail_after_copies,
+        'calm-silence': give_up_on_silence,
     }
 )
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -6,10 +6,11 @@
 from dataclasses import dataclass
 
 from soak.clients import Attempt
-from soak.departures import Departure, DepartureLog
+from soak.departures import DepartureLog
 from soak.evidence import Evidence, Stop
-from soak.faults import Fault, FaultKind
+from soak.faults import FaultKind
 from soak.incidents import CrashLog, Incident
+from soak.timelines import Timeline
 
 #: Statuses that guarantee that a request did not run and will not.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -32,6 +33,8 @@
 #: Seconds after a daemon has passed on that a server leaves until requests that
 #: clients send to that daemon must not reach the server.
 _DRAIN_S = 2.0
+#: Bytes of a response in the report of a request that was not served.
+_REPORTED_BYTES = 80
 #: Faults that excuse nothing during a graceful shutdown.
 _NOT_EXCUSING = frozenset(
     (
@@ -62,23 +65,21 @@
     Times are on the clock of this process.
 
     :ivar began_at: start time.
-    :ivar faults: the injected faults.
-    :ivar incidents: the incidents.
-    :ivar departures: the departures of servers.
+    :ivar timeline: the disturbances.
     :ivar attempts: requests of all clients.
     :ivar runs: number of runs at backend servers, by request ID.
     :ivar evidence: observations of the daemons and the keys.
     :ivar steady_at: time from which requests must be served.
+    :ivar calm_at: time from which servers only stuttered and fell silent.
     """
 
     began_at: float
-    faults: list[Fault]
-    incidents: list[Incident]
-    departures: list[Departure]
+    timeline: Timeline
     attempts: list[Attempt]
     runs: Counter[str]
     evidence: Evidence
     steady_at: float
+    calm_at: float = float('inf')
 
 
 def find_violations(record: Record) -> list[Violation]:
@@ -101,11 +102,12 @@
         violations.extend(_check_attempt(record, attempt))
     for stop in record.evidence.stops:
         violations.extend(_check_stop(record, stop))
-    for incident in record.incidents:
+    for incident in record.timeline.incidents:
         violations.extend(_check_incident(record, incident))
     for log in record.evidence.departures:
         violations.extend(_check_departure(record, log))
     violations.extend(_check_recovery(record))
+    violations.extend(_check_calm(record))
     return violations
 
 
@@ -265,10 +267,27 @@
     return [Violation('recovery', detail)]
 
 
+def _check_calm(record: Record) -> list[Violation]:
+    return [
+        Violation(
+            'calm',
+            f'{attempt.identity} ({attempt.kind}) sent at'
+            f' {attempt.sent_at - record.calm_at:.2f} s got status'
+            f' {attempt.status} after'
+            f' {attempt.ended_at - attempt.sent_at:.2f} s'
+            f' {attempt.body[:_REPORTED_BYTES]!r}',
+        )
+        for attempt in record.attempts
+        if attempt.sent_at > record.calm_at
+        and attempt.key not in record.evidence.revoked_at
+        and not attempt.is_served()
+    ]
+
+
 def _is_excused(record: Record, start: float, end: float) -> bool:
     return any(
         fault.kind not in _NOT_EXCUSING
         and record.began_at + fault.at_s < end
         and record.began_at + fault.end_s + _AFTERMATH_S > start
-        for fault in record.faults
+        for fault in record.timeline.faults
     )
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -10,12 +10,22 @@
 from urllib3.exceptions import HTTPError
 
 from egretdale.util.clocks import read_hub_clock
-from soak.daemons import HOST_NAME, get_path_prefix
+from soak.daemons import (
+    HOST_NAME,
+    IDLE_TIMEOUT_S,
+    REQUEST_NAME,
+    get_path_prefix,
+)
 from soak.servers import EVENTS, create_body, create_event
 
 KINDS = ('non_idempotent', 'idempotent', 'streaming')
 #: Mean pause between the requests of a client, in seconds.
 _PAUSE_S = 0.05
+#: Probability of a longer pause, and its maximum in seconds.
+_LONG_PAUSE_PROBABILITY = 0.025
+_MAXIMUM_PAUSE_S = 4.0
+#: Fraction of the idle timeout for which a connection is reused.
+_REUSE_SHARE = 0.8
 _TIMEOUT_S = 6.0
 _DEADLINE_MS = 5000
 _OK = 200
@@ -49,7 +59,7 @@
     host: int
     sent_at: float
     ended_at: float = 0
-    path: str = 'x'
+    path: str = REQUEST_NAME
     status: int = 0
     sealed: bool = False
     complete: bool = False
@@ -93,6 +103,7 @@
     :ivar attempts: requests sent so far.
     :ivar key: API key to send, empty for none.
     :ivar stopping: whether to stop after the current request.
+    :ivar idle_timeout_s: idle timeout of the configuration in seconds.
     """
 
     def __init__(
@@ -107,6 +118,8 @@
         self.attempts: list[Attempt] = []
         self.key = ''
         self.stopping = False
+        self.idle_timeout_s = IDLE_TIMEOUT_S
+        self._used_at: dict[int, float] = {}
         self._name = name
         self._addresses = addresses
         self._random = source
@@ -121,7 +134,7 @@
             attempt = self.send(host)
             if not attempt.is_served():
                 host = self._random.randrange(len(self._addresses))
-            eventlet.sleep(self._random.uniform(0, 2 * _PAUSE_S))
+            eventlet.sleep(self._draw_pause())
 
     def send(self, host: int, *, keep: bool = True) -> Attempt:
         """Send one request.
@@ -143,6 +156,18 @@
         attempt.path = path
         self._send(attempt, keep=True)
 
+    def _draw_pause(self) -> float:
+        if self._random.random() > _LONG_PAUSE_PROBABILITY:
+            return self._random.uniform(0, 2 * _PAUSE_S)
+        reuse_s = _REUSE_SHARE * self.idle_timeout_s
+        return self._random.uniform(0, min(_MAXIMUM_PAUSE_S, reuse_s))
+
+    def _drop_idle_connections(self, host: int) -> None:
+        reuse_s = _REUSE_SHARE * self.idle_timeout_s
+        now = read_hub_clock()
+        if now - self._used_at.get(host, now) > reuse_s:
+            self._pool.clear()
+
     def _create_attempt(self, kind: str, host: int) -> Attempt:
         identity = f'{self._name}-{len(self.attempts)}'
         attempt = Attempt(identity, kind, self.key, host, read_hub_clock())
@@ -168,6 +193,7 @@
         if attempt.key:
             headers['Authorization'] = f'Token {attempt.key}'
         address = self._addresses[attempt.host]
+        self._drop_idle_connections(attempt.host)
         response = self._pool.request(
             'POST',
             f'http://{address}{get_path_prefix(attempt.kind)}{attempt.path}',
@@ -185,3 +211,4 @@
             attempt.body += chunk
         attempt.complete = True
         response.release_conn()
+        self._used_at[attempt.host] = read_hub_clock()
--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -20,6 +20,11 @@
 
 HOST_NAME = 'claims.example'
 ORGANISATION = 'small'
+#: Last part of the paths of requests.
+REQUEST_NAME = 'x'
+#: Idle timeout of the connections of callers in the first configuration, in
+#: seconds.
+IDLE_TIMEOUT_S = 60.0
 _ROOT = Path(__file__).resolve().parent.parent
 _START_TIMEOUT_S = 60
 _POLL_INTERVAL_S = 0.05
@@ -31,9 +36,27 @@
 _OK = 200
 #: Time of the first start of all backend servers.
 _BORN_MS = 1700000000000
+_MS_PER_S = 1000
 _NO_BOUNDS: Mapping[str, object] = MappingProxyType({})
 
 
+@dataclass(slots=True, frozen=True)
+class Terms:
+    """What configurations may change without an effect on sound requests.
+
+    :ivar idle_timeout_s: idle timeout of the connections of callers in seconds.
+    :ivar timeout_s: timeout of requests in seconds.
+    :ivar is_split: whether a longer path prefix has a route of its own.
+    """
+
+    idle_timeout_s: float = IDLE_TIMEOUT_S
+    timeout_s: float = 20.0
+    is_split: bool = False
+
+
+_TERMS = Terms()
+
+
 @dataclass(slots=True, frozen=True)
 class DaemonPlace:
     """The host name and the addresses of a daemon.
@@ -209,6 +232,7 @@
     keys: tuple[str, ...] = (),
     *,
     attempts: int = 0,
+    terms: Terms = _TERMS,
 ) -> None:
     """Write a configuration with one route of each kind.
 
@@ -218,16 +242,20 @@
         key.
     :param attempts: maximum number of attempts of each route, 0 for one of
         non-idempotent requests and two of others.
+    :param terms: timeouts and routes.
     """
     kinds = ('non_idempotent', 'idempotent', 'streaming')
     routes = [_create_route(kind) for kind in kinds]
+    if terms.is_split:
+        routes.extend([_split_route(route) for route in routes])
     for route in routes:
         route['max_attempts'] = attempts or route['max_attempts']
+        route['timeout_ms'] = terms.timeout_s * _MS_PER_S
     body: dict[str, object] = {
         'version': version,
         'routes': routes,
         'services': [],
-        'limits': {},
+        'limits': {'idle_timeout_ms': terms.idle_timeout_s * _MS_PER_S},
     }
     if keys:
         body['tenants'] = [{'name': ORGANISATION, 'api_keys': keys}]
@@ -279,7 +307,6 @@
         'host': HOST_NAME,
         'path_prefix': get_path_prefix(kind),
         'kind': kind,
-        'timeout_ms': 20000,
         'target_latency_ms': 1000,
         'priority': 1,
         'backend': 's1',
@@ -289,3 +316,8 @@
         route['resumable'] = True
         route['gap_aim_ms'] = 800
     return route
+
+
+def _split_route(route: dict[str, object]) -> dict[str, object]:
+    prefix = f'{route["path_prefix"]}{REQUEST_NAME}'
+    return {**route, 'name': f'{route["name"]}-split', 'path_prefix': prefix}
--- a/soak/evidence.py
+++ b/soak/evidence.py
@@ -54,6 +54,7 @@
     :ivar crashes: what the servers saw of requests that crash them, by the
         last part of the path.
     :ivar departures: what servers saw of their departures.
+    :ivar copies: number of responses that were sent twice.
     """
 
     stops: list[Stop] = field(default_factory=list)
@@ -62,3 +63,4 @@
     absences: list[Absence] = field(default_factory=list)
     crashes: dict[str, CrashLog] = field(default_factory=dict)
     departures: list[DepartureLog] = field(default_factory=list)
+    copies: int = 0
--- a/soak/proxies.py
+++ b/soak/proxies.py
@@ -10,12 +10,15 @@
 import eventlet
 from eventlet.green import socket
 
+from egretdale.util.clocks import read_hub_clock
 from standins.web import listen
 
 _CHUNK_BYTES = 16384
 _POLL_INTERVAL_S = 0.02
 _MAXIMUM_ERRORS = 100
 _DELAY_S = 0.15
+#: Number of connections that wait to be accepted.
+_BACKLOG = 512
 #: Value of ``SO_LINGER`` with which closing a socket sends a reset.
 _RESET = struct.pack('ii', 1, 0)
 
@@ -42,6 +45,8 @@
 
     :ivar address: ``address:port`` that it listens on.
     :ivar harm: fault that is currently injected.
+    :ivar silent: whether the target stands still: connections wait to be
+        accepted, and nothing is read or written.
     :ivar errors: errors that ended the most recent connections.
     """
 
@@ -53,6 +58,7 @@
             port be opened again after :meth:`crash`.
         """
         self.harm = Harm.NONE
+        self.silent = False
         self.errors: deque[str] = deque(maxlen=_MAXIMUM_ERRORS)
         self._target = target
         self._connections: set[_ProxiedConnection] = set()
@@ -76,6 +82,27 @@
         self._listener = listen(self.address)
         self._task = eventlet.spawn(self._accept)
 
+    def fall_silent(self, backlog: int) -> None:
+        """Make the target stand still.
+
+        :param backlog: number of connections that may wait to be accepted.
+        """
+        self.silent = True
+        self._set_backlog(backlog)
+
+    def go_on(self, idle_timeout_s: float) -> None:
+        """End a silence, as a server does that first looks at its timers.
+
+        :param idle_timeout_s: seconds after which idle connections are closed,
+            whatever has arrived on them in the meantime.
+        """
+        due = read_hub_clock() - idle_timeout_s
+        for connection in list(self._connections):
+            if connection.used_at < due:
+                connection.reset()
+        self._set_backlog(_BACKLOG)
+        self.silent = False
+
     def apply_harm(self, cut: Harm) -> bool:
         """Delay or hold back received data as the injected fault demands.
 
@@ -85,7 +112,7 @@
         """
         if self.harm == Harm.DELAY:
             eventlet.sleep(_DELAY_S)
-        while self.harm in {Harm.SILENCE, cut}:
+        while self.silent or self.harm in {Harm.SILENCE, cut}:
             eventlet.sleep(_POLL_INTERVAL_S)
         if self.harm == Harm.LOSE_ANSWER:
             return cut == Harm.CUT_TO
@@ -98,9 +125,18 @@
         """
         self._connections.discard(connection)
 
+    def _set_backlog(self, backlog: int) -> None:
+        try:
+            self._listener.listen(backlog)
+        except OSError as error:
+            # It crashed in the meantime.
+            self.errors.append(repr(error))
+
     def _accept(self) -> None:
         while True:
             connection, _ = self._listener.accept()
+            while self.silent:
+                eventlet.sleep(_POLL_INTERVAL_S)
             eventlet.spawn_n(self._connect, connection)
 
     def _connect(self, connection: socket.socket) -> None:
@@ -115,9 +151,12 @@
 
 
 class _ProxiedConnection:
-    """A connection through a proxy, with a task for each direction."""
+    """A connection through a proxy, with a task for each direction.
+
+    :ivar used_at: clock time at which data was last forwarded.
+    """
 
-    __slots__ = ('_proxy', '_sockets', '_tasks')
+    __slots__ = ('_proxy', '_sockets', '_tasks', 'used_at')
 
     def __init__(
         self,
@@ -125,6 +164,7 @@
         connection: socket.socket,
         upstream: socket.socket,
     ) -> None:
+        self.used_at = read_hub_clock()
         self._proxy = proxy
         self._sockets = (connection, upstream)
         self._tasks = {
@@ -165,6 +205,7 @@
             while chunk := source.recv(_CHUNK_BYTES):
                 if not self._proxy.apply_harm(cut):
                     return False
+                self.used_at = read_hub_clock()
                 sink.sendall(chunk)
             if self._proxy.apply_harm(cut):
                 sink.shutdown(sockets.SHUT_WR)
--- a/soak/reports.py
+++ b/soak/reports.py
@@ -38,16 +38,15 @@
     :param outcome: the result.
     :return: the lines.
     """
-    lines = [
-        entry.describe()
-        for entry in (*record.faults, *record.incidents, *record.departures)
-    ]
+    lines = record.timeline.describe()
     served = sum(attempt.is_served() for attempt in record.attempts)
+    faults = len(record.timeline.faults)
     lines.append(
-        f'seed {outcome.seed} {outcome.size}: {len(record.faults)} faults,'
+        f'seed {outcome.seed} {outcome.size}: {faults} faults,'
         f' {served} of {len(record.attempts)} requests served,'
         f' {len(record.evidence.stops)} graceful shutdowns,'
         f' {_count_crashes(record)} crashes of servers,'
+        f' {record.evidence.copies} responses sent twice,'
         f' served again after {outcome.recovered_s:.1f} s'
     )
     lines.extend(
@@ -72,9 +71,7 @@
     name = f'soak-{outcome.size}-{outcome.seed}'
     fields = {
         'outcome': asdict(outcome),
-        'timeline': [asdict(fault) for fault in record.faults],
-        'incidents': [asdict(incident) for incident in record.incidents],
-        'departures': [asdict(entry) for entry in record.departures],
+        'timeline': asdict(record.timeline),
         'attainment': measure_attainment(record),
     }
     text = '\n'.join(describe(record, outcome))
@@ -112,7 +109,7 @@
         f' width="{max(1, fault.for_s * step):.1f}"'
         f' height="{_HEIGHT - 2 * _MARGIN}" fill="red" opacity="0.08">'
         f'<title>{fault.describe()}</title></rect>'
-        for fault in record.faults
+        for fault in record.timeline.faults
     )
     return (
         f'<svg xmlns="http://www.w3.org/2000/svg" width="{_WIDTH}"'
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -32,6 +32,7 @@
     :ivar leaving: whether it says in its responses that it leaves.
     :ivar run_deadly: runs a request that crashes the server, given the last
         part of its path and its ID.
+    :ivar keep_alive_s: idle timeout that it states, 0 for none.
     :ivar arrived_at: times of arrival of the requests, in order.
     """
 
@@ -43,6 +44,7 @@
         self.leaving = False
         self.arrived_at: list[float] = []
         self.run_deadly: Callable[[str, str], None] | None = None
+        self.keep_alive_s = 0
 
     def __call__(
         self, environ: Environ, start_response: StartResponse
@@ -60,6 +62,8 @@
             headers.append(('Server-Limit', self.request_limit))
         if self.leaving:
             headers.append(('Server-Leaving', '1'))
+        if self.keep_alive_s:
+            headers.append(('Keep-Alive', f'timeout={self.keep_alive_s}'))
         path = environ['PATH_INFO'].rpartition('/')[2]
         if self.run_deadly is not None and path.startswith(DEADLY_PREFIX):
             self.run_deadly(path, identity)
--- a/soak/world.py
+++ b/soak/world.py
@@ -11,19 +11,17 @@
 
 from egretdale.util.clocks import read_hub_clock
 from soak.clients import Attempt, Client
-from soak.daemons import (
-    Daemon,
-    choose_place,
-    create_daemon,
-    put_configuration,
-    put_server,
-)
+from soak.configurations import ConfigurationWriter
+from soak.daemons import Daemon, choose_place, create_daemon
 from soak.departures import Departure, DepartureLog
 from soak.evidence import Absence, Evidence, Stop
 from soak.faults import Fault, FaultKind
 from soak.incidents import CrashingServers, Incident, repeat_request
 from soak.proxies import FaultProxy, Harm
+from soak.server_list import ServerList
 from soak.servers import SealedServer
+from soak.silences import KEEP_ALIVE_S, Silence
+from soak.stutters import Stutter, StutteringServer
 from standins.addresses import choose_ip
 from standins.objects import ObjectStoreProgram
 from standins.web import listen, serve
@@ -43,8 +41,6 @@
     clients: int = 12
 
 
-#: Seconds for which some clients keep using a revoked key.
-_REVOKED_KEY_USE_S = 8.0
 _POLL_INTERVAL_S = 0.02
 _LARGE_DAEMONS = 40
 _LARGE_SERVERS = 12
@@ -80,21 +76,27 @@
         self.evidence = Evidence()
         self.servers = [SealedServer() for _ in range(size.servers)]
         self.store = ObjectStoreProgram()
-        self._version = 1
-        self._key = 'key-0'
+        self.clients: list[Client] = []
+        self._repeating: list[Client] = []
+        self._writer = ConfigurationWriter(
+            self.store, self.evidence.revoked_at, self._list_clients
+        )
         self._expected_exits: set[int] = set()
+        self._stuttering = [
+            StutteringServer(server, random.Random(f'{seed}.{number}'))
+            for number, server in enumerate(self.servers)
+        ]
         self._server_links = [
-            FaultProxy(serve_program(server), choose_ip())
-            for server in self.servers
+            FaultProxy(serve_program(program), choose_ip())
+            for program in self._stuttering
         ]
-        self._starts = [0 for _ in self.servers]
+        self._list = ServerList(self.store, self._server_links)
         crashing = CrashingServers(
-            self.servers, self._server_links, self._note_restart
+            self.servers, self._server_links, self._list.note_restart
         )
         self.evidence.crashes = crashing.logs
-        for number in range(size.servers):
-            self._list_server(number)
-        put_configuration(self.store, self._version, (self._key,))
+        for server in self.servers:
+            server.keep_alive_s = KEEP_ALIVE_S
         store_address = serve_program(self.store)
         self._store_links = [
             FaultProxy(store_address) for _ in range(size.daemons)
@@ -105,10 +107,9 @@
             for daemon in self.daemons
         ]
         self._seed = seed
-        self.clients = [
+        self.clients.extend(
             self._create_client(f'c{index}') for index in range(size.clients)
-        ]
-        self._repeating: list[Client] = []
+        )
 
     def start(self) -> None:
         """Start the daemons, and the clients once all daemons are ready."""
@@ -117,7 +118,6 @@
         for daemon in self.daemons:
             daemon.wait_until_ready()
         for client in self.clients:
-            client.key = self._key
             eventlet.spawn(client.run)
 
     def use_broken_daemons(self, name: str) -> None:
@@ -131,6 +131,9 @@
     def close(self) -> None:
         """Stop the clients and kill the daemons of this soak test."""
         self.stop_clients()
+        self.evidence.copies = sum(
+            program.copies for program in self._stuttering
+        )
         for daemon in self.daemons:
             daemon.kill()
 
@@ -143,7 +146,7 @@
         """Return the requests of all clients."""
         return [
             attempt
-            for client in (*self.clients, *self._repeating)
+            for client in self._list_clients()
             for attempt in client.attempts
         ]
 
@@ -153,7 +156,6 @@
         :param incident: the incident.
         """
         client = self._create_client(f'd{incident.number}')
-        client.key = self._key
         self._repeating.append(client)
         repeat_request(client, incident)
 
@@ -166,19 +168,47 @@
         server = self.servers[number]
         log = DepartureLog(read_hub_clock())
         self.evidence.departures.append(log)
-        life = self._starts[number]
+        life = self._list.starts[number]
         before = len(server.runs)
         server.leaving = True
         if departure.is_listed:
-            self._list_leaving(number)
+            self._list.note_leaving(number)
         until = log.began_at + departure.for_s
-        while read_hub_clock() < until and self._starts[number] == life:
+        while read_hub_clock() < until and self._list.starts[number] == life:
             eventlet.sleep(_POLL_INTERVAL_S)
         server.leaving = False
         log.arrivals = server.runs[before:]
         # A crash may have started it again already.
-        if self._starts[number] == life:
-            self._note_restart(number)
+        if self._list.starts[number] == life:
+            self._list.note_restart(number)
+
+    def lapse(self, lapse: Stutter | Silence) -> None:
+        """Let sound servers stutter or stand still until they go on.
+
+        :param lapse: the stutter or the silence.
+        """
+        match lapse:
+            case Stutter():
+                self._stutter(lapse)
+            case Silence():
+                self._fall_silent(lapse)
+
+    def _stutter(self, stutter: Stutter) -> None:
+        for number in stutter.targets:
+            self._stuttering[number].share = stutter.share
+        eventlet.sleep(stutter.for_s)
+        for number in stutter.targets:
+            self._stuttering[number].share = 0
+
+    def _fall_silent(self, silence: Silence) -> None:
+        self._writer.change_terms(silence.terms)
+        eventlet.sleep(silence.lead_s)
+        links = [self._server_links[number] for number in silence.targets]
+        for link in links:
+            link.fall_silent(silence.backlog)
+        eventlet.sleep(silence.for_s)
+        for link in links:
+            link.go_on(KEEP_ALIVE_S)
 
     def inject(self, fault: Fault) -> None:
         """Inject a fault and wait until it is over.
@@ -224,11 +254,11 @@
             case FaultKind.STORE_FORGETS:
                 self.store.forget_history()
             case FaultKind.SERVER_LEAVES:
-                self._unlist_server(server)
+                self._list.remove(server)
                 eventlet.sleep(fault.for_s)
-                self._list_server(server)
+                self._list.add(server)
             case FaultKind.KEY_CHANGE:
-                self._change_key()
+                self._writer.change_key()
 
     def _stop(self, number: int) -> None:
         daemon = self.daemons[number]
@@ -271,50 +301,8 @@
             daemon.start()
         self._expected_exits.discard(number)
 
-    def _change_key(self) -> None:
-        revoked = self._key
-        self._version += 1
-        self._key = f'key-{self._version}'
-        put_configuration(self.store, self._version, (self._key,))
-        self.evidence.revoked_at[revoked] = read_hub_clock()
-        # The other half of the clients keeps using the revoked key for a while.
-        for client in self.clients[::2]:
-            client.key = self._key
-        eventlet.spawn_after(_REVOKED_KEY_USE_S, self._distribute_key)
-
-    def _distribute_key(self) -> None:
-        for client in (*self.clients, *self._repeating):
-            client.key = self._key
-
-    def _list_server(self, number: int) -> None:
-        if f'i-{number}' not in self.store.list_names('servers'):
-            address = self._server_links[number].address
-            put_server(
-                self.store,
-                f'i-{number}',
-                address,
-                starts=self._starts[number],
-            )
-
-    def _list_leaving(self, number: int) -> None:
-        if f'i-{number}' in self.store.list_names('servers'):
-            put_server(
-                self.store,
-                f'i-{number}',
-                self._server_links[number].address,
-                starts=self._starts[number],
-                state='draining',
-            )
-
-    def _note_restart(self, number: int) -> None:
-        self._starts[number] += 1
-        if f'i-{number}' in self.store.list_names('servers'):
-            self._unlist_server(number)
-            self._list_server(number)
-
-    def _unlist_server(self, number: int) -> None:
-        if f'i-{number}' in self.store.list_names('servers'):
-            self.store.remove('servers', f'i-{number}')
+    def _list_clients(self) -> list[Client]:
+        return [*self.clients, *self._repeating]
 
     def _create_daemons(self, folder: Path) -> list[Daemon]:
         places = [
@@ -330,7 +318,9 @@
     def _create_client(self, name: str) -> Client:
         addresses = [link.address for link in self._caller_links]
         source = random.Random(f'{self._seed}.{name.removeprefix("c")}')
-        return Client(name, addresses, source)
+        client = Client(name, addresses, source)
+        client.key = self._writer.key
+        return client
 
 
 def serve_program(program: object) -> str:
--- a/tests/test_soak/test_checks.py
+++ b/tests/test_soak/test_checks.py
@@ -13,6 +13,9 @@
 from soak.incidents import CrashLog, Incident, draw_incidents
 from soak.proxies import Harm
 from soak.reports import Outcome, describe, measure_attainment
+from soak.silences import Silence
+from soak.stutters import Stutter
+from soak.timelines import Timeline, draw_lapses
 from tests.functions import create_loader
 
 load_tests = create_loader(__name__)
@@ -37,17 +40,17 @@
     *,
     faults: tuple[Fault, ...] = (),
     steady_at: float = 200,
+    calm_at: float = 200,
     **observed: object,
 ) -> list[str]:
     record = Record(
         100,
-        list(faults),
-        [],
-        [],
+        Timeline(list(faults)),
         [attempt],
         Counter({_IDENTITY: runs}),
         Evidence(**observed),
         steady_at,
+        calm_at,
     )
     return [violation.promise for violation in find_violations(record)]
 
@@ -147,7 +150,8 @@
     incident = Incident(1, 1, 20)
     evidence = Evidence(absences=list(absences), crashes={incident.path: log})
     runs = Counter(arrivals.keys())
-    record = Record(100, [], [incident], [], attempts, runs, evidence, 200)
+    timeline = Timeline(incidents=[incident])
+    record = Record(100, timeline, attempts, runs, evidence, 200)
     return [violation.promise for violation in find_violations(record)]
 
 
@@ -180,9 +184,7 @@
         evidence = Evidence(departures=[log], absences=absences)
         record = Record(
             100,
-            [],
-            [],
-            [],
+            Timeline(),
             [told, attempt],
             Counter({_IDENTITY: 1, 'c0-0': 1}),
             evidence,
@@ -199,6 +201,22 @@
     assert not _find(_create_attempt(), steady_at=105)
 
 
+def test_a_request_that_is_not_served_in_calm_is_found() -> None:
+    """Stutters and silences of servers excuse neither refusals nor cuts.
+
+    Requests with a revoked key are refused at any time.
+    """
+    refused = _create_attempt(status=503, body=b'', sealed=False)
+    cut = _create_attempt(status=0, complete=False, body=b'', sealed=False)
+    for attempt in (refused, cut):
+        assert _find(attempt, runs=0, calm_at=105) == ['calm']
+        assert not _find(attempt, runs=0, calm_at=115)
+        assert not _find(
+            attempt, runs=0, calm_at=105, revoked_at={'key-0': 104.0}
+        )
+    assert not _find(_create_attempt(), calm_at=105)
+
+
 def test_a_seed_draws_one_timeline() -> None:
     """Faults overlap, come in series, and depend only on the seed."""
     faults = draw_timeline(4, 60, 3)
@@ -212,7 +230,7 @@
 def test_reports_tell_what_was_broken() -> None:
     """The text names the violated guarantee and the request."""
     runs = Counter({_IDENTITY: 2})
-    record = Record(100, [], [], [], [_create_attempt()], runs, Evidence(), 200)
+    record = Record(100, Timeline(), [_create_attempt()], runs, Evidence(), 200)
     violations = find_violations(record)
     lines = describe(record, Outcome(4, 'small', 0.5, violations))
     assert lines[-1] == f'BROKEN twice: {_IDENTITY} ran 2 times'
@@ -234,3 +252,24 @@
     assert len(draw_incidents(4, 1)) == 1
     assert draw_incidents(4, 120) == draw_incidents(4, 120)
     assert len(draw_incidents(4, 120)) > 2
+
+
+def test_a_seed_draws_its_lapses() -> None:
+    """Each phase has stutters and silences, which reach one server up to all.
+
+    Those of a kind do not overlap, and each silence comes with a change.
+    """
+    assert draw_lapses('4', 60, 3) == draw_lapses('4', 60, 3)
+    assert {type(entry) for entry in draw_lapses('4', 1, 3)} == {
+        Stutter,
+        Silence,
+    }
+    lapses = draw_lapses('4', 600, 3)
+    assert {len(entry.targets) for entry in lapses} == {1, 2, 3}
+    stutters = [entry for entry in lapses if isinstance(entry, Stutter)]
+    for stutter, later in pairwise(stutters):
+        assert stutter.at_s + stutter.for_s <= later.at_s
+    silences = [entry for entry in lapses if isinstance(entry, Silence)]
+    for silence, later in pairwise(silences):
+        assert silence.at_s + silence.lead_s + silence.for_s <= later.at_s
+        assert silence.terms != later.terms
