Order listings of the platform by era and revision

Cause: InstanceFollower dropped each listing whose revision was not higher than the last one, until the store had counted past its old revision, and confirmed the old list as current all the while. Between hosts the same comparison stood in apply_changes and ListingRelay.answer: a follower kept its listing of the era before and took the reader's confirmation for it; the configuration's kind was confirmed while stale in the same way. A watch from a revision that the restored store has given out again got the changes since that revision only. No one read Store-Era.

Listings carry the era; followers, relays, copies and batches of peers order by (era, revision), in new optional fields (Revision 4, DocumentCopy 4, ChangeAsk 4, Changes 9). A relay sends what the copy lacks or holds otherwise to followers of the era before, all objects where it cannot know, so that 400 hosts need not list at once. A listing of the platform that is older than the one in use is a failed read and confirms nothing. Older builds: a reader that names no era is not used by a host that knows one (it reads the store itself), a copy without an era is not newer, and a question without an era is located in the reader's era, as before.

--- a/egretdale/coordination/instances.py
+++ b/egretdale/coordination/instances.py
@@ -123,7 +123,7 @@
         self.confirmation.confirm(confirmed_at)
         self._note_order(listing)
         # The list of a reader may be older than a copy from another peer.
-        if listing.version > self._listing.version:
+        if listing.position > self._listing.position:
             self._apply(listing, 'platform')
 
     def note_watch_failure(self, failure: Unreachable) -> None:
@@ -150,7 +150,11 @@
         :param host: receiving host.
         :param batch: the batch.
         """
-        batch.revisions.append(Revision(INSTANCE_KIND, self._listing.version))
+        batch.revisions.append(
+            Revision(
+                INSTANCE_KIND, self._listing.version, era=self._listing.era
+            )
+        )
 
     def receive(self, batch: Batch) -> None:
         """Fetch a newer list from a peer while the platform does not answer.
@@ -160,8 +164,9 @@
         if self._lost_at is None:
             return
         for revision in batch.revisions:
-            newer = revision.number > self._listing.version
-            if revision.service_name == INSTANCE_KIND and newer:
+            if revision.service_name != INSTANCE_KIND:
+                continue
+            if self._is_newer(revision.era, revision.number):
                 self._fetcher.start(batch.sender)
 
     def copy(self) -> DocumentCopy:
@@ -170,21 +175,30 @@
             (entry.name, entry.read_text()) for entry in self._listing.entries
         ]
         source = msgspec.json.encode(entries).decode()
-        return DocumentCopy(INSTANCE_KIND, self._listing.version, source)
+        return DocumentCopy(
+            INSTANCE_KIND, self._listing.version, source, self._listing.era
+        )
 
     def _note_order(self, listing: Listing) -> None:
         """Log the first of several lists in a row that are older."""
-        is_older = listing.version < self._listing.version
+        is_older = listing.position < self._listing.position
         if is_older and not self._is_older:
             logger.info(
                 'backend-list-older',
                 revision=listing.version,
+                era=listing.era,
                 known=self._listing.version,
+                known_era=self._listing.era,
             )
         self._is_older = is_older
 
+    def _is_newer(self, era: int, version: int) -> bool:
+        # Versions without an era cannot be compared with those that have one.
+        return (era, version) > self._listing.position
+
     def _apply_copy(self, copy: DocumentCopy, host: str) -> None:
-        if self._lost_at is None or copy.revision <= self._listing.version:
+        newer = self._is_newer(copy.era, copy.revision)
+        if self._lost_at is None or not newer:
             return
         entries = decode_json(copy.source, list[tuple[str, str]])
         if isinstance(entries, Invalid):
@@ -195,7 +209,7 @@
         objects = tuple(
             StoredObject(name, 0, body.encode()) for name, body in entries
         )
-        self._apply(Listing(copy.revision, objects), host)
+        self._apply(Listing(copy.revision, objects, copy.era), host)
 
     def _apply(self, listing: Listing, origin: str) -> None:
         self._listing = listing
--- a/egretdale/coordination/listing_relay.py
+++ b/egretdale/coordination/listing_relay.py
@@ -13,7 +13,7 @@
 import eventlet
 from eventlet.event import Event
 
-from egretdale.coordination.ports import Listing
+from egretdale.coordination.ports import Listing, Position, StoredObject
 from egretdale.state.queries import ChangeAsk, Changes, ObjectCopy
 from egretdale.util.clocks import (
     MILLISECONDS_PER_SECOND,
@@ -36,10 +36,12 @@
     """Answers long-polling requests for changes of one kind of objects."""
 
     __slots__ = (
+        '_carried',
         '_changed',
-        '_changed_version',
+        '_changed_at',
         '_clock',
         '_confirmed_at',
+        '_era_base',
         '_kind',
         '_listing',
         '_removals',
@@ -57,12 +59,16 @@
         self._listing = Listing(0, ())
         self._confirmed_at = float('-inf')
         self._changed = Event()
-        # Version of the first listing with the latest change.
-        self._changed_version = 0
-        # Names of removed objects with the version of the first listing
-        # without them. Removals up to version _removals_since may be missing.
-        self._removals: deque[tuple[int, str]] = deque()
-        self._removals_since = 0
+        # Position of the first listing with the latest change.
+        self._changed_at: Position = (0, 0)
+        # Names of removed objects with the position of the first listing
+        # without them. Removals up to _removals_since may be missing.
+        self._removals: deque[tuple[Position, str]] = deque()
+        self._removals_since: Position = (0, 0)
+        # Last position in the era before, and the objects that the platform
+        # still held in the same version when it was restored.
+        self._era_base: Position = (0, 0)
+        self._carried: dict[str, int] = {}
 
     def update(self, listing: Listing, confirmed_at: float) -> None:
         """Replace the listing.
@@ -74,11 +80,13 @@
         self._listing = listing
         self._confirmed_at = max(self._confirmed_at, confirmed_at)
         if before.version == 0:
-            self._removals_since = listing.version
+            self._removals_since = listing.position
+        elif listing.era != before.era:
+            self._start_era(before, listing)
         elif listing.entries == before.entries:
             return
         self._record_removals(before, listing)
-        self._changed_version = listing.version
+        self._changed_at = listing.position
         changed = self._changed
         self._changed = Event()
         changed.send(None)
@@ -92,7 +100,7 @@
         """
         started_at = self._clock()
         until = started_at + convert_to_seconds(ask.wait_ms)
-        while ask.known >= self._changed_version:
+        while self._locate(ask) >= self._changed_at:
             now = self._clock()
             stale_at = self._confirmed_at + MAXIMUM_LISTING_AGE_S
             left_s = min(until, stale_at) - now
@@ -100,25 +108,33 @@
                 break
             with eventlet.Timeout(left_s, False):
                 self._changed.wait()
-        changes = self._collect(ask.known)
+        changes = self._collect(self._locate(ask))
         changes.waited_ms = floor(
             (self._clock() - started_at) * MILLISECONDS_PER_SECOND
         )
         return changes
 
-    def _collect(self, known: int) -> Changes:
+    def _locate(self, ask: ChangeAsk) -> Position:
+        """Return the position of the listing that the asking host has."""
+        # Daemons that know no eras ask without one.
+        return ask.era or self._listing.era, ask.known
+
+    def _collect(self, known: Position) -> Changes:
         listing = self._listing
         if not listing.version:
             return Changes(self._kind, 0)
-        whole = known < self._removals_since
+        whole = known < self._removals_since or not self._follows(known)
         entries = [
-            entry for entry in listing.entries if whole or entry.version > known
+            entry
+            for entry in listing.entries
+            if whole or self._find_position(entry) > known
         ]
         changes = Changes(
             self._kind,
             listing.version,
             convert_to_ms(self._clock() - self._confirmed_at) + 1,
             whole=whole,
+            era=listing.era,
         )
         if sum(len(entry.body) for entry in entries) > _MAXIMUM_BYTES:
             changes.large = True
@@ -128,10 +144,31 @@
             for entry in entries
         ]
         changes.gone = [
-            name for version, name in self._removals if version > known
+            name for position, name in self._removals if position > known
         ]
         return changes
 
+    def _follows(self, known: Position) -> bool:
+        """Tell whether the listing followed a known one on this host, too."""
+        if known[0] >= self._listing.era:
+            return True
+        return known[0] == self._era_base[0] and known <= self._era_base
+
+    def _find_position(self, entry: StoredObject) -> Position:
+        """Return when an object got its present content."""
+        if self._carried.get(entry.name) == entry.version:
+            return self._era_base[0], entry.version
+        return self._listing.era, entry.version
+
+    def _start_era(self, before: Listing, listing: Listing) -> None:
+        known = {entry.name: entry for entry in before.entries}
+        self._era_base = before.position
+        self._carried = {
+            entry.name: entry.version
+            for entry in listing.entries
+            if known.get(entry.name) == entry
+        }
+
     def _record_removals(self, before: Listing, listing: Listing) -> None:
         present = {entry.name for entry in listing.entries}
         # Objects that exist again are sent with the entries.
@@ -140,6 +177,6 @@
         )
         for entry in before.entries:
             if entry.name not in present:
-                self._removals.append((listing.version, entry.name))
+                self._removals.append((listing.position, entry.name))
         while len(self._removals) > _MAXIMUM_REMOVALS:
             self._removals_since = self._removals.popleft()[0]
--- a/egretdale/coordination/ports.py
+++ b/egretdale/coordination/ports.py
@@ -19,6 +19,9 @@
     OriginReply,
 )
 
+#: Era and version of a listing, by which listings are ordered.
+Position = tuple[int, int]
+
 
 @dataclass(slots=True, frozen=True)
 class StoredObject:
@@ -50,10 +53,18 @@
 
     :ivar version: version of the listing as a whole.
     :ivar entries: the objects.
+    :ivar era: how often the platform was restored from an older copy, after
+        which versions are given out again; 0 if unknown.
     """
 
     version: int
     entries: tuple[StoredObject, ...]
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Place in the order of all listings of the kind."""
+        return self.era, self.version
 
 
 @dataclass(slots=True, frozen=True)
--- a/egretdale/coordination/readers.py
+++ b/egretdale/coordination/readers.py
@@ -97,13 +97,18 @@
         if member is None or not listing.version:
             return None
         sent_at = self._clock()
-        ask = ChangeAsk(kind, listing.version, convert_to_ms(_WAIT_S))
+        ask = ChangeAsk(
+            kind, listing.version, convert_to_ms(_WAIT_S), listing.era
+        )
         outcome = self._network.follow(member.update.peer_address, ask)
         if isinstance(outcome, Unreachable | Ambiguous):
             return self._avoid(reader, kind, outcome.cause, 0)
         age_s = convert_to_seconds(outcome.age_ms)
         if not outcome.revision:
             return self._avoid(reader, kind, 'empty', 0)
+        if bool(listing.era) != bool(outcome.era):
+            # Versions of unknown eras cannot be compared.
+            return self._avoid(reader, kind, 'no-era', outcome.age_ms)
         if age_s > MAXIMUM_LISTING_AGE_S:
             return self._avoid(reader, kind, 'stale', outcome.age_ms)
         if outcome.large:
@@ -153,7 +158,7 @@
         newer.
     :return: the updated listing.
     """
-    if changes.revision <= listing.version:
+    if (changes.era, changes.revision) <= listing.position:
         return listing
     objects: dict[str, StoredObject] = {}
     if not changes.whole:
@@ -164,4 +169,4 @@
         objects[entry.name] = StoredObject(
             entry.name, entry.version, entry.body.encode()
         )
-    return Listing(changes.revision, tuple(objects.values()))
+    return Listing(changes.revision, tuple(objects.values()), changes.era)
--- a/egretdale/coordination/watches.py
+++ b/egretdale/coordination/watches.py
@@ -11,7 +11,7 @@
 from egretdale.coordination.listing_relay import ListingRelay
 from egretdale.coordination.ports import Listing, Platform
 from egretdale.coordination.readers import ConfirmedListing, PeerReaders
-from egretdale.errors import Unreachable
+from egretdale.errors import Cause, Unreachable
 from egretdale.util.clocks import Clock
 
 #: First pause after a failed call, in seconds.
@@ -82,6 +82,10 @@
                 # After an outage a list call returns sooner than a watch.
                 version = 0 if pause_s else listing.version
                 outcome = self._read_platform(version)
+            if isinstance(outcome, ConfirmedListing) and (
+                outcome.listing.position < listing.position
+            ):
+                outcome = Unreachable(Cause.MALFORMED, 'older than known')
             if isinstance(outcome, ConfirmedListing):
                 pause_s = 0
                 listing = outcome.listing
--- a/egretdale/protocol/gen/ttypes.py
+++ b/egretdale/protocol/gen/ttypes.py
@@ -1686,6 +1686,7 @@
      - service_name
      - number
      - age_ms
+     - era
 
     """
 
@@ -1693,13 +1694,15 @@
         'service_name',
         'number',
         'age_ms',
+        'era',
     )
 
 
-    def __init__(self, service_name=None, number=None, age_ms=None,):
+    def __init__(self, service_name=None, number=None, age_ms=None, era=None,):
         self.service_name = service_name
         self.number = number
         self.age_ms = age_ms
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1725,6 +1728,11 @@
                     self.age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1747,6 +1755,10 @@
             oprot.writeFieldBegin('age_ms', TType.I32, 3)
             oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 4)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2720,6 +2732,7 @@
      - service_name
      - revision
      - source
+     - era
 
     """
 
@@ -2727,13 +2740,15 @@
         'service_name',
         'revision',
         'source',
+        'era',
     )
 
 
-    def __init__(self, service_name=None, revision=None, source=None,):
+    def __init__(self, service_name=None, revision=None, source=None, era=None,):
         self.service_name = service_name
         self.revision = revision
         self.source = source
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2759,6 +2774,11 @@
                     self.source = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2781,6 +2801,10 @@
             oprot.writeFieldBegin('source', TType.STRING, 3)
             oprot.writeString(self.source.encode('utf-8') if sys.version_info[0] == 2 else self.source)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 4)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2904,6 +2928,7 @@
      - kind
      - known
      - wait_ms
+     - era
 
     """
 
@@ -2911,13 +2936,15 @@
         'kind',
         'known',
         'wait_ms',
+        'era',
     )
 
 
-    def __init__(self, kind=None, known=None, wait_ms=None,):
+    def __init__(self, kind=None, known=None, wait_ms=None, era=None,):
         self.kind = kind
         self.known = known
         self.wait_ms = wait_ms
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2943,6 +2970,11 @@
                     self.wait_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2965,6 +2997,10 @@
             oprot.writeFieldBegin('wait_ms', TType.I32, 3)
             oprot.writeI32(self.wait_ms)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 4)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3001,6 +3037,7 @@
      - large
      - entries
      - gone
+     - era
 
     """
 
@@ -3013,10 +3050,11 @@
         'large',
         'entries',
         'gone',
+        'era',
     )
 
 
-    def __init__(self, kind=None, revision=None, age_ms=None, waited_ms=None, whole=None, large=None, entries=None, gone=None,):
+    def __init__(self, kind=None, revision=None, age_ms=None, waited_ms=None, whole=None, large=None, entries=None, gone=None, era=None,):
         self.kind = kind
         self.revision = revision
         self.age_ms = age_ms
@@ -3025,6 +3063,7 @@
         self.large = large
         self.entries = entries
         self.gone = gone
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3086,6 +3125,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3134,6 +3178,10 @@
                 oprot.writeString(iter153.encode('utf-8') if sys.version_info[0] == 2 else iter153)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 9)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3287,6 +3335,7 @@
     (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
     (2, TType.I64, 'number', None, None, ),  # 2
     (3, TType.I32, 'age_ms', None, None, ),  # 3
+    (4, TType.I64, 'era', None, None, ),  # 4
 )
 all_structs.append(StreamOrigin)
 StreamOrigin.thrift_spec = (
@@ -3359,6 +3408,7 @@
     (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
     (2, TType.I64, 'revision', None, None, ),  # 2
     (3, TType.STRING, 'source', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'era', None, None, ),  # 4
 )
 all_structs.append(ObjectCopy)
 ObjectCopy.thrift_spec = (
@@ -3373,6 +3423,7 @@
     (1, TType.STRING, 'kind', 'UTF8', None, ),  # 1
     (2, TType.I64, 'known', None, None, ),  # 2
     (3, TType.I32, 'wait_ms', None, None, ),  # 3
+    (4, TType.I64, 'era', None, None, ),  # 4
 )
 all_structs.append(Changes)
 Changes.thrift_spec = (
@@ -3385,6 +3436,7 @@
     (6, TType.BOOL, 'large', None, None, ),  # 6
     (7, TType.LIST, 'entries', (TType.STRUCT, [ObjectCopy, None], False), None, ),  # 7
     (8, TType.LIST, 'gone', (TType.STRING, 'UTF8', False), None, ),  # 8
+    (9, TType.I64, 'era', None, None, ),  # 9
 )
 fix_spec(all_structs)
 del all_structs
--- a/egretdale/protocol/peer.thrift
+++ b/egretdale/protocol/peer.thrift
@@ -116,6 +116,7 @@
   1: string service_name
   2: i64 number
   3: i32 age_ms
+  4: i64 era
 }
 
 struct StreamOrigin {
@@ -179,6 +180,7 @@
   1: string service_name
   2: i64 revision
   3: string source
+  4: i64 era
 }
 
 struct ObjectCopy {
@@ -191,6 +193,7 @@
   1: string kind
   2: i64 known
   3: i32 wait_ms
+  4: i64 era
 }
 
 struct Changes {
@@ -202,6 +205,7 @@
   6: bool large
   7: list<ObjectCopy> entries
   8: list<string> gone
+  9: i64 era
 }
 
 service Peer {
--- a/egretdale/state/messages.py
+++ b/egretdale/state/messages.py
@@ -269,11 +269,13 @@
     :ivar service_name: name of the service.
     :ivar number: revision number.
     :ivar age_ms: milliseconds since it was confirmed to be the latest, or -1.
+    :ivar era: era of the platform that gave out the number, 0 if unknown.
     """
 
     service_name: str
     number: int
     age_ms: int = -1
+    era: int = 0
 
 
 @dataclass(slots=True)
--- a/egretdale/state/queries.py
+++ b/egretdale/state/queries.py
@@ -43,11 +43,13 @@
     :ivar service_name: name of the service.
     :ivar revision: revision number, 0 if the peer has no copy.
     :ivar source: text of the document.
+    :ivar era: era of the platform that gave out the revision, 0 if unknown.
     """
 
     service_name: str
     revision: int
     source: str
+    era: int = 0
 
 
 @dataclass(slots=True)
@@ -73,11 +75,13 @@
     :ivar kind: kind of the objects.
     :ivar known: version of the listing that the asking host has.
     :ivar wait_ms: longest wait for a change in milliseconds.
+    :ivar era: era of that listing, 0 if unknown.
     """
 
     kind: str
     known: int
     wait_ms: int
+    era: int = 0
 
 
 @dataclass(slots=True)
@@ -92,6 +96,7 @@
     :ivar large: whether changes were omitted because of their size.
     :ivar entries: new and changed objects.
     :ivar gone: names of removed objects.
+    :ivar era: era of the reader's listing, 0 if unknown.
     """
 
     kind: str
@@ -102,6 +107,7 @@
     large: bool = False
     entries: list[ObjectCopy] = field(default_factory=list)
     gone: list[str] = field(default_factory=list)
+    era: int = 0
 
 
 @dataclass(slots=True)
--- a/standins/models/store.py
+++ b/standins/models/store.py
@@ -26,19 +26,43 @@
 
     :ivar version: version of the last change to the kind.
     :ivar entries: the objects.
+    :ivar era: era of the store.
     """
 
     version: int
     entries: tuple[StoreEntry, ...]
+    era: int = 1
+
+
+@dataclass(slots=True, frozen=True)
+class StoreCopy:
+    """A copy of a store.
+
+    :ivar version: its version.
+    :ivar kinds: objects by kind and name.
+    :ivar kind_versions: version of the last change to each kind.
+    """
+
+    version: int
+    kinds: dict[str, dict[str, StoreEntry]]
+    kind_versions: dict[str, int]
 
 
 class ObjectStore:
     """Objects by kind and name, with one version counter for all kinds.
 
     :ivar calls: number of calls by operation.
+    :ivar era: rises with each restoration from an older copy.
     """
 
-    __slots__ = ('_frozen', '_kind_versions', '_kinds', '_version', 'calls')
+    __slots__ = (
+        '_frozen',
+        '_kind_versions',
+        '_kinds',
+        '_version',
+        'calls',
+        'era',
+    )
 
     def __init__(self, first_version: int = 0) -> None:
         """Create an empty store.
@@ -50,6 +74,7 @@
         self._version = first_version
         self._frozen: dict[str, Snapshot] | None = None
         self.calls: Counter[str] = Counter()
+        self.era = 1
 
     def read(self, kind: str, name: str) -> StoreEntry | None:
         """Read an object.
@@ -70,7 +95,7 @@
         if self._frozen is not None:
             return self._frozen.get(kind, Snapshot(0, ()))
         entries = tuple(self._kinds[kind].values())
-        return Snapshot(self._kind_versions[kind], entries)
+        return Snapshot(self._kind_versions[kind], entries, self.era)
 
     def write(
         self, kind: str, name: str, text: str, expected: int
@@ -121,6 +146,24 @@
         self._kind_versions[kind] = self._version
         return True
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of all objects."""
+        kinds = {kind: dict(held) for kind, held in self._kinds.items()}
+        return StoreCopy(self._version, kinds, dict(self._kind_versions))
+
+    def restore(self, saved: StoreCopy) -> None:
+        """Begin another era with the objects of a copy.
+
+        :param saved: the copy.
+        """
+        self._version = saved.version
+        self._kinds.clear()
+        for kind, held in saved.kinds.items():
+            self._kinds[kind] = dict(held)
+        self._kind_versions.clear()
+        self._kind_versions.update(saved.kind_versions)
+        self.era += 1
+
     def freeze_listings(self, *, frozen: bool) -> None:
         """Freeze listings at the current state, or unfreeze them.
 
--- a/standins/objects.py
+++ b/standins/objects.py
@@ -4,6 +4,7 @@
 
 import json
 from collections.abc import Iterable
+from copy import deepcopy
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import parse_qs
@@ -45,6 +46,20 @@
     text: bytes
 
 
+@dataclass(slots=True, frozen=True)
+class StoreCopy:
+    """A copy of a store.
+
+    :ivar revision: its revision.
+    :ivar objects: objects by kind and name.
+    :ivar events: changes that led to them.
+    """
+
+    revision: int
+    objects: dict[str, dict[str, dict[str, Any]]]
+    events: list[ObjectEvent]
+
+
 class ObjectStoreProgram:
     """Lists, watches, creates and replaces objects over HTTP.
 
@@ -52,6 +67,7 @@
     :ivar calls: method and path of all calls so far.
     :ivar page_size: maximum number of objects in one page of a listing.
     :ivar refusing: status line of all responses, empty to serve calls.
+    :ivar era: era that all responses name, empty to name none.
     """
 
     def __init__(self) -> None:
@@ -60,6 +76,7 @@
         self.calls: list[str] = []
         self.page_size = 500
         self.refusing = ''
+        self.era = '1'
         self._objects: dict[str, dict[str, dict[str, Any]]] = {}
         self._events: list[ObjectEvent] = []
         self._discarded_revision = 0
@@ -97,11 +114,35 @@
         """
         return list(self._objects.get(kind, {}))
 
+    def read_spec(self, kind: str, name: str) -> Any:
+        """Return the content of an object.
+
+        :param kind: its kind.
+        :param name: its name.
+        """
+        return self._objects[kind][name]['spec']
+
     def forget_history(self) -> None:
         """Discard all events so far, as a store with a bounded history does."""
         self._discarded_revision = self.revision
         self._events.clear()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of all objects."""
+        return StoreCopy(
+            self.revision, deepcopy(self._objects), list(self._events)
+        )
+
+    def restore(self, saved: StoreCopy) -> None:
+        """Begin another era with the objects of a copy.
+
+        :param saved: the copy.
+        """
+        self.revision = saved.revision
+        self._objects = deepcopy(saved.objects)
+        self._events = list(saved.events)
+        self.era = str(int(self.era) + 1)
+
     def __call__(
         self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
@@ -111,6 +152,7 @@
         kind, _, name = path.partition('/')
         query = parse_qs(environ.get('QUERY_STRING', ''))
         self.calls.append(f'{environ["REQUEST_METHOD"]} {path}')
+        start_response = self._add_era(start_response)
         if self.refusing:
             return _respond(start_response, self.refusing, {})
         if environ['REQUEST_METHOD'] != 'GET':
@@ -120,6 +162,15 @@
             return self._watch(start_response, kind, query)
         return self._list(start_response, kind, query, name)
 
+    def _add_era(self, start_response: StartResponse) -> StartResponse:
+        """Add the era at the start of a response to its headers."""
+
+        def start(status: str, headers: list[tuple[str, str]]) -> object:
+            era = [('Store-Era', self.era)] if self.era else []
+            return start_response(status, [*headers, *era])
+
+        return start
+
     def _list(
         self,
         start_response: StartResponse,
@@ -149,7 +200,7 @@
         query: dict[str, list[str]],
     ) -> Iterable[bytes]:
         since = int(query['watch'][0])
-        if since < self._discarded_revision:
+        if not self._discarded_revision <= since <= self.revision:
             return _respond(start_response, '410 Gone', {})
         events = self._list_events(kind, since)
         for _ in range(int(query['wait_ms'][0]) // 10):
--- a/standins/virtual/platform.py
+++ b/standins/virtual/platform.py
@@ -49,7 +49,7 @@
 class VirtualPlatform:
     """Client of one host for calls to the platform."""
 
-    __slots__ = ('_faults', '_host', '_state')
+    __slots__ = ('_eras', '_faults', '_host', '_state')
 
     def __init__(
         self, host: str, state: PlatformState, faults: HostFaults
@@ -63,6 +63,8 @@
         self._host = host
         self._state = state
         self._faults = faults
+        # Era of the last listing of each kind.
+        self._eras: dict[str, int] = {}
 
     def read(
         self, kind: str, name: str
@@ -81,7 +83,7 @@
         failed = self._check_availability()
         if failed is not None:
             return failed
-        return _convert_listing(self._state.store.snapshot(kind))
+        return self._convert_listing(kind, self._state.store.snapshot(kind))
 
     def watch(
         self, kind: str, version: int, timeout_s: float
@@ -94,8 +96,9 @@
                 return failed
             silent = self._host in self._state.silent
             snapshot = self._state.store.snapshot(kind)
-            if snapshot.version > version and not silent:
-                return _convert_listing(snapshot)
+            is_restored = snapshot.era != self._eras.get(kind)
+            if (is_restored or snapshot.version > version) and not silent:
+                return self._convert_listing(kind, snapshot)
             eventlet.sleep(_WATCH_INTERVAL_S)
         return self.list_objects(kind)
 
@@ -116,6 +119,11 @@
             return Conflict(0)
         return Written(entry.version)
 
+    def _convert_listing(self, kind: str, snapshot: Snapshot) -> Listing:
+        self._eras[kind] = snapshot.era
+        entries = tuple(_convert(entry) for entry in snapshot.entries)
+        return Listing(snapshot.version, entries, snapshot.era)
+
     def _check_availability(self) -> Unreachable | None:
         self._faults.pause_or_exit(self._host)
         eventlet.sleep(self._state.slow_s)
@@ -128,8 +136,3 @@
 
 def _convert(entry: StoreEntry) -> StoredObject:
     return StoredObject(entry.name, entry.version, entry.text.encode())
-
-
-def _convert_listing(snapshot: Snapshot) -> Listing:
-    entries = tuple(_convert(entry) for entry in snapshot.entries)
-    return Listing(snapshot.version, entries)
--- a/tests/test_platform/test_leaving_servers.py
+++ b/tests/test_platform/test_leaving_servers.py
@@ -8,7 +8,7 @@
 import urllib3
 
 from egretdale.util.clocks import read_hub_clock
-from soak.daemons import HOST_NAME
+from soak.daemons import HOST_NAME, put_server
 from soak.servers import EVENTS
 from tests.daemons import System, open_system, read_stream
 from tests.functions import create_loader
@@ -131,3 +131,25 @@
                 events = read_stream(address, f'r{first}', EVENTS, **resumed)
                 assert len(events) == EVENTS - 3, events
         assert system.servers[0].runs[before:] == []
+
+
+def test_a_server_that_drains_after_a_restoration_gets_no_work() -> None:
+    """The store's revision is still lower than before the restoration."""
+    with open_system('v1', 'v1', 'v1') as system:
+        store = system.store
+        saved = store.copy()
+        for starts in range(5):
+            put_server(store, 'i-9', '127.0.0.1:9', starts=starts)
+        store.remove('servers', 'i-9')
+        eventlet.sleep(1)
+        store.refusing = '503 Service Unavailable'
+        eventlet.sleep(1)
+        store.restore(saved)
+        store.refusing = ''
+        eventlet.sleep(DRAIN_S + 1)
+        address = store.read_spec('servers', 'i-0')['address']
+        put_server(store, 'i-0', address, state='draining')
+        eventlet.sleep(DRAIN_S)
+        before = len(system.servers[0].runs)
+        _check_drained(system, _call_all(system, 1, 'a'))
+        assert system.servers[0].runs[before:] == []
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -113,3 +113,53 @@
         assert replaced.version == program.revision
         assert client.read('members', 'a').body == b'{"n": 2}'
         assert client.read('members', 'b') == Missing('b')
+
+
+def test_a_restored_store_is_listed_again_whatever_its_revision() -> None:
+    """Revisions go back and are given out again for other changes."""
+    for further_changes in (0, 9):
+        with open_store() as (program, client):
+            program.put('servers', 'a', {})
+            saved = program.copy()
+            program.put('servers', 'b', {})
+            program.put('servers', 'c', {})
+            before = client.list_objects('instances')
+            program.restore(saved)
+            program.put('servers', 'd', {})
+            for number in range(further_changes):
+                program.put('servers', 'e', {'n': number})
+            after = client.watch('instances', before.version, 0.05)
+            names = ['a', 'd', 'e'] if further_changes else ['a', 'd']
+            assert _list_names(after) == names
+            assert after.position > before.position
+
+
+def test_an_answer_of_an_earlier_era_changes_nothing() -> None:
+    """It was on its way while the store was restored."""
+    with open_store() as (program, client):
+        program.put('servers', 'a', {})
+        program.restore(program.copy())
+        known = client.list_objects('instances')
+        program.era = '1'
+        program.put('servers', 'b', {})
+        assert isinstance(client.list_objects('instances'), Unreachable)
+        assert isinstance(client.read('instances', 'a'), Unreachable)
+        written = client.write('members', 'a', b'{}', 0)
+        assert isinstance(written, Ambiguous)
+        program.era = '2'
+        after = client.watch('instances', known.version, 0.05)
+        assert _list_names(after) == ['a', 'b']
+        assert after.era == 2
+
+
+def test_an_answer_that_names_no_era_belongs_to_the_known_one() -> None:
+    """The header is missing or no number."""
+    with open_store() as (program, client):
+        program.put('servers', 'a', {})
+        known = client.list_objects('instances')
+        for era in ('', 'x', '-1', '1.5', '²'.encode().decode('latin-1')):
+            program.era = era
+            program.put('servers', 'b', {'era': era})
+            after = client.watch('instances', known.version, 0.05)
+            assert after.era == known.era == 1, era
+            assert _list_names(after) == ['a', 'b']
