Keep missing backend servers only after real outages, to one end

Cause: any failed call, such as one cut watch or an answer 429, made the next list one "after an outage". For two seconds each entry that was missing in a list was kept for two seconds more, checked four times a second. The loss of this host's connection only counted as an outage as well.

The grace is for registrations that lapsed while the store was away. Hosts now record when the store last answered them or one that they hear from: readers tell it with their changes (optional field Changes 11), all hosts with their batches (Revision.age_ms, unused for this kind before; older builds send none, and ignore it). What is missing is kept until two seconds after the first answer, not after each list.

Evidence: these tests of the instance list fail on the code before and pass now: a removal after a short loss, one while one host is cut off (both kept before), one late after an outage (3.8 s in place of at most 3.4 s), and entries that a restored copy lacks (dropped before only when the revision had caught up). The tests of readers, restored listings, instance table, departures, peers and of leaving servers with real daemons pass.

--- a/egretdale/coordination/instances.py
+++ b/egretdale/coordination/instances.py
@@ -17,11 +17,15 @@
 )
 from egretdale.coordination.watches import KindWatch
 from egretdale.errors import Invalid, Unreachable
-from egretdale.state.freshness import Confirmation
+from egretdale.state.freshness import Confirmation, OutageRecord
 from egretdale.state.instances import Instance, InstanceTable
 from egretdale.state.messages import Batch, Revision
 from egretdale.state.queries import DocumentCopy
-from egretdale.util.clocks import Clock
+from egretdale.util.clocks import (
+    Clock,
+    convert_to_ms,
+    convert_to_seconds,
+)
 from egretdale.util.json_text import decode_json
 from egretdale.util.logs import get_logger
 
@@ -33,6 +37,8 @@
 #: Seconds after an outage within which running backend servers have to
 #: register again.
 LAPSE_S = 2.0
+#: Seconds without an answer of the platform above which peers are told nothing.
+_MAXIMUM_SILENCE_S = 3600.0
 
 _EXPIRY_CHECK_S = 0.25
 
@@ -59,7 +65,7 @@
         '_lost_at',
         '_malformed',
         '_on_gone',
-        '_regained_at',
+        '_outages',
         '_watch',
         'confirmation',
         'relay',
@@ -103,7 +109,7 @@
         self._lost_at: float | None = None
         # Bodies of the entries that were left out, by name.
         self._malformed: dict[str, bytes] = {}
-        self._regained_at = float('-inf')
+        self._outages = OutageRecord()
 
     def run_watch(self) -> None:
         """Watch the list."""
@@ -116,10 +122,10 @@
         :param confirmed_at: clock time up to which it holds all changes.
         """
         if self._lost_at is not None:
-            now = self._clock()
-            logger.info('backend-list-regained', lost_s=now - self._lost_at)
+            lost_s = self._clock() - self._lost_at
+            logger.info('backend-list-regained', lost_s=lost_s)
             self._lost_at = None
-            self._regained_at = now
+        self._outages.note_answer(self._watch.answered_at)
         self.confirmation.confirm(confirmed_at)
         self._note_order(listing)
         # The list of a reader may be older than a copy from another peer.
@@ -152,7 +158,10 @@
         """
         batch.revisions.append(
             Revision(
-                INSTANCE_KIND, self._listing.version, era=self._listing.era
+                INSTANCE_KIND,
+                self._listing.version,
+                self._encode_silence(),
+                self._listing.era,
             )
         )
 
@@ -169,6 +178,18 @@
             if self._is_newer(revision.era, revision.number):
                 self._fetcher.start(batch.sender)
 
+    def note_answer(self, answer: Batch, sent_at: float) -> None:
+        """Record when the platform last answered a peer.
+
+        :param answer: answer of the peer.
+        :param sent_at: when the batch was sent.
+        """
+        for revision in answer.revisions:
+            known = revision.age_ms >= 0
+            if revision.service_name == INSTANCE_KIND and known:
+                silent_s = convert_to_seconds(revision.age_ms)
+                self._outages.note_answer(sent_at - silent_s)
+
     def copy(self) -> DocumentCopy:
         """Return a copy of the list for a peer."""
         entries = [
@@ -179,6 +200,12 @@
             INSTANCE_KIND, self._listing.version, source, self._listing.era
         )
 
+    def _encode_silence(self) -> int:
+        silent_s = self._outages.measure_silence(self._clock())
+        if silent_s > _MAXIMUM_SILENCE_S:
+            return -1
+        return convert_to_ms(silent_s) + 1
+
     def _note_order(self, listing: Listing) -> None:
         """Log the first of several lists in a row that are older."""
         is_older = listing.position < self._listing.position
@@ -212,6 +239,8 @@
         self._apply(Listing(copy.revision, objects, copy.era), host)
 
     def _apply(self, listing: Listing, origin: str) -> None:
+        if self._listing.era and listing.era > self._listing.era:
+            self._outages.note_restoration(self._clock(), LAPSE_S)
         self._listing = listing
         instances = {}
         for entry in listing.entries:
@@ -226,9 +255,11 @@
             if malformed.name not in instances
         }
         self._log_changes(instances, origin)
-        since_outage_s = self._clock() - self._regained_at
+        lapsed_at = self._outages.returned_at + LAPSE_S
         gone = self.table.replace(
-            instances, after_outage=since_outage_s < LAPSE_S
+            instances,
+            after_outage=self._clock() < lapsed_at,
+            lapsed_at=lapsed_at,
         )
         for instance in gone:
             self._report_gone(instance)
--- a/egretdale/coordination/listing_relay.py
+++ b/egretdale/coordination/listing_relay.py
@@ -36,6 +36,7 @@
     """Answers long-polling requests for changes of one kind of objects."""
 
     __slots__ = (
+        '_answered_at',
         '_carried',
         '_changed',
         '_changed_at',
@@ -58,6 +59,7 @@
         self._clock = clock
         self._listing = Listing(0, ())
         self._confirmed_at = float('-inf')
+        self._answered_at = float('-inf')
         self._changed = Event()
         # Position of the first listing with the latest change.
         self._changed_at: Position = (0, 0)
@@ -70,12 +72,20 @@
         self._era_base: Position = (0, 0)
         self._carried: dict[str, int] = {}
 
-    def update(self, listing: Listing, confirmed_at: float) -> None:
+    def update(
+        self,
+        listing: Listing,
+        confirmed_at: float,
+        answered_at: float | None = None,
+    ) -> None:
         """Replace the listing.
 
         :param listing: all objects of the kind.
         :param confirmed_at: clock time up to which it includes all changes.
+        :param answered_at: clock time of the platform's answer, ``None`` for
+            the same time.
         """
+        self._answered_at = confirmed_at if answered_at is None else answered_at
         before = self._listing
         self._listing = listing
         self._confirmed_at = max(self._confirmed_at, confirmed_at)
@@ -136,6 +146,7 @@
             whole=whole,
             era=listing.era,
             count=len(listing.entries),
+            answered_ms=convert_to_ms(self._clock() - self._answered_at) + 1,
         )
         if sum(len(entry.body) for entry in entries) > _MAXIMUM_BYTES:
             changes.large = True
--- a/egretdale/coordination/readers.py
+++ b/egretdale/coordination/readers.py
@@ -44,10 +44,13 @@
 
     :ivar listing: all objects of a kind.
     :ivar confirmed_at: monotonic seconds of that time.
+    :ivar answered_at: monotonic seconds at which the platform had answered, to
+        this host or to the reader.
     """
 
     listing: Listing
     confirmed_at: float
+    answered_at: float
 
 
 class PeerReaders:
@@ -103,21 +106,15 @@
         outcome = self._network.follow(member.update.peer_address, ask)
         if isinstance(outcome, Unreachable | Ambiguous):
             return self._avoid(reader, kind, outcome.cause, 0)
-        age_s = convert_to_seconds(outcome.age_ms)
-        if not outcome.revision:
-            return self._avoid(reader, kind, 'empty', 0)
-        if bool(listing.era) != bool(outcome.era):
-            # Versions of unknown eras cannot be compared.
-            return self._avoid(reader, kind, 'no-era', outcome.age_ms)
-        if age_s > MAXIMUM_LISTING_AGE_S:
-            return self._avoid(reader, kind, 'stale', outcome.age_ms)
+        cause = _find_fault(listing, outcome)
+        if cause:
+            return self._avoid(reader, kind, cause, outcome.age_ms)
         if outcome.large:
             return None
         updated = apply_changes(listing, outcome)
         if updated is None:
             return self._avoid(reader, kind, 'incomplete', outcome.age_ms)
-        waited_s = convert_to_seconds(outcome.waited_ms)
-        return ConfirmedListing(updated, sent_at + waited_s - age_s)
+        return _confirm(updated, outcome, sent_at)
 
     def _choose_reader(self) -> str:
         """Choose the reader of this host.
@@ -152,6 +149,30 @@
         self._avoided_until[reader] = self._clock() + _AVOID_S
 
 
+def _find_fault(listing: Listing, changes: Changes) -> str:
+    """Return why an answer of a reader cannot be used, empty if it can."""
+    if not changes.revision:
+        return 'empty'
+    if bool(listing.era) != bool(changes.era):
+        # Versions of unknown eras cannot be compared.
+        return 'no-era'
+    age_s = convert_to_seconds(changes.age_ms)
+    return 'stale' if age_s > MAXIMUM_LISTING_AGE_S else ''
+
+
+def _confirm(
+    listing: Listing, changes: Changes, sent_at: float
+) -> ConfirmedListing:
+    measured_at = sent_at + convert_to_seconds(changes.waited_ms)
+    age_s = convert_to_seconds(changes.age_ms)
+    answered_s = age_s
+    if changes.answered_ms >= 0:
+        answered_s = convert_to_seconds(changes.answered_ms)
+    return ConfirmedListing(
+        listing, measured_at - age_s, measured_at - answered_s
+    )
+
+
 def apply_changes(listing: Listing, changes: Changes) -> Listing | None:
     """Apply the changes that a reader sent to a listing.
 
--- a/egretdale/coordination/watches.py
+++ b/egretdale/coordination/watches.py
@@ -41,9 +41,19 @@
     """Watches a kind, and lists it again after failures.
 
     :ivar relay: answers other hosts that ask this one for changes.
+    :ivar answered_at: clock time at which the platform last answered this host
+        or its reader.
     """
 
-    __slots__ = ('_clock', '_kind', '_platform', '_random', '_readers', 'relay')
+    __slots__ = (
+        '_clock',
+        '_kind',
+        '_platform',
+        '_random',
+        '_readers',
+        'answered_at',
+        'relay',
+    )
 
     def __init__(
         self,
@@ -63,6 +73,7 @@
         :param source: random source.
         """
         self.relay = ListingRelay(kind, clock)
+        self.answered_at = float('-inf')
         self._kind = kind
         self._platform = platform
         self._readers = PeerReaders(peers.members, peers.network, clock)
@@ -89,7 +100,10 @@
             if isinstance(outcome, ConfirmedListing):
                 pause_s = 0
                 listing = outcome.listing
-                self.relay.update(listing, outcome.confirmed_at)
+                self.answered_at = outcome.answered_at
+                self.relay.update(
+                    listing, outcome.confirmed_at, outcome.answered_at
+                )
                 receiver.apply_listing(listing, outcome.confirmed_at)
                 continue
             receiver.note_watch_failure(outcome)
@@ -108,4 +122,4 @@
             listing = self._platform.list_objects(self._kind)
         if isinstance(listing, Unreachable):
             return listing
-        return ConfirmedListing(listing, sent_at)
+        return ConfirmedListing(listing, sent_at, self._clock())
--- a/egretdale/protocol/gen/ttypes.py
+++ b/egretdale/protocol/gen/ttypes.py
@@ -3039,6 +3039,7 @@
      - gone
      - era
      - count
+     - answered_ms
 
     """
 
@@ -3053,10 +3054,11 @@
         'gone',
         'era',
         'count',
+        'answered_ms',
     )
 
 
-    def __init__(self, kind=None, revision=None, age_ms=None, waited_ms=None, whole=None, large=None, entries=None, gone=None, era=None, count=None,):
+    def __init__(self, kind=None, revision=None, age_ms=None, waited_ms=None, whole=None, large=None, entries=None, gone=None, era=None, count=None, answered_ms=None,):
         self.kind = kind
         self.revision = revision
         self.age_ms = age_ms
@@ -3067,6 +3069,7 @@
         self.gone = gone
         self.era = era
         self.count = count
+        self.answered_ms = answered_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3138,6 +3141,11 @@
                     self.count = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I32:
+                    self.answered_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3194,6 +3202,10 @@
             oprot.writeFieldBegin('count', TType.I32, 10)
             oprot.writeI32(self.count)
             oprot.writeFieldEnd()
+        if self.answered_ms is not None:
+            oprot.writeFieldBegin('answered_ms', TType.I32, 11)
+            oprot.writeI32(self.answered_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3450,6 +3462,7 @@
     (8, TType.LIST, 'gone', (TType.STRING, 'UTF8', False), None, ),  # 8
     (9, TType.I64, 'era', None, None, ),  # 9
     (10, TType.I32, 'count', None, None, ),  # 10
+    (11, TType.I32, 'answered_ms', None, None, ),  # 11
 )
 fix_spec(all_structs)
 del all_structs
--- a/egretdale/protocol/peer.thrift
+++ b/egretdale/protocol/peer.thrift
@@ -207,6 +207,7 @@
   8: list<string> gone
   9: i64 era
   10: i32 count
+  11: i32 answered_ms
 }
 
 service Peer {
--- a/egretdale/state/instances.py
+++ b/egretdale/state/instances.py
@@ -109,20 +109,28 @@
         self._leaving: dict[str, list[Instance]] = {}
 
     def replace(
-        self, instances: dict[str, Instance], *, after_outage: bool
+        self,
+        instances: dict[str, Instance],
+        *,
+        after_outage: bool,
+        lapsed_at: float | None = None,
     ) -> list[Instance]:
         """Replace the table by a newer list.
 
         :param instances: backend servers by name.
         :param after_outage: whether the list was unreadable until recently.
+        :param lapsed_at: latest clock time until which missing entries are
+            kept after an outage, ``None`` if it has just ended.
         :return: backend servers that are no longer listed or have restarted.
         """
         now = self._clock()
+        if after_outage:
+            self._begin_lapses(instances, lapsed_at)
         kept = dict(instances)
         gone = []
         for name, known in self._listed.items():
             current = instances.get(name)
-            if current is None and self._is_lapsing(name, now, after_outage):
+            if current is None and self._lapsing.get(name, now) > now:
                 kept[name] = known
             elif current is None or current.incarnation != known.incarnation:
                 gone.append(known)
@@ -225,10 +233,15 @@
         """Count the listed backend servers."""
         return len(self._listed)
 
-    def _is_lapsing(self, name: str, now: float, after_outage: bool) -> bool:
-        if after_outage:
-            self._lapsing.setdefault(name, now + self._lapse_s)
-        return self._lapsing.get(name, float('-inf')) > now
+    def _begin_lapses(
+        self, instances: dict[str, Instance], lapsed_at: float | None
+    ) -> None:
+        until = self._clock() + self._lapse_s
+        if lapsed_at is not None:
+            until = min(until, lapsed_at)
+        for name in self._listed:
+            if name not in instances:
+                self._lapsing.setdefault(name, until)
 
     def _index(self) -> None:
         self.versions.update(
--- a/egretdale/state/messages.py
+++ b/egretdale/state/messages.py
@@ -268,7 +268,8 @@
 
     :ivar service_name: name of the service.
     :ivar number: revision number.
-    :ivar age_ms: milliseconds since it was confirmed to be the latest, or -1.
+    :ivar age_ms: milliseconds since it was confirmed to be the latest, or -1;
+        for the list of backend servers, since the platform last answered.
     :ivar era: era of the platform that gave out the number, 0 if unknown.
     """
 
--- a/egretdale/state/queries.py
+++ b/egretdale/state/queries.py
@@ -98,6 +98,8 @@
     :ivar gone: names of removed objects.
     :ivar era: era of the reader's listing, 0 if unknown.
     :ivar count: number of objects in the reader's listing, -1 if unknown.
+    :ivar answered_ms: milliseconds since the platform last answered, as far as
+        the reader knows, -1 if unknown.
     """
 
     kind: str
@@ -110,6 +112,7 @@
     gone: list[str] = field(default_factory=list)
     era: int = 0
     count: int = -1
+    answered_ms: int = -1
 
 
 @dataclass(slots=True)
--- a/tests/test_coordination/test_instance_list.py
+++ b/tests/test_coordination/test_instance_list.py
@@ -156,3 +156,67 @@
         eventlet.sleep(0.2)
         first.apply_listing(older, 0)
         assert _list_ready(first) == ['b']
+
+
+def _remove(state: PlatformState, name: str) -> None:
+    listed = state.store.read(INSTANCE_KIND, name)
+    state.store.delete(INSTANCE_KIND, name, listed.version)
+
+
+def test_a_removal_after_a_short_loss_is_applied_at_once() -> None:
+    """A failed call is no outage in which registrations lapse."""
+    with _open_pair() as (state, first, _):
+        state.cut.add('first')
+        eventlet.sleep(0.5)
+        state.cut.clear()
+        eventlet.sleep(0.8)
+        _remove(state, 'a')
+        eventlet.sleep(0.5)
+        assert _list_ready(first) == ['b']
+
+
+def test_a_removal_while_one_host_is_cut_off_is_applied_at_once() -> None:
+    """Another host shows that the platform was there all the while."""
+    with _open_pair() as (state, first, second):
+        state.cut.add('second')
+        for step in range(16):
+            eventlet.sleep(0.25)
+            sent_at = second.table.read_wall_ms() / 1000
+            answer = Batch('first', 1)
+            first.fill('second', answer)
+            second.note_answer(answer, sent_at)
+            if step == 11:
+                _remove(state, 'a')
+        state.cut.clear()
+        eventlet.sleep(1.2)
+        assert _list_ready(second) == ['b']
+
+
+def test_no_entry_is_kept_longer_than_two_seconds_after_an_outage() -> None:
+    """A removal late in that time does not begin it anew."""
+    with _open_pair() as (state, first, _):
+        state.down = True
+        eventlet.sleep(3)
+        state.down = False
+        returned_at = first.table.read_wall_ms()
+        eventlet.sleep(1.6)
+        _remove(state, 'a')
+        eventlet.sleep(0.2)
+        while _list_ready(first) != ['b']:
+            eventlet.sleep(0.05)
+        held_ms = first.table.read_wall_ms() - returned_at
+        # The first answer came up to 1.04 s after the return.
+        assert held_ms < 3400, held_ms
+
+
+def test_entries_that_a_restored_copy_lacks_are_kept_for_a_while() -> None:
+    """They are registered again; the outage was too short to lapse in."""
+    with _open_pair() as (state, first, _):
+        saved = state.store.copy()
+        state.store.put(INSTANCE_KIND, 'c', 'ready')
+        eventlet.sleep(0.2)
+        state.store.restore(saved)
+        eventlet.sleep(1.5)
+        assert _list_ready(first) == ['a', 'b', 'c']
+        eventlet.sleep(1)
+        assert _list_ready(first) == ['a', 'b']
