--- a/egretdale/coordination/instances.py
+++ b/egretdale/coordination/instances.py
@@ -17,11 +17,15 @@
 )
 from egretdale.coordination.watches import KindWatch
 from egretdale.errors import Invalid, Unreachable
-from egretdale.state.freshness import Confirmation
+from egretdale.state.freshness import Confirmation, OutageRecord
 from egretdale.state.instances import Instance, InstanceTable
 from egretdale.state.messages import Batch, Revision
 from egretdale.state.queries import DocumentCopy
-from egretdale.util.clocks import Clock
+from egretdale.util.clocks import (
+    Clock,
+    convert_to_ms,
+    convert_to_seconds,
+)
 from egretdale.util.json_text import decode_json
 from egretdale.util.logs import get_logger
 
@@ -33,6 +37,8 @@
 #: Seconds after an outage within which running backend servers have to
 #: register again.
 LAPSE_S = 2.0
+#: Seconds without an answer of the platform above which peers are told nothing.
+_MAXIMUM_SILENCE_S = 3600.0
 
 _EXPIRY_CHECK_S = 0.25
 
@@ -59,7 +65,7 @@
         '_lost_at',
         '_malformed',
         '_on_gone',
-        '_regained_at',
+        '_outages',
         '_watch',
         'confirmation',
         'relay',
@@ -103,7 +109,7 @@
         self._lost_at: float | None = None
         # Bodies of the entries that were left out, by name.
         self._malformed: dict[str, bytes] = {}
-        self._regained_at = float('-inf')
+        self._outages = OutageRecord()
 
     def run_watch(self) -> None:
         """Watch the list."""
@@ -116,14 +122,14 @@
         :param confirmed_at: clock time up to which it holds all changes.
         """
         if self._lost_at is not None:
-            now = self._clock()
-            logger.info('backend-list-regained', lost_s=now - self._lost_at)
+            lost_s = self._clock() - self._lost_at
+            logger.info('backend-list-regained', lost_s=lost_s)
             self._lost_at = None
-            self._regained_at = now
+        self._outages.note_answer(self._watch.answered_at)
         self.confirmation.confirm(confirmed_at)
         self._note_order(listing)
         # The list of a reader may be older than a copy from another peer.
-        if listing.version > self._listing.version:
+        if listing.position > self._listing.position:
             self._apply(listing, 'platform')
 
     def note_watch_failure(self, failure: Unreachable) -> None:
@@ -150,7 +156,14 @@
         :param host: receiving host.
         :param batch: the batch.
         """
-        batch.revisions.append(Revision(INSTANCE_KIND, self._listing.version))
+        batch.revisions.append(
+            Revision(
+                INSTANCE_KIND,
+                self._listing.version,
+                self._encode_silence(),
+                self._listing.era,
+            )
+        )
 
     def receive(self, batch: Batch) -> None:
         """Fetch a newer list from a peer while the platform does not answer.
@@ -160,31 +173,59 @@
         if self._lost_at is None:
             return
         for revision in batch.revisions:
-            newer = revision.number > self._listing.version
-            if revision.service_name == INSTANCE_KIND and newer:
+            if revision.service_name != INSTANCE_KIND:
+                continue
+            if self._is_newer(revision.era, revision.number):
                 self._fetcher.start(batch.sender)
 
+    def note_answer(self, answer: Batch, sent_at: float) -> None:
+        """Record when the platform last answered a peer.
+
+        :param answer: answer of the peer.
+        :param sent_at: when the batch was sent.
+        """
+        for revision in answer.revisions:
+            known = revision.age_ms >= 0
+            if revision.service_name == INSTANCE_KIND and known:
+                silent_s = convert_to_seconds(revision.age_ms)
+                self._outages.note_answer(sent_at - silent_s)
+
     def copy(self) -> DocumentCopy:
         """Return a copy of the list for a peer."""
         entries = [
             (entry.name, entry.read_text()) for entry in self._listing.entries
         ]
         source = msgspec.json.encode(entries).decode()
-        return DocumentCopy(INSTANCE_KIND, self._listing.version, source)
+        return DocumentCopy(
+            INSTANCE_KIND, self._listing.version, source, self._listing.era
+        )
+
+    def _encode_silence(self) -> int:
+        silent_s = self._outages.measure_silence(self._clock())
+        if silent_s > _MAXIMUM_SILENCE_S:
+            return -1
+        return convert_to_ms(silent_s) + 1
 
     def _note_order(self, listing: Listing) -> None:
         """Log the first of several lists in a row that are older."""
-        is_older = listing.version < self._listing.version
+        is_older = listing.position < self._listing.position
         if is_older and not self._is_older:
             logger.info(
                 'backend-list-older',
                 revision=listing.version,
+                era=listing.era,
                 known=self._listing.version,
+                known_era=self._listing.era,
             )
         self._is_older = is_older
 
+    def _is_newer(self, era: int, version: int) -> bool:
+        # Versions without an era cannot be compared with those that have one.
+        return (era, version) > self._listing.position
+
     def _apply_copy(self, copy: DocumentCopy, host: str) -> None:
-        if self._lost_at is None or copy.revision <= self._listing.version:
+        newer = self._is_newer(copy.era, copy.revision)
+        if self._lost_at is None or not newer:
             return
         entries = decode_json(copy.source, list[tuple[str, str]])
         if isinstance(entries, Invalid):
@@ -195,9 +236,11 @@
         objects = tuple(
             StoredObject(name, 0, body.encode()) for name, body in entries
         )
-        self._apply(Listing(copy.revision, objects), host)
+        self._apply(Listing(copy.revision, objects, copy.era), host)
 
     def _apply(self, listing: Listing, origin: str) -> None:
+        if self._listing.era and listing.era > self._listing.era:
+            self._outages.note_restoration(self._clock(), LAPSE_S)
         self._listing = listing
         instances = {}
         for entry in listing.entries:
@@ -212,9 +255,11 @@
             if malformed.name not in instances
         }
         self._log_changes(instances, origin)
-        since_outage_s = self._clock() - self._regained_at
+        lapsed_at = self._outages.returned_at + LAPSE_S
         gone = self.table.replace(
-            instances, after_outage=since_outage_s < LAPSE_S
+            instances,
+            after_outage=self._clock() < lapsed_at,
+            lapsed_at=lapsed_at,
         )
         for instance in gone:
             self._report_gone(instance)
