Infer a stream's version only from a list that the platform confirms now

What callers saw: a stream that had begun on engines of a new software version broke, was resumed at a host that was cut off from the others or had stood still while that version joined, and went on at an engine of the old version (ORDER).

Cause: a host that did not know the stream took the only version of its list. It did so without a question if the list was 3 s old at most, which a host that has been out of step for two seconds has as well as a sound one: a watch confirms the list only up to the moment at which it was sent. With no reachable peer (they are dropped after 1.4 s) it did so whatever the age of the list, and with peers that were behind too if one replied. A version that had joined and left meanwhile was never noticed, as the history counted as complete.

Now the host asks the platform whether its list is the newest at this moment (a watch without a wait, shared by concurrent requests, at most 5 a second). If the platform does not answer, the version is inferred only if all asked peers answer and no host is suspected or was lost within 30 s. A list that changed after 5 s without confirmation starts the history anew, so that the record or a peer has to tell. Peers say whether they know the stream or infer its version (two optional fields); the word of hosts of an earlier build, which send both alike, counts once they cannot infer.

test_a_new_host_asks_as_it_may_have_missed_a_version had a peer without a mark override the host's own list of one other version. That was the fault seen from the other side; a reply that is recorded still does so, and three cases of replies that are behind are checked beside it.

--- a/egretdale/coordination/counted_platform.py
+++ b/egretdale/coordination/counted_platform.py
@@ -62,6 +62,19 @@
         outcome = self._platform.watch(kind, version, timeout_s)
         return self._count('watch', outcome)
 
+    def is_newest(
+        self, kind: str, version: int, timeout_s: float
+    ) -> bool | Unreachable:
+        """Tell whether no listing is newer than a version, without waiting.
+
+        :param kind: kind of the objects.
+        :param version: version of a listing.
+        :param timeout_s: timeout of the call in seconds.
+        :return: whether none is, or why that cannot be told.
+        """
+        outcome = self._platform.is_newest(kind, version, timeout_s)
+        return self._count('confirm', outcome)
+
     def write(
         self, kind: str, name: str, body: bytes, expected: int
     ) -> Written | Conflict | Unreachable | Ambiguous:
--- a/egretdale/coordination/gateway.py
+++ b/egretdale/coordination/gateway.py
@@ -305,7 +305,7 @@
             dependencies.clock,
             self.metrics.silent_allocators,
             list_knowledge=ListKnowledge(
-                self._is_list_current,
+                lambda: self.instances.confirmer.confirm(),
                 self._version_recorder.restore,
                 self._measure_list_age,
             ),
--- a/egretdale/coordination/instances.py
+++ b/egretdale/coordination/instances.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from egretdale.coordination.copies import CopyFetcher, PeerAccess
+from egretdale.coordination.list_confirmation import ListConfirmer
 from egretdale.coordination.mesh import MeshListener
 from egretdale.coordination.ports import (
     Listing,
@@ -34,6 +35,10 @@
 #: register again.
 LAPSE_S = 2.0
 
+#: Age in seconds of the list from which on a software version may have served
+#: and left unseen: two of the longest watches of the platform.
+_UNSEEN_S = 5.0
+
 _EXPIRY_CHECK_S = 0.25
 
 #: Decodes an entry; the arguments are its name and its body.
@@ -47,6 +52,7 @@
 
     :ivar table: backend servers.
     :ivar confirmation: time up to which the list is known to be the newest.
+    :ivar confirmer: makes sure that the list holds the latest changes.
     :ivar relay: answers other hosts that wait for changes.
     """
 
@@ -62,6 +68,7 @@
         '_regained_at',
         '_watch',
         'confirmation',
+        'confirmer',
         'relay',
         'table',
     )
@@ -92,6 +99,13 @@
         self._decode = decode
         self._clock = clock
         self.confirmation = Confirmation(clock)
+        self.confirmer = ListConfirmer(
+            INSTANCE_KIND,
+            platform,
+            self.confirmation,
+            lambda: self._listing.version,
+            clock,
+        )
         self._watch = KindWatch(
             INSTANCE_KIND, platform, peers, clock=clock, source=source
         )
@@ -120,6 +134,9 @@
             logger.info('backend-list-regained', lost_s=now - self._lost_at)
             self._lost_at = None
             self._regained_at = now
+        unseen_s = self.confirmation.measure_age()
+        if unseen_s > _UNSEEN_S and listing.version != self._listing.version:
+            self.table.versions.note_gap()
         self.confirmation.confirm(confirmed_at)
         self._note_order(listing)
         # The list of a reader may be older than a copy from another peer.
--- a/egretdale/coordination/ports.py
+++ b/egretdale/coordination/ports.py
@@ -95,6 +95,18 @@
             listing is returned.
         """
 
+    def is_newest(
+        self, kind: str, version: int, timeout_s: float
+    ) -> bool | Unreachable:
+        """Tell whether no listing is newer than a version, without waiting.
+
+        It may be called while a watch waits.
+
+        :param kind: kind of the objects.
+        :param version: version of a listing.
+        :param timeout_s: timeout of the call in seconds.
+        """
+
     def write(
         self, kind: str, name: str, body: bytes, expected: int
     ) -> Written | Conflict | Unreachable | Ambiguous:
--- a/egretdale/coordination/stream_origins.py
+++ b/egretdale/coordination/stream_origins.py
@@ -7,57 +7,49 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import eventlet
-from eventlet.queue import Empty, LightQueue
 
 from egretdale.coordination.admission import AdmittedRequest
 from egretdale.coordination.mesh import Mesh, MeshListener
+from egretdale.coordination.origin_peers import OriginPeers
 from egretdale.coordination.progress import Progress
-from egretdale.errors import Ambiguous, Unreachable
 from egretdale.state.instances import Instance, InstanceTable
-from egretdale.state.members import Member, list_owners
 from egretdale.state.messages import Batch, StreamOrigin
 from egretdale.state.outcomes import Ran, Reason, Refused
 from egretdale.state.queries import OriginAsk, OriginReply
 from egretdale.state.stream_origins import Origin, OriginTable
 from egretdale.util.clocks import Clock
-from egretdale.util.hashing import hash_text
 from egretdale.util.logs import get_logger
 
 logger = get_logger(__name__)
 
-#: Hosts that are told where a stream began.
-_KEEPERS = 2
-#: Hosts for each pair of keepers.
-_HOSTS_PER_SHARD = 24
 #: Delay in seconds within which origins are sent together.
 _FLUSH_S = 0.1
 #: Origins in one batch.
 _ORIGINS_PER_BATCH = 200
-#: Longest wait in seconds for the replies of peers.
-_REPLY_TIMEOUT_S = 0.3
 #: Retry time in seconds if nobody knows where a stream began: hosts that have
 #: just started learn it from others.
 _UNKNOWN_RETRY_S = 0.5
-#: Number of peers up to which all of them are asked, and not only keepers.
-_MAXIMUM_ASKED = 12
+#: Age in seconds beyond which no host infers a version from its list.
+_MAXIMUM_LIST_AGE_S = 3.0
 
 
 @dataclass(slots=True, frozen=True)
 class ListKnowledge:
     """What a host can find out about its list of backend servers.
 
-    :ivar is_current: tells whether the list holds the latest changes.
+    :ivar confirm: makes sure that the list holds all changes up to the call,
+        and tells whether it does.
     :ivar restore_history: reads which software versions served before this
         host started, and tells whether that is known.
     :ivar measure_age: returns the seconds since the list was known to hold the
         latest changes.
     """
 
-    is_current: Callable[[], bool]
+    confirm: Callable[[], bool]
     restore_history: Callable[[], bool]
     measure_age: Callable[[], float]
 
@@ -71,10 +63,10 @@
 
     __slots__ = (
         '_announced',
-        '_clock',
         '_instances',
         '_knowledge',
         '_mesh',
+        '_peers',
         '_pending',
         '_table',
     )
@@ -95,8 +87,8 @@
         """
         self._knowledge = knowledge
         self._mesh = mesh
+        self._peers = OriginPeers(mesh, clock)
         self._instances = instances
-        self._clock = clock
         self._table = OriginTable(clock)
         # Services whose streams are sent to keepers.
         self._announced: set[str] = set()
@@ -151,10 +143,7 @@
         :param service: service that ran it, empty if several can have.
         :return: where it began, ``None`` if it cannot be told.
         """
-        origin = self._find_known(resumed_id, service)
-        source = self._mesh.table.own_host
-        if origin is None:
-            origin, source = self._ask_peers(OriginAsk(resumed_id, service))
+        origin, source = self._search(OriginAsk(resumed_id, service))
         logger.info(
             'stream-origin',
             request_id=request_id,
@@ -173,11 +162,18 @@
         :param ask: its question.
         :return: what this host knows of it.
         """
-        origin = self._find_known(ask.request_id, ask.service_name)
+        origin = self._table.find(ask.request_id)
         if origin is not None:
-            return OriginReply(origin.service, origin.software_version)
-        versions = self._instances.versions.list_recent(ask.service_name)
-        return OriginReply(several_versions=len(versions) > 1)
+            return OriginReply(
+                origin.service, origin.software_version, is_recorded=True
+            )
+        versions = self._instances.versions
+        reply = OriginReply()
+        reply.several_versions = len(versions.list_recent(ask.service_name)) > 1
+        is_recent = self._knowledge.measure_age() <= _MAXIMUM_LIST_AGE_S
+        if is_recent and versions.is_complete():
+            reply.only_version = versions.find_only(ask.service_name)
+        return reply
 
     def fill(self, host: str, batch: Batch) -> None:
         """Add the origins that a keeper is told to a batch.
@@ -201,97 +197,80 @@
             origin = Origin(entry.service_name, entry.software_version)
             self._table.note(entry.request_id, origin)
 
-    def _find_known(self, request_id: str, service: str) -> Origin | None:
-        origin = self._table.find(request_id)
-        if origin is not None:
-            return origin
-        versions = self._instances.versions
-        only = versions.find_only(service)
-        if only and versions.is_complete() and self._knowledge.is_current():
-            return Origin(service, only)
-        return None
-
-    def _ask_peers(self, ask: OriginAsk) -> tuple[Origin | None, str]:
-        """Ask peers where a stream began.
+    def _search(self, ask: OriginAsk) -> tuple[Origin | None, str]:
+        """Find where a stream began, at this host or at its peers.
 
         :param ask: the question.
-        :return: the origin, ``None`` if it is unknown, and the host that knew.
+        :return: the origin, ``None`` if it cannot be told, and the host that
+            knew.
         """
-        asked = self._choose_asked(ask.request_id)
+        own_host = self._mesh.table.own_host
+        origin = self._table.find(ask.request_id)
+        if origin is not None:
+            return origin, own_host
+        service = ask.service_name
+        versions = self._instances.versions
+        # Another host may have begun it at a version that joined just now.
+        is_confirmed = (
+            bool(versions.find_only(service)) and self._knowledge.confirm()
+        )
+        if is_confirmed and versions.is_complete():
+            only = versions.find_only(service)
+            if only:
+                return Origin(service, only), own_host
+        return self._ask_peers(ask, is_confirmed=is_confirmed)
+
+    def _ask_peers(
+        self, ask: OriginAsk, *, is_confirmed: bool
+    ) -> tuple[Origin | None, str]:
+        asked = self._peers.choose_asked(ask.request_id)
         replies = []
-        for host, reply in self._receive_replies(asked, ask):
-            if reply.software_version:
+        for host, reply in self._peers.receive_replies(asked, ask):
+            if self._is_recorded(reply):
                 origin = Origin(reply.service_name, reply.software_version)
                 return origin, host
             replies.append(reply)
-        several = any(entry.several_versions for entry in replies)
-        if several or (asked and not replies):
-            return None, ''
-        only = self._find_only(ask.service_name)
-        if not only:
-            return None, ''
-        return Origin(ask.service_name, only), self._mesh.table.own_host
+        if is_confirmed or self._peers.has_heard_all(asked, replies):
+            own_host = self._mesh.table.own_host
+            return self._infer(ask.service_name, replies), own_host
+        return None, ''
+
+    def _is_recorded(self, reply: OriginReply) -> bool:
+        """Tell whether a peer knows the stream.
 
-    def _find_only(self, service: str) -> str:
-        """Find the only version that served, also if all hosts were lost.
+        A host of an earlier build does not say so. It infers a version only
+        while its list, which may be some seconds old, has no other one.
+
+        :param reply: reply of the peer.
+        """
+        if reply.is_recorded or not reply.software_version:
+            return reply.is_recorded
+        return self._instances.versions.has_known_another(
+            reply.service_name, reply.software_version, _MAXIMUM_LIST_AGE_S
+        )
+
+    def _infer(self, service: str, replies: list[OriginReply]) -> Origin | None:
+        """Infer the origin from the only version that has served.
 
         :param service: service name.
-        :return: the version, empty if there may have been several.
+        :param replies: replies of peers that do not know the stream.
+        :return: the origin, ``None`` if there may have been several versions.
         """
         versions = self._instances.versions
-        if not versions.find_only(service):
-            return ''
-        if not versions.is_complete() and not self._knowledge.restore_history():
-            return ''
-        return versions.find_only(service)
-
-    def _receive_replies(
-        self, asked: list[Member], ask: OriginAsk
-    ) -> Iterator[tuple[str, OriginReply]]:
-        """Ask peers at the same time and yield their replies.
-
-        :param asked: the peers.
-        :param ask: the question.
-        :return: names of the hosts and their replies, as they arrive.
-        """
-        replies: LightQueue[tuple[str, OriginReply | None]] = LightQueue()
-        for member in asked:
-            eventlet.spawn_n(self._ask_peer, member, ask, replies)
-        deadline_at = self._clock() + _REPLY_TIMEOUT_S
-        for _ in asked:
-            left_s = max(0, deadline_at - self._clock())
-            try:
-                host, reply = replies.get(timeout=left_s)
-            except Empty:
-                return
-            if reply is not None:
-                yield host, reply
-
-    def _ask_peer(
-        self,
-        member: Member,
-        ask: OriginAsk,
-        replies: LightQueue[tuple[str, OriginReply | None]],
-    ) -> None:
-        update = member.update
-        outcome = self._mesh.network.find_origin(update.peer_address, ask)
-        reached = not isinstance(outcome, Unreachable | Ambiguous)
-        replies.put((update.host, outcome if reached else None))
-
-    def _choose_asked(self, request_id: str) -> list[Member]:
-        reachable = self._mesh.table.list_reachable()
-        if len(reachable) <= _MAXIMUM_ASKED:
-            return reachable
-        keepers = self._list_keepers(request_id)
-        return [member for member in reachable if member.update.host in keepers]
-
-    def _list_keepers(self, request_id: str) -> list[str]:
-        members = self._mesh.table
-        shards = max(1, members.count_live() // _HOSTS_PER_SHARD)
-        key = f'streams/{hash_text(request_id) % shards}'
-        owners = list_owners(members, key, _KEEPERS + 1)
-        others = [host for host in owners if host != members.own_host]
-        return others[:_KEEPERS]
+        only = versions.find_only(service)
+        inferred = {
+            reply.software_version or reply.only_version for reply in replies
+        } - {''}
+        if not only or any(reply.several_versions for reply in replies):
+            return None
+        if not inferred <= {only}:
+            return None
+        is_complete = inferred or versions.is_complete()
+        if not is_complete and not self._knowledge.restore_history():
+            return None
+        # The record may have added another version.
+        only = versions.find_only(service)
+        return Origin(service, only) if only else None
 
     def _announce_earlier(self) -> None:
         """Announce the streams that began before a second version served."""
@@ -308,7 +287,7 @@
         entry = StreamOrigin(
             request_id, origin.service, origin.software_version
         )
-        for host in self._list_keepers(request_id):
+        for host in self._peers.list_keepers(request_id):
             if host not in self._pending:
                 self._pending[host] = []
                 eventlet.spawn_after(_FLUSH_S, self._flush, host)
--- a/egretdale/protocol/gen/ttypes.py
+++ b/egretdale/protocol/gen/ttypes.py
@@ -2142,6 +2142,8 @@
      - service_name
      - software_version
      - several_versions
+     - is_recorded
+     - only_version
 
     """
 
@@ -2149,13 +2151,17 @@
         'service_name',
         'software_version',
         'several_versions',
+        'is_recorded',
+        'only_version',
     )
 
 
-    def __init__(self, service_name=None, software_version=None, several_versions=None,):
+    def __init__(self, service_name=None, software_version=None, several_versions=None, is_recorded=None, only_version=None,):
         self.service_name = service_name
         self.software_version = software_version
         self.several_versions = several_versions
+        self.is_recorded = is_recorded
+        self.only_version = only_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2181,6 +2187,16 @@
                     self.several_versions = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.is_recorded = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.only_version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2203,6 +2219,14 @@
             oprot.writeFieldBegin('several_versions', TType.BOOL, 3)
             oprot.writeBool(self.several_versions)
             oprot.writeFieldEnd()
+        if self.is_recorded is not None:
+            oprot.writeFieldBegin('is_recorded', TType.BOOL, 4)
+            oprot.writeBool(self.is_recorded)
+            oprot.writeFieldEnd()
+        if self.only_version is not None:
+            oprot.writeFieldBegin('only_version', TType.STRING, 5)
+            oprot.writeString(self.only_version.encode('utf-8') if sys.version_info[0] == 2 else self.only_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3321,6 +3345,8 @@
     (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'software_version', 'UTF8', None, ),  # 2
     (3, TType.BOOL, 'several_versions', None, None, ),  # 3
+    (4, TType.BOOL, 'is_recorded', None, None, ),  # 4
+    (5, TType.STRING, 'only_version', 'UTF8', None, ),  # 5
 )
 all_structs.append(Batch)
 Batch.thrift_spec = (
--- a/egretdale/protocol/peer.thrift
+++ b/egretdale/protocol/peer.thrift
@@ -145,6 +145,8 @@
   1: string service_name
   2: string software_version
   3: bool several_versions
+  4: bool is_recorded
+  5: string only_version
 }
 
 struct Batch {
--- a/egretdale/state/queries.py
+++ b/egretdale/state/queries.py
@@ -124,8 +124,14 @@
     :ivar software_version: software version of the engine, empty if unknown.
     :ivar several_versions: whether the stream may have begun at one of several
         versions.
+    :ivar is_recorded: whether the peer knows the stream. Hosts of an earlier
+        build leave it out, also if they only infer the version.
+    :ivar only_version: the only version that has served recently according to
+        the peer's list, empty if there may have been several.
     """
 
     service_name: str = ''
     software_version: str = ''
     several_versions: bool = False
+    is_recorded: bool = False
+    only_version: str = ''
--- a/egretdale/state/software_versions.py
+++ b/egretdale/state/software_versions.py
@@ -34,7 +34,14 @@
 class VersionHistory:
     """Software versions by service, with those that have left recently."""
 
-    __slots__ = ('_began_at', '_clock', '_is_restored', '_left_at', '_listed')
+    __slots__ = (
+        '_began_at',
+        '_clock',
+        '_is_restored',
+        '_left_at',
+        '_listed',
+        '_listed_at',
+    )
 
     def __init__(self, clock: Clock) -> None:
         """Create an empty history.
@@ -46,6 +53,8 @@
         self._is_restored = False
         self._listed: dict[str, set[str]] = {}
         self._left_at: dict[tuple[str, str], float] = {}
+        # Times since when the versions are known to serve or to have served.
+        self._listed_at: dict[tuple[str, str], float] = {}
 
     def update(self, listed: Iterable[tuple[str, str]]) -> None:
         """Record the versions of all listed backend servers.
@@ -67,6 +76,16 @@
             if left_at + ORIGIN_RETENTION_S > now
         }
         self._listed = current
+        self._listed_at = {
+            key: self._listed_at.get(key, now)
+            for key in (*self.list_current(), *self._left_at)
+        }
+
+    def note_gap(self) -> None:
+        """Record that versions may have served and left unseen until now."""
+        self._is_restored = False
+        if self._began_at <= self._clock():
+            self._began_at = self._clock()
 
     def list_recent(self, service: str) -> set[str]:
         """List the versions that may have begun a stream that still runs.
@@ -90,6 +109,22 @@
         versions = self.list_recent(service)
         return next(iter(versions)) if len(versions) == 1 else ''
 
+    def has_known_another(
+        self, service: str, version: str, for_s: float
+    ) -> bool:
+        """Tell whether another version has been known for some time.
+
+        :param service: service name.
+        :param version: the version.
+        :param for_s: seconds for which this host must have known it.
+        """
+        latest = self._clock() - for_s
+        others = self.list_recent(service) - {version}
+        return any(
+            self._listed_at.get((service, other), latest + 1) <= latest
+            for other in others
+        )
+
     def is_complete(self) -> bool:
         """Tell whether it covers the life of all running streams."""
         covered_s = self._clock() - self._began_at
--- a/egretdale/transport/platform.py
+++ b/egretdale/transport/platform.py
@@ -148,6 +148,22 @@
         path = f'{kind}?watch={version}&timeout_s={timeout_s}'
         return self._list('watch', path, timeout_s + self._timeout_s)
 
+    def is_newest(
+        self, kind: str, version: int, timeout_s: float
+    ) -> bool | Unreachable:
+        """Tell whether no listing is newer than a version, without waiting.
+
+        :param kind: kind of the objects.
+        :param version: version of a listing.
+        :param timeout_s: timeout of the call in seconds.
+        :return: whether none is, or why that cannot be told.
+        """
+        path = f'{kind}?watch={version}&timeout_s=0'
+        listing = self._list('watch', path, timeout_s)
+        if isinstance(listing, Unreachable):
+            return listing
+        return listing.version == version
+
     def write(
         self, kind: str, name: str, body: bytes, expected: int
     ) -> Written | Conflict | Unreachable | Ambiguous:
--- a/standins/emulation/hosts.py
+++ b/standins/emulation/hosts.py
@@ -154,7 +154,7 @@
             clock,
             metrics.silent_allocators,
             list_knowledge=ListKnowledge(
-                _is_list_current, _restore_nothing, float
+                _confirm_list, _restore_nothing, float
             ),
             speeds=speeds,
             create_chooser=policy.create_chooser,
@@ -214,7 +214,7 @@
             self._selection.forget(instance)
 
 
-def _is_list_current() -> bool:
+def _confirm_list() -> bool:
     return True
 
 
--- a/standins/virtual/platform.py
+++ b/standins/virtual/platform.py
@@ -99,6 +99,15 @@
             eventlet.sleep(_WATCH_INTERVAL_S)
         return self.list_objects(kind)
 
+    def is_newest(
+        self, kind: str, version: int, timeout_s: float
+    ) -> bool | Unreachable:
+        """Tell whether no listing is newer than a version."""
+        failed = self._check_availability()
+        if failed is not None:
+            return failed
+        return self._state.store.snapshot(kind).version == version
+
     def write(
         self, kind: str, name: str, body: bytes, expected: int
     ) -> Written | Conflict | Unreachable | Ambiguous:
--- a/tests/test_coordination/test_stream_origins.py
+++ b/tests/test_coordination/test_stream_origins.py
@@ -16,7 +16,7 @@
 )
 from egretdale.errors import Cause, Unreachable
 from egretdale.state.instances import Instance, InstanceTable
-from egretdale.state.members import MemberTable
+from egretdale.state.members import MemberStatus, MemberTable
 from egretdale.state.messages import Batch, MemberUpdate, StreamOrigin
 from egretdale.state.queries import OriginAsk, OriginReply
 from egretdale.state.software_versions import RecordedVersion
@@ -61,6 +61,7 @@
 
     hub: VirtualHub
     peers: _Peers
+    members: MemberTable
     instances: InstanceTable
     origins: StreamOrigins
     is_list_current: bool = True
@@ -100,7 +101,7 @@
             members.apply(MemberUpdate(name, 1, 0, 0, 'dc', name, name), 0)
         mesh = Mesh(members, network, hub.read_now, 4096)
         instances = InstanceTable(hub.read_now, 2)
-        scene = _Scene(hub, network, instances, None)
+        scene = _Scene(hub, network, members, instances, None)
         scene.origins = StreamOrigins(
             mesh,
             instances,
@@ -138,10 +139,58 @@
 
 
 def test_a_new_host_asks_as_it_may_have_missed_a_version() -> None:
-    """A peer with a complete history knows."""
+    """A peer knows the stream, or which version alone has served."""
     with _open_scene('v2', age_s=1) as scene:
-        scene.peers.replies['p1'] = OriginReply(_SERVICE, 'v1')
+        scene.peers.replies['p1'] = OriginReply(_SERVICE, 'v1', False, True)
         assert scene.find() == _ALONE
+    with _open_scene('v1', age_s=1) as scene:
+        scene.peers.replies['p1'] = OriginReply(only_version='v1')
+        assert scene.find() == _ALONE
+        assert not scene.reads
+
+
+def test_no_stream_goes_on_at_the_version_of_a_list_that_is_behind() -> None:
+    """The list of this host or of a peer lacks the other one's version."""
+    for reply in (
+        OriginReply(only_version='v1'),
+        OriginReply(_SERVICE, 'v1'),
+        OriginReply(several_versions=True),
+    ):
+        for is_confirmed in (False, True):
+            with _open_scene('v2', age_s=1) as scene:
+                scene.is_list_current = is_confirmed
+                scene.recorded = []
+                scene.peers.replies.update(p0=reply, p1=OriginReply())
+                assert scene.find() is None, (reply, is_confirmed)
+
+
+def test_a_peer_of_an_earlier_build_is_believed_if_it_cannot_infer() -> None:
+    """It infers a version from a list that is up to three seconds old."""
+    for listed_s, found in ((1, None), (4, _ALONE)):
+        with _open_scene('v1') as scene:
+            scene.list_versions('v1', 'v2')
+            eventlet.sleep(listed_s)
+            scene.peers.replies['p0'] = OriginReply(_SERVICE, 'v1')
+            assert scene.find() == found, listed_s
+
+
+def test_a_host_without_store_and_peers_infers_nothing() -> None:
+    """Other hosts may have seen another version."""
+    for peers in (0, 2, 60):
+        with _open_scene('v1', peers=peers) as scene:
+            scene.is_list_current = False
+            assert scene.find() is None, peers
+
+
+def test_a_lost_host_may_have_begun_a_stream_unknown_to_the_others() -> None:
+    """The store cannot tell, and the remaining hosts may be cut off too."""
+    for status in (MemberStatus.SUSPECT, MemberStatus.GONE):
+        with _open_scene('v1') as scene:
+            scene.is_list_current = False
+            scene.peers.replies['p0'] = OriginReply(only_version='v1')
+            update = MemberUpdate('p1', 1, 1, int(status), 'dc', 'p1', 'p1')
+            scene.members.apply(update, scene.hub.now)
+            assert scene.find() is None, status
 
 
 def test_hosts_that_all_started_rely_on_the_record_of_versions() -> None:
@@ -230,7 +279,7 @@
         entry = StreamOrigin('r0', _SERVICE, 'v2')
         scene.origins.receive(Batch('p0', 1, origins=[entry]))
         ask = OriginAsk('r0', _SERVICE)
-        known = OriginReply(_SERVICE, 'v2')
+        known = OriginReply(_SERVICE, 'v2', is_recorded=True)
         assert scene.origins.answer(ask) == known
         unknown = OriginReply(several_versions=True)
         assert scene.origins.answer(OriginAsk('r9', _SERVICE)) == unknown
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -54,6 +54,21 @@
         assert again.version == program.revision
 
 
+def test_a_listing_is_compared_without_disturbing_a_watch() -> None:
+    """The watch still returns the change that made the listing an old one."""
+    with open_store() as (program, client):
+        program.put('servers', 'a', {})
+        first = client.list_objects('instances')
+        watch = eventlet.spawn(client.watch, 'instances', first.version, 1)
+        assert client.is_newest('instances', first.version, 1) is True
+        program.put('others', 'x', {})
+        assert client.is_newest('instances', first.version, 1) is True
+        program.put('servers', 'b', {})
+        assert client.is_newest('instances', first.version, 1) is False
+        assert _list_names(watch.wait()) == ['a', 'b']
+        assert client.is_newest('instances', program.revision + 1, 1) is False
+
+
 def test_a_change_at_the_end_of_a_watch_is_not_skipped() -> None:
     """The stand-in reports changes that it covers by the revision it states.
 
