Take late requests of a planned stop only if they end in time, and answer the rest

What callers saw: requests that came seconds after SIGTERM were taken and passed on; those that still ran when the grace ended lost their connection without an answer, among them requests that may not be repeated (LOST). Requests that had run since before the signal ended in the same way.

Cause: all requests were taken for 0.35 of the grace (7 s of 20), whatever time they had themselves, and 0.4 s before its end the process exited with whatever was still running or being read.

Now a request that comes later than 2.5 s after the signal is taken only if its deadline lies within the stop; else it is refused as not run, to be retried at another host at once (421 for a relaying host, which then tries another one by itself). In the first 2.5 s, when callers cannot know of the stop, requests with a later deadline get the end of the stop as theirs.

Evidence: tests/test_platform/test_planned_stops.py with a real daemon.

--- a/egretdale/transport/exchanges.py
+++ b/egretdale/transport/exchanges.py
@@ -18,15 +18,18 @@
 )
 from egretdale.state.outcomes import Ran, Reason, Refused
 from egretdale.transport.caller_watch import CallerWatch
+from egretdale.transport.stopping import StoppingRequests
 
 
 class ExchangeOwner(Protocol):
     """The server that received a request.
 
     :ivar active: requests in progress.
+    :ivar stopping: the requests during a shutdown.
     """
 
     active: int
+    stopping: StoppingRequests
 
     def forward(self, admitted: AdmittedRequest) -> ForwardOutcome:
         """Forward a request.
@@ -76,8 +79,10 @@
         '_chunks',
         '_closed',
         '_first_chunk',
+        '_is_stopped',
         '_owner',
         '_start_response',
+        '_target',
         '_timer',
         '_watch',
     )
@@ -106,6 +111,9 @@
         self._first_chunk: bytes | None = None
         self._chunks: Iterator[bytes] = iter(())
         owner.active += 1
+        self._is_stopped = False
+        self._target = eventlet.getcurrent()
+        owner.stopping.add(self.stop)
         self._watch = CallerWatch(connection)
         self._timer = eventlet.Timeout(owner.measure_remaining_time(admitted))
 
@@ -117,11 +125,7 @@
             if passed is not self._timer:
                 self.close()
                 raise
-            outcome = Refused(
-                Reason.DEADLINE_PASSED,
-                Ran.UNKNOWN,
-                detail='no response in time',
-            )
+            outcome = self._refuse_late()
         except IncompleteResponse as incomplete:
             outcome = Refused(
                 Reason.BACKEND_FAILED, Ran.UNKNOWN, detail=str(incomplete)
@@ -165,6 +169,7 @@
         if self._closed:
             return
         self._closed = True
+        self._owner.stopping.remove(self.stop)
         self._timer.cancel()
         self._watch.stop()
         self._owner.active -= 1
@@ -172,6 +177,23 @@
         if close_chunks is not None:
             close_chunks()
 
+    def stop(self) -> None:
+        """End the request, as the shutdown of this host ends."""
+        self._is_stopped = True
+        self._timer.cancel()
+        self._target.throw(self._timer)
+
+    def _refuse_late(self) -> Refused:
+        if self._is_stopped:
+            return Refused(
+                Reason.OUTCOME_UNKNOWN,
+                Ran.UNKNOWN,
+                detail='this host has shut down before a response',
+            )
+        return Refused(
+            Reason.DEADLINE_PASSED, Ran.UNKNOWN, detail='no response in time'
+        )
+
     def _forward(self) -> ForwardOutcome:
         outcome = self._owner.forward(self._admitted)
         if isinstance(outcome, ForwardReply):
@@ -194,7 +216,9 @@
             case CallerGone():
                 outcome = 'caller-gone'
             case eventlet.Timeout():
-                outcome = 'deadline-passed'
+                outcome = (
+                    'host-stopped' if self._is_stopped else 'deadline-passed'
+                )
             case _:
                 outcome = f'broken: {failed!r}'
         self._owner.log_end(self._admitted.request, outcome)
--- a/egretdale/transport/gateway.py
+++ b/egretdale/transport/gateway.py
@@ -22,6 +22,7 @@
 from egretdale.transport.peer_calls import GatewayHandler
 from egretdale.transport.peers import PeerClient, PeerServer, listen
 from egretdale.transport.process_exit import ProcessExit
+from egretdale.transport.stopping import StopTimes
 from egretdale.transport.strict_server import StrictProtocol
 from egretdale.util.clocks import read_boot_clock, read_wall_clock
 from egretdale.util.logs import get_logger
@@ -38,6 +39,11 @@
 _ACCEPTING_SHARE = 0.35
 #: Part of the shutdown that is reserved for ending the process, in seconds.
 _EXIT_MARGIN_S = 0.4
+#: Time in seconds for the last answers, before the processes of a host end.
+_ANSWER_MARGIN_S = 0.3
+#: Seconds from the start of a shutdown in which most callers cannot know of it.
+#: Those of requests that last longer than the shutdown are not turned away.
+_UNAWARE_S = 2.5
 _FLUSH_S = 0.1
 _AUXILIARY_CONNECTIONS = 256
 #: Idle timeout of connections to the readiness, directory and metrics
@@ -197,8 +203,9 @@
         started_at = clock()
         accepting_s, limit_s = plan_shutdown(self._settings)
         limit_at = started_at + limit_s
+        times = plan_stop_times(self._settings, started_at)
         logger.info('drain-started', active=self._ingress.active)
-        self._ingress.start_draining()
+        self._ingress.start_draining(times)
         self.gateway.membership.leave()
         while clock() < started_at + accepting_s:
             eventlet.sleep(_DRAIN_POLL_S)
@@ -207,7 +214,9 @@
         while self._ingress.connections.is_busy() and clock() < limit_at:
             eventlet.sleep(_DRAIN_POLL_S)
         eventlet.sleep(_FLUSH_S)
-        self._end.finish(1 if self._ingress.active else 0)
+        aborted = self._ingress.active + self._ingress.stopping.aborted
+        logger.info('drain-ended', aborted=aborted)
+        self._end.finish(1 if aborted else 0)
 
     def _ignore_bytes(self, size: int) -> None:
         """Ignore the size of a message; the mesh counts sent bytes itself."""
@@ -225,6 +234,19 @@
     return accepting_s, settings.drain_limit_s - _EXIT_MARGIN_S
 
 
+def plan_stop_times(settings: GatewaySettings, started_at: float) -> StopTimes:
+    """Plan what happens to requests during a graceful shutdown.
+
+    :param settings: settings of the host.
+    :param started_at: clock time at which it starts.
+    """
+    accepting_s, limit_s = plan_shutdown(settings)
+    return StopTimes(
+        started_at + min(accepting_s, _UNAWARE_S),
+        started_at + limit_s - _ANSWER_MARGIN_S,
+    )
+
+
 def _serve(listener: Any, application: Application) -> None:
     wsgi.server(
         listener,
--- a/egretdale/transport/ingress.py
+++ b/egretdale/transport/ingress.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from functools import partial
 from typing import Any, Protocol
 
 import eventlet
@@ -28,6 +29,11 @@
 from egretdale.transport.exchanges import Exchange
 from egretdale.transport.message_reader import MalformedMessageError
 from egretdale.transport.sockets import is_readable
+from egretdale.transport.stopping import (
+    HostStoppedError,
+    StoppingRequests,
+    StopTimes,
+)
 from egretdale.util.clocks import Clock, convert_to_ms
 from egretdale.util.logs import get_logger
 
@@ -46,10 +52,6 @@
 #: listener is closed.
 _BACKLOG_TIMEOUT_S = 0.5
 
-#: ``Retry-After`` of refusals by a host that is shutting down, in seconds;
-#: callers retry at another host.
-_STOPPING_RETRY_S = 0.05
-
 
 class RequestForwarder(Protocol):
     """Admits requests and forwards them."""
@@ -72,10 +74,10 @@
 
     :ivar active: requests in progress.
     :ivar connections: open connections of callers.
+    :ivar stopping: the requests during a shutdown.
     """
 
     __slots__ = (
-        '_accepting',
         '_clock',
         '_codec',
         '_draining',
@@ -86,6 +88,7 @@
         '_pool',
         'active',
         'connections',
+        'stopping',
     )
 
     def __init__(
@@ -108,13 +111,13 @@
         """
         self.active = 0
         self.connections = CallerConnections()
+        self.stopping = StoppingRequests(clock)
         self._codec = codec
         self._forwarder = forwarder
         self._limits = limits
         self._clock = clock
         self._metrics = metrics
         self._draining = False
-        self._accepting = True
         self._listener: Any = None
         self._pool = GreenPool(maximum_connections)
 
@@ -139,9 +142,14 @@
         """Return the current limits."""
         return self._limits()
 
-    def start_draining(self) -> None:
-        """Announce in each response that its connection closes."""
+    def start_draining(self, times: StopTimes | None = None) -> None:
+        """Announce in each response that its connection closes.
+
+        :param times: phases of the shutdown, ``None`` if it has no end.
+        """
         self._draining = True
+        if times is not None:
+            self.stopping.begin(times)
 
     def close_listener(self) -> None:
         """Accept no more connections but those that wait already."""
@@ -154,7 +162,7 @@
 
     def stop_accepting(self) -> None:
         """Refuse new requests and close idle connections."""
-        self._accepting = False
+        self.stopping.close()
         self.connections.close_idle()
 
     def __call__(
@@ -179,24 +187,17 @@
             return self.refuse(start_response, admitted, request.request_id)
         connection = environ['eventlet.input'].get_socket()
         connection.settimeout(_WRITE_TIMEOUT_S)
-        exchange = Exchange(
-            self,
-            connection,
-            admitted,
-            start_response,
-            environ['egretdale.connection'].abort_response,
-        )
+        abort = environ['egretdale.connection'].abort_response
+        exchange = Exchange(self, connection, admitted, start_response, abort)
         return exchange.respond()
 
     def _admit(self, request: ForwardRequest) -> AdmittedRequest | Refused:
-        if self._accepting:
-            return self._forwarder.admit(request)
-        return Refused(
-            Reason.HOST_STOPPING,
-            Ran.NO,
-            _STOPPING_RETRY_S,
-            'this host is shutting down; others are not',
-        )
+        if self.stopping.is_closed():
+            return self.stopping.refuse(is_relayed=request.is_relayed)
+        admitted = self._forwarder.admit(request)
+        if isinstance(admitted, Refused):
+            return admitted
+        return self.stopping.check(admitted)
 
     def _read_request(
         self, environ: dict[str, Any]
@@ -307,16 +308,22 @@
         length = None if reader.chunked_input else reader.content_length or 0
         if length is not None and length > limit:
             return _refuse_large(limit)
+        end = _create_interruption()
+        self.stopping.add(end)
         try:
             with eventlet.Timeout(limit_s, TimeoutError()):
                 request.body = reader.read(
                     limit + 1 if length is None else length
                 )
+        except HostStoppedError:
+            return self.stopping.refuse(is_relayed=request.is_relayed)
         except TimeoutError:
             detail = 'timeout while reading the body'
             return Refused(Reason.TOO_SLOW, Ran.NO, detail=detail)
         except _BODY_ERRORS as error:
             return Refused(Reason.BAD_REQUEST, Ran.NO, detail=str(error))
+        finally:
+            self.stopping.remove(end)
         if length is not None and len(request.body) < length:
             return Refused(
                 Reason.BAD_REQUEST, Ran.NO, detail='the body is incomplete'
@@ -326,6 +333,11 @@
         return None
 
 
+def _create_interruption() -> Callable[[], None]:
+    """Create a function that interrupts the current task."""
+    return partial(eventlet.getcurrent().throw, HostStoppedError)
+
+
 def _refuse_large(limit: int) -> Refused:
     return Refused(
         Reason.TOO_LARGE,
