--- a/egretdale/coordination/counted_platform.py
+++ b/egretdale/coordination/counted_platform.py
@@ -7,6 +7,7 @@
 from egretdale.coordination.ports import (
     Listing,
     Platform,
+    Position,
     StoredObject,
     Written,
 )
@@ -62,6 +63,19 @@
         outcome = self._platform.watch(kind, version, timeout_s)
         return self._count('watch', outcome)
 
+    def is_newest(
+        self, kind: str, position: Position, timeout_s: float
+    ) -> bool | Unreachable:
+        """Tell whether no listing is newer than one, without waiting.
+
+        :param kind: kind of the objects.
+        :param position: position of a listing.
+        :param timeout_s: timeout of the call in seconds.
+        :return: whether none is, or why that cannot be told.
+        """
+        outcome = self._platform.is_newest(kind, position, timeout_s)
+        return self._count('confirm', outcome)
+
     def write(
         self, kind: str, name: str, body: bytes, expected: int
     ) -> Written | Conflict | Unreachable | Ambiguous:
--- a/egretdale/transport/platform.py
+++ b/egretdale/transport/platform.py
@@ -8,7 +8,12 @@
 import urllib3
 from urllib3.exceptions import HTTPError, NewConnectionError, TimeoutError
 
-from egretdale.coordination.ports import Listing, StoredObject, Written
+from egretdale.coordination.ports import (
+    Listing,
+    Position,
+    StoredObject,
+    Written,
+)
 from egretdale.errors import (
     Ambiguous,
     Cause,
@@ -148,6 +153,22 @@
         path = f'{kind}?watch={version}&timeout_s={timeout_s}'
         return self._list('watch', path, timeout_s + self._timeout_s)
 
+    def is_newest(
+        self, kind: str, position: Position, timeout_s: float
+    ) -> bool | Unreachable:
+        """Tell whether no listing is newer than one, without waiting.
+
+        :param kind: kind of the objects.
+        :param position: position of a listing.
+        :param timeout_s: timeout of the call in seconds.
+        :return: whether none is, or why that cannot be told.
+        """
+        path = f'{kind}?watch={position[1]}&timeout_s=0'
+        listing = self._list('watch', path, timeout_s)
+        if isinstance(listing, Unreachable):
+            return listing
+        return listing.position == position
+
     def write(
         self, kind: str, name: str, body: bytes, expected: int
     ) -> Written | Conflict | Unreachable | Ambiguous:
--- a/standins/virtual/platform.py
+++ b/standins/virtual/platform.py
@@ -6,6 +6,7 @@
 
 from egretdale.coordination.ports import (
     Listing,
+    Position,
     StoredObject,
     Written,
 )
@@ -102,6 +103,16 @@
             eventlet.sleep(_WATCH_INTERVAL_S)
         return self.list_objects(kind)
 
+    def is_newest(
+        self, kind: str, position: Position, timeout_s: float
+    ) -> bool | Unreachable:
+        """Tell whether no listing is newer than one."""
+        failed = self._check_availability()
+        if failed is not None:
+            return failed
+        snapshot = self._state.store.snapshot(kind)
+        return (snapshot.era, snapshot.version) == position
+
     def write(
         self, kind: str, name: str, body: bytes, expected: int
     ) -> Written | Conflict | Unreachable | Ambiguous:
