Reset responses to old callers whose deadline passes within a write

A caller of HTTP/1.0 takes the end of its connection for the end of a response without a length. A response that failed while the next chunk was awaited was reset, but one whose deadline passed, or whose caller left or stood still, while a chunk was being written ended in order: it looked complete, and no `request-ended` line told of it. The server raises such errors outside of the iterator, which alone aborted.

The end of the exchange now aborts every response that has begun and is not complete, and logs it as `not-delivered`. The deadline ends with the last chunk, so that it no longer cuts the end marker of a response that is whole.

test_a_response_that_an_old_caller_does_not_read_is_reset fails on the code before and on: the connection has no error.

--- a/egretdale/transport/exchanges.py
+++ b/egretdale/transport/exchanges.py
@@ -76,6 +76,7 @@
         '_chunks',
         '_closed',
         '_first_chunk',
+        '_is_incomplete',
         '_owner',
         '_start_response',
         '_timer',
@@ -103,6 +104,7 @@
         self._admitted = admitted
         self._start_response = start_response
         self._closed = False
+        self._is_incomplete = False
         self._first_chunk: bytes | None = None
         self._chunks: Iterator[bytes] = iter(())
         owner.active += 1
@@ -152,12 +154,14 @@
         try:
             return next(self._chunks)
         except StopIteration:
+            # What is ready is delivered, also late.
+            self._timer.cancel()
+            self._is_incomplete = False
             self._owner.log_end(self._admitted.request, 'answered')
             raise
         except BaseException as error:
             self._log_failure(error)
-            self._watch.stop()
-            self._abort()
+            self._abort_response()
             raise
 
     def close(self) -> None:
@@ -167,6 +171,10 @@
         self._closed = True
         self._timer.cancel()
         self._watch.stop()
+        if self._is_incomplete:
+            # The caller has not taken it in time.
+            self._owner.log_end(self._admitted.request, 'not-delivered')
+            self._abort_response()
         self._owner.active -= 1
         close_chunks = getattr(self._chunks, 'close', None)
         if close_chunks is not None:
@@ -187,8 +195,14 @@
         if reply.length is not None:
             headers.append(('Content-Length', str(reply.length)))
         self._start_response(f'{reply.status} ', headers)
+        self._is_incomplete = True
         return self
 
+    def _abort_response(self) -> None:
+        self._is_incomplete = False
+        self._watch.stop()
+        self._abort()
+
     def _log_failure(self, failed: BaseException) -> None:
         match failed:
             case CallerGone():
--- a/tests/test_transport/test_caller_connections.py
+++ b/tests/test_transport/test_caller_connections.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import errno
+import itertools
 import socket
 import time
 from collections.abc import Iterator
@@ -114,6 +116,23 @@
         assert not ingress.active
 
 
+def test_a_response_that_an_old_caller_does_not_read_is_reset() -> None:
+    """An orderly end after its deadline would look like its own end."""
+    part = bytes(1 << 16)
+    with open_ingress() as (forwarder, ingress, address):
+        forwarder.left_s = 0.5
+        forwarder.respond = lambda: ForwardReply(
+            200, [], None, itertools.repeat(part, 400)
+        )
+        with connect(address) as connection:
+            connection.sendall(f'GET / HTTP/1.0\r\n{HEAD}\r\n'.encode())
+            eventlet.sleep(1)
+            assert not ingress.active
+            # The cooperative socket would report a reset as an end.
+            error = connection.fd.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        assert error == errno.ECONNRESET
+
+
 def test_a_slow_response_is_passed_on_whole() -> None:
     """Pauses do not matter while its deadline has not passed."""
 
