Send what must not run twice on no connection that may end in a standstill

A server that stands still for a second or so fires the timers that came due as soon as it goes on, and closes connections that were idle for too long although a request has arrived on them. Such a request may have run; one that must not run twice ended with 502. Kept connections were used until 1 s before the announced end of their idle time, which is shorter than a standstill, and those that were opened to test a silent server for 20 s, whatever it announces.

Requests that must not run twice now need 2 s; those that may are sent again and keep 1 s, so that new connections are opened only for the former. A tested connection expires as the server last announced.

--- a/egretdale/coordination/attempt_sender.py
+++ b/egretdale/coordination/attempt_sender.py
@@ -82,6 +82,7 @@
             self._admission.measure_remaining_time(admitted),
             admitted.urgency,
             last_event_id,
+            is_repeatable=admitted.route.is_repeatable(),
         )
         progress.avoided.append(choice.instance.name)
         sent_at = self._clock()
--- a/egretdale/coordination/exchanges.py
+++ b/egretdale/coordination/exchanges.py
@@ -119,6 +119,7 @@
     :ivar urgency: rank for the backend server, 0 is served first.
     :ivar last_event_id: event after which to resume a stream, empty for a
         new response.
+    :ivar is_repeatable: whether it may run twice.
     """
 
     request: ForwardRequest
@@ -127,6 +128,7 @@
     left_s: float
     urgency: int
     last_event_id: str = ''
+    is_repeatable: bool = True
 
 
 @dataclass(slots=True, frozen=True)
--- a/egretdale/transport/backend_connections.py
+++ b/egretdale/transport/backend_connections.py
@@ -22,9 +22,12 @@
 _CONNECT_TIMEOUT_S = 0.5
 #: Idle timeout of a pooled connection in seconds, if the backend server does
 #: not announce one.
-IDLE_TIMEOUT_S = 20.0
+_IDLE_TIMEOUT_S = 20.0
 #: How long before its announced timeout a connection expires, in seconds.
 _IDLE_MARGIN_S = 1.0
+#: The same for requests that must not run twice: a server that stands still for
+#: a while closes idle connections when it goes on, with requests unread.
+_UNREPEATABLE_MARGIN_S = 2.0
 #: Data unacknowledged for this many milliseconds aborts a connection.
 _USER_TIMEOUT_MS = 4000
 _MAXIMUM_IDLE_PER_ADDRESS = 64
@@ -77,7 +80,7 @@
     :ivar opened: number of connections opened so far.
     """
 
-    __slots__ = ('_clock', '_idle', 'opened')
+    __slots__ = ('_clock', '_idle', '_idle_limits', 'opened')
 
     def __init__(self, clock: Clock) -> None:
         """Create an empty pool.
@@ -87,22 +90,34 @@
         self.opened = 0
         self._clock = clock
         self._idle: dict[str, deque[IdleConnection]] = {}
+        self._idle_limits: dict[str, float] = {}
 
-    def take(self, address: str) -> BackendConnection | None:
+    def take(
+        self, address: str, *, is_repeatable: bool = True
+    ) -> BackendConnection | None:
         """Take an idle connection that can still be used.
 
         :param address: ``address:port`` of the backend server.
+        :param is_repeatable: whether the request may run twice.
         :return: a connection, or ``None``.
         """
         idle = self._idle.get(address)
         now = self._clock()
+        spare_s = float(0)
+        if not is_repeatable:
+            spare_s = _UNREPEATABLE_MARGIN_S - _IDLE_MARGIN_S
         while idle:
             entry = idle.pop()
             # Readable data is the end or an unrequested response.
-            if entry.usable_until > now and entry.connection.is_connected:
-                entry.connection.idle_s = now - entry.idle_since
-                return entry.connection
-            entry.connection.close()
+            if entry.usable_until <= now or not entry.connection.is_connected:
+                entry.connection.close()
+                continue
+            if entry.usable_until - spare_s <= now:
+                # The others have been idle for longer.
+                idle.append(entry)
+                return None
+            entry.connection.idle_s = now - entry.idle_since
+            return entry.connection
         return None
 
     def connect(self, address: str) -> BackendConnection | NotRun:
@@ -159,8 +174,16 @@
             connection.close()
             return
         keep_s = _parse_keep_alive(response.headers.get('keep-alive', ''))
+        self._idle_limits[address] = keep_s
         self.keep(address, connection, keep_s)
 
+    def find_idle_limit(self, address: str) -> float:
+        """Return the seconds for which a connection may be reused.
+
+        :param address: ``address:port`` of the backend server.
+        """
+        return self._idle_limits.get(address, _IDLE_TIMEOUT_S)
+
     def keep(
         self, address: str, connection: BackendConnection, keep_s: float
     ) -> None:
@@ -191,4 +214,4 @@
         name, _, seconds = parameter.strip().partition('=')
         if name.lower() == 'timeout' and is_number(seconds):
             return max(float(0), float(seconds) - _IDLE_MARGIN_S)
-    return IDLE_TIMEOUT_S
+    return _IDLE_TIMEOUT_S
--- a/egretdale/transport/forwarding.py
+++ b/egretdale/transport/forwarding.py
@@ -23,7 +23,6 @@
 )
 from egretdale.state.instances import Instance
 from egretdale.transport.backend_connections import (
-    IDLE_TIMEOUT_S,
     BackendConnection,
     ConnectionPool,
 )
@@ -139,8 +138,11 @@
         :return: the response, or whether the request may have run.
         """
         address = attempt.instance.address
+        connection = self.pool.take(
+            address, is_repeatable=attempt.is_repeatable
+        )
         return self._send(
-            self.pool.take(address) or self.pool.connect(address),
+            connection or self.pool.connect(address),
             address,
             attempt.request,
             self._codec.build_headers(attempt),
@@ -155,7 +157,8 @@
         connection = self.pool.connect(instance.address)
         if isinstance(connection, NotRun):
             return connection
-        self.pool.keep(instance.address, connection, IDLE_TIMEOUT_S)
+        address = instance.address
+        self.pool.keep(address, connection, self.pool.find_idle_limit(address))
         return None
 
     def relay(
--- a/tests/paused_servers.py
+++ b/tests/paused_servers.py
@@ -121,7 +121,9 @@
             parts = [b'%x\r\n%s\r\n' % (len(part), part) for part in parts]
             parts.append(b'0\r\n\r\n')
             started += 'Transfer-Encoding: chunked\r\n'
-        case 'length':
+        case 'close':
+            started += 'Connection: close\r\n'
+        case _:
             length = sum(map(len, parts))
             started += f'Content-Length: {length}\r\n'
     if idle_s and framing != 'close':
--- a/tests/test_transport/test_silent_servers.py
+++ b/tests/test_transport/test_silent_servers.py
@@ -14,7 +14,8 @@
 from egretdale.state.instances import Instance
 from egretdale.transport.forwarding import HttpForwardClient
 from egretdale.util.clocks import read_boot_clock, read_hub_clock
-from tests.forwarding import create_request
+from tests.backend_sockets import open_server, read_head
+from tests.forwarding import ManualClock, create_request
 from tests.functions import create_loader
 
 load_tests = create_loader(__name__)
@@ -122,3 +123,32 @@
     assert read_hub_clock() - began_at < 2
     assert client.pool.take(address) is None
     listener.close()
+
+
+def test_no_connection_is_used_when_its_idle_time_may_run_out() -> None:
+    """Also if it was opened for a test, and nothing was announced on it."""
+    announced = b'Keep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n'
+
+    def serve(connection: socket.socket) -> None:
+        while read_head(connection):
+            connection.sendall(_HEAD + announced)
+
+    clock = ManualClock()
+    with open_server(serve) as (_, address):
+        client = HttpForwardClient(HeaderCodec(HeaderNames()), clock)
+        instance = Instance('b0', 'claims', address)
+        assert _call(client, instance) == b''
+        pool = client.pool
+        for _ in range(2):
+            clock.now += 2.9
+            used = pool.take(address, is_repeatable=False)
+            assert used is not None
+            pool.keep(address, used, pool.find_idle_limit(address))
+            clock.now += 3.1
+            assert pool.take(address, is_repeatable=False) is None
+            clock.now += 0.8
+            assert pool.take(address) is used
+            pool.keep(address, used, pool.find_idle_limit(address))
+            clock.now += 4.1
+            assert pool.take(address) is None
+            assert client.test_connection(instance) is None
