Give bodies of callers the time that their callers wait

A body without a deadline had to arrive within the idle limit, which says nothing of requests and may be short.

The socket now has the timeout of responses (20 s without a byte) from the end of the head on, and the whole body the time that its caller waits as before; without one, the longer of the limits for heads and idle connections.

test_no_limit_for_heads_or_idle_connections_cuts_a_body fails on the code before and on with status 408.

--- a/egretdale/transport/caller_connections.py
+++ b/egretdale/transport/caller_connections.py
@@ -104,10 +104,8 @@
         :return: the environment.
         """
         self._end_head()
-        limits = self.server.app.limits()
-        self.connection.settimeout(limits.header_s)
         # Announced to callers that ask for it.
-        self.server.keepalive = limits.idle_s
+        self.server.keepalive = self.server.app.limits().idle_s
         environ = super().get_environ()
         environ['egretdale.target'] = self.read_target()
         environ['egretdale.connection'] = self
--- a/egretdale/transport/ingress.py
+++ b/egretdale/transport/ingress.py
@@ -40,7 +40,8 @@
     ValueError,
     wsgi.ChunkReadError,
 )
-#: A caller that receives no bytes for this many seconds is disconnected.
+#: A caller that receives or sends no bytes for this many seconds is
+#: disconnected.
 _WRITE_TIMEOUT_S = 20.0
 #: Longest time in seconds to accept the connections that wait when the
 #: listener is closed.
@@ -167,6 +168,8 @@
         :return: chunks of the response.
         """
         environ['eventlet.minimum_write_chunk_size'] = 1
+        connection = environ['eventlet.input'].get_socket()
+        connection.settimeout(_WRITE_TIMEOUT_S)
         if self._draining:
             environ['egretdale.connection'].close_after_response()
         request = self._read_request(environ)
@@ -177,8 +180,6 @@
         admitted = self._admit(request)
         if isinstance(admitted, Refused):
             return self.refuse(start_response, admitted, request.request_id)
-        connection = environ['eventlet.input'].get_socket()
-        connection.settimeout(_WRITE_TIMEOUT_S)
         exchange = Exchange(
             self,
             connection,
@@ -301,8 +302,9 @@
     def _read_body(
         self, environ: dict[str, Any], request: ForwardRequest
     ) -> Refused | None:
-        limit = self.limits().body_bytes
-        limit_s = request.patience_s or self.limits().idle_s
+        limits = self.limits()
+        limit = limits.body_bytes
+        limit_s = request.patience_s or max(limits.idle_s, limits.header_s)
         reader = environ['eventlet.input']
         length = None if reader.chunked_input else reader.content_length or 0
         if length is not None and length > limit:
--- a/tests/test_transport/test_idle_callers.py
+++ b/tests/test_transport/test_idle_callers.py
@@ -90,6 +90,23 @@
             assert read_all(connection).startswith(b'HTTP/1.1 200')
 
 
+def test_no_limit_for_heads_or_idle_connections_cuts_a_body() -> None:
+    """It may take as long as its caller waits."""
+    for deadline, pause_s in (('Egret-Deadline-Ms: 3000\r\n', 1.5), ('', 0.6)):
+        text = f'POST / HTTP/1.1\r\n{HEAD}{deadline}Connection: close\r\n'
+        for framing, parts in (
+            ('Content-Length: 4', ('ab', 'cd')),
+            ('Transfer-Encoding: chunked', ('4\r\nab', 'cd\r\n0\r\n\r\n')),
+        ):
+            with _open([LIMITS]) as (forwarder, connection):
+                head = f'{text}{framing}\r\n\r\n{parts[0]}'
+                connection.sendall(head.encode())
+                eventlet.sleep(pause_s)
+                connection.sendall(parts[1].encode())
+                assert read_all(connection).startswith(b'HTTP/1.1 200')
+                assert forwarder.requests[0].body == b'abcd'
+
+
 def test_a_head_that_begins_and_does_not_go_on_ends_its_connection() -> None:
     """Its time is limited from its first byte on."""
     with _open([LIMITS]) as (forwarder, connection):
