Refuse requests that find no connection until their deadline as not run

A request whose connections hang until its deadline ended with 504 and "no response in time", which leaves callers to guess; it had been sent to no server. The time to connect, 0.5 s, and the wait before another try were not bounded by what is left of the request's time, so that its deadline passed within them; it was also handed to another host with hundredths of a second left.

The time to connect now ends 0.05 s before the deadline, and with less than 0.15 s left a request neither waits nor is relayed: it is refused with 503 and Retry-After. A server that had less than the usual time to accept is not suspended, nor counted for a partition, and its idle connections stay open.

--- a/egretdale/coordination/forwarding.py
+++ b/egretdale/coordination/forwarding.py
@@ -35,6 +35,8 @@
 _REDIRECTION = 300
 #: Seconds until backend servers to which connections hung are tried again.
 _RECONNECT_S = 0.1
+#: Shortest time left in seconds with which a request waits or is relayed.
+_LAST_WAIT_S = 0.15
 
 
 class Forwarder:
@@ -266,6 +268,9 @@
             return refuse_attempt(progress, choice.detail, choice)
         if choice is not None:
             return choice
+        left_s = self._admission.measure_remaining_time(progress.admitted)
+        if left_s < _LAST_WAIT_S:
+            return refuse_attempt(progress, 'no time is left')
         if self._has_hanging(progress):
             return None
         relayed = self._relay.forward(progress) if may_relay else None
@@ -323,12 +328,13 @@
         sent_at = self._clock()
         outcome = self._sender.send(progress, choice, last_event_id)
         match outcome:
-            case NotRun(is_hanging=is_hanging):
+            case NotRun(at_fault=at_fault, is_hanging=is_hanging):
                 if is_hanging:
                     progress.hanging.append(choice.instance)
-                self._selection.note_unreachable(
-                    incarnation, sent_at, is_hanging=is_hanging
-                )
+                if at_fault:
+                    self._selection.note_unreachable(
+                        incarnation, sent_at, is_hanging=is_hanging
+                    )
                 self._selection.quarantine.withdraw_trial(progress.admitted)
             case MaybeRun():
                 progress.sent += 1
--- a/egretdale/transport/backend_connections.py
+++ b/egretdale/transport/backend_connections.py
@@ -20,6 +20,10 @@
 #: Connect timeout in seconds; a lost SYN packet is retransmitted only after a
 #: second.
 _CONNECT_TIMEOUT_S = 0.5
+#: Time left in seconds in which a request is still refused as not run.
+_REFUSAL_S = 0.05
+_MINIMUM_CONNECT_S = 0.01
+_UNLIMITED_S = float('inf')
 #: Idle timeout of a pooled connection in seconds, if the backend server does
 #: not announce one.
 _IDLE_TIMEOUT_S = 20.0
@@ -120,18 +124,22 @@
             return entry.connection
         return None
 
-    def connect(self, address: str) -> BackendConnection | NotRun:
+    def connect(
+        self, address: str, left_s: float = _UNLIMITED_S
+    ) -> BackendConnection | NotRun:
         """Open a connection.
 
         :param address: ``address:port`` of the backend server.
+        :param left_s: time left for the request in seconds.
         :return: the connection, or the reason for the failure.
         """
         place = split_address(address)
         if isinstance(place, Invalid):
             return NotRun(f'cannot connect: {place.message}')
+        timeout_s = min(_CONNECT_TIMEOUT_S, left_s - _REFUSAL_S)
         connection = BackendConnection(
             *place,
-            timeout=_CONNECT_TIMEOUT_S,
+            timeout=max(_MINIMUM_CONNECT_S, timeout_s),
             socket_options=_SOCKET_OPTIONS,
         )
         self.opened += 1
@@ -139,6 +147,9 @@
             connection.connect()
         except (HTTPError, OSError) as error:
             connection.close()
+            is_hanging = isinstance(error, TimeoutError)
+            if is_hanging and timeout_s < _CONNECT_TIMEOUT_S:
+                return NotRun('no time is left to connect', at_fault=False)
             is_refused = isinstance(error, ConnectionRefusedError)
             if not is_refused:
                 # Idle connections would hang, too; a refusal may concern new
@@ -147,7 +158,7 @@
             return NotRun(
                 f'cannot connect: {error}',
                 is_refused=is_refused,
-                is_hanging=isinstance(error, TimeoutError),
+                is_hanging=is_hanging,
             )
         # From here on, the deadline of the caller limits all waits.
         connection.timeout = None
--- a/egretdale/transport/forwarding.py
+++ b/egretdale/transport/forwarding.py
@@ -142,7 +142,7 @@
             address, is_repeatable=attempt.is_repeatable
         )
         return self._send(
-            connection or self.pool.connect(address),
+            connection or self.pool.connect(address, attempt.left_s),
             address,
             attempt.request,
             self._codec.build_headers(attempt),
--- a/tests/paused_servers.py
+++ b/tests/paused_servers.py
@@ -38,12 +38,17 @@
     idle_s: int
     process: subprocess.Popen[bytes] | None = None
 
+    def find_place(self) -> tuple[str, int]:
+        """Return the address and the port."""
+        host, _, port = self.address.rpartition(':')
+        return host, int(port)
+
     def start(self) -> None:
         """Start the process and wait until it listens."""
-        place = self.address.rpartition(':')
+        host, port = self.find_place()
         self.process = subprocess.Popen(
             (sys.executable, '-m', 'tests.paused_servers')
-            + (place[0], place[2], str(self.runs), str(self.idle_s)),
+            + (host, str(port), str(self.runs), str(self.idle_s)),
             cwd=Path(__file__).resolve().parent.parent,
             env={**os.environ, 'PYTHONWARNINGS': 'ignore'},
         )
--- a/tests/test_coordination/test_forwarding.py
+++ b/tests/test_coordination/test_forwarding.py
@@ -45,6 +45,19 @@
         assert full.closed
 
 
+def test_a_server_that_had_no_time_to_connect_is_not_suspended() -> None:
+    """The request had too little time left, which says nothing of it."""
+    for at_fault in (False, True):
+        client = ScriptedClient(
+            NotRun('late', at_fault=at_fault), ScriptedResponse()
+        )
+        with open_scene(_TABLE, client, servers=2) as scene:
+            assert scene.forward(create_request('/unsafe/')).status == 200
+            instance = client.attempts[0].instance
+            is_suspended = scene.loads.is_suspended(instance.incarnation)
+            assert is_suspended is at_fault
+
+
 def test_non_idempotent_requests_run_at_most_once() -> None:
     """A request that may have run is not retried; its outcome is unknown."""
     client = ScriptedClient(MaybeRun('reset'))
--- a/tests/test_platform/test_paused_servers.py
+++ b/tests/test_platform/test_paused_servers.py
@@ -186,3 +186,31 @@
         assert send_request(daemon, 'second', pool).status == 200
         pause.wait()
         assert not system.list_repeated()
+
+
+def test_requests_that_reach_no_server_in_time_are_refused_as_not_run() -> None:
+    """Neither the callers nor other hosts need to guess."""
+    with _open(servers=2, idle_s=5) as system:
+        pause = eventlet.spawn(system.pause, 2)
+        eventlet.sleep(0.1)
+        waiting = [
+            eventlet.spawn(eventlet.connect, server.find_place())
+            for server in system.servers
+            for _ in range(8)
+        ]
+        eventlet.sleep(0.1)
+        response = urllib3.request(
+            'POST',
+            f'http://{system.daemons[0].place.addresses["front"]}/idempotent/x',
+            headers={
+                'Host': HOST_NAME,
+                'Attempt-Id': 'a',
+                'Deadline-Ms': '800',
+            },
+            retries=False,
+        )
+        assert response.status == 503, (response.status, response.data)
+        assert 'Retry-After' in response.headers
+        pause.wait()
+        assert all(entry.wait() for entry in waiting)
+        assert 'a' not in system.servers[0].runs.read_text()
--- a/tests/test_transport/test_silent_servers.py
+++ b/tests/test_transport/test_silent_servers.py
@@ -103,26 +103,55 @@
         assert _call(client, instance) == b''.join(events)
 
 
-def test_a_connection_that_hangs_is_given_up_soon() -> None:
-    """A partition drops its packets; idle connections are closed with it."""
+@contextmanager
+def _open_full_server() -> Iterator[tuple[HttpForwardClient, str]]:
+    """Open a server that accepts no connection after the first few."""
     listener = socket.socket()
     listener.bind(('127.0.0.1', 0))
     listener.listen(0)
     host, port = listener.getsockname()
     address = f'{host}:{port}'
     client = HttpForwardClient(HeaderCodec(HeaderNames()), read_boot_clock)
-    idle = client.pool.connect(address)
-    client.pool.keep(address, idle, 20)
-    began_at = read_hub_clock()
+    client.pool.keep(address, client.pool.connect(address), 20)
+    yield client, address
+    listener.close()
+
+
+def _connect_until_it_hangs(client: HttpForwardClient, address: str) -> NotRun:
     with eventlet.Timeout(5):
         outcome = None
         # The queue of the listener takes a few connections.
         while not isinstance(outcome, NotRun):
             outcome = client.pool.connect(address)
-    assert not outcome.is_refused
-    assert read_hub_clock() - began_at < 2
-    assert client.pool.take(address) is None
-    listener.close()
+    return outcome
+
+
+def test_a_connection_that_hangs_is_given_up_soon() -> None:
+    """A partition drops its packets; idle connections are closed with it."""
+    with _open_full_server() as (client, address):
+        began_at = read_hub_clock()
+        outcome = _connect_until_it_hangs(client, address)
+        assert outcome.is_hanging
+        assert not outcome.is_refused
+        assert read_hub_clock() - began_at < 2
+        assert client.pool.take(address) is None
+
+
+def test_a_connection_that_hangs_leaves_time_for_a_refusal() -> None:
+    """Of a server that had less time than others nothing is said."""
+    with _open_full_server() as (client, address):
+        _connect_until_it_hangs(client, address)
+        instance = Instance('b0', 'claims', address)
+        for left_s in (0.3, 0.03):
+            attempt = ForwardAttempt(
+                create_request('/'), instance, '', left_s, 0
+            )
+            began_at = read_hub_clock()
+            outcome = client.open(attempt)
+            assert isinstance(outcome, NotRun)
+            assert not outcome.at_fault
+            assert not outcome.is_hanging
+            assert read_hub_clock() - began_at < left_s
 
 
 def test_no_connection_is_used_when_its_idle_time_may_run_out() -> None:
