--- a/egretdale/transport/backend_connections.py
+++ b/egretdale/transport/backend_connections.py
@@ -27,11 +27,18 @@
 #: Connect timeout in seconds; a lost SYN packet is retransmitted only after a
 #: second.
 _CONNECT_TIMEOUT_S = 0.5
+#: Time left in seconds in which a request is still refused as not run.
+_REFUSAL_S = 0.05
+_MINIMUM_CONNECT_S = 0.01
+_UNLIMITED_S = float('inf')
 #: Idle timeout of a pooled connection in seconds, if the backend server does
 #: not announce one.
-IDLE_TIMEOUT_S = 20.0
+_IDLE_TIMEOUT_S = 20.0
 #: How long before its announced timeout a connection expires, in seconds.
 _IDLE_MARGIN_S = 1.0
+#: The same for requests that must not run twice: a server that stands still for
+#: a while closes idle connections when it goes on, with requests unread.
+_UNREPEATABLE_MARGIN_S = 2.0
 #: Data unacknowledged for this many milliseconds aborts a connection.
 _USER_TIMEOUT_MS = 4000
 _MAXIMUM_IDLE_PER_ADDRESS = 64
@@ -129,7 +136,7 @@
     :ivar skipped: number of late answers to earlier requests that were skipped.
     """
 
-    __slots__ = ('_clock', '_idle', 'opened', 'skipped')
+    __slots__ = ('_clock', '_idle', '_idle_limits', 'opened', 'skipped')
 
     def __init__(self, clock: Clock) -> None:
         """Create an empty pool.
@@ -140,37 +147,53 @@
         self.skipped = 0
         self._clock = clock
         self._idle: dict[str, deque[IdleConnection]] = {}
+        self._idle_limits: dict[str, float] = {}
 
-    def take(self, address: str) -> BackendConnection | None:
+    def take(
+        self, address: str, *, is_repeatable: bool = True
+    ) -> BackendConnection | None:
         """Take an idle connection that can still be used.
 
         :param address: ``address:port`` of the backend server.
+        :param is_repeatable: whether the request may run twice.
         :return: a connection, or ``None``.
         """
         idle = self._idle.get(address)
         now = self._clock()
+        spare_s = float(0)
+        if not is_repeatable:
+            spare_s = _UNREPEATABLE_MARGIN_S - _IDLE_MARGIN_S
         while idle:
             entry = idle.pop()
             # Readable data is the end or an unrequested response.
-            if entry.usable_until > now and entry.connection.is_connected:
-                entry.connection.idle_s = now - entry.idle_since
-                return entry.connection
-            entry.connection.close()
+            if entry.usable_until <= now or not entry.connection.is_connected:
+                entry.connection.close()
+                continue
+            if entry.usable_until - spare_s <= now:
+                # The others have been idle for longer.
+                idle.append(entry)
+                return None
+            entry.connection.idle_s = now - entry.idle_since
+            return entry.connection
         return None
 
-    def connect(self, address: str) -> BackendConnection | NotRun:
+    def connect(
+        self, address: str, left_s: float = _UNLIMITED_S
+    ) -> BackendConnection | NotRun:
         """Open a connection.
 
         :param address: ``address:port`` of the backend server.
+        :param left_s: time left for the request in seconds.
         :return: the connection, or the reason for the failure.
         """
         place = split_address(address)
         if isinstance(place, Invalid):
             return NotRun(f'cannot connect: {place.message}')
+        timeout_s = min(_CONNECT_TIMEOUT_S, left_s - _REFUSAL_S)
         connection = BackendConnection(
             CarriedRequests(partial(self._note_skipped, address)),
             *place,
-            timeout=_CONNECT_TIMEOUT_S,
+            timeout=max(_MINIMUM_CONNECT_S, timeout_s),
             socket_options=_SOCKET_OPTIONS,
         )
         self.opened += 1
@@ -178,6 +201,9 @@
             connection.connect()
         except (HTTPError, OSError) as error:
             connection.close()
+            is_hanging = isinstance(error, TimeoutError)
+            if is_hanging and timeout_s < _CONNECT_TIMEOUT_S:
+                return NotRun('no time is left to connect', at_fault=False)
             is_refused = isinstance(error, ConnectionRefusedError)
             if not is_refused:
                 # Idle connections would hang, too; a refusal may concern new
@@ -186,7 +212,7 @@
             return NotRun(
                 f'cannot connect: {error}',
                 is_refused=is_refused,
-                is_hanging=isinstance(error, TimeoutError),
+                is_hanging=is_hanging,
             )
         # From here on, the deadline of the caller limits all waits.
         connection.timeout = None
@@ -213,8 +239,16 @@
             connection.close()
             return
         keep_s = _parse_keep_alive(response.headers.get('keep-alive', ''))
+        self._idle_limits[address] = keep_s
         self.keep(address, connection, keep_s)
 
+    def find_idle_limit(self, address: str) -> float:
+        """Return the seconds for which a connection may be reused.
+
+        :param address: ``address:port`` of the backend server.
+        """
+        return self._idle_limits.get(address, _IDLE_TIMEOUT_S)
+
     def keep(
         self, address: str, connection: BackendConnection, keep_s: float
     ) -> None:
@@ -257,4 +291,4 @@
         name, _, seconds = parameter.strip().partition('=')
         if name.lower() == 'timeout' and is_number(seconds):
             return max(float(0), float(seconds) - _IDLE_MARGIN_S)
-    return IDLE_TIMEOUT_S
+    return _IDLE_TIMEOUT_S
