Refuse requests that still wait for a server at the end of a stop as not run

What callers saw: a request that had waited for an engine since before a planned stop was told at its end that it may have run (502), so one that may not be repeated was lost, although no server had got it.

Cause: at the end of a stop the task of a request is interrupted from outside, where nobody knows how far it has got.

The interruption has a type of its own now. The forwarder takes it for a refusal where it waits for a server: 503, not run, if nothing was sent before, else still "may have run". Requests taken during a stop whose deadline was moved to its end are interrupted 0.1 s before that deadline, so that the same holds for them.

Evidence: test_requests_that_wait_at_the_end_of_a_stop_are_refused; with the forwarder as before the interruption passes through it (HostStopped).

--- a/egretdale/coordination/exchanges.py
+++ b/egretdale/coordination/exchanges.py
@@ -248,5 +248,9 @@
     """A response that has started cannot be completed."""
 
 
+class HostStopped(Exception):
+    """The shutdown of this host has ended while a request was running."""
+
+
 class CallerGone(Exception):
     """The caller closed its connection while its request was running."""
--- a/egretdale/coordination/forwarding.py
+++ b/egretdale/coordination/forwarding.py
@@ -18,6 +18,7 @@
     ForwardOutcome,
     ForwardReply,
     ForwardRequest,
+    HostStopped,
 )
 from egretdale.coordination.peer_relay import PeerRelay
 from egretdale.coordination.ports import MaybeRun, NotRun
@@ -26,7 +27,7 @@
 from egretdale.coordination.response_relay import ResponseRelay
 from egretdale.coordination.selection import BackendSelection
 from egretdale.state.gateway_metrics import GatewayMetrics
-from egretdale.state.outcomes import Refused
+from egretdale.state.outcomes import STOPPING_REFUSAL, Refused
 from egretdale.state.routing import RequestKind
 from egretdale.util.clocks import Clock
 
@@ -253,7 +254,10 @@
             if relayed is not None:
                 return relayed
         left_s = self._admission.measure_remaining_time(progress.admitted)
-        choice = self._selection.select(progress, left_s)
+        try:
+            choice = self._selection.select(progress, left_s)
+        except HostStopped:
+            choice = STOPPING_REFUSAL
         if isinstance(choice, Refused):
             return refuse_attempt(progress, choice.detail, choice)
         if choice is not None:
--- a/egretdale/state/outcomes.py
+++ b/egretdale/state/outcomes.py
@@ -5,6 +5,8 @@
 import enum
 from dataclasses import dataclass
 
+_STOPPING_RETRY_S = 0.05
+
 
 class Ran(enum.StrEnum):
     """Whether a backend server has run a refused request."""
@@ -64,6 +66,15 @@
     detail: str = ''
 
 
+#: Refusal by a host that is shutting down; callers retry at another host.
+STOPPING_REFUSAL = Refused(
+    Reason.HOST_STOPPING,
+    Ran.NO,
+    retry_after_s=_STOPPING_RETRY_S,
+    detail='this host is shutting down; others are not',
+)
+
+
 @dataclass(slots=True, frozen=True)
 class Answered:
     """The complete answer was delivered.
--- a/egretdale/transport/exchanges.py
+++ b/egretdale/transport/exchanges.py
@@ -14,6 +14,7 @@
     ForwardOutcome,
     ForwardReply,
     ForwardRequest,
+    HostStopped,
     IncompleteResponse,
 )
 from egretdale.state.outcomes import Ran, Reason, Refused
@@ -79,7 +80,6 @@
         '_chunks',
         '_closed',
         '_first_chunk',
-        '_is_stopped',
         '_owner',
         '_start_response',
         '_target',
@@ -111,7 +111,6 @@
         self._first_chunk: bytes | None = None
         self._chunks: Iterator[bytes] = iter(())
         owner.active += 1
-        self._is_stopped = False
         self._target = eventlet.getcurrent()
         owner.stopping.add(self.stop)
         self._watch = CallerWatch(connection)
@@ -125,10 +124,18 @@
             if passed is not self._timer:
                 self.close()
                 raise
-            outcome = self._refuse_late()
-        except IncompleteResponse as incomplete:
             outcome = Refused(
-                Reason.BACKEND_FAILED, Ran.UNKNOWN, detail=str(incomplete)
+                Reason.DEADLINE_PASSED,
+                Ran.UNKNOWN,
+                detail='no response in time',
+            )
+        except (HostStopped, IncompleteResponse) as broken:
+            outcome = Refused(
+                Reason.BACKEND_FAILED
+                if isinstance(broken, IncompleteResponse)
+                else Reason.OUTCOME_UNKNOWN,
+                Ran.UNKNOWN,
+                detail=str(broken),
             )
         except BaseException as failed:
             self._log_failure(failed)
@@ -179,20 +186,7 @@
 
     def stop(self) -> None:
         """End the request, as the shutdown of this host ends."""
-        self._is_stopped = True
-        self._timer.cancel()
-        self._target.throw(self._timer)
-
-    def _refuse_late(self) -> Refused:
-        if self._is_stopped:
-            return Refused(
-                Reason.OUTCOME_UNKNOWN,
-                Ran.UNKNOWN,
-                detail='this host has shut down before a response',
-            )
-        return Refused(
-            Reason.DEADLINE_PASSED, Ran.UNKNOWN, detail='no response in time'
-        )
+        self._target.throw(HostStopped('this host has shut down'))
 
     def _forward(self) -> ForwardOutcome:
         outcome = self._owner.forward(self._admitted)
@@ -216,9 +210,9 @@
             case CallerGone():
                 outcome = 'caller-gone'
             case eventlet.Timeout():
-                outcome = (
-                    'host-stopped' if self._is_stopped else 'deadline-passed'
-                )
+                outcome = 'deadline-passed'
+            case HostStopped():
+                outcome = 'host-stopped'
             case _:
                 outcome = f'broken: {failed!r}'
         self._owner.log_end(self._admitted.request, outcome)
--- a/egretdale/transport/ingress.py
+++ b/egretdale/transport/ingress.py
@@ -15,6 +15,7 @@
     BackendIdentity,
     ForwardOutcome,
     ForwardRequest,
+    HostStopped,
 )
 from egretdale.errors import Invalid
 from egretdale.protocol.forwarding import HeaderCodec, RequestHead
@@ -29,11 +30,7 @@
 from egretdale.transport.exchanges import Exchange
 from egretdale.transport.message_reader import MalformedMessageError
 from egretdale.transport.sockets import is_readable
-from egretdale.transport.stopping import (
-    HostStoppedError,
-    StoppingRequests,
-    StopTimes,
-)
+from egretdale.transport.stopping import StoppingRequests, StopTimes
 from egretdale.util.clocks import Clock, convert_to_ms
 from egretdale.util.logs import get_logger
 
@@ -315,7 +312,7 @@
                 request.body = reader.read(
                     limit + 1 if length is None else length
                 )
-        except HostStoppedError:
+        except HostStopped:
             return self.stopping.refuse(is_relayed=request.is_relayed)
         except TimeoutError:
             detail = 'timeout while reading the body'
@@ -335,7 +332,7 @@
 
 def _create_interruption() -> Callable[[], None]:
     """Create a function that interrupts the current task."""
-    return partial(eventlet.getcurrent().throw, HostStoppedError)
+    return partial(eventlet.getcurrent().throw, HostStopped)
 
 
 def _refuse_large(limit: int) -> Refused:
--- a/egretdale/transport/stopping.py
+++ b/egretdale/transport/stopping.py
@@ -8,16 +8,13 @@
 from eventlet import hubs
 
 from egretdale.coordination.admission import AdmittedRequest
-from egretdale.state.outcomes import Ran, Reason, Refused
+from egretdale.state.outcomes import STOPPING_REFUSAL, Reason, Refused
 from egretdale.util.clocks import Clock
 
-#: ``Retry-After`` of refusals by a host that is shutting down, in seconds;
-#: callers retry at another host.
-_STOPPING_RETRY_S = 0.05
 
-
-class HostStoppedError(Exception):
-    """The shutdown has ended before a request was complete."""
+#: Seconds from the end of a shutdown to the deadline of the requests that run
+#: until then; those that wait for a backend server are ended before.
+_DEADLINE_MARGIN_S = 0.1
 
 
 @dataclass(slots=True, frozen=True)
@@ -79,7 +76,8 @@
             return admitted
         if self._clock() >= times.selects_at:
             return self.refuse(is_relayed=admitted.request.is_relayed)
-        return replace(admitted, deadline_at=times.ends_at)
+        ends_at = times.ends_at + _DEADLINE_MARGIN_S
+        return replace(admitted, deadline_at=ends_at)
 
     def refuse(self, *, is_relayed: bool = False) -> Refused:
         """Refuse a request that has not run.
@@ -87,12 +85,9 @@
         :param is_relayed: whether another host has relayed it, which then
             tries a further one.
         """
-        return Refused(
-            Reason.HOST_CUT_OFF if is_relayed else Reason.HOST_STOPPING,
-            Ran.NO,
-            _STOPPING_RETRY_S,
-            'this host is shutting down; others are not',
-        )
+        if is_relayed:
+            return replace(STOPPING_REFUSAL, reason=Reason.HOST_CUT_OFF)
+        return STOPPING_REFUSAL
 
     def is_closed(self) -> bool:
         """Tell whether no more requests are admitted."""
--- a/tests/test_coordination/test_admission.py
+++ b/tests/test_coordination/test_admission.py
@@ -5,7 +5,7 @@
 from unittest import mock
 
 from egretdale.coordination.admission import AdmittedRequest
-from egretdale.coordination.exchanges import Prompt, PromptPart
+from egretdale.coordination.exchanges import HostStopped, Prompt, PromptPart
 from egretdale.state.outcomes import Ran, Reason, Refused
 from egretdale.state.routing import RequestKind
 from standins.emulation.policies import NoPrefillClient
@@ -130,6 +130,23 @@
         assert not client.attempts
 
 
+def test_requests_that_wait_at_the_end_of_a_stop_are_refused() -> None:
+    """They were not sent to an engine, so they have not run."""
+    route = create_route('/a/', RequestKind.NON_IDEMPOTENT)
+    client = ScriptedClient()
+    with open_scene(create_table(route), client) as scene:
+        request = create_request('/a/', prompt=create_prompt(100, 10))
+        admitted = scene.forwarder.admit(request)
+        with mock.patch.object(
+            NoPrefillClient, 'request_engine', side_effect=HostStopped
+        ):
+            refused = scene.forwarder.forward(admitted)
+        assert refused.reason == Reason.HOST_STOPPING
+        assert refused.ran == Ran.NO
+        assert refused.retry_after_s > 0
+        assert not client.attempts
+
+
 def test_requests_with_many_parts_have_few_fingerprints() -> None:
     """They are kept and told to all hosts after a crash."""
     parts = tuple(PromptPart(number, 10) for number in range(1000))
