Refuse late requests to a stopping egretdaled and answer those that it ends

What callers saw: egretdaled took requests up to the last moment of a planned stop, and cut those that ran then, or at a second signal, without an answer.

Cause: nothing told the interface of the callers that the host was stopping; the process just ended.

Once the lists of hosts have expired, new requests are refused as not run (host-stopping). Requests have no deadline of their own there, so there is no choice by deadline as at forwarding hosts.

Tasks are interrupted from the hub, as the end of a stop may come from a task: one that is thrown into from another task would leave that one waiting for ever (seen as a hang of the new test before that).

Evidence: both new tests of tests/test_transport/test_daemon.py fail on the code before: the late request is run (an assertion on 503), and a forced stop leaves the request without a refusal. Body reading keeps its own timeout there and is still cut at the end of a stop.

--- a/egretdale/transport/callers.py
+++ b/egretdale/transport/callers.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from egretdale.coordination.exchanges import HostStopped
 from egretdale.coordination.node import Node
 from egretdale.coordination.requests import (
     BufferedReply,
@@ -20,13 +21,14 @@
     StreamToken,
     encode_stream_token,
 )
-from egretdale.state.outcomes import Ran, Refused
+from egretdale.state.outcomes import Ran, Reason, Refused
 from egretdale.transport.refusals import RefusalRegistry
 from egretdale.transport.request_reader import (
     SERVICE_PREFIX,
     BadRequest,
     RequestReader,
 )
+from egretdale.transport.stopping import StoppingRequests
 from egretdale.util.logs import get_logger
 
 logger = get_logger(__name__)
@@ -76,9 +78,10 @@
     """Serves requests of callers.
 
     :ivar active: requests in progress.
+    :ivar stopping: the requests during a shutdown.
     """
 
-    __slots__ = ('_node', '_reader', '_refusals', 'active')
+    __slots__ = ('_node', '_reader', '_refusals', 'active', 'stopping')
 
     def __init__(self, node: Node, refusals: RefusalRegistry) -> None:
         """Create the interface.
@@ -90,6 +93,7 @@
         self._refusals = refusals
         self._reader = RequestReader(node.settings, refusals)
         self.active = ActiveRequests(node)
+        self.stopping = StoppingRequests(node.dependencies.clock)
 
     def handles(self, path: str) -> bool:
         """Return whether this interface serves a path.
@@ -121,7 +125,7 @@
             refused = Refused(request.reason, Ran.NO, detail=request.detail)
             unparsed = CallerRequest(request_id, '', '', '')
             return self._refuse(start_response, unparsed, Refusal(refused))
-        reply = self._node.router.route(request)
+        reply = self._route(request)
         match reply:
             case Refusal():
                 return self._refuse(start_response, request, reply)
@@ -130,6 +134,21 @@
             case StreamReply():
                 return self._send_stream(start_response, request, reply)
 
+    def _route(
+        self, request: CallerRequest
+    ) -> BufferedReply | StreamReply | Refusal:
+        if self.stopping.is_closed():
+            return Refusal(self.stopping.refuse())
+        try:
+            with self.stopping.interrupt():
+                return self._node.router.route(request)
+        except HostStopped as stopped:
+            return Refusal(
+                Refused(
+                    Reason.OUTCOME_UNKNOWN, Ran.UNKNOWN, detail=str(stopped)
+                )
+            )
+
     def _serve_hosts(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
--- a/egretdale/transport/daemon.py
+++ b/egretdale/transport/daemon.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 import eventlet
-from eventlet import wsgi
+from eventlet import hubs, wsgi
 
 from egretdale.config import Settings
 from egretdale.coordination.node import Node, NodeDependencies
@@ -104,7 +104,12 @@
         """Start a graceful shutdown; a second call ends the process at once."""
         if self._stopping:
             logger.warning('stop-forced', cut_off=self._callers.active.count)
-            self._end.finish(1 if self._callers.active.count else 0)
+            status = 1 if self._callers.active.count else 0
+            self._callers.stopping.end_all()
+            # The server has to send the last answers.
+            hubs.get_hub().schedule_call_global(
+                _FLUSH_S, self._end.finish, status
+            )
             return
         self._stopping = True
         eventlet.spawn(self._drain)
@@ -122,13 +127,15 @@
             + self._settings.answer_lifetime_s
             + self._settings.probe_period_s * 2
         )
-        while clock() < answers_expire_at:
+        while clock() < min(answers_expire_at, limit_at):
             eventlet.sleep(_DRAIN_POLL_S)
+        self._callers.stopping.close()
         while self._callers.active.count and clock() < limit_at:
             eventlet.sleep(_DRAIN_POLL_S)
+        cut_off = self._callers.active.count
+        self._callers.stopping.end_all()
         # Tasks of the server may still be sending the last responses.
         eventlet.sleep(_FLUSH_S)
-        cut_off = self._callers.active.count
         logger.info(
             'drain-ended',
             cut_off=cut_off,
--- a/egretdale/transport/ingress.py
+++ b/egretdale/transport/ingress.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from functools import partial
 from typing import Any, Protocol
 
 import eventlet
@@ -305,10 +304,9 @@
         length = None if reader.chunked_input else reader.content_length or 0
         if length is not None and length > limit:
             return _refuse_large(limit)
-        end = _create_interruption()
-        self.stopping.add(end)
+        timer = eventlet.Timeout(limit_s, TimeoutError())
         try:
-            with eventlet.Timeout(limit_s, TimeoutError()):
+            with self.stopping.interrupt(), timer:
                 request.body = reader.read(
                     limit + 1 if length is None else length
                 )
@@ -319,8 +317,6 @@
             return Refused(Reason.TOO_SLOW, Ran.NO, detail=detail)
         except _BODY_ERRORS as error:
             return Refused(Reason.BAD_REQUEST, Ran.NO, detail=str(error))
-        finally:
-            self.stopping.remove(end)
         if length is not None and len(request.body) < length:
             return Refused(
                 Reason.BAD_REQUEST, Ran.NO, detail='the body is incomplete'
@@ -330,11 +326,6 @@
         return None
 
 
-def _create_interruption() -> Callable[[], None]:
-    """Create a function that interrupts the current task."""
-    return partial(eventlet.getcurrent().throw, HostStopped)
-
-
 def _refuse_large(limit: int) -> Refused:
     return Refused(
         Reason.TOO_LARGE,
--- a/egretdale/transport/stopping.py
+++ b/egretdale/transport/stopping.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, replace
+from functools import partial
 
+import eventlet
 from eventlet import hubs
 
 from egretdale.coordination.admission import AdmittedRequest
+from egretdale.coordination.exchanges import HostStopped
 from egretdale.state.outcomes import STOPPING_REFUSAL, Reason, Refused
 from egretdale.util.clocks import Clock
 
@@ -56,7 +60,7 @@
         """
         self._times = times
         left_s = max(0, times.ends_at - self._clock())
-        hubs.get_hub().schedule_call_global(left_s, self._end_all)
+        hubs.get_hub().schedule_call_global(left_s, self.end_all)
 
     def close(self) -> None:
         """Admit no more requests."""
@@ -93,6 +97,21 @@
         """Tell whether no more requests are admitted."""
         return self._is_closed
 
+    @contextmanager
+    def interrupt(self) -> Iterator[None]:
+        """Let the shutdown interrupt the current task in the context.
+
+        :raises HostStopped: the shutdown has ended.
+        """
+        end = partial(
+            eventlet.getcurrent().throw, HostStopped('this host has shut down')
+        )
+        self.add(end)
+        try:
+            yield
+        finally:
+            self.remove(end)
+
     def add(self, end: Callable[[], None]) -> None:
         """Add a request in progress.
 
@@ -107,8 +126,13 @@
         """
         self._ends.discard(end)
 
-    def _end_all(self) -> None:
+    def end_all(self) -> None:
+        """End the requests in progress."""
         for end in list(self._ends):
-            if end in self._ends:
-                self.aborted += 1
-                end()
+            # Tasks may be interrupted from the hub only.
+            hubs.get_hub().schedule_call_global(0, self._end, end)
+
+    def _end(self, end: Callable[[], None]) -> None:
+        if end in self._ends:
+            self.aborted += 1
+            end()
--- a/tests/test_transport/test_daemon.py
+++ b/tests/test_transport/test_daemon.py
@@ -38,7 +38,7 @@
     :ivar daemon: the daemon.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, **limits: float) -> None:
         self.platform = PlatformProgram()
         self.engine = EngineProgram(
             EngineProfile(prefill_rate=1e6, decode_rate=2000),
@@ -68,6 +68,7 @@
             answer_lifetime_s=0.2,
             body_timeout_s=0.5,
             maximum_body_bytes=4096,
+            **limits,
         )
         self.daemon = Daemon(settings)
         self.status = eventlet.spawn(self.daemon.run)
@@ -294,3 +295,38 @@
     system.daemon.request_stop()
     assert thread.wait().data.endswith(b'data: [DONE]\n\n')
     assert system.status.wait() == 0
+
+
+def test_late_requests_of_a_shutdown_are_answered() -> None:
+    """New ones are refused as not run, and at its end the others may have."""
+    system = _System(drain_limit_s=2.5, probe_period_s=0.2)
+    system.wait_ready()
+    system.plain.faults.slow_s = 10
+    references = '/services/web/references'
+    first = eventlet.spawn(_post, system, references, b'{"identity":"first"}')
+    eventlet.sleep(0.1)
+    system.daemon.request_stop()
+    eventlet.sleep(1)
+    late = _post(system, references, b'{"identity":"late"}')
+    assert late.status == 503
+    assert json.loads(late.data)['ran'] == 'no'
+    assert 'Retry-After' in late.headers
+    assert system.status.wait() == 1
+    cut = first.wait()
+    assert cut.status == 502
+    assert json.loads(cut.data)['ran'] == 'unknown'
+    assert list(system.plain.runs) == ['first']
+
+
+def test_a_forced_shutdown_answers_requests_that_run() -> None:
+    """A second signal ends it before their responses arrive."""
+    system = _System()
+    system.wait_ready()
+    system.plain.faults.slow_s = 10
+    references = '/services/web/references'
+    first = eventlet.spawn(_post, system, references, b'{"identity":"first"}')
+    eventlet.sleep(0.1)
+    system.daemon.request_stop()
+    system.daemon.request_stop()
+    assert system.status.wait() == 1
+    assert json.loads(first.wait().data)['ran'] == 'unknown'
