--- a/egretdale/transport/ingress.py
+++ b/egretdale/transport/ingress.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from functools import partial
 from typing import Any, Protocol
 
 import eventlet
@@ -15,6 +14,7 @@
     BackendIdentity,
     ForwardOutcome,
     ForwardRequest,
+    HostStopped,
 )
 from egretdale.errors import Invalid
 from egretdale.protocol.forwarding import HeaderCodec, RequestHead
@@ -29,11 +29,7 @@
 from egretdale.transport.exchanges import Exchange
 from egretdale.transport.message_reader import MalformedMessageError
 from egretdale.transport.sockets import is_readable
-from egretdale.transport.stopping import (
-    HostStoppedError,
-    StoppingRequests,
-    StopTimes,
-)
+from egretdale.transport.stopping import StoppingRequests, StopTimes
 from egretdale.util.clocks import Clock, convert_to_ms
 from egretdale.util.logs import get_logger
 
@@ -310,22 +306,19 @@
         length = None if reader.chunked_input else reader.content_length or 0
         if length is not None and length > limit:
             return _refuse_large(limit)
-        end = _create_interruption()
-        self.stopping.add(end)
+        timer = eventlet.Timeout(limit_s, TimeoutError())
         try:
-            with eventlet.Timeout(limit_s, TimeoutError()):
+            with self.stopping.interrupt(), timer:
                 request.body = reader.read(
                     limit + 1 if length is None else length
                 )
-        except HostStoppedError:
+        except HostStopped:
             return self.stopping.refuse(is_relayed=request.is_relayed)
         except TimeoutError:
             detail = 'timeout while reading the body'
             return Refused(Reason.TOO_SLOW, Ran.NO, detail=detail)
         except _BODY_ERRORS as error:
             return Refused(Reason.BAD_REQUEST, Ran.NO, detail=str(error))
-        finally:
-            self.stopping.remove(end)
         if length is not None and len(request.body) < length:
             return Refused(
                 Reason.BAD_REQUEST, Ran.NO, detail='the body is incomplete'
@@ -335,11 +328,6 @@
         return None
 
 
-def _create_interruption() -> Callable[[], None]:
-    """Create a function that interrupts the current task."""
-    return partial(eventlet.getcurrent().throw, HostStoppedError)
-
-
 def _refuse_large(limit: int) -> Refused:
     return Refused(
         Reason.TOO_LARGE,
--- a/egretdale/transport/stopping.py
+++ b/egretdale/transport/stopping.py
@@ -2,22 +2,23 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, replace
+from functools import partial
 
+import eventlet
 from eventlet import hubs
 
 from egretdale.coordination.admission import AdmittedRequest
-from egretdale.state.outcomes import Ran, Reason, Refused
+from egretdale.coordination.exchanges import HostStopped
+from egretdale.state.outcomes import STOPPING_REFUSAL, Reason, Refused
 from egretdale.util.clocks import Clock
 
-#: ``Retry-After`` of refusals by a host that is shutting down, in seconds;
-#: callers retry at another host.
-_STOPPING_RETRY_S = 0.05
 
-
-class HostStoppedError(Exception):
-    """The shutdown has ended before a request was complete."""
+#: Seconds from the end of a shutdown to the deadline of the requests that run
+#: until then; those that wait for a backend server are ended before.
+_DEADLINE_MARGIN_S = 0.1
 
 
 @dataclass(slots=True, frozen=True)
@@ -59,7 +60,7 @@
         """
         self._times = times
         left_s = max(0, times.ends_at - self._clock())
-        hubs.get_hub().schedule_call_global(left_s, self._end_all)
+        hubs.get_hub().schedule_call_global(left_s, self.end_all)
 
     def close(self) -> None:
         """Admit no more requests."""
@@ -79,7 +80,8 @@
             return admitted
         if self._clock() >= times.selects_at:
             return self.refuse(is_relayed=admitted.request.is_relayed)
-        return replace(admitted, deadline_at=times.ends_at)
+        ends_at = times.ends_at + _DEADLINE_MARGIN_S
+        return replace(admitted, deadline_at=ends_at)
 
     def refuse(self, *, is_relayed: bool = False) -> Refused:
         """Refuse a request that has not run.
@@ -87,17 +89,29 @@
         :param is_relayed: whether another host has relayed it, which then
             tries a further one.
         """
-        return Refused(
-            Reason.HOST_CUT_OFF if is_relayed else Reason.HOST_STOPPING,
-            Ran.NO,
-            _STOPPING_RETRY_S,
-            'this host is shutting down; others are not',
-        )
+        if is_relayed:
+            return replace(STOPPING_REFUSAL, reason=Reason.HOST_CUT_OFF)
+        return STOPPING_REFUSAL
 
     def is_closed(self) -> bool:
         """Tell whether no more requests are admitted."""
         return self._is_closed
 
+    @contextmanager
+    def interrupt(self) -> Iterator[None]:
+        """Let the shutdown interrupt the current task in the context.
+
+        :raises HostStopped: the shutdown has ended.
+        """
+        end = partial(
+            eventlet.getcurrent().throw, HostStopped('this host has shut down')
+        )
+        self.add(end)
+        try:
+            yield
+        finally:
+            self.remove(end)
+
     def add(self, end: Callable[[], None]) -> None:
         """Add a request in progress.
 
@@ -112,8 +126,13 @@
         """
         self._ends.discard(end)
 
-    def _end_all(self) -> None:
+    def end_all(self) -> None:
+        """End the requests in progress."""
         for end in list(self._ends):
-            if end in self._ends:
-                self.aborted += 1
-                end()
+            # Tasks may be interrupted from the hub only.
+            hubs.get_hub().schedule_call_global(0, self._end, end)
+
+    def _end(self, end: Callable[[], None]) -> None:
+        if end in self._ends:
+            self.aborted += 1
+            end()
