Bound the delay by a watch whose connection goes silent

Cause: a host that watches the platform itself waited 2 s, and for the answer a second more, before it gave the connection up. A direct watch takes 1 s now, and the answer to each watch half a second more: 1.5 s, a pause of 0.13 s at most, and a list. The longest times for the other single faults, from the code: a reader that hangs 1.0 + 0.3 s and a read of the platform, a reader whose watch hangs 1.2 s (its listing is stale) and a read. The price is one call a second more for each kind at up to 11 hosts.

Evidence: test_a_watch_that_hangs_does_not_hide_a_change_for_long (6, 20 and 81 hosts) fails at 6 hosts on the code before, test_a_watch_without_an_answer_ends_soon as well; both pass now, as do the tests of readers, restored listings, instance list, configuration and the store's client.

--- a/egretdale/coordination/ports.py
+++ b/egretdale/coordination/ports.py
@@ -19,6 +19,9 @@
     OriginReply,
 )
 
+#: Seconds after the longest wait of a watch in which its answer has to arrive.
+WATCH_MARGIN_S = 0.5
+
 #: Era and version of a listing, by which listings are ordered.
 Position = tuple[int, int]
 
--- a/egretdale/coordination/readers.py
+++ b/egretdale/coordination/readers.py
@@ -31,7 +31,7 @@
 #: Longest wait of a watch of the platform in seconds, for a reader and for a
 #: host that serves no other hosts.
 _READER_WATCH_S = 0.5
-_DIRECT_WATCH_S = 2.0
+_DIRECT_WATCH_S = 1.0
 #: Longest pause after failed calls in seconds, for a host that polls the
 #: platform directly and for one that learns of its recovery from readers.
 _DIRECT_PAUSE_S = 0.8
--- a/standins/objects.py
+++ b/standins/objects.py
@@ -67,6 +67,7 @@
     :ivar calls: method and path of all calls so far.
     :ivar page_size: maximum number of objects in one page of a listing.
     :ivar refusing: status line of all responses, empty to serve calls.
+    :ivar is_hanging: whether watches are never answered.
     :ivar era: era that all responses name, empty to name none.
     """
 
@@ -76,6 +77,7 @@
         self.calls: list[str] = []
         self.page_size = 500
         self.refusing = ''
+        self.is_hanging = False
         self.era = '1'
         self._objects: dict[str, dict[str, dict[str, Any]]] = {}
         self._events: list[ObjectEvent] = []
@@ -203,6 +205,8 @@
         if not self._discarded_revision <= since <= self.revision:
             return _respond(start_response, '410 Gone', {})
         events = self._list_events(kind, since)
+        while self.is_hanging:
+            eventlet.sleep(_WATCH_POLL_S)
         for _ in range(int(query['wait_ms'][0]) // 10):
             if events:
                 break
--- a/standins/virtual/platform.py
+++ b/standins/virtual/platform.py
@@ -5,6 +5,7 @@
 import eventlet
 
 from egretdale.coordination.ports import (
+    WATCH_MARGIN_S,
     Listing,
     StoredObject,
     Written,
@@ -32,9 +33,18 @@
     :ivar lose_replies: whether writes take effect but their replies are lost.
     :ivar silent: hosts whose watches see no change before they time out.
     :ivar cut: hosts that cannot reach the platform.
+    :ivar hung: hosts whose present watch is never answered.
     """
 
-    __slots__ = ('cut', 'down', 'lose_replies', 'silent', 'slow_s', 'store')
+    __slots__ = (
+        'cut',
+        'down',
+        'hung',
+        'lose_replies',
+        'silent',
+        'slow_s',
+        'store',
+    )
 
     def __init__(self) -> None:
         """Create an empty platform without faults."""
@@ -44,6 +54,7 @@
         self.lose_replies = False
         self.silent: set[str] = set()
         self.cut: set[str] = set()
+        self.hung: set[str] = set()
 
 
 class VirtualPlatform:
@@ -90,7 +101,12 @@
     ) -> Listing | Unreachable:
         """Wait for a listing that is newer than a version."""
         polls = round(timeout_s / _WATCH_INTERVAL_S)
-        for _ in range(polls):
+        for poll in range(polls):
+            if self._host in self._state.hung:
+                self._state.hung.remove(self._host)
+                left_s = timeout_s - poll * _WATCH_INTERVAL_S
+                eventlet.sleep(left_s + WATCH_MARGIN_S)
+                return Unreachable(Cause.SILENT)
             failed = self._check_availability()
             if failed is not None:
                 return failed
--- a/tests/readers.py
+++ b/tests/readers.py
@@ -26,7 +26,7 @@
 from standins.virtual.platform import PlatformState, VirtualPlatform
 from tests.forwarding import create_table
 
-HOSTS = tuple(f'host-{index:02d}' for index in range(20))
+_HOSTS = 20
 _REQUEST_S = 0.001
 _TIMEOUT_S = 0.3
 
@@ -57,6 +57,7 @@
 class ReaderFleet:
     """Hosts, the platform, and the calls between them.
 
+    :ivar hosts: names of the hosts.
     :ivar silent: hosts that do not answer other hosts.
     :ivar calls: number of calls to the platform by kind.
     :ivar eras: whether the daemons know the era of the platform.
@@ -64,6 +65,7 @@
     """
 
     hub: VirtualHub
+    hosts: tuple[str, ...]
     state: PlatformState = field(default_factory=PlatformState)
     followers: dict[str, ConfigurationFollower] = field(default_factory=dict)
     silent: set[str] = field(default_factory=set)
@@ -96,7 +98,7 @@
 
     def list_readers(self) -> list[str]:
         """List the hosts that watch the platform."""
-        members = create_members(HOSTS[0])
+        members = create_members(self.hosts[0], self.hosts)
         return list_owners(members, 'reader', 2)
 
     def find_oldest_version(self) -> int:
@@ -104,24 +106,30 @@
         return min(follower.version for follower in self.followers.values())
 
 
-def create_members(own: str) -> MemberTable:
+def create_members(own: str, hosts: tuple[str, ...]) -> MemberTable:
+    """Create the member table of a host."""
     members = MemberTable(own)
-    for host in HOSTS:
+    for host in hosts:
         members.apply(MemberUpdate(host, 1, 0, 0, 'dc', '', host), 0)
     return members
 
 
 @contextmanager
-def open_fleet() -> Iterator[ReaderFleet]:
+def open_fleet(count: int = _HOSTS) -> Iterator[ReaderFleet]:
+    """Run hosts that follow the configuration on virtual time.
+
+    :param count: number of hosts.
+    """
+    hosts = tuple(f'host-{index:02d}' for index in range(count))
     with use_virtual_time() as hub:
-        fleet = ReaderFleet(hub)
+        fleet = ReaderFleet(hub, hosts)
         fleet.publish(1)
         tasks = []
-        for host in HOSTS:
+        for host in hosts:
             platform = VirtualPlatform(host, fleet.state, HostFaults())
             follower = ConfigurationFollower(
                 CountedPlatform(platform, fleet.calls),
-                PeerAccess(fleet, create_members(host)),
+                PeerAccess(fleet, create_members(host, hosts)),
                 decode=decode_number,
                 clock=hub.read_now,
                 source=random.Random(host),
--- a/tests/test_coordination/test_readers.py
+++ b/tests/test_coordination/test_readers.py
@@ -14,7 +14,7 @@
 from egretdale.state.queries import ChangeAsk, ObjectCopy
 from tests.forwarding import ManualClock
 from tests.functions import create_loader
-from tests.readers import HOSTS, ReaderFleet, open_fleet
+from tests.readers import ReaderFleet, open_fleet
 
 load_tests = create_loader(__name__)
 
@@ -75,8 +75,12 @@
     with open_fleet() as fleet:
         for version in range(2, 60):
             fleet.publish(version)
-            fleet.silent = set(source.sample(HOSTS, source.choice((0, 9))))
-            fleet.state.cut = set(source.sample(HOSTS, source.choice((0, 9))))
+            fleet.silent = set(
+                source.sample(fleet.hosts, source.choice((0, 9)))
+            )
+            fleet.state.cut = set(
+                source.sample(fleet.hosts, source.choice((0, 9)))
+            )
             fleet.state.slow_s = source.choice((0.002, 0.3))
             for _ in range(source.randrange(30)):
                 eventlet.sleep(0.1)
@@ -173,3 +177,18 @@
     before = _create_listing(8, a=3, b=8)
     relay.update(_create_listing(9, a=3), 100)
     assert _exchange(relay, before) is None
+
+
+def test_a_watch_that_hangs_does_not_hide_a_change_for_long() -> None:
+    """Its connection went silent right before the change."""
+    for count in (6, 20, 81):
+        with open_fleet(count) as fleet:
+            for version in range(2, 22):
+                eventlet.sleep(0.17 * version)
+                is_shared = count >= 12
+                watching = fleet.list_readers() if is_shared else fleet.hosts
+                fleet.state.hung.add(watching[0])
+                fleet.publish(version)
+                eventlet.sleep(_APPLY_S)
+                assert fleet.find_oldest_version() == version, count
+                fleet.state.hung.clear()
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -4,8 +4,9 @@
 
 import eventlet
 
-from egretdale.coordination.ports import Listing, Written
+from egretdale.coordination.ports import WATCH_MARGIN_S, Listing, Written
 from egretdale.errors import Ambiguous, Conflict, Missing, Unreachable
+from egretdale.util.clocks import read_hub_clock
 from tests.functions import create_loader
 from tests.object_store import open_store
 
@@ -163,3 +164,14 @@
             after = client.watch('instances', known.version, 0.05)
             assert after.era == known.era == 1, era
             assert _list_names(after) == ['a', 'b']
+
+
+def test_a_watch_without_an_answer_ends_soon() -> None:
+    """Its connection has gone silent."""
+    with open_store() as (program, client):
+        known = client.list_objects('instances')
+        program.is_hanging = True
+        began_at = read_hub_clock()
+        watched = client.watch('instances', known.version, 0.1)
+        assert isinstance(watched, Unreachable)
+        assert read_hub_clock() - began_at < 0.1 + 2 * WATCH_MARGIN_S
