Hold back entries of a restored store that had been removed

What callers may see: after a drill of the store requests reach a backend server that was gone from the list before, as the older copy lists it as ready; one that restarted comes back in its former life, for which nothing is known of its present one's leaving.

Hosts remember which entries were removed, with the start time and the era. After a restoration an entry with this start time or an earlier one, no later than the first list of the era, is left out until it is written again, for ten seconds at most: an entry whose server does not run lapses before. The present life is kept meanwhile like any entry that the copy lacks, for two seconds.

Evidence: test_a_removed_server_does_not_return_with_a_restored_copy, test_a_former_life_does_not_return_with_a_restored_copy and test_an_entry_that_stays_after_a_restoration_is_used_in_the_end fail on the code before and pass now, with the other tests of the instance list, of the instance table and of leaving servers with real daemons.

--- a/egretdale/coordination/instances.py
+++ b/egretdale/coordination/instances.py
@@ -21,6 +21,7 @@
 from egretdale.state.instances import Instance, InstanceTable
 from egretdale.state.messages import Batch, Revision
 from egretdale.state.queries import DocumentCopy
+from egretdale.state.removals import RemovalHistory
 from egretdale.util.clocks import (
     Clock,
     convert_to_ms,
@@ -41,6 +42,8 @@
 _MAXIMUM_SILENCE_S = 3600.0
 
 _EXPIRY_CHECK_S = 0.25
+#: Backend servers that one line of the log names at most.
+_MAXIMUM_LOGGED = 20
 
 #: Decodes an entry; the arguments are its name and its body.
 InstanceDecoder = Callable[[str, bytes], Instance | Invalid]
@@ -66,6 +69,8 @@
         '_malformed',
         '_on_gone',
         '_outages',
+        '_outdated',
+        '_removals',
         '_watch',
         'confirmation',
         'relay',
@@ -107,9 +112,11 @@
         self._fetcher = CopyFetcher(INSTANCE_KIND, peers, self._apply_copy)
         self._is_older = False
         self._lost_at: float | None = None
+        self._outdated: set[str] = set()
         # Bodies of the entries that were left out, by name.
         self._malformed: dict[str, bytes] = {}
         self._outages = OutageRecord()
+        self._removals = RemovalHistory(clock)
 
     def run_watch(self) -> None:
         """Watch the list."""
@@ -147,6 +154,8 @@
             eventlet.sleep(_EXPIRY_CHECK_S)
             for instance in self.table.expire():
                 self._report_gone(instance)
+            if self._removals.end_hold():
+                self._apply(self._listing, 'platform')
 
     # Peers
 
@@ -241,6 +250,9 @@
     def _apply(self, listing: Listing, origin: str) -> None:
         if self._listing.era and listing.era > self._listing.era:
             self._outages.note_restoration(self._clock(), LAPSE_S)
+            self._removals.note_restoration(
+                self.table.list_all(), self._listing.era, listing.version
+            )
         self._listing = listing
         instances = {}
         for entry in listing.entries:
@@ -254,6 +266,7 @@
             for malformed in listing.entries
             if malformed.name not in instances
         }
+        instances = self._drop_outdated(instances)
         self._log_changes(instances, origin)
         lapsed_at = self._outages.returned_at + LAPSE_S
         gone = self.table.replace(
@@ -264,6 +277,33 @@
         for instance in gone:
             self._report_gone(instance)
 
+    def _drop_outdated(
+        self, instances: dict[str, Instance]
+    ) -> dict[str, Instance]:
+        """Drop entries of a restored copy that had been removed before."""
+        era = self._listing.era
+        outdated = {
+            entry.name
+            for entry in self._listing.entries
+            if entry.name in instances
+            and self._removals.is_outdated(
+                instances[entry.name], era, entry.version
+            )
+        }
+        if outdated - self._outdated:
+            logger.info(
+                'backends-outdated',
+                count=len(outdated),
+                backends=sorted(outdated)[:_MAXIMUM_LOGGED],
+                era=era,
+            )
+        self._outdated = outdated
+        return {
+            name: instance
+            for name, instance in instances.items()
+            if name not in outdated
+        }
+
     def _log_changes(self, instances: dict[str, Instance], origin: str) -> None:
         for name, instance in instances.items():
             if self.table.find(name) != instance:
@@ -293,4 +333,5 @@
         logger.info(
             'backend-gone', backend=instance.name, service=instance.service
         )
+        self._removals.note_removed(instance, self._listing.era)
         self._on_gone(instance)
--- a/tests/test_coordination/test_instance_list.py
+++ b/tests/test_coordination/test_instance_list.py
@@ -23,10 +23,16 @@
 
 
 def _decode(name: str, source: bytes) -> Instance | Invalid:
-    if source not in {b'ready', b'leaving'}:
+    state, _, born = source.partition(b'@')
+    if state not in {b'ready', b'leaving'}:
         return Invalid('$', 'is not a state')
-    leaving = source == b'leaving'
-    return Instance(name, 'claims', '10.0.0.1:80', leaving=leaving)
+    return Instance(
+        name,
+        'claims',
+        '10.0.0.1:80',
+        leaving=state == b'leaving',
+        born_ms=int(born or b'0'),
+    )
 
 
 class _Peers:
@@ -220,3 +226,52 @@
         assert _list_ready(first) == ['a', 'b', 'c']
         eventlet.sleep(1)
         assert _list_ready(first) == ['a', 'b']
+
+
+def test_a_removed_server_does_not_return_with_a_restored_copy() -> None:
+    """The copy lists it as ready until it is removed again."""
+    with _open_pair() as (state, first, second):
+        saved = state.store.copy()
+        _remove(state, 'a')
+        eventlet.sleep(0.2)
+        state.store.restore(saved)
+        for step in range(8):
+            eventlet.sleep(0.3)
+            assert _list_ready(first) == _list_ready(second) == ['b']
+            state.store.put('others', 'x', str(step))
+            state.store.put(INSTANCE_KIND, 'b', f'ready@{step}')
+        # It runs, as it writes its entry.
+        state.store.put(INSTANCE_KIND, 'a', 'ready')
+        eventlet.sleep(0.2)
+        assert _list_ready(first) == ['a', 'b']
+
+
+def test_a_former_life_does_not_return_with_a_restored_copy() -> None:
+    """The present one is used until it has registered again."""
+    with _open_pair() as (state, first, _):
+        state.store.put(INSTANCE_KIND, 'a', 'ready@5')
+        saved = state.store.copy()
+        eventlet.sleep(0.2)
+        state.store.put(INSTANCE_KIND, 'a', 'ready@8')
+        eventlet.sleep(0.2)
+        state.store.restore(saved)
+        eventlet.sleep(0.5)
+        assert first.table.find('a').born_ms == 8
+        eventlet.sleep(2)
+        assert first.table.find('a') is None
+        state.store.put(INSTANCE_KIND, 'a', 'ready@8')
+        eventlet.sleep(0.2)
+        assert first.table.find('a').born_ms == 8
+
+
+def test_an_entry_that_stays_after_a_restoration_is_used_in_the_end() -> None:
+    """Its server renews it, which changes nothing in the copy."""
+    with _open_pair() as (state, first, _):
+        saved = state.store.copy()
+        _remove(state, 'a')
+        eventlet.sleep(0.2)
+        state.store.restore(saved)
+        eventlet.sleep(5)
+        assert _list_ready(first) == ['b']
+        eventlet.sleep(6)
+        assert _list_ready(first) == ['a', 'b']
