End the use of leaving servers sooner when the list was late

Cause: leaving servers are a last resort for 0.5 s from the time at which this host's list says so. With a watch that hung, the list may say so 1.65 s late. The use now ends 1.5 s after the platform's answer before as well, since the list has changed after that answer; in calm that is later than the 0.5 s.

Evidence: test_a_hung_watch_does_not_extend_the_use_of_leaving_servers fails on the code before and passes now; test_late_news_of_leaving_servers_ends_their_use_sooner for the table; test_leaving, test_departures and test_instance_list pass.

--- a/egretdale/coordination/instances.py
+++ b/egretdale/coordination/instances.py
@@ -60,6 +60,7 @@
     """
 
     __slots__ = (
+        '_changed_after',
         '_clock',
         '_decode',
         '_fetcher',
@@ -115,6 +116,8 @@
         self._outdated: set[str] = set()
         # Bodies of the entries that were left out, by name.
         self._malformed: dict[str, bytes] = {}
+        # Clock time of the answer that confirmed the list before.
+        self._changed_after: float | None = None
         self._outages = OutageRecord()
         self._removals = RemovalHistory(clock)
 
@@ -132,12 +135,14 @@
             lost_s = self._clock() - self._lost_at
             logger.info('backend-list-regained', lost_s=lost_s)
             self._lost_at = None
-        self._outages.note_answer(self._watch.answered_at)
+        answered_at = self._watch.answered_at
+        self._outages.note_answer(answered_at)
         self.confirmation.confirm(confirmed_at)
         self._note_order(listing)
         # The list of a reader may be older than a copy from another peer.
         if listing.position > self._listing.position:
             self._apply(listing, 'platform')
+        self._changed_after = answered_at
 
     def note_watch_failure(self, failure: Unreachable) -> None:
         """Log the first of several failures in a row.
@@ -273,6 +278,7 @@
             instances,
             after_outage=self._clock() < lapsed_at,
             lapsed_at=lapsed_at,
+            changed_after=self._changed_after,
         )
         for instance in gone:
             self._report_gone(instance)
--- a/egretdale/state/instances.py
+++ b/egretdale/state/instances.py
@@ -18,6 +18,9 @@
 #: Seconds after the list said that a backend server leaves in which it gets
 #: work that no other one can do. The list may say so seconds late.
 _LISTED_USE_S = 0.5
+#: Seconds after the earliest time at which the list may have said so, up to
+#: which it gets such work; connections to it may take half a second to open.
+_LATEST_USE_S = 1.5
 #: Seconds for which a backend server is assumed to leave that has restarted, if
 #: its former life seemed to say so when the present one was running already.
 _ASSUMED_S = 30.0
@@ -114,6 +117,7 @@
         *,
         after_outage: bool,
         lapsed_at: float | None = None,
+        changed_after: float | None = None,
     ) -> list[Instance]:
         """Replace the table by a newer list.
 
@@ -121,6 +125,8 @@
         :param after_outage: whether the list was unreadable until recently.
         :param lapsed_at: latest clock time until which missing entries are
             kept after an outage, ``None`` if it has just ended.
+        :param changed_after: clock time after which the list has changed,
+            ``None`` for the present time.
         :return: backend servers that are no longer listed or have restarted.
         """
         now = self._clock()
@@ -141,7 +147,7 @@
         }
         known_before = self._listed
         self._listed = kept
-        self._add_listed_departures()
+        self._add_listed_departures(changed_after)
         self._add_assumed_departures(known_before)
         self._index()
         return gone
@@ -255,8 +261,11 @@
             index = self._leaving if is_leaving else self._by_service
             index.setdefault(instance.service, []).append(instance)
 
-    def _add_listed_departures(self) -> None:
+    def _add_listed_departures(self, changed_after: float | None) -> None:
         now = self._clock()
+        usable_until = now + _LISTED_USE_S
+        if changed_after is not None:
+            usable_until = min(usable_until, changed_after + _LATEST_USE_S)
         for instance in self._listed.values():
             if instance.leaving:
                 self.departures.add(
@@ -264,7 +273,7 @@
                         instance.service,
                         instance.incarnation,
                         now,
-                        now + _LISTED_USE_S,
+                        usable_until,
                     )
                 )
         self.departures.refresh(
--- a/tests/test_coordination/test_instance_list.py
+++ b/tests/test_coordination/test_instance_list.py
@@ -275,3 +275,18 @@
         assert _list_ready(first) == ['b']
         eventlet.sleep(6)
         assert _list_ready(first) == ['a', 'b']
+
+
+def test_a_hung_watch_does_not_extend_the_use_of_leaving_servers() -> None:
+    """The news that the last ones leave is late already."""
+    with _open_pair() as (state, first, _):
+        state.hung.add('first')
+        eventlet.sleep(0.1)
+        for name in ('a', 'b'):
+            state.store.put(INSTANCE_KIND, name, 'leaving')
+        while _list_ready(first):
+            eventlet.sleep(0.01)
+        known_at = first.table.read_wall_ms()
+        while first.table.list_last_resorts('claims'):
+            eventlet.sleep(0.01)
+        assert first.table.read_wall_ms() - known_at < 100
--- a/tests/test_state/test_instances.py
+++ b/tests/test_state/test_instances.py
@@ -66,3 +66,20 @@
     table.replace({'a': _create('a', leaving=True)}, after_outage=False)
     assert not table.list_ready('claims')
     assert table.find('a') is not None
+
+
+def test_late_news_of_leaving_servers_ends_their_use_sooner() -> None:
+    """The list may have said so before the last answer was due."""
+    for late_s, usable_s in ((0.1, 0.5), (1.0, 0.5), (1.3, 0.2), (1.7, 0)):
+        clock = ManualClock()
+        table = InstanceTable(clock, 2)
+        ready = {'a': _create('a')}
+        table.replace(ready, after_outage=False, changed_after=clock.now)
+        leaving = {'a': _create('a', leaving=True)}
+        changed_after = clock.now
+        clock.now += late_s
+        table.replace(leaving, after_outage=False, changed_after=changed_after)
+        for waited_s in (0, 0.15, 0.45, 0.55):
+            clock.now = changed_after + late_s + waited_s
+            is_usable = bool(table.list_last_resorts('claims'))
+            assert is_usable == (waited_s < usable_s), (late_s, waited_s)
