Play restorations of the platform at 6 to 195 hosts, with single faults

The tests of a restored platform ran at 20 hosts. They run at 6, 20, 81 and 195 now, and with a reader that stands still, a hung watch or a slow platform after each of several restorations at 6, 20 and 81.

--- a/tests/test_coordination/test_restored_platform.py
+++ b/tests/test_coordination/test_restored_platform.py
@@ -13,7 +13,7 @@
 from standins.models.store import ObjectStore, StoreCopy
 from tests.forwarding import ManualClock
 from tests.functions import create_loader
-from tests.readers import open_fleet
+from tests.readers import ReaderFleet, open_fleet
 
 load_tests = create_loader(__name__)
 
@@ -84,23 +84,60 @@
     assert changes.gone == ['c']
 
 
+def _check_restoration(fleet: ReaderFleet) -> None:
+    saved = fleet.state.store.copy()
+    for version in (2, 3, 4):
+        fleet.publish(version)
+        eventlet.sleep(0.2)
+    fleet.state.store.restore(saved)
+    eventlet.sleep(0.2)
+    restored_at = fleet.hub.now
+    eventlet.sleep(3)
+    for follower in fleet.followers.values():
+        age_s = follower.confirmation.measure_age()
+        assert age_s > fleet.hub.now - restored_at, age_s
+    fleet.publish(5)
+    eventlet.sleep(0.2)
+    assert fleet.find_oldest_version() == 5
+
+
 def test_followers_take_the_lower_version_of_a_restored_store() -> None:
     """A configuration that is older than the store's is not confirmed."""
-    with open_fleet() as fleet:
-        saved = fleet.state.store.copy()
-        for version in (2, 3, 4):
-            fleet.publish(version)
-            eventlet.sleep(0.2)
-        fleet.state.store.restore(saved)
-        eventlet.sleep(0.2)
-        restored_at = fleet.hub.now
-        eventlet.sleep(3)
-        for follower in fleet.followers.values():
-            age_s = follower.confirmation.measure_age()
-            assert age_s > fleet.hub.now - restored_at, age_s
-        fleet.publish(5)
-        eventlet.sleep(0.2)
-        assert fleet.find_oldest_version() == 5
+    for count in (6, 20, 81, 195):
+        with open_fleet(count) as fleet:
+            _check_restoration(fleet)
+
+
+def _add_fault(fleet: ReaderFleet, source: random.Random) -> None:
+    is_shared = len(fleet.hosts) >= 12
+    watching = fleet.list_readers() if is_shared else fleet.hosts
+    match source.randrange(3):
+        case 0:
+            fleet.silent.add(watching[0])
+        case 1:
+            fleet.state.hung.add(watching[0])
+        case 2:
+            fleet.state.slow_s = 0.1
+
+
+def test_no_single_fault_hides_a_change_after_a_restoration() -> None:
+    """A reader stands still, or its watch hangs, or the platform is slow."""
+    for count, seed in ((6, 1), (20, 2), (81, 3)):
+        source = random.Random(seed)
+        with open_fleet(count) as fleet:
+            for version in range(2, 30, 2):
+                saved = fleet.state.store.copy()
+                fleet.publish(version)
+                eventlet.sleep(source.uniform(0, 2))
+                fleet.state.store.restore(saved)
+                eventlet.sleep(source.uniform(0, 2))
+                _add_fault(fleet, source)
+                fleet.publish(version + 1)
+                eventlet.sleep(2)
+                assert fleet.find_oldest_version() == version + 1, count
+                fleet.silent.clear()
+                fleet.state.hung.clear()
+                fleet.state.slow_s = 0.002
 
 
 def test_a_reader_without_eras_is_not_asked_after_a_restoration() -> None:
