Keep lapsed backend servers when a peer has the new list first

What callers saw: for up to two seconds after an outage of the store, hosts that had not reached it yet refused requests, or sent them to half of the backend servers.

Cause: a host without the platform fetches a newer list from a peer that has reached it again. Such a list was applied as if there had been no outage, so that each entry that had lapsed was gone at once.

The time since the platform last answered a peer is now noted with each batch, before a copy is fetched, so that the copy is known to come after an outage.

--- a/egretdale/coordination/instances.py
+++ b/egretdale/coordination/instances.py
@@ -184,25 +184,15 @@
 
         :param batch: a batch from a peer.
         """
-        if self._lost_at is None:
-            return
         for revision in batch.revisions:
             if revision.service_name != INSTANCE_KIND:
                 continue
-            if self._is_newer(revision.era, revision.number):
-                self._fetcher.start(batch.sender)
-
-    def note_answer(self, answer: Batch, sent_at: float) -> None:
-        """Record when the platform last answered a peer.
-
-        :param answer: answer of the peer.
-        :param sent_at: when the batch was sent.
-        """
-        for revision in answer.revisions:
-            known = revision.age_ms >= 0
-            if revision.service_name == INSTANCE_KIND and known:
+            if revision.age_ms >= 0:
                 silent_s = convert_to_seconds(revision.age_ms)
-                self._outages.note_answer(sent_at - silent_s)
+                self._outages.note_answer(self._clock() - silent_s)
+            newer = self._is_newer(revision.era, revision.number)
+            if newer and self._lost_at is not None:
+                self._fetcher.start(batch.sender)
 
     def copy(self) -> DocumentCopy:
         """Return a copy of the list for a peer."""
--- a/tests/test_coordination/test_instance_list.py
+++ b/tests/test_coordination/test_instance_list.py
@@ -187,10 +187,7 @@
         state.cut.add('second')
         for step in range(16):
             eventlet.sleep(0.25)
-            sent_at = second.table.read_wall_ms() / 1000
-            answer = Batch('first', 1)
-            first.fill('second', answer)
-            second.note_answer(answer, sent_at)
+            _send_batch(first, second)
             if step == 11:
                 _remove(state, 'a')
         state.cut.clear()
