Test that grants, relays and resumed streams keep to the host's list

A host whose list says that a server leaves, or lacks it, while all others have an older list: no grant of an allocator, no resumed stream and no relay of another host made it send there. No fault was found: the test passes on the code before as well (the check stands where a grant is taken).

--- a/tests/test_coordination/test_leaving.py
+++ b/tests/test_coordination/test_leaving.py
@@ -270,6 +270,31 @@
         assert not scene.list_reached('e0.1', restarted_at)
 
 
+def test_nothing_goes_round_the_list_of_the_host_that_sends() -> None:
+    """Grants, resumed streams and relays of hosts with older lists do not."""
+    for entry in (create_instance('e0', leaving=True), None):
+        with open_leaving_scene() as scene:
+            host = scene.hosts['h0']
+            listed = {
+                name: create_instance(name) for name in scene.servers.lives
+            }
+            listed['e0'] = entry
+            scene.send(_RATE, 1)
+            host.replace_instances(
+                {name: held for name, held in listed.items() if held}
+            )
+            scene.servers.cut_off.add('h1')
+            listed_at = scene.hub.now
+            scene.send(_RATE, 3, seed=2)
+            for _ in range(10):
+                scene.call(host, breaks=True)
+                scene.call(host, resumes=scene.last_request)
+                eventlet.sleep(1)
+            reached = scene.list_reached('e0.1', listed_at)
+            assert 'h0' not in {arrival.host for arrival in reached}
+            assert reached, 'hosts with an older list use the server'
+
+
 def _play(scene: LeavingScene, source: random.Random) -> None:
     """Let servers leave and start again, in any order with other events."""
     for step in range(12):
