--- a/egretdale/coordination/forwarding.py
+++ b/egretdale/coordination/forwarding.py
@@ -263,43 +263,28 @@
             relayed = self._relay.forward(progress)
             if relayed is not None:
                 return relayed
-        left_s = self._admission.measure_remaining_time(progress.admitted)
-        try:
-            choice = self._selection.select(progress, left_s)
-        except HostStopped:
-            choice = STOPPING_REFUSAL
-        if isinstance(choice, Refused):
-            return refuse_attempt(progress, choice.detail, choice)
+        choice = self._choose(progress)
         if choice is not None:
             return choice
         left_s = self._admission.measure_remaining_time(progress.admitted)
         if left_s < _LAST_WAIT_S:
             return refuse_attempt(progress, 'no time is left')
-        if self._has_hanging(progress):
+        if self._selection.retry_hanging(progress):
             return None
         relayed = self._relay.forward(progress) if may_relay else None
         return relayed or refuse_attempt(
             progress, 'no backend server is available'
         )
 
-    def _has_hanging(self, progress: Progress) -> bool:
-        """Tell whether backend servers may go on that were tried in vain.
-
-        They are no longer avoided.
-
-        :param progress: state of the request.
-        """
-        if self._selection.is_cut_off():
-            return False
-        waiting = [
-            instance.name
-            for instance in progress.hanging
-            if self._loads.may_stand_still(instance.incarnation)
-        ]
-        progress.hanging.clear()
-        for name in waiting:
-            progress.avoided.remove(name)
-        return bool(waiting)
+    def _choose(self, progress: Progress) -> BackendChoice | Refused | None:
+        left_s = self._admission.measure_remaining_time(progress.admitted)
+        try:
+            choice = self._selection.select(progress, left_s)
+        except HostStopped:
+            choice = STOPPING_REFUSAL
+        if isinstance(choice, Refused):
+            return refuse_attempt(progress, choice.detail, choice)
+        return choice
 
     def _check_sending(self, progress: Progress) -> Refused | None:
         """Check that a request may be sent now to the chosen backend server.
--- a/egretdale/coordination/instances.py
+++ b/egretdale/coordination/instances.py
@@ -22,6 +22,7 @@
 from egretdale.state.instances import Instance, InstanceTable
 from egretdale.state.messages import Batch, Revision
 from egretdale.state.queries import DocumentCopy
+from egretdale.state.removals import RemovalHistory
 from egretdale.util.clocks import (
     Clock,
     convert_to_ms,
@@ -46,6 +47,8 @@
 _UNSEEN_S = 5.0
 
 _EXPIRY_CHECK_S = 0.25
+#: Backend servers that one line of the log names at most.
+_MAXIMUM_LOGGED = 20
 
 #: Decodes an entry; the arguments are its name and its body.
 InstanceDecoder = Callable[[str, bytes], Instance | Invalid]
@@ -63,6 +66,7 @@
     """
 
     __slots__ = (
+        '_changed_after',
         '_clock',
         '_decode',
         '_fetcher',
@@ -72,6 +76,8 @@
         '_malformed',
         '_on_gone',
         '_outages',
+        '_outdated',
+        '_removals',
         '_watch',
         'confirmation',
         'confirmer',
@@ -121,9 +127,13 @@
         self._fetcher = CopyFetcher(INSTANCE_KIND, peers, self._apply_copy)
         self._is_older = False
         self._lost_at: float | None = None
+        self._outdated: set[str] = set()
         # Bodies of the entries that were left out, by name.
         self._malformed: dict[str, bytes] = {}
+        # Clock time of the answer that confirmed the list before.
+        self._changed_after: float | None = None
         self._outages = OutageRecord()
+        self._removals = RemovalHistory(clock)
 
     def run_watch(self) -> None:
         """Watch the list."""
@@ -139,7 +149,8 @@
             lost_s = self._clock() - self._lost_at
             logger.info('backend-list-regained', lost_s=lost_s)
             self._lost_at = None
-        self._outages.note_answer(self._watch.answered_at)
+        answered_at = self._watch.answered_at
+        self._outages.note_answer(answered_at)
         unseen_s = self.confirmation.measure_age()
         if unseen_s > _UNSEEN_S and listing.position != self._listing.position:
             self.table.versions.note_gap()
@@ -148,6 +159,7 @@
         # The list of a reader may be older than a copy from another peer.
         if listing.position > self._listing.position:
             self._apply(listing, 'platform')
+        self._changed_after = answered_at
 
     def note_watch_failure(self, failure: Unreachable) -> None:
         """Log the first of several failures in a row.
@@ -164,6 +176,8 @@
             eventlet.sleep(_EXPIRY_CHECK_S)
             for instance in self.table.expire():
                 self._report_gone(instance)
+            if self._removals.end_hold():
+                self._apply(self._listing, 'platform')
 
     # Peers
 
@@ -187,25 +201,15 @@
 
         :param batch: a batch from a peer.
         """
-        if self._lost_at is None:
-            return
         for revision in batch.revisions:
             if revision.service_name != INSTANCE_KIND:
                 continue
-            if self._is_newer(revision.era, revision.number):
-                self._fetcher.start(batch.sender)
-
-    def note_answer(self, answer: Batch, sent_at: float) -> None:
-        """Record when the platform last answered a peer.
-
-        :param answer: answer of the peer.
-        :param sent_at: when the batch was sent.
-        """
-        for revision in answer.revisions:
-            known = revision.age_ms >= 0
-            if revision.service_name == INSTANCE_KIND and known:
+            if revision.age_ms >= 0:
                 silent_s = convert_to_seconds(revision.age_ms)
-                self._outages.note_answer(sent_at - silent_s)
+                self._outages.note_answer(self._clock() - silent_s)
+            newer = self._is_newer(revision.era, revision.number)
+            if newer and self._lost_at is not None:
+                self._fetcher.start(batch.sender)
 
     def copy(self) -> DocumentCopy:
         """Return a copy of the list for a peer."""
@@ -258,6 +262,9 @@
     def _apply(self, listing: Listing, origin: str) -> None:
         if self._listing.era and listing.era > self._listing.era:
             self._outages.note_restoration(self._clock(), LAPSE_S)
+            self._removals.note_restoration(
+                self.table.list_all(), self._listing.era, listing.version
+            )
         self._listing = listing
         instances = {}
         for entry in listing.entries:
@@ -271,16 +278,45 @@
             for malformed in listing.entries
             if malformed.name not in instances
         }
+        instances = self._drop_outdated(instances)
         self._log_changes(instances, origin)
         lapsed_at = self._outages.returned_at + LAPSE_S
         gone = self.table.replace(
             instances,
             after_outage=self._clock() < lapsed_at,
             lapsed_at=lapsed_at,
+            changed_after=self._changed_after,
         )
         for instance in gone:
             self._report_gone(instance)
 
+    def _drop_outdated(
+        self, instances: dict[str, Instance]
+    ) -> dict[str, Instance]:
+        """Drop entries of a restored copy that had been removed before."""
+        era = self._listing.era
+        outdated = {
+            entry.name
+            for entry in self._listing.entries
+            if entry.name in instances
+            and self._removals.is_outdated(
+                instances[entry.name], era, entry.version
+            )
+        }
+        if outdated - self._outdated:
+            logger.info(
+                'backends-outdated',
+                count=len(outdated),
+                backends=sorted(outdated)[:_MAXIMUM_LOGGED],
+                era=era,
+            )
+        self._outdated = outdated
+        return {
+            name: instance
+            for name, instance in instances.items()
+            if name not in outdated
+        }
+
     def _log_changes(self, instances: dict[str, Instance], origin: str) -> None:
         for name, instance in instances.items():
             if self.table.find(name) != instance:
@@ -310,4 +346,5 @@
         logger.info(
             'backend-gone', backend=instance.name, service=instance.service
         )
+        self._removals.note_removed(instance, self._listing.era)
         self._on_gone(instance)
