Let the soak's deliberate bugs undo the skipping of late responses

The bugs mixed-copy and calm-copy changed what the codec says of a response with another request's ID. Both now keep the connection from finding the earlier request.

--- a/soak/broken_daemon.py
+++ b/soak/broken_daemon.py
@@ -7,7 +7,6 @@
 import os
 import sys
 from dataclasses import replace
-from http.client import HTTPException
 from types import MappingProxyType
 
 from egretdale.coordination.admission import Admission
@@ -25,6 +24,7 @@
     BackendConnection,
     ConnectionPool,
 )
+from egretdale.transport.carried_requests import CarriedRequests
 from egretdale.transport.forwarding import ForwardedResponse
 from egretdale.transport.gateway import GatewayDaemon
 from egretdale.transport.ingress import Ingress
@@ -135,8 +135,14 @@
     DepartureTracker.note_response = lambda *ignored: None
 
 
+def give_up_after_copies() -> None:
+    """Expect the first response to be that of the last request."""
+    CarriedRequests.find_earlier_method = lambda *ignored: None
+
+
 def confuse_responses() -> None:
-    """Take each response for that of the request that was sent last."""
+    """Take the first response for that of the last request."""
+    give_up_after_copies()
     parse = HeaderCodec.parse_response
 
     def parse_any(*fields: object, **options: object) -> ResponseMetadata:
@@ -145,19 +151,6 @@
     HeaderCodec.parse_response = parse_any
 
 
-def fail_after_copies() -> None:
-    """Give up requests before whose response another one arrives."""
-    parse = HeaderCodec.parse_response
-
-    def parse_own(*fields: object, **options: object) -> ResponseMetadata:
-        metadata = parse(*fields, **options)
-        if not metadata.matches:
-            raise HTTPException('unexpected response')
-        return metadata
-
-    HeaderCodec.parse_response = parse_own
-
-
 def give_up_on_silence() -> None:
     """Take backend servers for lost that do not respond at once."""
     connect = ConnectionPool.connect
@@ -188,7 +181,7 @@
         'budget': forget_crashes,
         'drain': ignore_departures,
         'mixed-copy': confuse_responses,
-        'calm-copy': fail_after_copies,
+        'calm-copy': give_up_after_copies,
         'calm-silence': give_up_on_silence,
     }
 )
--- a/soak/evidence.py
+++ b/soak/evidence.py
@@ -55,6 +55,8 @@
         last part of the path.
     :ivar departures: what servers saw of their departures.
     :ivar copies: number of responses that were sent twice.
+    :ivar unread: number of connections that servers closed after a silence, as
+        they had been idle for too long, with a request that was not read.
     """
 
     stops: list[Stop] = field(default_factory=list)
@@ -64,3 +66,4 @@
     crashes: dict[str, CrashLog] = field(default_factory=dict)
     departures: list[DepartureLog] = field(default_factory=list)
     copies: int = 0
+    unread: int = 0
--- a/soak/proxies.py
+++ b/soak/proxies.py
@@ -47,6 +47,8 @@
     :ivar harm: fault that is currently injected.
     :ivar silent: whether the target stands still: connections wait to be
         accepted, and nothing is read or written.
+    :ivar unread: number of idle connections that were closed with data that
+        had just arrived.
     :ivar errors: errors that ended the most recent connections.
     """
 
@@ -59,6 +61,7 @@
         """
         self.harm = Harm.NONE
         self.silent = False
+        self.unread = 0
         self.errors: deque[str] = deque(maxlen=_MAXIMUM_ERRORS)
         self._target = target
         self._connections: set[_ProxiedConnection] = set()
@@ -99,6 +102,7 @@
         due = read_hub_clock() - idle_timeout_s
         for connection in list(self._connections):
             if connection.used_at < due:
+                self.unread += connection.held > 0
                 connection.reset()
         self._set_backlog(_BACKLOG)
         self.silent = False
@@ -153,10 +157,11 @@
 class _ProxiedConnection:
     """A connection through a proxy, with a task for each direction.
 
+    :ivar held: number of directions with data that is not forwarded yet.
     :ivar used_at: clock time at which data was last forwarded.
     """
 
-    __slots__ = ('_proxy', '_sockets', '_tasks', 'used_at')
+    __slots__ = ('_proxy', '_sockets', '_tasks', 'held', 'used_at')
 
     def __init__(
         self,
@@ -164,6 +169,7 @@
         connection: socket.socket,
         upstream: socket.socket,
     ) -> None:
+        self.held = 0
         self.used_at = read_hub_clock()
         self._proxy = proxy
         self._sockets = (connection, upstream)
@@ -203,8 +209,10 @@
         """
         try:
             while chunk := source.recv(_CHUNK_BYTES):
+                self.held += 1
                 if not self._proxy.apply_harm(cut):
                     return False
+                self.held -= 1
                 self.used_at = read_hub_clock()
                 sink.sendall(chunk)
             if self._proxy.apply_harm(cut):
--- a/soak/reports.py
+++ b/soak/reports.py
@@ -47,6 +47,7 @@
         f' {len(record.evidence.stops)} graceful shutdowns,'
         f' {_count_crashes(record)} crashes of servers,'
         f' {record.evidence.copies} responses sent twice,'
+        f' {record.evidence.unread} requests unread on idle connections,'
         f' served again after {outcome.recovered_s:.1f} s'
     )
     lines.extend(
--- a/soak/world.py
+++ b/soak/world.py
@@ -134,6 +134,7 @@
         self.evidence.copies = sum(
             program.copies for program in self._stuttering
         )
+        self.evidence.unread = sum(link.unread for link in self._server_links)
         for daemon in self.daemons:
             daemon.kill()
 
--- a/tests/test_soak/test_proxies.py
+++ b/tests/test_soak/test_proxies.py
@@ -98,6 +98,7 @@
     except ConnectionError:
         received = b''
     assert not received
+    assert proxy.unread == 1
     proxy.close()
 
 
