Give the soak's requests paths of their own, and its servers two idle times

All idempotent requests of the soak's clients were the same but for their ID. The check is about stutters and silences, so each request now has a path of its own, and a refusal in calm cannot be one of a look-alike. With that, the route with the longer prefix, which never matched, takes requests.

Servers state idle timeouts of 2 and 3 s in turn, so that more connections become too old during a silence.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -171,6 +171,8 @@
     def _create_attempt(self, kind: str, host: int) -> Attempt:
         identity = f'{self._name}-{len(self.attempts)}'
         attempt = Attempt(identity, kind, self.key, host, read_hub_clock())
+        # Requests that differ in their ID only would be quarantined together.
+        attempt.path = f'{REQUEST_NAME}/{identity}'
         self.attempts.append(attempt)
         return attempt
 
--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -20,7 +20,7 @@
 
 HOST_NAME = 'claims.example'
 ORGANISATION = 'small'
-#: Last part of the paths of requests.
+#: Part of the paths of requests after the prefix of their route.
 REQUEST_NAME = 'x'
 #: Idle timeout of the connections of callers in the first configuration, in
 #: seconds.
@@ -319,5 +319,5 @@
 
 
 def _split_route(route: dict[str, object]) -> dict[str, object]:
-    prefix = f'{route["path_prefix"]}{REQUEST_NAME}'
+    prefix = f'{route["path_prefix"]}{REQUEST_NAME}/'
     return {**route, 'name': f'{route["name"]}-split', 'path_prefix': prefix}
--- a/soak/silences.py
+++ b/soak/silences.py
@@ -8,8 +8,8 @@
 from soak.daemons import Terms
 from soak.stutters import draw_servers
 
-#: Idle timeout that servers state, in seconds.
-KEEP_ALIVE_S = 3
+#: Idle timeouts that the servers state in turn, in seconds.
+KEEP_ALIVES_S = (2, 3)
 #: Seconds from the start to the first silence.
 _MAXIMUM_START_S = 2.0
 #: Mean interval between two silences in seconds.
--- a/soak/world.py
+++ b/soak/world.py
@@ -20,7 +20,7 @@
 from soak.proxies import FaultProxy, Harm
 from soak.server_list import ServerList
 from soak.servers import SealedServer
-from soak.silences import KEEP_ALIVE_S, Silence
+from soak.silences import KEEP_ALIVES_S, Silence
 from soak.stutters import Stutter, StutteringServer
 from standins.addresses import choose_ip
 from standins.objects import ObjectStoreProgram
@@ -95,8 +95,8 @@
             self.servers, self._server_links, self._list.note_restart
         )
         self.evidence.crashes = crashing.logs
-        for server in self.servers:
-            server.keep_alive_s = KEEP_ALIVE_S
+        for number, server in enumerate(self.servers):
+            server.keep_alive_s = KEEP_ALIVES_S[number % len(KEEP_ALIVES_S)]
         store_address = serve_program(self.store)
         self._store_links = [
             FaultProxy(store_address) for _ in range(size.daemons)
@@ -208,8 +208,8 @@
         for link in links:
             link.fall_silent(silence.backlog)
         eventlet.sleep(silence.for_s)
-        for link in links:
-            link.go_on(KEEP_ALIVE_S)
+        for number, link in zip(silence.targets, links, strict=True):
+            link.go_on(self.servers[number].keep_alive_s)
 
     def inject(self, fault: Fault) -> None:
         """Inject a fault and wait until it is over.
