Let the soak's clients rest before some silences

In half of the silences the clients now send nothing for 0.6 to 2.4 s before, and begin again in it.

The report in JSON holds what the servers saw, for tracing.

--- a/soak/broken_daemon.py
+++ b/soak/broken_daemon.py
@@ -20,6 +20,7 @@
 from egretdale.state.crashes import CrashHistory
 from egretdale.state.outcomes import Ran, Reason, Refused
 from egretdale.state.routing import Route
+from egretdale.transport import backend_connections
 from egretdale.transport.backend_connections import (
     BackendConnection,
     ConnectionPool,
@@ -166,6 +167,15 @@
     ConnectionPool.connect = connect_briefly
 
 
+def keep_idle_connections() -> None:
+    """Ignore the idle timeouts that backend servers state."""
+    setattr(
+        backend_connections,
+        '_parse_keep_alive',
+        lambda text: backend_connections.IDLE_TIMEOUT_S,
+    )
+
+
 #: Functions that install a bug, by the violation that the soak test reports and
 #: what shows it.
 BUGS = MappingProxyType(
@@ -183,6 +193,7 @@
         'mixed-copy': confuse_responses,
         'calm-copy': give_up_after_copies,
         'calm-silence': give_up_on_silence,
+        'calm-idle': keep_idle_connections,
     }
 )
 
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -104,6 +104,7 @@
     :ivar key: API key to send, empty for none.
     :ivar stopping: whether to stop after the current request.
     :ivar idle_timeout_s: idle timeout of the configuration in seconds.
+    :ivar rests_until: clock time until which :meth:`run` sends nothing.
     """
 
     def __init__(
@@ -119,6 +120,7 @@
         self.key = ''
         self.stopping = False
         self.idle_timeout_s = IDLE_TIMEOUT_S
+        self.rests_until = float(0)
         self._used_at: dict[int, float] = {}
         self._name = name
         self._addresses = addresses
@@ -135,6 +137,7 @@
             if not attempt.is_served():
                 host = self._random.randrange(len(self._addresses))
             eventlet.sleep(self._draw_pause())
+            eventlet.sleep(max(0, self.rests_until - read_hub_clock()))
 
     def send(self, host: int, *, keep: bool = True) -> Attempt:
         """Send one request.
--- a/soak/reports.py
+++ b/soak/reports.py
@@ -73,6 +73,9 @@
     fields = {
         'outcome': asdict(outcome),
         'timeline': asdict(record.timeline),
+        'began_at': record.began_at,
+        'calm_at': record.calm_at,
+        'evidence': asdict(record.evidence),
         'attainment': measure_attainment(record),
     }
     text = '\n'.join(describe(record, outcome))
--- a/soak/silences.py
+++ b/soak/silences.py
@@ -18,6 +18,11 @@
 _MAXIMUM_DURATION_S = 1.4
 #: Maximum seconds from a change of the configuration to the silence.
 _MAXIMUM_LEAD_S = 0.8
+#: Probability that the clients send nothing until then, and the bounds of that
+#: time in seconds.
+_LULL_PROBABILITY = 0.5
+_MINIMUM_LULL_S = 0.6
+_MAXIMUM_LULL_S = 2.4
 #: Numbers of connections that may wait to be accepted by a silent server.
 _BACKLOGS = (1, 512)
 _IDLE_TIMEOUTS_S = (2.0, 5.0, 60.0)
@@ -34,6 +39,7 @@
     :ivar targets: indices of the servers.
     :ivar backlog: number of connections that may wait to be accepted.
     :ivar terms: what the configuration holds from then on.
+    :ivar is_lull: whether the clients send nothing until the silence.
     """
 
     at_s: float
@@ -42,12 +48,14 @@
     targets: tuple[int, ...]
     backlog: int
     terms: Terms
+    is_lull: bool
 
     def describe(self) -> str:
         """Describe the silence in one line."""
+        lull = ' without requests' if self.is_lull else ''
         return (
             f'{self.at_s:7.2f} s  {self.terms}, then after {self.lead_s:.2f} s'
-            f' servers {self.targets} stand still for {self.for_s:.2f} s,'
+            f'{lull} servers {self.targets} stand still for {self.for_s:.2f} s,'
             f' backlog {self.backlog}'
         )
 
@@ -67,13 +75,18 @@
     at_s = source.uniform(0, _MAXIMUM_START_S)
     while not silences or at_s < length_s:
         terms = _draw_change(source, terms)
+        is_lull = source.random() < _LULL_PROBABILITY
+        bounds = (0, _MAXIMUM_LEAD_S)
+        if is_lull:
+            bounds = (_MINIMUM_LULL_S, _MAXIMUM_LULL_S)
         silence = Silence(
             round(at_s, 2),
-            round(source.uniform(0, _MAXIMUM_LEAD_S), 2),
+            round(source.uniform(*bounds), 2),
             round(source.uniform(_MINIMUM_DURATION_S, _MAXIMUM_DURATION_S), 2),
             draw_servers(source, servers),
             source.choice(_BACKLOGS),
             terms,
+            is_lull,
         )
         silences.append(silence)
         at_s += silence.lead_s + silence.for_s
--- a/soak/world.py
+++ b/soak/world.py
@@ -203,6 +203,9 @@
 
     def _fall_silent(self, silence: Silence) -> None:
         self._writer.change_terms(silence.terms)
+        if silence.is_lull:
+            for client in self.clients:
+                client.rests_until = read_hub_clock() + silence.lead_s
         eventlet.sleep(silence.lead_s)
         links = [self._server_links[number] for number in silence.targets]
         for link in links:
