Keep second answers out of the bodies that callers get

Cause: the bytes up to the announced length, or up to the end of the connection, were taken for the body whatever they held.

A body is now searched for a status line and fields with the ID of a request that the connection has carried, its own included; only bytes that may be the beginning of one are held back. Such a head means that the body is not that answer: it ends as incomplete, so that a stream goes on elsewhere where it may, and other responses are broken off. A body that ends with its connection ends where the same response begins again, if what follows repeats it and is not longer; otherwise the first one was cut off or something else follows, and it is incomplete. Bodies with such text and other IDs, or none, pass unchanged. What has been read beyond a response is now kept at its socket for that.

Nothing of the kind could be told from the logs: new event answer-within-body and gauge answers_within_bodies.

--- a/egretdale/protocol/framing.py
+++ b/egretdale/protocol/framing.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable, Sequence
 
 LINE_END = b'\r\n'
+HEAD_END = b'\r\n\r\n'
 
 _TOKEN = r"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
 #: Visible characters, spaces, tabs and bytes beyond ASCII.
@@ -19,6 +20,11 @@
 FIELD_LINE = re.compile(
     rf'(?P<name>{_TOKEN}):[\t ]*(?P<text>{_TEXT})\r\n'.encode()
 )
+#: Beginnings of lines whose rest has not been received.
+BEGUN_STATUS_LINE = re.compile(
+    rf'HTTP/1\.(?:[0-9](?: (?:[1-9][0-9]{{0,2}}(?: {_TEXT})?)?)?)?\r?'.encode()
+)
+BEGUN_FIELD_LINE = re.compile(rf'(?:{_TOKEN}(?::{_TEXT})?)?\r?'.encode())
 #: Size of a chunk in hexadecimal digits, and chunk extensions.
 CHUNK_SIZE_LINE = re.compile(
     rf'(?P<size>[0-9A-Fa-f]{{1,15}})[\t ]*(?:;{_TEXT})?\r\n'.encode()
@@ -46,6 +52,17 @@
     return fields
 
 
+def is_begun_head(received: bytes) -> bool:
+    """Tell whether bytes are the head of a response, or the beginning of one.
+
+    :param received: bytes that begin with a status line.
+    """
+    _, *fields, last = received.partition(HEAD_END)[0].split(LINE_END)
+    return BEGUN_FIELD_LINE.fullmatch(last) is not None and all(
+        FIELD_LINE.fullmatch(line + LINE_END) for line in fields
+    )
+
+
 def is_chunked(fields: Iterable[tuple[str, str]]) -> bool:
     """Tell whether the body of a message is sent in chunks.
 
--- a/egretdale/transport/backend_connections.py
+++ b/egretdale/transport/backend_connections.py
@@ -68,13 +68,17 @@
         :param fields: names and values of its header fields.
         :return: method of that request, ``None`` if it answers the last one.
         """
-        return self._carried.find_earlier_method(status, fields)
+        method = self._carried.find_earlier_method(status, fields)
+        if method is None:
+            self._carried.head = self.fp.head
+        return method
 
 
 class BackendConnection(StrictConnection):
     """A connection to a backend server that reports resets as errors.
 
     :ivar carried: the last requests that were sent on it.
+    :ivar opened_socket: its socket, also when a response has taken it over.
     :ivar requests: number of requests that were sent on it.
     :ivar idle_s: seconds for which it was idle before the last one.
     """
@@ -93,6 +97,7 @@
         """
         super().__init__(host, port, **options)
         self.carried = carried
+        self.opened_socket: ResetAwareSocket | None = None
         self.response_class = partial(BackendResponse, carried)
 
     def _new_conn(self) -> ResetAwareSocket:
@@ -105,6 +110,7 @@
         except OSError:
             created.close()
             raise
+        self.opened_socket = created
         return created
 
 
@@ -127,9 +133,10 @@
 
     :ivar opened: number of connections opened so far.
     :ivar skipped: number of late answers to earlier requests that were skipped.
+    :ivar embedded: number of bodies within which another answer began.
     """
 
-    __slots__ = ('_clock', '_idle', 'opened', 'skipped')
+    __slots__ = ('_clock', '_idle', 'embedded', 'opened', 'skipped')
 
     def __init__(self, clock: Clock) -> None:
         """Create an empty pool.
@@ -138,6 +145,7 @@
         """
         self.opened = 0
         self.skipped = 0
+        self.embedded = 0
         self._clock = clock
         self._idle: dict[str, deque[IdleConnection]] = {}
 
@@ -203,7 +211,7 @@
         if (
             connection.sock is None
             # Bytes after a complete response belong to no request.
-            or connection.sock.unread
+            or connection.sock.surplus
             or response.headers.get('connection', '').lower() == 'close'
         ):
             connection.close()
@@ -235,6 +243,21 @@
         for entry in self._idle.pop(address, ()):
             entry.connection.close()
 
+    def note_embedded(self, address: str, current: str, found: str) -> None:
+        """Record that another answer began within the body of an answer.
+
+        :param address: ``address:port`` of the backend server.
+        :param current: ID of the request that was answered.
+        :param found: ID in the head of the other answer.
+        """
+        self.embedded += 1
+        logger.info(
+            'answer-within-body',
+            request_id=current,
+            answered_id=found,
+            address=address,
+        )
+
     def _note_skipped(
         self, address: str, current: str, earlier: str, status: int
     ) -> None:
--- a/egretdale/transport/carried_requests.py
+++ b/egretdale/transport/carried_requests.py
@@ -5,7 +5,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Container, Iterable
+from collections.abc import Callable, Iterable
+
+from egretdale.protocol.embedded_heads import EmbeddedHeadFinder
 
 #: Requests that are remembered for each connection, and the longest ID.
 _MAXIMUM_REQUESTS = 64
@@ -16,9 +18,10 @@
     """IDs and methods of the last requests on a connection.
 
     :ivar current: ID of the request whose response is expected.
+    :ivar head: head of the last response, except for skipped ones.
     """
 
-    __slots__ = ('_header', '_methods', '_on_late', 'current')
+    __slots__ = ('_header', '_methods', '_on_late', 'current', 'head')
 
     def __init__(self, on_late: Callable[[str, str, int], None]) -> None:
         """Create an empty record.
@@ -27,14 +30,14 @@
             request and the status of each late response.
         """
         self.current = ''
+        self.head = b''
         self._header = ''
         self._methods: dict[str, str] = {}
         self._on_late = on_late
 
-    @property
-    def identities(self) -> Container[str]:
-        """IDs of the requests, with that of the current one."""
-        return self._methods.keys()
+    def create_finder(self) -> EmbeddedHeadFinder:
+        """Create a finder of further responses to the requests."""
+        return EmbeddedHeadFinder(self._header, self._methods.keys())
 
     def note(self, header: str, identity: str, method: str) -> None:
         """Record a request that is about to be sent.
--- a/egretdale/transport/forwarding.py
+++ b/egretdale/transport/forwarding.py
@@ -27,9 +27,9 @@
     BackendConnection,
     ConnectionPool,
 )
+from egretdale.transport.response_bodies import ResponseBody
 from egretdale.util.clocks import Clock, convert_to_ms
 
-_CHUNK_BYTES = 65536
 _EXCHANGE_ERRORS = (
     HTTPError,
     HTTPException,
@@ -53,8 +53,8 @@
 
     __slots__ = (
         '_address',
+        '_body',
         '_connection',
-        '_is_unframed',
         '_pool',
         '_response',
         'backend',
@@ -93,7 +93,11 @@
         self._address = address
         self._connection = connection
         self._response = response
-        self._is_unframed = self.length is None and not response.chunked
+        self._body = ResponseBody(
+            connection,
+            response,
+            is_unframed=self.length is None and not response.chunked,
+        )
 
     def read(self) -> bytes | EndOfStream | MaybeRun:
         """Read the next bytes of the body.
@@ -101,20 +105,29 @@
         :return: bytes, the end of the response, or the failure.
         """
         try:
-            chunk = self._response.read1(_CHUNK_BYTES)
+            return self._body.read() or self._end()
         except _EXCHANGE_ERRORS as error:
             self._connection.close()
             return MaybeRun(f'response interrupted: {error!r}')
-        if chunk:
-            return chunk
-        self._pool.release(self._address, self._connection, self._response)
-        return EndOfStream(by_close=self._is_unframed)
 
     def close(self) -> None:
         """Close the connection, which makes the backend server stop."""
         self._response.close()
         self._connection.close()
 
+    def _end(self) -> EndOfStream | MaybeRun:
+        embedded_id = self._body.embedded_id
+        if not embedded_id:
+            self._pool.release(self._address, self._connection, self._response)
+            return EndOfStream(by_close=self._body.is_unframed)
+        current_id = self._connection.carried.current
+        self._pool.note_embedded(self._address, current_id, embedded_id)
+        is_whole = self._body.is_unframed and self._body.is_repeated()
+        self.close()
+        if is_whole:
+            return EndOfStream(by_close=True)
+        return MaybeRun('another response begins within the body')
+
 
 class HttpForwardClient:
     """Sends requests to backend servers and reads the response heads."""
--- a/egretdale/transport/gateway.py
+++ b/egretdale/transport/gateway.py
@@ -131,6 +131,11 @@
             'Answers of backend servers to earlier requests that were skipped',
             lambda: client.pool.skipped,
         )
+        self.gateway.metrics.add_gauge(
+            'answers_within_bodies',
+            'Answers of backend servers within the body of another one',
+            lambda: client.pool.embedded,
+        )
         self._listeners = {
             address: listen(address) for address in self._list_addresses()
         }
--- a/egretdale/transport/message_reader.py
+++ b/egretdale/transport/message_reader.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from http.client import HTTPException
 from re import Pattern
-from typing import BinaryIO
+from typing import BinaryIO, Protocol
 
 from egretdale.protocol.framing import (
     CHUNK_SIZE_LINE,
@@ -33,6 +33,27 @@
     """A message that violates HTTP, or ends before it is complete."""
 
 
+class ReadAheadSocket(Protocol):
+    """A socket that counts the bytes that were received and not read.
+
+    :ivar unread: number of these bytes.
+    """
+
+    unread: int
+
+    def note_read(self, size: int) -> None:
+        """Record that bytes were read.
+
+        :param size: number of bytes.
+        """
+
+    def push_back(self, received: bytes) -> None:
+        """Return bytes that were received and not read.
+
+        :param received: the bytes.
+        """
+
+
 class _Part(enum.Enum):
     """The part of a body in chunks that is read next."""
 
@@ -48,20 +69,33 @@
 
     A head is read as a whole and handed out line by line once it is known to
     be complete. A body in chunks is verified while it is read.
+
+    :ivar head: bytes of the last head.
     """
 
-    __slots__ = ('_left', '_lines', '_on_read', '_part', '_section', '_source')
+    __slots__ = (
+        '_is_reading',
+        '_left',
+        '_lines',
+        '_part',
+        '_section',
+        '_socket',
+        '_source',
+        'head',
+    )
 
     def __init__(
-        self, received: BinaryIO, on_read: Callable[[int], None] | None = None
+        self, received: BinaryIO, socket: ReadAheadSocket | None = None
     ) -> None:
         """Create a reader.
 
         :param received: buffered file of the connection.
-        :param on_read: called with the number of bytes of each read.
+        :param socket: the connection, if it is told of each read.
         """
+        self.head = b''
         self._source = received
-        self._on_read = on_read
+        self._socket = socket
+        self._is_reading = False
         self._lines: deque[bytes] = deque()
         self._part: _Part | None = None
         # Bytes left of a chunk, and bytes of a section of lines so far.
@@ -100,6 +134,7 @@
             raise MalformedMessageError('a line of the head is no field')
         if not is_framing_unambiguous(fields):
             raise MalformedMessageError('ambiguous message framing')
+        self.head = start_line + b''.join(lines)
         self._lines.extend(lines)
         self._part = _Part.SIZE if is_chunked(fields) else None
         return fields
@@ -137,7 +172,7 @@
             return self._lines.popleft()
         match self._part:
             case None:
-                return self._count(self._source.readline(limit))
+                return self._receive(self._source.readline, limit)
             case _Part.SIZE:
                 return self._read_size()
             case _Part.TRAILERS:
@@ -152,22 +187,25 @@
         :param size: number of bytes, all if negative.
         """
         if self._part is _Part.CONTENT_END:
-            ending = self._count(self._source.read(len(LINE_END)))
+            ending = self._receive(self._source.read, len(LINE_END))
             return self._check_content_end(ending)
-        return self._note_content(self._source.read(self._clamp(size)))
+        return self._read_content(self._source.read, size)
 
     def read1(self, size: int = -1) -> bytes:
         """Read bytes with at most one wait.
 
         :param size: maximum number of bytes, no limit if negative.
         """
-        return self._note_content(self._source.read1(self._clamp(size)))
+        return self._read_content(self._source.read1, size)
 
     def flush(self) -> None:
         """Do nothing; the file is only read."""
 
     def close(self) -> None:
-        """Close the file."""
+        """Close the file, and return what was received and not read."""
+        # After an interrupted read, it is not known what the buffer holds.
+        if self._socket and self._socket.unread and not self._is_reading:
+            self._socket.push_back(self._source.peek())
         self._source.close()
 
     def _skip_part(self) -> None:
@@ -182,17 +220,15 @@
             raise MalformedMessageError('a body is incomplete')
         return dropped
 
-    def _clamp(self, size: int) -> int:
+    def _read_content(self, read: Callable[[int], bytes], size: int) -> bytes:
         if self._part is not _Part.CONTENT:
-            return size
-        return self._left if size < 0 else min(size, self._left)
-
-    def _note_content(self, content: bytes) -> bytes:
-        if self._part is _Part.CONTENT:
-            self._left -= len(content)
-            if not self._left:
-                self._part = _Part.CONTENT_END
-        return self._count(content)
+            return self._receive(read, size)
+        wanted = self._left if size < 0 else min(size, self._left)
+        content = self._receive(read, wanted)
+        self._left -= len(content)
+        if not self._left:
+            self._part = _Part.CONTENT_END
+        return content
 
     def _read_size(self) -> bytes:
         line = self._read_line()
@@ -226,14 +262,17 @@
         return line
 
     def _read_line(self) -> bytes:
-        line = self._count(self._source.readline(_MAXIMUM_LINE))
+        line = self._receive(self._source.readline, _MAXIMUM_LINE)
         if not line.endswith(LINE_END):
             raise _report('a line has no end', line)
         return line
 
-    def _count(self, received: bytes) -> bytes:
-        if self._on_read is not None:
-            self._on_read(len(received))
+    def _receive(self, read: Callable[[int], bytes], size: int) -> bytes:
+        self._is_reading = True
+        received = read(size)
+        self._is_reading = False
+        if self._socket is not None:
+            self._socket.note_read(len(received))
         return received
 
 
--- a/egretdale/transport/sockets.py
+++ b/egretdale/transport/sockets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import io
 from typing import Any
 
 import eventlet
@@ -14,6 +15,8 @@
 
 #: Reads without a wait after which other tasks run.
 _READS_PER_YIELD = 16
+#: Bytes that are looked at without being read.
+_PEEKED_BYTES = 65536
 
 
 class ResetAwareSocket(socket.socket):
@@ -24,8 +27,10 @@
     """
 
     _reads = 0
-    #: Bytes that were received and not read by the parser of a response.
+    #: Number of bytes that were received and not read by the parser.
     unread = 0
+    #: Bytes that were received, and returned as they belong to no response.
+    surplus = b''
 
     def note_read(self, size: int) -> None:
         """Record that a parser has read bytes.
@@ -34,6 +39,18 @@
         """
         self.unread -= size
 
+    def push_back(self, received: bytes) -> None:
+        """Return bytes that were received and not read.
+
+        :param received: the bytes; they are received again.
+        """
+        self.unread -= len(received)
+        self.surplus += received
+
+    def peek_received(self) -> bytes:
+        """Return the bytes that have arrived, which are received again."""
+        return self.surplus + peek_received(self, _PEEKED_BYTES)
+
     def recv_into(self, buffer: Any, nbytes: int = 0, flags: int = 0) -> int:
         """Receive bytes into a buffer.
 
@@ -43,6 +60,11 @@
         :return: number of bytes received, 0 after an orderly close.
         :raises ConnectionAbortedError: the peer reset the connection.
         """
+        if self.surplus:
+            return self._receive_surplus(buffer, nbytes or len(buffer))
+        return self._receive(buffer, nbytes, flags)
+
+    def _receive(self, buffer: Any, nbytes: int, flags: int) -> int:
         while True:
             try:
                 received = self.fd.recv_into(buffer, nbytes, flags)
@@ -63,6 +85,12 @@
                 self._yield_at_times()
                 return received
 
+    def _receive_surplus(self, buffer: Any, size: int) -> int:
+        received = self.surplus[:size]
+        self.surplus = self.surplus[size:]
+        self.unread += len(received)
+        return io.BytesIO(received).readinto(buffer)
+
     def _yield_at_times(self) -> None:
         """Let other tasks run while data arrives faster than it is read."""
         self._reads += 1
@@ -86,8 +114,18 @@
 
     :param connection: a connection.
     """
+    return bool(peek_received(connection, 1))
+
+
+def peek_received(connection: socket.socket, size: int) -> bytes:
+    """Return bytes that have arrived on a connection, without reading them.
+
+    :param connection: a connection.
+    :param size: maximum number of bytes.
+    :return: the bytes; none if the connection has ended.
+    """
     flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
     try:
-        return bool(connection.fd.recv(1, flags))
+        return bytes(connection.fd.recv(size, flags))
     except OSError:
-        return False
+        return b''
--- a/egretdale/transport/strict_client.py
+++ b/egretdale/transport/strict_client.py
@@ -38,8 +38,8 @@
             received and not read, it is told of each read.
         """
         super().__init__(sock, *arguments, **options)
-        on_read = getattr(sock, 'note_read', None)
-        self.fp: Any = MessageReader(self.fp, on_read)
+        counting = sock if hasattr(sock, 'note_read') else None
+        self.fp: Any = MessageReader(self.fp, counting)
 
     def begin(self) -> None:
         """Read the head, skipping interim and late responses.
