Keep idle connections on which a second answer has arrived

What callers saw: nothing wrong, but each late second answer of a backend server that arrived on an idle connection, or right after the first one, cost that connection, so that the next request had to wait for a new one.

Cause: any byte on an idle connection, and any byte read beyond a response, closed it, as nothing told a second answer from the end of the connection.

When a connection is taken from the pool, whole answers to its earlier requests that have arrived are now dropped. It is used if nothing else has arrived. Answers that are incomplete, without framing, with an unknown ID or none, interim ones and those after which the server closes cost the connection as before, since a request must not be sent ahead of a possible end.

Evidence: test_a_second_answer_on_an_idle_connection_does_not_cost_it failed before (the other new tests of what must still close it passed before and after).

test_leftover_bytes_close_the_connection used a second answer with the ID of the first; it now uses another ID, and still expects the connection to be closed. The answer with the ID of the first is in the new test, which expects its own body for each request, one connection and the count of skipped answers.

--- a/egretdale/transport/backend_connections.py
+++ b/egretdale/transport/backend_connections.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import io
+import re
 import socket as sockets
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass
 from functools import partial
+from http.client import HTTPException
 from typing import Any
 
 from urllib3.exceptions import HTTPError
@@ -16,8 +19,14 @@
 from egretdale.errors import Invalid
 from egretdale.protocol.header_values import is_number
 from egretdale.transport.carried_requests import CarriedRequests
+from egretdale.transport.message_reader import MessageReader
 from egretdale.transport.sockets import ResetAwareSocket
-from egretdale.transport.strict_client import StrictConnection, StrictResponse
+from egretdale.transport.strict_client import (
+    MAXIMUM_STATUS_LINE,
+    StrictConnection,
+    StrictResponse,
+    skip_response,
+)
 from egretdale.util.addresses import split_address
 from egretdale.util.clocks import Clock
 from egretdale.util.logs import get_logger
@@ -35,6 +44,11 @@
 #: Data unacknowledged for this many milliseconds aborts a connection.
 _USER_TIMEOUT_MS = 4000
 _MAXIMUM_IDLE_PER_ADDRESS = 64
+#: Heads after which an idle connection is not used.
+_UNUSABLE_HEAD = re.compile(
+    rb'HTTP/1\.(?:0|1 1)|.*\r\nconnection:[\t ]*close',
+    re.DOTALL | re.IGNORECASE,
+)
 _SOCKET_OPTIONS = (
     (sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1),
     (sockets.IPPROTO_TCP, sockets.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
@@ -100,6 +114,33 @@
         self.opened_socket: ResetAwareSocket | None = None
         self.response_class = partial(BackendResponse, carried)
 
+    def skip_arrived(self) -> bool:
+        """Skip late answers that have arrived as a whole while it was idle.
+
+        :return: whether the connection is open and nothing else has arrived.
+        """
+        opened = self.sock
+        while opened is not None and (opened.surplus or not self.is_connected):
+            size = self._measure_late_answer(opened.peek_received())
+            if not size:
+                return False
+            opened.discard(size)
+        return opened is not None
+
+    def _measure_late_answer(self, received: bytes) -> int:
+        source = io.BytesIO(received)
+        reader = MessageReader(source)
+        line = reader.readline(MAXIMUM_STATUS_LINE)
+        try:
+            is_skipped = skip_response(
+                line, reader, self.carried.find_earlier_method
+            )
+        except HTTPException:
+            return 0
+        if not is_skipped or _UNUSABLE_HEAD.match(reader.head):
+            return 0
+        return source.tell()
+
     def _new_conn(self) -> ResetAwareSocket:
         created = ResetAwareSocket(sockets.AF_INET, sockets.SOCK_STREAM)
         try:
@@ -159,8 +200,8 @@
         now = self._clock()
         while idle:
             entry = idle.pop()
-            # Readable data is the end or an unrequested response.
-            if entry.usable_until > now and entry.connection.is_connected:
+            # Other data is the end or an unrequested response.
+            if entry.usable_until > now and entry.connection.skip_arrived():
                 entry.connection.idle_s = now - entry.idle_since
                 return entry.connection
             entry.connection.close()
@@ -210,8 +251,6 @@
         """
         if (
             connection.sock is None
-            # Bytes after a complete response belong to no request.
-            or connection.sock.surplus
             or response.headers.get('connection', '').lower() == 'close'
         ):
             connection.close()
@@ -233,6 +272,8 @@
             connection.close()
             return
         now = self._clock()
+        # From here on, further answers to the last request are late.
+        connection.carried.current = ''
         idle.append(IdleConnection(connection, now, now + keep_s))
 
     def close_idle(self, address: str) -> None:
--- a/egretdale/transport/sockets.py
+++ b/egretdale/transport/sockets.py
@@ -51,6 +51,16 @@
         """Return the bytes that have arrived, which are received again."""
         return self.surplus + peek_received(self, _PEEKED_BYTES)
 
+    def discard(self, size: int) -> None:
+        """Read and drop bytes that have arrived.
+
+        :param size: number of bytes.
+        """
+        while size:
+            received = self.recv_into(bytearray(size))
+            self.note_read(received)
+            size -= received
+
     def recv_into(self, buffer: Any, nbytes: int = 0, flags: int = 0) -> int:
         """Receive bytes into a buffer.
 
--- a/egretdale/transport/strict_client.py
+++ b/egretdale/transport/strict_client.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from http.client import HTTPResponse
 from typing import Any
 
@@ -23,7 +23,7 @@
 
 _SWITCHING_PROTOCOLS = 101
 _OK = 200
-_MAXIMUM_STATUS_LINE = 8192
+MAXIMUM_STATUS_LINE = 8192
 #: Longest time in seconds for reading a response that is skipped.
 _SKIP_TIMEOUT_S = 2.0
 
@@ -65,28 +65,15 @@
         is_expected = False
         while not is_expected:
             reader.start_message()
-            line = reader.readline(_MAXIMUM_STATUS_LINE)
+            line = reader.readline(MAXIMUM_STATUS_LINE)
             if not line:
                 # The parser reports that there is no response.
                 return
-            is_expected = self._is_expected(line, reader)
+            is_expected = not skip_response(
+                line, reader, self.find_earlier_method
+            )
         reader.push_back(line)
 
-    def _is_expected(self, line: bytes, reader: MessageReader) -> bool:
-        """Read the rest of a head, and the body as well if it is skipped."""
-        fields = reader.read_head(line, STATUS_LINE)
-        status = int(STATUS_LINE.fullmatch(line)['status'])
-        if status == _SWITCHING_PROTOCOLS:
-            raise MalformedMessageError('the protocol is switched')
-        if status < _OK:
-            return False
-        method = self.find_earlier_method(status, fields)
-        if method is None:
-            return True
-        if has_body(method, status):
-            _skip_body(reader, fields)
-        return False
-
 
 class StrictConnection(HTTPConnection):
     """A connection that accepts only complete, well-formed responses."""
@@ -115,6 +102,34 @@
         }
 
 
+def skip_response(
+    line: bytes,
+    reader: MessageReader,
+    find_earlier_method: Callable[[int, Sequence[tuple[str, str]]], str | None],
+) -> bool:
+    """Read a head, and skip an interim or a late response.
+
+    :param line: status line, which has been read.
+    :param reader: reader of what follows.
+    :param find_earlier_method: returns the method of the earlier request that
+        a response answers.
+    :return: whether the response was skipped.
+    :raises MalformedMessageError: the response is malformed or incomplete.
+    """
+    fields = reader.read_head(line, STATUS_LINE)
+    status = int(STATUS_LINE.fullmatch(line)['status'])
+    if status == _SWITCHING_PROTOCOLS:
+        raise MalformedMessageError('the protocol is switched')
+    if status < _OK:
+        return True
+    method = find_earlier_method(status, fields)
+    if method is None:
+        return False
+    if has_body(method, status):
+        _skip_body(reader, fields)
+    return True
+
+
 def _skip_body(
     reader: MessageReader, fields: Sequence[tuple[str, str]]
 ) -> None:
--- a/tests/test_transport/test_forwarding.py
+++ b/tests/test_transport/test_forwarding.py
@@ -92,7 +92,7 @@
             connection.sendall(response)
             if len(accepted) == 1:
                 eventlet.sleep(0.02)
-                connection.sendall(response)
+                connection.sendall(response.replace(b'request-1', b'other'))
 
     with open_server(script) as (client, address):
         for _ in range(3):
@@ -101,6 +101,7 @@
             assert isinstance(end, EndOfStream)
             eventlet.sleep(0.05)
         assert len(accepted) == 2
+        assert client.pool.skipped == 0
 
 
 def test_a_late_copy_of_an_answer_is_not_the_next_one() -> None:
--- a/tests/test_transport/test_second_answers.py
+++ b/tests/test_transport/test_second_answers.py
@@ -85,6 +85,65 @@
         assert server.accepted == 1
 
 
+def test_a_second_answer_on_an_idle_connection_does_not_cost_it() -> None:
+    """It is skipped if it has arrived as a whole, with the first or later."""
+    for framing, method, copies in itertools.product(
+        FRAMINGS[:2], METHODS, (1, 3)
+    ):
+        first = build_answer('r1', framing, method)
+        second = (build_answer('r2', framing),)
+        late = first * copies
+        for pieces in (
+            (first, late),
+            (first + late,),
+            (first + late[:9], late[9:]),
+        ):
+            server = RepeatingServer([pieces, second])
+            with open_server(server.serve) as (client, address):
+                assert ask(client, address, 'r1', method)[1]
+                eventlet.sleep(3 * PAUSE_S)
+                assert ask(client, address, 'r2') == (build_body('r2'), True)
+                assert server.accepted == 1, pieces
+                assert client.pool.skipped == copies
+
+
+def test_other_bytes_on_an_idle_connection_close_it() -> None:
+    """No request is sent before what may be the end of the connection."""
+    first = build_answer('r1', 'length')
+    second = (build_answer('r2', 'length'),)
+    timeout = b'HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n'
+    for late in (
+        first[:-1],
+        first[:20],
+        build_answer('r1', 'chunks')[:-1],
+        build_answer('r1', 'none'),
+        build_answer('r0', 'length'),
+        first + timeout,
+        timeout,
+        b'HTTP/1.1 100 Continue\r\n\r\n',
+        first.replace(b'Egret-Seal: s', b'connection: Close'),
+        first.replace(b'HTTP/1.1', b'HTTP/1.0'),
+    ):
+        server = RepeatingServer([(first, late), second])
+        with open_server(server.serve) as (client, address):
+            assert ask(client, address, 'r1')[1]
+            eventlet.sleep(3 * PAUSE_S)
+            assert ask(client, address, 'r2') == (build_body('r2'), True)
+            assert client.pool.opened == 2, late
+
+
+def test_an_idle_connection_that_ends_after_a_second_answer_is_dropped() -> (
+    None
+):
+    """Its end is seen after the answer."""
+    first = build_answer('r1', 'length')
+    server = RepeatingServer([(first, first)], ends=True)
+    with open_server(server.serve) as (client, address):
+        assert ask(client, address, 'r1')[1]
+        eventlet.sleep(5 * PAUSE_S)
+        assert client.pool.take(address) is None
+
+
 def test_a_second_answer_between_the_check_and_the_request_is_skipped() -> None:
     """The connection seems idle when it is taken from the pool."""
     late = build_answer('r1', 'length')
