--- a/egretdale/transport/backend_connections.py
+++ b/egretdale/transport/backend_connections.py
@@ -272,8 +272,7 @@
             connection.close()
             return
         now = self._clock()
-        # From here on, further answers to the last request are late.
-        connection.carried.current = ''
+        connection.carried.end_exchange()
         idle.append(IdleConnection(connection, now, now + keep_s))
 
     def close_idle(self, address: str) -> None:
--- a/egretdale/transport/carried_requests.py
+++ b/egretdale/transport/carried_requests.py
@@ -54,6 +54,11 @@
         while len(self._methods) > _MAXIMUM_REQUESTS:
             self._methods.pop(next(iter(self._methods)))
 
+    def end_exchange(self) -> None:
+        """Expect no response; further ones to the last request are late."""
+        self.current = ''
+        self.head = b''
+
     def find_earlier_method(
         self, status: int, fields: Iterable[tuple[str, str]]
     ) -> str | None:
