Tell second answers of engines by the stream that they name

What callers of the project's own interface could see: if an engine answers a request that may be repeated twice, the second time while the next such request waits on the pooled connection, the next caller got the answer of the first.

Cause: the responses of engines were taken for the answer to whatever was sent last on their connection.

A response that names a stream in Egret-Stream-Id, the header of the request, now counts only for that stream. Another one closes the connection, and the request is tried again as after any failure. Requests that must not run twice use connections of their own and were not concerned.

--- a/egretdale/transport/backends.py
+++ b/egretdale/transport/backends.py
@@ -35,6 +35,7 @@
 _RESUME_TIMEOUT_S = 3.0
 _CHUNK_BYTES = 65536
 _OK = 200
+_STREAM_ID_HEADER = 'Egret-Stream-Id'
 _HOP_HEADERS = frozenset(
     (
         'connection',
@@ -140,7 +141,7 @@
         :return: the response, or whether the request may have run.
         """
         headers = dict(call.headers)
-        headers['Egret-Stream-Id'] = call.stream_id
+        headers[_STREAM_ID_HEADER] = call.stream_id
         headers['Egret-Priority'] = str(call.priority)
         if call.fresh:
             # The server may have closed a pooled connection, and the request
@@ -258,6 +259,10 @@
             return NotRun(f'cannot connect: {refused}')
         except HTTPError as broken:
             return MaybeRun(f'no response: {broken}')
+        answered = response.headers.get(_STREAM_ID_HEADER, call.stream_id)
+        if answered != call.stream_id:
+            response.close()
+            return MaybeRun(f'the response belongs to {answered}')
         return HttpBackendStream(response, self._progress_s)
 
     def _send_control(self, address: str, stream_id: str, action: str) -> bool:
