--- a/tests/test_platform/test_second_answers.py
+++ b/tests/test_platform/test_second_answers.py
@@ -21,7 +21,7 @@
 from standins.objects import ObjectStoreProgram
 from tests.daemons import open_daemons
 from tests.functions import create_loader
-from tests.raw_engines import RawEngine, RawRequest
+from tests.raw_engines import RawEngine, RawRequest, ask
 
 load_tests = create_loader(__name__)
 
@@ -105,3 +105,56 @@
     assert skipped
     runs = Counter(itertools.chain(engines[0].runs, engines[1].runs))
     assert runs == {f'r{number}': 1 for number in range(_REQUESTS)}
+
+
+_PLACES = ('after', 'within', 'within-chunk', 'cut-off')
+
+
+def _write_second_answer(
+    engine: RawEngine, request: RawRequest, connection: socket.socket
+) -> bool:
+    """Answer a request, and write an answer to it again as its path says."""
+    engine.runs.append(request.identity)
+    place = request.start.split()[1].rpartition('/')[2]
+    body = request.identity.encode() * 3
+    unframed = engine.build_head(request) + body
+    length = engine.build_head(request, f'Content-Length: {2 * len(body)}')
+    chunked = engine.build_head(request, 'Transfer-Encoding: chunked')
+    match place:
+        case 'after':
+            sent = unframed + unframed
+        case 'within':
+            sent = length + body + unframed + body
+        case 'within-chunk':
+            chunk = body + unframed
+            sent = chunked + b'%x\r\n%s\r\n0\r\n\r\n' % (len(chunk), chunk)
+        case _:
+            sent = unframed + unframed[:30]
+    connection.sendall(sent)
+    return False
+
+
+def test_second_answers_within_bodies_do_not_reach_callers() -> None:
+    """What a caller gets is its own answer, or looks incomplete."""
+    engine = RawEngine(_write_second_answer)
+    store = ObjectStoreProgram()
+    put_configuration(store, 1)
+    engine.start()
+    put_server(store, 'i-0', engine.address)
+    with open_daemons(store, retry_budget_slack=_RETRIES) as daemons:
+        front = daemons[0].place.addresses['front']
+        for place, kind in itertools.product(
+            _PLACES, ('non_idempotent', 'idempotent')
+        ):
+            identity = f'{kind}-{place}'
+            sent = (
+                f'POST {get_path_prefix(kind)}{place} HTTP/1.1\r\n'
+                f'Host: {HOST_NAME}\r\nAttempt-Id: {identity}\r\n'
+                'Connection: close\r\nContent-Length: 0\r\n\r\n'
+            )
+            reply = ask(front, sent.encode())
+            assert reply.status == 200
+            assert reply.body == identity.encode() * 3, place
+            assert reply.is_complete == (place in {'after', 'cut-off'}), place
+        found = daemons[0].log.read_bytes().count(b'answer-within-body')
+    assert found == len(engine.runs) == 2 * len(_PLACES)
--- a/tests/test_transport/test_second_answers.py
+++ b/tests/test_transport/test_second_answers.py
@@ -9,9 +9,11 @@
 import eventlet
 from hypothesis import given, settings, strategies
 
+from egretdale.coordination.exchanges import RelayAttempt
 from egretdale.coordination.ports import MaybeRun, NotRun
 from egretdale.transport.backend_connections import BackendConnection
-from tests.backend_sockets import open_response, open_server
+from tests.backend_sockets import open_response, open_server, read_all
+from tests.forwarding import create_request
 from tests.functions import create_loader
 from tests.repeating_servers import (
     FRAMINGS,
@@ -107,6 +109,24 @@
                 assert client.pool.skipped == copies
 
 
+def test_a_second_answer_of_a_relaying_host_is_skipped() -> None:
+    """Its connections are used again for what may be repeated."""
+    answers = [build_answer(f'r{number}', 'chunks') for number in range(3)]
+    late = (b'', *answers)
+    server = RepeatingServer(
+        [(before + own,) for before, own in zip(late, answers, strict=False)]
+    )
+    with open_server(server.serve) as (client, address):
+        for number in range(3):
+            request = create_request('/a', request_id=f'r{number}')
+            attempt = RelayAttempt(
+                request, 'h2', address, 5.0, 0, is_repeatable=True
+            )
+            body, _ = read_all(client.relay(attempt))
+            assert body == build_body(f'r{number}')
+        assert server.accepted == 1
+
+
 def test_other_bytes_on_an_idle_connection_close_it() -> None:
     """No request is sent before what may be the end of the connection."""
     first = build_answer('r1', 'length')
