--- a/egretdale/transport/backend_connections.py
+++ b/egretdale/transport/backend_connections.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import io
+import re
 import socket as sockets
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass
 from functools import partial
+from http.client import HTTPException
 from typing import Any
 
 from urllib3.exceptions import HTTPError
@@ -16,8 +19,14 @@
 from egretdale.errors import Invalid
 from egretdale.protocol.header_values import is_number
 from egretdale.transport.carried_requests import CarriedRequests
+from egretdale.transport.message_reader import MessageReader
 from egretdale.transport.sockets import ResetAwareSocket
-from egretdale.transport.strict_client import StrictConnection, StrictResponse
+from egretdale.transport.strict_client import (
+    MAXIMUM_STATUS_LINE,
+    StrictConnection,
+    StrictResponse,
+    skip_response,
+)
 from egretdale.util.addresses import split_address
 from egretdale.util.clocks import Clock
 from egretdale.util.logs import get_logger
@@ -42,6 +51,11 @@
 #: Data unacknowledged for this many milliseconds aborts a connection.
 _USER_TIMEOUT_MS = 4000
 _MAXIMUM_IDLE_PER_ADDRESS = 64
+#: Heads after which an idle connection is not used.
+_UNUSABLE_HEAD = re.compile(
+    rb'HTTP/1\.(?:0|1 1)|.*\r\nconnection:[\t ]*close',
+    re.DOTALL | re.IGNORECASE,
+)
 _SOCKET_OPTIONS = (
     (sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1),
     (sockets.IPPROTO_TCP, sockets.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
@@ -75,13 +89,17 @@
         :param fields: names and values of its header fields.
         :return: method of that request, ``None`` if it answers the last one.
         """
-        return self._carried.find_earlier_method(status, fields)
+        method = self._carried.find_earlier_method(status, fields)
+        if method is None:
+            self._carried.head = self.fp.head
+        return method
 
 
 class BackendConnection(StrictConnection):
     """A connection to a backend server that reports resets as errors.
 
     :ivar carried: the last requests that were sent on it.
+    :ivar opened_socket: its socket, also when a response has taken it over.
     :ivar requests: number of requests that were sent on it.
     :ivar idle_s: seconds for which it was idle before the last one.
     """
@@ -100,8 +118,36 @@
         """
         super().__init__(host, port, **options)
         self.carried = carried
+        self.opened_socket: ResetAwareSocket | None = None
         self.response_class = partial(BackendResponse, carried)
 
+    def skip_arrived(self) -> bool:
+        """Skip late answers that have arrived as a whole while it was idle.
+
+        :return: whether the connection is open and nothing else has arrived.
+        """
+        opened = self.sock
+        while opened is not None and (opened.surplus or not self.is_connected):
+            size = self._measure_late_answer(opened.peek_received())
+            if not size:
+                return False
+            opened.discard(size)
+        return opened is not None
+
+    def _measure_late_answer(self, received: bytes) -> int:
+        source = io.BytesIO(received)
+        reader = MessageReader(source)
+        line = reader.readline(MAXIMUM_STATUS_LINE)
+        try:
+            is_skipped = skip_response(
+                line, reader, self.carried.find_earlier_method
+            )
+        except HTTPException:
+            return 0
+        if not is_skipped or _UNUSABLE_HEAD.match(reader.head):
+            return 0
+        return source.tell()
+
     def _new_conn(self) -> ResetAwareSocket:
         created = ResetAwareSocket(sockets.AF_INET, sockets.SOCK_STREAM)
         try:
@@ -112,6 +158,7 @@
         except OSError:
             created.close()
             raise
+        self.opened_socket = created
         return created
 
 
@@ -134,9 +181,17 @@
 
     :ivar opened: number of connections opened so far.
     :ivar skipped: number of late answers to earlier requests that were skipped.
+    :ivar embedded: number of bodies within which another answer began.
     """
 
-    __slots__ = ('_clock', '_idle', '_idle_limits', 'opened', 'skipped')
+    __slots__ = (
+        '_clock',
+        '_idle',
+        '_idle_limits',
+        'embedded',
+        'opened',
+        'skipped',
+    )
 
     def __init__(self, clock: Clock) -> None:
         """Create an empty pool.
@@ -145,6 +200,7 @@
         """
         self.opened = 0
         self.skipped = 0
+        self.embedded = 0
         self._clock = clock
         self._idle: dict[str, deque[IdleConnection]] = {}
         self._idle_limits: dict[str, float] = {}
@@ -165,8 +221,9 @@
             spare_s = _UNREPEATABLE_MARGIN_S - _IDLE_MARGIN_S
         while idle:
             entry = idle.pop()
-            # Readable data is the end or an unrequested response.
-            if entry.usable_until <= now or not entry.connection.is_connected:
+            # Other data is the end or an unrequested response.
+            is_expired = entry.usable_until <= now
+            if is_expired or not entry.connection.skip_arrived():
                 entry.connection.close()
                 continue
             if entry.usable_until - spare_s <= now:
@@ -232,8 +289,6 @@
         """
         if (
             connection.sock is None
-            # Bytes after a complete response belong to no request.
-            or connection.sock.unread
             or response.headers.get('connection', '').lower() == 'close'
         ):
             connection.close()
@@ -263,6 +318,7 @@
             connection.close()
             return
         now = self._clock()
+        connection.carried.end_exchange()
         idle.append(IdleConnection(connection, now, now + keep_s))
 
     def close_idle(self, address: str) -> None:
@@ -273,6 +329,21 @@
         for entry in self._idle.pop(address, ()):
             entry.connection.close()
 
+    def note_embedded(self, address: str, current: str, found: str) -> None:
+        """Record that another answer began within the body of an answer.
+
+        :param address: ``address:port`` of the backend server.
+        :param current: ID of the request that was answered.
+        :param found: ID in the head of the other answer.
+        """
+        self.embedded += 1
+        logger.info(
+            'answer-within-body',
+            request_id=current,
+            answered_id=found,
+            address=address,
+        )
+
     def _note_skipped(
         self, address: str, current: str, earlier: str, status: int
     ) -> None:
