Announce the close in answers to requests that ran when a stop began

What callers saw: the answer to a request that a stopping host had received before SIGTERM did not announce that its connection closes, so callers sent further requests on it, which are refused late in the stop, or cross the end of the process.

Cause: the flag was set when a request was read, so only those that were read during the stop announced it. It is set when the answer begins now.

Evidence: test_answers_to_earlier_requests_announce_that_the_host_stops fails on the code before (no "Connection: close").

--- a/egretdale/transport/ingress.py
+++ b/egretdale/transport/ingress.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from functools import partial
 from typing import Any, Protocol
 
 import eventlet
@@ -171,22 +172,34 @@
         :return: chunks of the response.
         """
         environ['eventlet.minimum_write_chunk_size'] = 1
-        if self._draining:
-            environ['egretdale.connection'].close_after_response()
+        connection = environ['egretdale.connection']
+        start_response = partial(self._begin, connection, start_response)
         request = self._read_request(environ)
         if isinstance(request, Refused):
             # The unread rest must not be parsed as another request.
-            environ['egretdale.connection'].close_after_response()
+            connection.close_after_response()
             return self.refuse(start_response, request, '')
         admitted = self._admit(request)
         if isinstance(admitted, Refused):
             return self.refuse(start_response, admitted, request.request_id)
-        connection = environ['eventlet.input'].get_socket()
-        connection.settimeout(_WRITE_TIMEOUT_S)
-        abort = environ['egretdale.connection'].abort_response
-        exchange = Exchange(self, connection, admitted, start_response, abort)
+        caller = environ['eventlet.input'].get_socket()
+        caller.settimeout(_WRITE_TIMEOUT_S)
+        abort = connection.abort_response
+        exchange = Exchange(self, caller, admitted, start_response, abort)
         return exchange.respond()
 
+    def _begin(
+        self,
+        connection: CallerProtocol,
+        start_response: Callable[..., Any],
+        status: str,
+        headers: list[tuple[str, str]],
+    ) -> None:
+        # A stop may have begun while the request was running.
+        if self._draining:
+            connection.close_after_response()
+        start_response(status, headers)
+
     def _admit(self, request: ForwardRequest) -> AdmittedRequest | Refused:
         if self.stopping.is_closed():
             return self.stopping.refuse(is_relayed=request.is_relayed)
--- a/tests/test_transport/test_stopping.py
+++ b/tests/test_transport/test_stopping.py
@@ -45,6 +45,11 @@
     return respond_ok()
 
 
+def _respond_soon() -> ForwardReply:
+    eventlet.sleep(0.3)
+    return respond_ok()
+
+
 def _stream_without_end() -> Iterator[bytes]:
     for number in range(100):
         yield b'id: %d\n\n' % number
@@ -135,6 +140,18 @@
         assert not forwarder.requests
 
 
+def test_answers_to_earlier_requests_announce_that_the_host_stops() -> None:
+    """Callers do not send another request on their connections."""
+    with open_ingress() as (forwarder, ingress, address):
+        forwarder.respond = _respond_soon
+        task = eventlet.spawn(send, address, _STREAM)
+        eventlet.sleep(0.1)
+        ingress.start_draining(_create_times(2))
+        received = task.wait()
+        assert received.startswith(b'HTTP/1.1 200')
+        assert b'connection: close' in received.lower()
+
+
 def test_a_host_that_relays_to_a_stopping_one_tries_another() -> None:
     """It is told that the request has not run there."""
     with open_ingress() as (forwarder, ingress, address):
