Take a forgotten history for a list that may be old, not for a lost platform

A host that makes sure that its list is the newest took status 410 for a platform that cannot be reached, and refused streams of unknown origin for half a second. The list is read anew at once in that case, so it asks again.

--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -67,6 +67,8 @@
         assert client.is_newest('instances', first.version, 1) is False
         assert _list_names(watch.wait()) == ['a', 'b']
         assert client.is_newest('instances', program.revision + 1, 1) is False
+        program.forget_history()
+        assert client.is_newest('instances', first.version, 1) is False
 
 
 def test_a_change_at_the_end_of_a_watch_is_not_skipped() -> None:
