--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -71,6 +71,8 @@
         assert client.is_newest('instances', later, 1) is False
         earlier_era = (first.era - 1, program.revision)
         assert client.is_newest('instances', earlier_era, 1) is False
+        program.forget_history()
+        assert client.is_newest('instances', first.position, 1) is False
 
 
 def test_a_change_at_the_end_of_a_watch_is_not_skipped() -> None:
