--- a/egretdale/coordination/forwarding.py
+++ b/egretdale/coordination/forwarding.py
@@ -20,6 +20,7 @@
     ForwardOutcome,
     ForwardReply,
     ForwardRequest,
+    HostStopped,
 )
 from egretdale.coordination.peer_relay import PeerRelay
 from egretdale.coordination.ports import MaybeRun, NotRun
@@ -28,13 +29,15 @@
 from egretdale.coordination.response_relay import ResponseRelay
 from egretdale.coordination.selection import BackendSelection
 from egretdale.state.gateway_metrics import GatewayMetrics
-from egretdale.state.outcomes import Refused
+from egretdale.state.outcomes import STOPPING_REFUSAL, Refused
 from egretdale.state.routing import RequestKind
 from egretdale.util.clocks import Clock
 
 _REDIRECTION = 300
 #: Seconds until backend servers to which connections hung are tried again.
 _RECONNECT_S = 0.1
+#: Shortest time left in seconds with which a request waits or is relayed.
+_LAST_WAIT_S = 0.15
 
 
 class Forwarder:
@@ -260,37 +263,28 @@
             relayed = self._relay.forward(progress)
             if relayed is not None:
                 return relayed
-        left_s = self._admission.measure_remaining_time(progress.admitted)
-        choice = self._selection.select(progress, left_s)
-        if isinstance(choice, Refused):
-            return refuse_attempt(progress, choice.detail, choice)
+        choice = self._choose(progress)
         if choice is not None:
             return choice
-        if self._has_hanging(progress):
+        left_s = self._admission.measure_remaining_time(progress.admitted)
+        if left_s < _LAST_WAIT_S:
+            return refuse_attempt(progress, 'no time is left')
+        if self._selection.retry_hanging(progress):
             return None
         relayed = self._relay.forward(progress) if may_relay else None
         return relayed or refuse_attempt(
             progress, 'no backend server is available'
         )
 
-    def _has_hanging(self, progress: Progress) -> bool:
-        """Tell whether backend servers may go on that were tried in vain.
-
-        They are no longer avoided.
-
-        :param progress: state of the request.
-        """
-        if self._selection.is_cut_off():
-            return False
-        waiting = [
-            instance.name
-            for instance in progress.hanging
-            if self._loads.may_stand_still(instance.incarnation)
-        ]
-        progress.hanging.clear()
-        for name in waiting:
-            progress.avoided.remove(name)
-        return bool(waiting)
+    def _choose(self, progress: Progress) -> BackendChoice | Refused | None:
+        left_s = self._admission.measure_remaining_time(progress.admitted)
+        try:
+            choice = self._selection.select(progress, left_s)
+        except HostStopped:
+            choice = STOPPING_REFUSAL
+        if isinstance(choice, Refused):
+            return refuse_attempt(progress, choice.detail, choice)
+        return choice
 
     def _check_sending(self, progress: Progress) -> Refused | None:
         """Check that a request may be sent now to the chosen backend server.
@@ -323,12 +317,13 @@
         sent_at = self._clock()
         outcome = self._sender.send(progress, choice, last_event_id)
         match outcome:
-            case NotRun(is_hanging=is_hanging):
+            case NotRun(at_fault=at_fault, is_hanging=is_hanging):
                 if is_hanging:
                     progress.hanging.append(choice.instance)
-                self._selection.note_unreachable(
-                    incarnation, sent_at, is_hanging=is_hanging
-                )
+                if at_fault:
+                    self._selection.note_unreachable(
+                        incarnation, sent_at, is_hanging=is_hanging
+                    )
                 self._selection.quarantine.withdraw_trial(progress.admitted)
             case MaybeRun():
                 progress.sent += 1
--- a/egretdale/coordination/selection.py
+++ b/egretdale/coordination/selection.py
@@ -162,6 +162,24 @@
             software_version=progress.software_version,
         )
 
+    def retry_hanging(self, progress: Progress) -> bool:
+        """Avoid no longer the backend servers that may only stand still.
+
+        :param progress: state of a request whose connections to them hung.
+        :return: whether there are any.
+        """
+        if self.is_cut_off():
+            return False
+        waiting = [
+            instance.name
+            for instance in progress.hanging
+            if self.loads.may_stand_still(instance.incarnation)
+        ]
+        progress.hanging.clear()
+        for name in waiting:
+            progress.avoided.remove(name)
+        return bool(waiting)
+
     def note_statement(
         self, instance: Instance, response: ForwardResponse, request_id: str
     ) -> None:
--- a/egretdale/transport/exchanges.py
+++ b/egretdale/transport/exchanges.py
@@ -14,19 +14,23 @@
     ForwardOutcome,
     ForwardReply,
     ForwardRequest,
+    HostStopped,
     IncompleteResponse,
 )
 from egretdale.state.outcomes import Ran, Reason, Refused
 from egretdale.transport.caller_watch import CallerWatch
+from egretdale.transport.stopping import StoppingRequests
 
 
 class ExchangeOwner(Protocol):
     """The server that received a request.
 
     :ivar active: requests in progress.
+    :ivar stopping: the requests during a shutdown.
     """
 
     active: int
+    stopping: StoppingRequests
 
     def forward(self, admitted: AdmittedRequest) -> ForwardOutcome:
         """Forward a request.
@@ -76,8 +80,10 @@
         '_chunks',
         '_closed',
         '_first_chunk',
+        '_is_incomplete',
         '_owner',
         '_start_response',
+        '_target',
         '_timer',
         '_watch',
     )
@@ -103,9 +109,12 @@
         self._admitted = admitted
         self._start_response = start_response
         self._closed = False
+        self._is_incomplete = False
         self._first_chunk: bytes | None = None
         self._chunks: Iterator[bytes] = iter(())
         owner.active += 1
+        self._target = eventlet.getcurrent()
+        owner.stopping.add(self.stop)
         self._watch = CallerWatch(connection)
         self._timer = eventlet.Timeout(owner.measure_remaining_time(admitted))
 
@@ -122,9 +131,13 @@
                 Ran.UNKNOWN,
                 detail='no response in time',
             )
-        except IncompleteResponse as incomplete:
+        except (HostStopped, IncompleteResponse) as broken:
             outcome = Refused(
-                Reason.BACKEND_FAILED, Ran.UNKNOWN, detail=str(incomplete)
+                Reason.BACKEND_FAILED
+                if isinstance(broken, IncompleteResponse)
+                else Reason.OUTCOME_UNKNOWN,
+                Ran.UNKNOWN,
+                detail=str(broken),
             )
         except BaseException as failed:
             self._log_failure(failed)
@@ -152,12 +165,14 @@
         try:
             return next(self._chunks)
         except StopIteration:
+            # What is ready is delivered, also late.
+            self._timer.cancel()
+            self._is_incomplete = False
             self._owner.log_end(self._admitted.request, 'answered')
             raise
         except BaseException as error:
             self._log_failure(error)
-            self._watch.stop()
-            self._abort()
+            self._abort_response()
             raise
 
     def close(self) -> None:
@@ -165,13 +180,22 @@
         if self._closed:
             return
         self._closed = True
+        self._owner.stopping.remove(self.stop)
         self._timer.cancel()
         self._watch.stop()
+        if self._is_incomplete:
+            # The caller has not taken it in time.
+            self._owner.log_end(self._admitted.request, 'not-delivered')
+            self._abort_response()
         self._owner.active -= 1
         close_chunks = getattr(self._chunks, 'close', None)
         if close_chunks is not None:
             close_chunks()
 
+    def stop(self) -> None:
+        """End the request, as the shutdown of this host ends."""
+        self._target.throw(HostStopped('this host has shut down'))
+
     def _forward(self) -> ForwardOutcome:
         outcome = self._owner.forward(self._admitted)
         if isinstance(outcome, ForwardReply):
@@ -187,14 +211,22 @@
         if reply.length is not None:
             headers.append(('Content-Length', str(reply.length)))
         self._start_response(f'{reply.status} ', headers)
+        self._is_incomplete = True
         return self
 
+    def _abort_response(self) -> None:
+        self._is_incomplete = False
+        self._watch.stop()
+        self._abort()
+
     def _log_failure(self, failed: BaseException) -> None:
         match failed:
             case CallerGone():
                 outcome = 'caller-gone'
             case eventlet.Timeout():
                 outcome = 'deadline-passed'
+            case HostStopped():
+                outcome = 'host-stopped'
             case _:
                 outcome = f'broken: {failed!r}'
         self._owner.log_end(self._admitted.request, outcome)
--- a/egretdale/transport/ingress.py
+++ b/egretdale/transport/ingress.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from functools import partial
 from typing import Any, Protocol
 
 import eventlet
@@ -14,6 +15,7 @@
     BackendIdentity,
     ForwardOutcome,
     ForwardRequest,
+    HostStopped,
 )
 from egretdale.errors import Invalid
 from egretdale.protocol.forwarding import HeaderCodec, RequestHead
@@ -28,6 +30,7 @@
 from egretdale.transport.exchanges import Exchange
 from egretdale.transport.message_reader import MalformedMessageError
 from egretdale.transport.sockets import is_readable
+from egretdale.transport.stopping import StoppingRequests, StopTimes
 from egretdale.util.clocks import Clock, convert_to_ms
 from egretdale.util.logs import get_logger
 
@@ -40,16 +43,13 @@
     ValueError,
     wsgi.ChunkReadError,
 )
-#: A caller that receives no bytes for this many seconds is disconnected.
+#: A caller that receives or sends no bytes for this many seconds is
+#: disconnected.
 _WRITE_TIMEOUT_S = 20.0
 #: Longest time in seconds to accept the connections that wait when the
 #: listener is closed.
 _BACKLOG_TIMEOUT_S = 0.5
 
-#: ``Retry-After`` of refusals by a host that is shutting down, in seconds;
-#: callers retry at another host.
-_STOPPING_RETRY_S = 0.05
-
 
 class RequestForwarder(Protocol):
     """Admits requests and forwards them."""
@@ -72,10 +72,10 @@
 
     :ivar active: requests in progress.
     :ivar connections: open connections of callers.
+    :ivar stopping: the requests during a shutdown.
     """
 
     __slots__ = (
-        '_accepting',
         '_clock',
         '_codec',
         '_draining',
@@ -86,6 +86,7 @@
         '_pool',
         'active',
         'connections',
+        'stopping',
     )
 
     def __init__(
@@ -108,13 +109,13 @@
         """
         self.active = 0
         self.connections = CallerConnections()
+        self.stopping = StoppingRequests(clock)
         self._codec = codec
         self._forwarder = forwarder
         self._limits = limits
         self._clock = clock
         self._metrics = metrics
         self._draining = False
-        self._accepting = True
         self._listener: Any = None
         self._pool = GreenPool(maximum_connections)
 
@@ -139,9 +140,14 @@
         """Return the current limits."""
         return self._limits()
 
-    def start_draining(self) -> None:
-        """Announce in each response that its connection closes."""
+    def start_draining(self, times: StopTimes | None = None) -> None:
+        """Announce in each response that its connection closes.
+
+        :param times: phases of the shutdown, ``None`` if it has no end.
+        """
         self._draining = True
+        if times is not None:
+            self.stopping.begin(times)
 
     def close_listener(self) -> None:
         """Accept no more connections but those that wait already."""
@@ -154,7 +160,7 @@
 
     def stop_accepting(self) -> None:
         """Refuse new requests and close idle connections."""
-        self._accepting = False
+        self.stopping.close()
         self.connections.close_idle()
 
     def __call__(
@@ -167,36 +173,41 @@
         :return: chunks of the response.
         """
         environ['eventlet.minimum_write_chunk_size'] = 1
-        if self._draining:
-            environ['egretdale.connection'].close_after_response()
+        connection = environ['egretdale.connection']
+        start_response = partial(self._begin, connection, start_response)
+        caller = environ['eventlet.input'].get_socket()
+        caller.settimeout(_WRITE_TIMEOUT_S)
         request = self._read_request(environ)
         if isinstance(request, Refused):
             # The unread rest must not be parsed as another request.
-            environ['egretdale.connection'].close_after_response()
+            connection.close_after_response()
             return self.refuse(start_response, request, '')
         admitted = self._admit(request)
         if isinstance(admitted, Refused):
             return self.refuse(start_response, admitted, request.request_id)
-        connection = environ['eventlet.input'].get_socket()
-        connection.settimeout(_WRITE_TIMEOUT_S)
-        exchange = Exchange(
-            self,
-            connection,
-            admitted,
-            start_response,
-            environ['egretdale.connection'].abort_response,
-        )
+        abort = connection.abort_response
+        exchange = Exchange(self, caller, admitted, start_response, abort)
         return exchange.respond()
 
+    def _begin(
+        self,
+        connection: CallerProtocol,
+        start_response: Callable[..., Any],
+        status: str,
+        headers: list[tuple[str, str]],
+    ) -> None:
+        # A stop may have begun while the request was running.
+        if self._draining:
+            connection.close_after_response()
+        start_response(status, headers)
+
     def _admit(self, request: ForwardRequest) -> AdmittedRequest | Refused:
-        if self._accepting:
-            return self._forwarder.admit(request)
-        return Refused(
-            Reason.HOST_STOPPING,
-            Ran.NO,
-            _STOPPING_RETRY_S,
-            'this host is shutting down; others are not',
-        )
+        if self.stopping.is_closed():
+            return self.stopping.refuse(is_relayed=request.is_relayed)
+        admitted = self._forwarder.admit(request)
+        if isinstance(admitted, Refused):
+            return admitted
+        return self.stopping.check(admitted)
 
     def _read_request(
         self, environ: dict[str, Any]
@@ -301,17 +312,21 @@
     def _read_body(
         self, environ: dict[str, Any], request: ForwardRequest
     ) -> Refused | None:
-        limit = self.limits().body_bytes
-        limit_s = request.patience_s or self.limits().idle_s
+        limits = self.limits()
+        limit = limits.body_bytes
+        limit_s = request.patience_s or max(limits.idle_s, limits.header_s)
         reader = environ['eventlet.input']
         length = None if reader.chunked_input else reader.content_length or 0
         if length is not None and length > limit:
             return _refuse_large(limit)
+        timer = eventlet.Timeout(limit_s, TimeoutError())
         try:
-            with eventlet.Timeout(limit_s, TimeoutError()):
+            with self.stopping.interrupt(), timer:
                 request.body = reader.read(
                     limit + 1 if length is None else length
                 )
+        except HostStopped:
+            return self.stopping.refuse(is_relayed=request.is_relayed)
         except TimeoutError:
             detail = 'timeout while reading the body'
             return Refused(Reason.TOO_SLOW, Ran.NO, detail=detail)
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -4,8 +4,9 @@
 
 import eventlet
 
-from egretdale.coordination.ports import Listing, Written
+from egretdale.coordination.ports import WATCH_MARGIN_S, Listing, Written
 from egretdale.errors import Ambiguous, Conflict, Missing, Unreachable
+from egretdale.util.clocks import read_hub_clock
 from tests.functions import create_loader
 from tests.object_store import open_store
 
@@ -54,6 +55,26 @@
         assert again.version == program.revision
 
 
+def test_a_listing_is_compared_without_disturbing_a_watch() -> None:
+    """The watch still returns the change that made the listing an old one."""
+    with open_store() as (program, client):
+        program.put('servers', 'a', {})
+        first = client.list_objects('instances')
+        watch = eventlet.spawn(client.watch, 'instances', first.version, 1)
+        assert client.is_newest('instances', first.position, 1) is True
+        program.put('others', 'x', {})
+        assert client.is_newest('instances', first.position, 1) is True
+        program.put('servers', 'b', {})
+        assert client.is_newest('instances', first.position, 1) is False
+        assert _list_names(watch.wait()) == ['a', 'b']
+        later = (first.era, program.revision + 1)
+        assert client.is_newest('instances', later, 1) is False
+        earlier_era = (first.era - 1, program.revision)
+        assert client.is_newest('instances', earlier_era, 1) is False
+        program.forget_history()
+        assert client.is_newest('instances', first.position, 1) is False
+
+
 def test_a_change_at_the_end_of_a_watch_is_not_skipped() -> None:
     """The stand-in reports changes that it covers by the revision it states.
 
@@ -163,3 +184,14 @@
             after = client.watch('instances', known.version, 0.05)
             assert after.era == known.era == 1, era
             assert _list_names(after) == ['a', 'b']
+
+
+def test_a_watch_without_an_answer_ends_soon() -> None:
+    """Its connection has gone silent."""
+    with open_store() as (program, client):
+        known = client.list_objects('instances')
+        program.is_hanging = True
+        began_at = read_hub_clock()
+        watched = client.watch('instances', known.version, 0.1)
+        assert isinstance(watched, Unreachable)
+        assert read_hub_clock() - began_at < 0.1 + 2 * WATCH_MARGIN_S
