Note unseen versions also when a peer's copy has the new list first

What callers could see: a stream that had begun on an engine of another software version went on at an engine of the only version in the host's list (ORDER).

Cause: a host whose list was not confirmed for 5 s starts its history of versions anew if the platform then has another list. A host that was isolated, and reached its peers before the platform, had fetched that list from a peer: the position was the same, so the history counted as complete, although a version had joined and left unseen.

The gap is noted where a list is put to use, whatever its origin, and the list is confirmed after that.

Evidence: test_a_copy_of_the_list_does_not_hide_that_a_version_served_unseen fails on (at 3 hosts: resumed at v1) and passes now at 3 and 81.

--- a/egretdale/coordination/instances.py
+++ b/egretdale/coordination/instances.py
@@ -151,14 +151,11 @@
             self._lost_at = None
         answered_at = self._watch.answered_at
         self._outages.note_answer(answered_at)
-        unseen_s = self.confirmation.measure_age()
-        if unseen_s > _UNSEEN_S and listing.position != self._listing.position:
-            self.table.versions.note_gap()
-        self.confirmation.confirm(confirmed_at)
         self._note_order(listing)
         # The list of a reader may be older than a copy from another peer.
         if listing.position > self._listing.position:
             self._apply(listing, 'platform')
+        self.confirmation.confirm(confirmed_at)
         self._changed_after = answered_at
 
     def note_watch_failure(self, failure: Unreachable) -> None:
@@ -260,6 +257,9 @@
         self._apply(Listing(copy.revision, objects, copy.era), host)
 
     def _apply(self, listing: Listing, origin: str) -> None:
+        unseen_s = self.confirmation.measure_age()
+        if unseen_s > _UNSEEN_S and listing.position != self._listing.position:
+            self.table.versions.note_gap()
         if self._listing.era and listing.era > self._listing.era:
             self._outages.note_restoration(self._clock(), LAPSE_S)
             self._removals.note_restoration(
--- a/tests/test_coordination/test_out_of_step_hosts.py
+++ b/tests/test_coordination/test_out_of_step_hosts.py
@@ -6,6 +6,7 @@
 
 import eventlet
 
+from egretdale.state.messages import Batch
 from tests.functions import create_loader
 from tests.out_of_step import Fault, Fleet, open_fleet
 
@@ -110,6 +111,37 @@
             assert 'v1' not in _resume(fleet, behind), (size, fault)
 
 
+def _fetch_copy(fleet: Fleet, name: str, peer: str) -> None:
+    """Let a host without the store hear of a peer's list."""
+    batch = Batch(peer, 1)
+    fleet.hosts[peer].follower.fill(name, batch)
+    fleet.hosts[name].follower.receive(batch)
+    eventlet.sleep(0.1)
+
+
+def test_a_copy_of_the_list_does_not_hide_that_a_version_served_unseen() -> (
+    None
+):
+    """The copy is as new as the list that the store has in the end."""
+    for size in (3, 81):
+        with open_fleet(size, 'v1') as fleet:
+            first, behind = _choose_hosts(fleet)
+            fleet.begin_fault(behind, Fault.ISOLATED)
+            eventlet.sleep(2)
+            fleet.list_engine('v2')
+            eventlet.sleep(_BEGIN_S)
+            _begin(fleet, first)
+            eventlet.sleep(5)
+            fleet.remove_engine('v2')
+            fleet.lose_host(first)
+            eventlet.sleep(3)
+            fleet.faults.cut.clear()
+            _fetch_copy(fleet, behind, fleet.names[1])
+            fleet.end_fault(behind)
+            eventlet.sleep(2)
+            assert 'v1' not in _resume(fleet, behind), size
+
+
 def test_streams_are_not_joined_when_several_hosts_are_out_of_step() -> None:
     """They ask each other, and none of them has seen the version."""
     for size in _SIZES:
