Keep load reports and controls of engines off the connections of streams

What callers of the project's own interface could see: the body of a load report (or of the confirmation of a cancel, pause or order) in place of their own answer, if an engine answers such a call twice, the second time while a request waits on the pooled connection.

Cause: these calls shared their connections with streams, and their responses name no stream, so that the check of Egret-Stream-Id lets them pass. The other way round, a late answer to a stream counted as the confirmation of a call. They have a pool of their own now.

--- a/egretdale/transport/backends.py
+++ b/egretdale/transport/backends.py
@@ -112,7 +112,7 @@
 class HttpBackendClient:
     """Calls to backend servers over HTTP."""
 
-    __slots__ = ('_fresh_pool', '_pool', '_progress_s')
+    __slots__ = ('_control_pool', '_fresh_pool', '_pool', '_progress_s')
 
     def __init__(self, progress_s: float) -> None:
         """Create a client.
@@ -126,6 +126,12 @@
             maxsize=_CONNECTIONS_PER_POOL,
             retries=False,
         )
+        # Late second responses to these calls do not name a stream.
+        self._control_pool = StrictPoolManager(
+            num_pools=_MAXIMUM_POOLS,
+            maxsize=_CONNECTIONS_PER_POOL,
+            retries=False,
+        )
         # Connections of this pool are closed after one request.
         self._fresh_pool = StrictPoolManager(
             num_pools=_MAXIMUM_POOLS, maxsize=1, retries=False
@@ -204,7 +210,7 @@
         :return: the report, or the reason for the failure.
         """
         try:
-            response = self._pool.request(
+            response = self._control_pool.request(
                 'GET', f'http://{address}/load', timeout=_LOAD_TIMEOUT_S
             )
         except HTTPError as failed:
@@ -222,7 +228,7 @@
         :return: whether the engine accepted it.
         """
         try:
-            response = self._pool.request(
+            response = self._control_pool.request(
                 'POST',
                 f'http://{address}/orders',
                 body=msgspec.json.encode(order),
@@ -268,7 +274,7 @@
     def _send_control(self, address: str, stream_id: str, action: str) -> bool:
         url = f'http://{address}/v1/streams/{stream_id}/{action}'
         try:
-            response = self._pool.request(
+            response = self._control_pool.request(
                 'POST', url, timeout=_CONTROL_TIMEOUT_S
             )
         except HTTPError:
--- a/tests/test_transport/test_backends.py
+++ b/tests/test_transport/test_backends.py
@@ -7,6 +7,7 @@
 import eventlet
 
 from egretdale.coordination.ports import BackendCall, MaybeRun
+from egretdale.errors import Unreachable
 from egretdale.transport.backends import HttpBackendClient, HttpBackendStream
 from tests.backend_sockets import open_server, read_head
 from tests.functions import create_loader
@@ -48,3 +49,26 @@
         assert isinstance(second, MaybeRun), second.read()
         third = client.open(address, _create_call('s1'))
         assert third.read() == b's1'
+
+
+def test_a_late_second_report_is_not_taken_for_a_stream() -> None:
+    """Reports and confirmations do not name a stream."""
+    load = b'{"running":0,"waiting":0,"kv_tokens":0,"kv_limit":9}'
+    report = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(load) + load
+
+    def script(connection: socket.socket) -> None:
+        late = b''
+        head = read_head(connection)
+        while head:
+            answer = report if b'/load' in head else _build_answer('s1')
+            connection.sendall(late + answer)
+            late = answer
+            head = read_head(connection)
+
+    with open_server(script) as (_, address), eventlet.Timeout(5):
+        client = HttpBackendClient(2)
+        client.read_load(address)
+        stream = client.open(address, _create_call('s1'))
+        assert stream.read() == b's1'
+        stream.finish()
+        assert not isinstance(client.read_load(address), Unreachable)
