Refuse requests whose relay finds no connection until their deadline as not run

What callers saw: a request that a host relays because it reaches no backend server ended with 504 and "no response in time" if the other host stood still, though it had been sent nowhere.

Cause: the time to connect was bounded by what is left of the request's time for connections to backend servers, but not for those to other hosts.

It is bounded in the same way now. A host that had less than the usual time to accept is not avoided, and no further host is tried.

--- a/egretdale/coordination/peer_relay.py
+++ b/egretdale/coordination/peer_relay.py
@@ -91,29 +91,49 @@
             sent_at = self._clock()
             outcome = self._client.relay(self._create_attempt(progress, member))
             self._record(progress, host, outcome, sent_at)
-            match outcome:
-                case NotRun():
-                    self._avoid(host)
-                case MaybeRun(detail=detail):
-                    progress.may_have_run = True
-                    return Refused(
-                        Reason.OUTCOME_UNKNOWN, Ran.UNKNOWN, detail=detail
-                    )
-                case _ if outcome.not_run:
-                    # That host reaches no backend server either.
-                    outcome.close()
-                    self._avoid(host)
-                case _ if progress.may_have_run and not outcome.sealed:
-                    # That host only knows that it has not run there.
-                    outcome.close()
-                    return refuse_attempt(progress, 'another host refused it')
-                case _:
-                    return ForwardReply(
-                        outcome.status,
-                        outcome.headers,
-                        outcome.length,
-                        RelayedBody(outcome),
-                    )
+            answer = self._conclude(progress, host, outcome)
+            if answer is not None:
+                return answer
+        return None
+
+    def _conclude(
+        self,
+        progress: Progress,
+        host: str,
+        outcome: ForwardResponse | NotRun | MaybeRun,
+    ) -> ForwardReply | Refused | None:
+        """Decide what the caller gets after an attempt.
+
+        :param progress: state of the request.
+        :param host: the host that it was sent to.
+        :param outcome: outcome of the attempt.
+        :return: the response or a refusal, ``None`` to try a further host.
+        """
+        match outcome:
+            case NotRun(at_fault=False, detail=detail):
+                return refuse_attempt(progress, detail)
+            case NotRun():
+                self._avoid(host)
+            case MaybeRun(detail=detail):
+                progress.may_have_run = True
+                return Refused(
+                    Reason.OUTCOME_UNKNOWN, Ran.UNKNOWN, detail=detail
+                )
+            case _ if outcome.not_run:
+                # That host reaches no backend server either.
+                outcome.close()
+                self._avoid(host)
+            case _ if progress.may_have_run and not outcome.sealed:
+                # That host only knows that it has not run there.
+                outcome.close()
+                return refuse_attempt(progress, 'another host refused it')
+            case _:
+                return ForwardReply(
+                    outcome.status,
+                    outcome.headers,
+                    outcome.length,
+                    RelayedBody(outcome),
+                )
         return None
 
     def _create_attempt(
--- a/egretdale/transport/forwarding.py
+++ b/egretdale/transport/forwarding.py
@@ -187,7 +187,7 @@
         if attempt.is_repeatable:
             connection = self.pool.take(address)
         return self._send(
-            connection or self.pool.connect(address),
+            connection or self.pool.connect(address, attempt.left_s),
             address,
             attempt.request,
             self._codec.build_relay_headers(attempt),
--- a/tests/test_coordination/test_forwarding.py
+++ b/tests/test_coordination/test_forwarding.py
@@ -248,3 +248,13 @@
         refused = scene.forward(create_request('/safe/'))
         assert refused.ran == Ran.UNKNOWN
         assert refusal.closed
+
+
+def test_a_host_that_had_no_time_to_connect_is_not_avoided() -> None:
+    """The request had too little time left, and has run nowhere."""
+    client = ScriptedClient(relayed=NotRun('late', at_fault=False))
+    with open_scene(_TABLE, client, servers=0) as scene:
+        scene.add_peer('other')
+        assert scene.forward(create_request('/safe/')).ran == Ran.NO
+        client.relay = lambda attempt: ScriptedResponse()
+        assert scene.forward(create_request('/safe/')).status == 200
--- a/tests/test_transport/test_forwarding.py
+++ b/tests/test_transport/test_forwarding.py
@@ -204,6 +204,26 @@
     assert client.relay(attempt).is_refused
 
 
+def test_a_relay_that_finds_no_connection_in_time_has_run_nothing() -> None:
+    """Connections to a host that stands still hang."""
+    with socket.create_server(('127.0.0.1', 0), backlog=0) as listener:
+        place = listener.getsockname()
+        waiting = [socket.socket() for _ in range(3)]
+        for connection in waiting:
+            connection.setblocking(False)
+            connection.connect_ex(place)
+        client = HttpForwardClient(HeaderCodec(HeaderNames()), read_boot_clock)
+        attempt = RelayAttempt(
+            create_request('/x'), 'h1', f'127.0.0.1:{place[1]}', 0.3, 1, False
+        )
+        with eventlet.Timeout(attempt.left_s):
+            outcome = client.relay(attempt)
+        assert isinstance(outcome, NotRun)
+        assert not outcome.at_fault
+        for connection in waiting:
+            connection.close()
+
+
 def test_idle_connections_survive_refused_ones() -> None:
     """A partition may refuse new connections while old ones live on."""
 
