Use no connection that may end in a standstill, whoever sends on it

The margin of 2 s holds for all requests now; those that may run twice use half of a shorter idle time. A connection to a server that has not responded yet counts as one with 2 s.

test_a_connection_without_a_response_carries_nothing_unrepeatable fails before; test_no_connection_is_used_when_its_idle_time_may_run_out is stricter: it allowed requests that may run twice up to 1 s before the end (its names have changed too).

--- a/egretdale/transport/backend_connections.py
+++ b/egretdale/transport/backend_connections.py
@@ -43,11 +43,15 @@
 #: Idle timeout of a pooled connection in seconds, if the backend server does
 #: not announce one.
 _IDLE_TIMEOUT_S = 20.0
-#: How long before its announced timeout a connection expires, in seconds.
-_IDLE_MARGIN_S = 1.0
-#: The same for requests that must not run twice: a server that stands still for
-#: a while closes idle connections when it goes on, with requests unread.
-_UNREPEATABLE_MARGIN_S = 2.0
+#: The same before the backend server has responded.
+_UNKNOWN_IDLE_TIMEOUT_S = 2.0
+#: How long before its announced timeout a connection expires, in seconds: a
+#: server that stands still for a while closes idle connections when it goes on,
+#: with requests unread.
+_IDLE_MARGIN_S = 2.0
+#: Share of a short idle timeout in which requests that may run twice use a
+#: connection all the same.
+_REPEATABLE_SHARE = 0.5
 #: Data unacknowledged for this many milliseconds aborts a connection.
 _USER_TIMEOUT_MS = 4000
 _MAXIMUM_IDLE_PER_ADDRESS = 64
@@ -168,12 +172,23 @@
 
     :ivar connection: the connection.
     :ivar idle_since: clock time since which it has been idle.
-    :ivar usable_until: clock time until which it may be reused.
+    :ivar timeout_s: seconds after which the backend server may close it.
     """
 
     connection: BackendConnection
     idle_since: float
-    usable_until: float
+    timeout_s: float
+
+    def is_usable(self, now: float, *, is_repeatable: bool) -> bool:
+        """Tell whether a request may be sent on it.
+
+        :param now: clock time.
+        :param is_repeatable: whether the request may run twice.
+        """
+        usable_s = self.timeout_s - _IDLE_MARGIN_S
+        if is_repeatable:
+            usable_s = max(usable_s, self.timeout_s * _REPEATABLE_SHARE)
+        return now < self.idle_since + usable_s
 
 
 class ConnectionPool:
@@ -187,7 +202,7 @@
     __slots__ = (
         '_clock',
         '_idle',
-        '_idle_limits',
+        '_idle_timeouts',
         'embedded',
         'opened',
         'skipped',
@@ -203,7 +218,7 @@
         self.embedded = 0
         self._clock = clock
         self._idle: dict[str, deque[IdleConnection]] = {}
-        self._idle_limits: dict[str, float] = {}
+        self._idle_timeouts: dict[str, float] = {}
 
     def take(
         self, address: str, *, is_repeatable: bool = True
@@ -216,17 +231,14 @@
         """
         idle = self._idle.get(address)
         now = self._clock()
-        spare_s = float(0)
-        if not is_repeatable:
-            spare_s = _UNREPEATABLE_MARGIN_S - _IDLE_MARGIN_S
         while idle:
             entry = idle.pop()
             # Other data is the end or an unrequested response.
-            is_expired = entry.usable_until <= now
-            if is_expired or not entry.connection.skip_arrived():
+            may_use = entry.is_usable(now, is_repeatable=True)
+            if not may_use or not entry.connection.skip_arrived():
                 entry.connection.close()
                 continue
-            if entry.usable_until - spare_s <= now:
+            if not entry.is_usable(now, is_repeatable=is_repeatable):
                 # The others have been idle for longer.
                 idle.append(entry)
                 return None
@@ -293,25 +305,25 @@
         ):
             connection.close()
             return
-        keep_s = _parse_keep_alive(response.headers.get('keep-alive', ''))
-        self._idle_limits[address] = keep_s
-        self.keep(address, connection, keep_s)
+        timeout_s = _parse_keep_alive(response.headers.get('keep-alive', ''))
+        self._idle_timeouts[address] = timeout_s
+        self.keep(address, connection, timeout_s)
 
-    def find_idle_limit(self, address: str) -> float:
-        """Return the seconds for which a connection may be reused.
+    def find_idle_timeout(self, address: str) -> float:
+        """Return the seconds after which a backend server closes connections.
 
         :param address: ``address:port`` of the backend server.
         """
-        return self._idle_limits.get(address, _IDLE_TIMEOUT_S)
+        return self._idle_timeouts.get(address, _UNKNOWN_IDLE_TIMEOUT_S)
 
     def keep(
-        self, address: str, connection: BackendConnection, keep_s: float
+        self, address: str, connection: BackendConnection, timeout_s: float
     ) -> None:
         """Keep a connection that is not in use.
 
         :param address: ``address:port`` of the backend server.
         :param connection: the connection.
-        :param keep_s: seconds for which it may be reused.
+        :param timeout_s: seconds after which the backend server may close it.
         """
         idle = self._idle.setdefault(address, deque())
         if len(idle) >= _MAXIMUM_IDLE_PER_ADDRESS:
@@ -319,13 +331,14 @@
             return
         now = self._clock()
         connection.carried.end_exchange()
-        idle.append(IdleConnection(connection, now, now + keep_s))
+        idle.append(IdleConnection(connection, now, timeout_s))
 
     def close_idle(self, address: str) -> None:
         """Close the idle connections to a backend server.
 
         :param address: ``address:port`` of the backend server.
         """
+        self._idle_timeouts.pop(address, None)
         for entry in self._idle.pop(address, ()):
             entry.connection.close()
 
@@ -361,5 +374,5 @@
     for parameter in text.split(','):
         name, _, seconds = parameter.strip().partition('=')
         if name.lower() == 'timeout' and is_number(seconds):
-            return max(float(0), float(seconds) - _IDLE_MARGIN_S)
+            return float(seconds)
     return _IDLE_TIMEOUT_S
--- a/egretdale/transport/forwarding.py
+++ b/egretdale/transport/forwarding.py
@@ -171,7 +171,8 @@
         if isinstance(connection, NotRun):
             return connection
         address = instance.address
-        self.pool.keep(address, connection, self.pool.find_idle_limit(address))
+        timeout_s = self.pool.find_idle_timeout(address)
+        self.pool.keep(address, connection, timeout_s)
         return None
 
     def relay(
--- a/tests/test_transport/test_silent_servers.py
+++ b/tests/test_transport/test_silent_servers.py
@@ -5,6 +5,7 @@
 import socket
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from functools import partial
 
 import eventlet
 
@@ -154,30 +155,67 @@
             assert read_hub_clock() - began_at < left_s
 
 
-def test_no_connection_is_used_when_its_idle_time_may_run_out() -> None:
-    """Also if it was opened for a test, and nothing was announced on it."""
-    announced = b'Keep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n'
+def _serve_idle(timeout_s: int, connection: socket.socket) -> None:
+    announced = b'Keep-Alive: timeout=%d\r\nContent-Length: 0\r\n\r\n'
+    while read_head(connection):
+        connection.sendall(_HEAD + announced % timeout_s)
 
-    def serve(connection: socket.socket) -> None:
-        while read_head(connection):
-            connection.sendall(_HEAD + announced)
 
+def test_no_connection_is_used_when_its_idle_time_may_run_out() -> None:
+    """Also if it was opened for a test, and nothing was announced on it."""
+    # Announced idle timeout, and seconds for which requests use a connection
+    # that must not run twice, and those that may.
+    for timeout_s, unrepeatable_s, repeatable_s in (
+        (5, 3.0, 3.0),
+        (3, 1.0, 1.5),
+        (2, 0, 1.0),
+    ):
+        clock = ManualClock()
+        with open_server(partial(_serve_idle, timeout_s)) as (_, address):
+            client = HttpForwardClient(HeaderCodec(HeaderNames()), clock)
+            instance = Instance('b0', 'claims', address)
+            assert _call(client, instance) == b''
+            for _ in range(2):
+                _check_uses(client, address, unrepeatable_s, repeatable_s)
+                assert client.test_connection(instance) is None
+
+
+def _check_uses(
+    client: HttpForwardClient,
+    address: str,
+    unrepeatable_s: float,
+    repeatable_s: float,
+) -> None:
+    """Check for how long the only connection of a pool is used."""
+    pool = client.pool
+    clock = pool._clock  # noqa: SLF001
+    for is_repeatable, limit_s in (
+        (False, unrepeatable_s),
+        (True, repeatable_s),
+    ):
+        if not limit_s:
+            continue
+        clock.now += limit_s - 0.1
+        used = pool.take(address, is_repeatable=is_repeatable)
+        assert used is not None
+        pool.keep(address, used, pool.find_idle_timeout(address))
+    clock.now += unrepeatable_s + 0.1
+    assert pool.take(address, is_repeatable=False) is None
+    clock.now += repeatable_s - unrepeatable_s
+    assert pool.take(address) is None
+
+
+def test_a_connection_without_a_response_carries_nothing_unrepeatable() -> None:
+    """It is not known when the server closes it."""
     clock = ManualClock()
-    with open_server(serve) as (_, address):
+    with open_server(partial(_serve_idle, 3)) as (_, address):
         client = HttpForwardClient(HeaderCodec(HeaderNames()), clock)
         instance = Instance('b0', 'claims', address)
-        assert _call(client, instance) == b''
-        pool = client.pool
-        for _ in range(2):
-            clock.now += 2.9
-            used = pool.take(address, is_repeatable=False)
-            assert used is not None
-            pool.keep(address, used, pool.find_idle_limit(address))
-            clock.now += 3.1
-            assert pool.take(address, is_repeatable=False) is None
-            clock.now += 0.8
-            assert pool.take(address) is used
-            pool.keep(address, used, pool.find_idle_limit(address))
-            clock.now += 4.1
-            assert pool.take(address) is None
-            assert client.test_connection(instance) is None
+        assert client.test_connection(instance) is None
+        assert client.pool.take(address, is_repeatable=False) is None
+        clock.now += 0.9
+        used = client.pool.take(address)
+        assert used is not None
+        client.pool.keep(address, used, 2)
+        clock.now += 1.1
+        assert client.pool.take(address) is None
