Refuse new requests of an egretdaled that is forced to stop

What callers saw: requests that reached egretdaled in the 0.2 s after a second signal were run, and cut off without an answer when the process ended.

Cause: a forced stop answered the requests that ran, but went on taking new ones.

They are refused as not run now (host-stopping).

Evidence: test_a_forced_shutdown_runs_no_new_requests fails on (status is not 503) and passes now.

--- a/egretdale/transport/daemon.py
+++ b/egretdale/transport/daemon.py
@@ -105,6 +105,7 @@
         if self._stopping:
             logger.warning('stop-forced', cut_off=self._callers.active.count)
             status = 1 if self._callers.active.count else 0
+            self._callers.stopping.close()
             self._callers.stopping.end_all()
             # The server has to send the last answers.
             hubs.get_hub().schedule_call_global(
--- a/tests/test_transport/test_daemon.py
+++ b/tests/test_transport/test_daemon.py
@@ -330,3 +330,16 @@
     system.daemon.request_stop()
     assert system.status.wait() == 1
     assert json.loads(first.wait().data)['ran'] == 'unknown'
+
+
+def test_a_forced_shutdown_runs_no_new_requests() -> None:
+    """Their responses could not be sent any more."""
+    system = _System()
+    system.wait_ready()
+    system.daemon.request_stop()
+    system.daemon.request_stop()
+    late = _post(system, '/services/web/references', b'{"identity":"late"}')
+    assert late.status == 503
+    assert json.loads(late.data)['ran'] == 'no'
+    system.status.wait()
+    assert not system.plain.runs
