Bound the wait of resumed streams for a list that does not catch up

What callers could see: while the watch of a host hung, many streams that were resumed there at the same time waited for one another's reads of the platform, 0.2 s each, up to their deadline (504), instead of being refused as not run.

Cause: the timeout of a second was checked before a caller got its turn, and not after.

Evidence: test_callers_do_not_wait_for_each_other_beyond_the_timeout fails on (50 callers: 10.81 s) and passes now (1.6 s at most).

--- a/egretdale/coordination/list_confirmation.py
+++ b/egretdale/coordination/list_confirmation.py
@@ -79,7 +79,9 @@
             with self._reading:
                 if self._is_confirmed(called_at):
                     return True
-                if self._clock() < self._failed_at + _FAILURE_S:
+                now = self._clock()
+                is_late = now >= called_at + _TIMEOUT_S
+                if is_late or now < self._failed_at + _FAILURE_S:
                     return False
                 self._read()
         return self._is_confirmed(called_at)
