--- a/egretdale/coordination/ports.py
+++ b/egretdale/coordination/ports.py
@@ -114,8 +114,6 @@
     ) -> bool | Unreachable:
         """Tell whether no listing is newer than one, without waiting.
 
-        It may be called while a watch waits.
-
         :param kind: kind of the objects.
         :param position: position of a listing.
         :param timeout_s: timeout of the call in seconds.
--- a/egretdale/transport/forwarding.py
+++ b/egretdale/transport/forwarding.py
@@ -22,10 +22,8 @@
     ResponseMetadata,
 )
 from egretdale.state.instances import Instance
-from egretdale.transport.backend_connections import (
-    BackendConnection,
-    ConnectionPool,
-)
+from egretdale.transport.backend_connections import BackendConnection
+from egretdale.transport.connection_pool import ConnectionPool
 from egretdale.transport.response_bodies import ResponseBody
 from egretdale.util.clocks import Clock, convert_to_ms
 
--- a/soak/broken_daemon.py
+++ b/soak/broken_daemon.py
@@ -21,11 +21,9 @@
 from egretdale.state.outcomes import Ran, Reason, Refused
 from egretdale.state.routing import Route
 from egretdale.transport import backend_connections
-from egretdale.transport.backend_connections import (
-    BackendConnection,
-    ConnectionPool,
-)
+from egretdale.transport.backend_connections import BackendConnection
 from egretdale.transport.carried_requests import CarriedRequests
+from egretdale.transport.connection_pool import ConnectionPool
 from egretdale.transport.forwarding import ForwardedResponse
 from egretdale.transport.gateway import GatewayDaemon
 from egretdale.transport.ingress import Ingress
--- a/tests/test_platform/test_odd_entries.py
+++ b/tests/test_platform/test_odd_entries.py
@@ -19,7 +19,7 @@
 )
 from egretdale.state.instances import Instance
 from egretdale.state.queries import ChangeAsk
-from egretdale.transport.backend_connections import ConnectionPool
+from egretdale.transport.connection_pool import ConnectionPool
 from egretdale.util.addresses import split_address
 from egretdale.util.clocks import read_boot_clock
 from standins import platform_path  # noqa: F401
--- a/tests/test_transport/test_second_answers.py
+++ b/tests/test_transport/test_second_answers.py
@@ -169,8 +169,8 @@
     late = build_answer('r1', 'length')
     server = RepeatingServer([(late,), (build_answer('r2', 'length'),)])
 
-    def take(address: str) -> BackendConnection | None:
-        taken = pool.take(address)
+    def take(address: str, **options: bool) -> BackendConnection | None:
+        taken = pool.take(address, **options)
         if taken is not None:
             server.connections[0].sendall(late)
             eventlet.sleep(PAUSE_S)
