--- a/egretdale/coordination/instances.py
+++ b/egretdale/coordination/instances.py
@@ -43,7 +43,7 @@
 _MAXIMUM_SILENCE_S = 3600.0
 
 #: Age in seconds of the list from which on a software version may have served
-#: and left unseen; several watches of the platform in a row have failed by then.
+#: and left unseen; several watches in a row have failed by then.
 _UNSEEN_S = 5.0
 
 _EXPIRY_CHECK_S = 0.25
