Send no write that expects a version of an earlier era

Callers saw nothing yet of this one: a lease, a document or a record of another writer could be overwritten after a drill of the platform.

Cause: a compare-and-write carried a bare version. A platform that was restored from an older copy gives out versions again, so a version learnt before can match another change.

Versions of objects now come with the era in which they were read or written (StoredObject.position, Written.position). The clients of both object APIs do not send a write that expects an earlier era, and a write whose response names a later one counts as unknown (platform-restored). Both read the header through protocol/eras.py; the client of the project's own object API did not read it at all. Hosts that read through others learn the era from the listings of their readers.

--- a/egretdale/coordination/claims.py
+++ b/egretdale/coordination/claims.py
@@ -17,8 +17,10 @@
     read_issuer,
 )
 from egretdale.coordination.ports import (
+    ABSENT,
     Network,
     Platform,
+    Position,
     StoredObject,
     Written,
 )
@@ -168,7 +170,7 @@
         body = msgspec.json.encode(self._issuer.close())
         for _ in range(_ATTEMPTS):
             outcome = self._platform.write(
-                DECISION_KIND, self._issuer.process, body, 0
+                DECISION_KIND, self._issuer.process, body, ABSENT
             )
             # A conflict means that an earlier attempt was stored.
             if isinstance(outcome, Written | Conflict):
@@ -196,7 +198,7 @@
         claim = StoredClaim(question.nonce, question.host, question.fingerprint)
         self._stored.add(question.nonce)
         name = _name_claim(question.key)
-        expected = 0
+        expected = ABSENT
         for _ in range(_ATTEMPTS):
             outcome = self._platform.write(
                 CLAIM_KIND, name, msgspec.json.encode(claim), expected
@@ -212,7 +214,7 @@
             reply = self._interpret_claim(question, stored)
             if reply is not None:
                 return reply
-            expected = _read_version(stored)
+            expected = _read_position(stored)
         # The claim may have been stored; settling it later releases it.
         self._unsettled[question.nonce] = _UnsettledClaim(question, ran=False)
         return ClaimReply(ClaimVerdict.UNAVAILABLE)
@@ -260,8 +262,8 @@
                 return False
             case Missing():
                 return True
-            case StoredObject(version=version, body=body):
-                held = decode_json(body, StoredClaim)
+            case StoredObject():
+                held = decode_json(stored.body, StoredClaim)
         if isinstance(held, Invalid) or held.nonce != question.nonce:
             return True
         nonce = question.nonce if ran else ''
@@ -269,15 +271,13 @@
             nonce, question.host, question.fingerprint, finished=ran
         )
         outcome = self._platform.write(
-            CLAIM_KIND, name, msgspec.json.encode(claim), version
+            CLAIM_KIND, name, msgspec.json.encode(claim), stored.position
         )
         return isinstance(outcome, Written)
 
 
-def _read_version(stored: StoredObject | Missing | Unreachable) -> int:
-    if isinstance(stored, StoredObject):
-        return stored.version
-    return 0
+def _read_position(stored: StoredObject | Missing | Unreachable) -> Position:
+    return stored.position if isinstance(stored, StoredObject) else ABSENT
 
 
 def _name_claim(key: str) -> str:
--- a/egretdale/coordination/counted_platform.py
+++ b/egretdale/coordination/counted_platform.py
@@ -31,6 +31,18 @@
         self._platform = platform
         self._metrics = metrics
 
+    @property
+    def era(self) -> int:
+        """Highest era of the platform that is known."""
+        return self._platform.era
+
+    def hear_era(self, era: int) -> None:
+        """Take note of an era that a peer knows.
+
+        :param era: the era.
+        """
+        self._platform.hear_era(era)
+
     def read(
         self, kind: str, name: str
     ) -> StoredObject | Missing | Unreachable:
@@ -77,14 +89,14 @@
         return self._count('confirm', outcome)
 
     def write(
-        self, kind: str, name: str, body: bytes, expected: int
+        self, kind: str, name: str, body: bytes, expected: Position
     ) -> Written | Conflict | Unreachable | Ambiguous:
-        """Write an object if its version is the expected one.
+        """Write an object if its position is the expected one.
 
         :param kind: kind of the object.
         :param name: name within the kind.
         :param body: bytes to store.
-        :param expected: expected version, 0 when it must not exist.
+        :param expected: expected position, ``ABSENT`` if it must not exist.
         :return: the new version, or why the write failed.
         """
         outcome = self._platform.write(kind, name, body, expected)
--- a/egretdale/coordination/leases.py
+++ b/egretdale/coordination/leases.py
@@ -5,7 +5,9 @@
 import msgspec
 
 from egretdale.coordination.ports import (
+    ABSENT,
     Platform,
+    Position,
     StoredObject,
     Written,
 )
@@ -53,11 +55,11 @@
         '_held_until',
         '_lifetime_s',
         '_platform',
+        '_position',
         '_process',
         '_renewals',
         '_seen_at',
-        '_seen_version',
-        '_version',
+        '_seen_position',
         'fencing',
         'name',
     )
@@ -86,9 +88,9 @@
         self._clock = clock
         self._lifetime_s = lifetime_s
         self._renewals = 0
-        self._version = 0
+        self._position: Position = ABSENT
         self._held_until = float('-inf')
-        self._seen_version = 0
+        self._seen_position: Position = ABSENT
         self._seen_at = float('-inf')
 
     def is_held(self) -> bool:
@@ -104,7 +106,8 @@
             return False
         stored = self._platform.read(LEASE_KIND, self.name)
         same = (
-            isinstance(stored, StoredObject) and stored.version == self._version
+            isinstance(stored, StoredObject)
+            and stored.position == self._position
         )
         return same and self.is_held()
 
@@ -113,25 +116,25 @@
 
         :return: whether this process holds it.
         """
-        if self.fencing and self._write(self._version):
+        if self.fencing and self._write(self._position):
             return True
         self.fencing = 0
         stored = self._platform.read(LEASE_KIND, self.name)
         match stored:
             case Missing():
-                return self._write(0)
+                return self._write(ABSENT)
             case StoredObject() if self._has_expired(stored):
-                return self._write(stored.version)
+                return self._write(stored.position)
         return False
 
     def release(self) -> None:
         """Release the lease, so that another process need not wait."""
         if self.fencing:
             body = msgspec.json.encode(StoredLease('', self._renewals, 0))
-            self._platform.write(LEASE_KIND, self.name, body, self._version)
+            self._platform.write(LEASE_KIND, self.name, body, self._position)
         self.fencing = 0
 
-    def _write(self, expected: int) -> bool:
+    def _write(self, expected: Position) -> bool:
         before = self._clock()
         self._renewals += 1
         lease = StoredLease(self._process, self._renewals, self._lifetime_s)
@@ -144,7 +147,7 @@
         if not self.fencing:
             logger.info('lease-taken', name=self.name, fencing=outcome.version)
             self.fencing = outcome.version
-        self._version = outcome.version
+        self._position = outcome.position
         self._held_until = before + self._lifetime_s * _SAFETY_SHARE
         return True
 
@@ -159,8 +162,8 @@
             lease = StoredLease(_UNKNOWN_HOLDER, 0, self._lifetime_s)
         if lease.holder in {'', self._process}:
             return True
-        if stored.version != self._seen_version:
-            self._seen_version = stored.version
+        if stored.position != self._seen_position:
+            self._seen_position = stored.position
             self._seen_at = now
             return False
         return now - self._seen_at > lease.lifetime_s
--- a/egretdale/coordination/membership.py
+++ b/egretdale/coordination/membership.py
@@ -10,7 +10,13 @@
 import msgspec
 
 from egretdale.coordination.mesh import Mesh, MeshListener
-from egretdale.coordination.ports import Listing, Platform, Written
+from egretdale.coordination.ports import (
+    ABSENT,
+    Listing,
+    Platform,
+    Position,
+    Written,
+)
 from egretdale.errors import Invalid, Unreachable
 from egretdale.state.member_records import PendingBroadcast, StoredMember
 from egretdale.state.members import Member, MemberStatus, MemberTable
@@ -49,7 +55,7 @@
         '_period_s',
         '_platform',
         '_random',
-        '_stored_version',
+        '_stored_position',
         '_suspicion_s',
         'own',
         'platform_seen_at',
@@ -87,7 +93,7 @@
         self._period_s = period_s
         self._suspicion_s = suspicion_s
         self._pending: deque[PendingBroadcast] = deque()
-        self._stored_version = 0
+        self._stored_position: Position = ABSENT
         self.table.apply(own, clock())
         self._queue_update(own.host)
 
@@ -255,11 +261,11 @@
         """
         body = msgspec.json.encode(StoredMember(self.own))
         outcome = self._platform.write(
-            MEMBER_KIND, self.own.host, body, self._stored_version
+            MEMBER_KIND, self.own.host, body, self._stored_position
         )
         match outcome:
-            case Written(version=version):
-                self._stored_version = version
+            case Written():
+                self._stored_position = outcome.position
                 self.platform_seen_at = self._clock()
                 return True
             case Unreachable():
@@ -277,7 +283,7 @@
         self.platform_seen_at = self._clock()
         for entry in listing.entries:
             if entry.name == self.own.host:
-                self._stored_version = entry.version
+                self._stored_position = (listing.era, entry.version)
                 continue
             stored = decode_json(entry.body, StoredMember)
             if isinstance(stored, Invalid):
--- a/egretdale/coordination/ports.py
+++ b/egretdale/coordination/ports.py
@@ -22,22 +22,33 @@
 #: Seconds after the longest wait of a watch in which its answer has to arrive.
 WATCH_MARGIN_S = 0.5
 
-#: Era and version of a listing, by which listings are ordered.
+#: Era and version of an object or a listing, by which they are ordered.
 Position = tuple[int, int]
 
+#: Position that a write expects if the object must not exist.
+ABSENT: Position = (0, 0)
+
 
 @dataclass(slots=True, frozen=True)
 class StoredObject:
     """An object of the platform.
 
     :ivar name: name within its kind.
-    :ivar version: version, which grows with every write.
+    :ivar version: version, which grows with every write within an era.
     :ivar body: stored bytes.
+    :ivar era: era of the platform in which it was read, 0 if unknown and in a
+        listing, which has one for all objects.
     """
 
     name: str
     version: int
     body: bytes
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Position that the next write of the object expects."""
+        return self.era, self.version
 
     def read_text(self) -> str:
         """Return the body as text, empty if it is not valid UTF-8.
@@ -75,13 +86,31 @@
     """A write that took effect.
 
     :ivar version: new version of the object.
+    :ivar era: era of the platform in which it was written, 0 if unknown.
     """
 
     version: int
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Position that the next write of the object expects."""
+        return self.era, self.version
 
 
 class Platform(Protocol):
-    """The platform's object API."""
+    """The platform's object API.
+
+    :ivar era: highest era of the platform that is known, 0 if unknown.
+    """
+
+    era: int
+
+    def hear_era(self, era: int) -> None:
+        """Take note of an era that a peer knows.
+
+        :param era: the era.
+        """
 
     def read(
         self, kind: str, name: str
@@ -120,14 +149,16 @@
         """
 
     def write(
-        self, kind: str, name: str, body: bytes, expected: int
+        self, kind: str, name: str, body: bytes, expected: Position
     ) -> Written | Conflict | Unreachable | Ambiguous:
-        """Write an object if its version is the expected one.
+        """Write an object if its position is the expected one.
+
+        A write that expects a position of an earlier era is not sent.
 
         :param kind: kind of the object.
         :param name: name within the kind.
         :param body: bytes to store.
-        :param expected: expected version, 0 when it must not exist.
+        :param expected: expected position, ``ABSENT`` if it must not exist.
         """
 
 
--- a/egretdale/coordination/submission.py
+++ b/egretdale/coordination/submission.py
@@ -8,7 +8,9 @@
 import msgspec
 
 from egretdale.coordination.ports import (
+    ABSENT,
     Platform,
+    Position,
     StoredObject,
     Written,
 )
@@ -127,7 +129,7 @@
             case Missing():
                 if submission.base_revision:
                     return Outdated(0, '', '')
-                return self._write(submission, ())
+                return self._write(submission, (), ABSENT)
             case StoredObject(version=version):
                 if version != submission.base_revision:
                     return self._match_stored(submission, current)
@@ -136,7 +138,9 @@
                     version, stored.nonce, stored.author, stored.at_s
                 )
                 history = (*stored.history, previous)
-                return self._write(submission, history[-_HISTORY_LENGTH:])
+                return self._write(
+                    submission, history[-_HISTORY_LENGTH:], current.position
+                )
 
     def settle(self, submission: Submission) -> SubmissionOutcome:
         """Determine the outcome of an earlier submission.
@@ -171,7 +175,10 @@
         return (*stored.history, newest)
 
     def _write(
-        self, submission: Submission, history: tuple[HistoryEntry, ...]
+        self,
+        submission: Submission,
+        history: tuple[HistoryEntry, ...],
+        expected: Position,
     ) -> SubmissionOutcome:
         stored = StoredDocument(
             submission.source,
@@ -188,7 +195,7 @@
                 DOCUMENT_KIND,
                 submission.service,
                 body,
-                submission.base_revision,
+                expected,
             )
             match outcome:
                 case Written(version=version):
--- a/egretdale/coordination/version_record.py
+++ b/egretdale/coordination/version_record.py
@@ -14,7 +14,12 @@
 import msgspec
 from eventlet.semaphore import Semaphore
 
-from egretdale.coordination.ports import Platform, StoredObject, Written
+from egretdale.coordination.ports import (
+    ABSENT,
+    Platform,
+    StoredObject,
+    Written,
+)
 from egretdale.errors import Invalid, Missing, Unreachable
 from egretdale.state.members import MemberTable, list_owners
 from egretdale.state.software_versions import (
@@ -119,7 +124,7 @@
         if isinstance(stored, Unreachable):
             return False
         recorded = _decode(stored)
-        revision = 0 if isinstance(stored, Missing) else stored.version
+        expected = ABSENT if isinstance(stored, Missing) else stored.position
         now_ms = convert_to_ms(self._wall_clock())
         updated = update_record(recorded or (), current, now_ms)
         if recorded is None or updated != list(recorded):
@@ -127,7 +132,7 @@
                 RECORD_KIND,
                 RECORD_NAME,
                 msgspec.json.encode(updated),
-                revision,
+                expected,
             )
             if not isinstance(outcome, Written):
                 return False
--- a/egretdale/coordination/watches.py
+++ b/egretdale/coordination/watches.py
@@ -100,6 +100,8 @@
             if isinstance(outcome, ConfirmedListing):
                 pause_s = 0
                 listing = outcome.listing
+                # A reader may have answered for the platform.
+                self._platform.hear_era(listing.era)
                 self.answered_at = outcome.answered_at
                 self.relay.update(
                     listing, outcome.confirmed_at, outcome.answered_at
--- a/egretdale/errors.py
+++ b/egretdale/errors.py
@@ -17,6 +17,7 @@
     MALFORMED = 'malformed'
     THROTTLED = 'throttled'
     BREAKER = 'breaker-open'
+    RESTORED = 'platform-restored'
 
 
 @dataclass(slots=True, frozen=True)
--- a/egretdale/transport/platform.py
+++ b/egretdale/transport/platform.py
@@ -9,6 +9,7 @@
 from urllib3.exceptions import HTTPError, NewConnectionError, TimeoutError
 
 from egretdale.coordination.ports import (
+    ABSENT,
     Listing,
     Position,
     StoredObject,
@@ -22,6 +23,7 @@
     Missing,
     Unreachable,
 )
+from egretdale.protocol.eras import ERA_HEADER, EraTracker
 from egretdale.transport.strict_client import StrictPoolManager
 from egretdale.util.buckets import TokenBucket
 from egretdale.util.clocks import Clock
@@ -77,6 +79,7 @@
         '_bucket',
         '_clock',
         '_count',
+        '_eras',
         '_failures',
         '_open_until',
         '_pool',
@@ -107,12 +110,25 @@
         )
         self._clock = clock
         self._count = count
+        self._eras = EraTracker()
         self._failures = 0
         self._open_until = float('-inf')
         self._pool = StrictPoolManager(
             maxsize=_CONNECTIONS, retries=False, num_pools=2
         )
 
+    @property
+    def era(self) -> int:
+        """Highest era of the platform that is known, 0 if unknown."""
+        return self._eras.newest
+
+    def hear_era(self, era: int) -> None:
+        """Take note of an era that a peer knows.
+
+        :param era: the era.
+        """
+        self._eras.hear(era)
+
     def read(
         self, kind: str, name: str
     ) -> StoredObject | Missing | Unreachable:
@@ -130,7 +146,7 @@
         decoded = _decode_object(response)
         if isinstance(decoded, Unreachable):
             return decoded
-        return _to_stored(decoded)
+        return _to_stored(decoded, self._eras.answered)
 
     def list_objects(self, kind: str) -> Listing | Unreachable:
         """List all objects of a kind.
@@ -170,22 +186,28 @@
         return listing.position == position
 
     def write(
-        self, kind: str, name: str, body: bytes, expected: int
+        self, kind: str, name: str, body: bytes, expected: Position
     ) -> Written | Conflict | Unreachable | Ambiguous:
-        """Write an object if its version is the expected one.
+        """Write an object if its position is the expected one.
 
         :param kind: kind of the object.
         :param name: name within the kind.
         :param body: bytes to store, in UTF-8.
-        :param expected: expected version, 0 if it must not exist.
+        :param expected: expected position, ``ABSENT`` if it must not exist.
         :return: the new version, or whether the write may have taken effect.
         """
-        condition = {'If-Match': str(expected)}
-        if not expected:
+        refused = self._eras.check_expected(expected)
+        if refused is not None:
+            return refused
+        condition = {'If-Match': str(expected[1])}
+        if expected == ABSENT:
             condition = {'If-None-Match': '*'}
         response = self._call('write', 'PUT', f'{kind}/{name}', body, condition)
         if isinstance(response, Unreachable | Ambiguous):
             return response
+        crossing = self._eras.check_crossing(expected)
+        if crossing is not None:
+            return crossing
         if response.status == _PRECONDITION_FAILED:
             return Conflict(0)
         if response.status not in {_OK, _CREATED}:
@@ -193,7 +215,7 @@
         decoded = _decode_object(response)
         if isinstance(decoded, Unreachable):
             return Ambiguous(decoded.cause, decoded.detail)
-        return Written(decoded.version)
+        return Written(decoded.version, self._eras.answered)
 
     def _list(
         self, call: str, path: str, timeout_s: float
@@ -207,7 +229,7 @@
         if isinstance(decoded, Invalid):
             return Unreachable(Cause.MALFORMED, decoded.message)
         entries = tuple(_to_stored(entry) for entry in decoded.objects)
-        return Listing(decoded.version, entries)
+        return Listing(decoded.version, entries, self._eras.answered)
 
     def _call(
         self,
@@ -257,6 +279,8 @@
             return Ambiguous(Cause.BROKEN, str(broken))
         if response.status >= _SERVER_ERROR:
             return Ambiguous(Cause.STATUS, str(response.status))
+        if not self._eras.accept(response.headers.get(ERA_HEADER, '')):
+            return Ambiguous(Cause.BROKEN, 'answer of an earlier era')
         return response
 
     def _record_outcome(self, *, failed: bool) -> None:
@@ -308,5 +332,5 @@
     return decoded
 
 
-def _to_stored(entry: ObjectBody) -> StoredObject:
-    return StoredObject(entry.name, entry.version, entry.body.encode())
+def _to_stored(entry: ObjectBody, era: int = 0) -> StoredObject:
+    return StoredObject(entry.name, entry.version, entry.body.encode(), era)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -68,6 +68,7 @@
         self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
         """Serve a request."""
+        start_response = self._add_era(start_response)
         path = environ['PATH_INFO']
         if path.startswith('/admin/'):
             return self._administer(path, environ, start_response)
@@ -90,6 +91,15 @@
                 return self._delete(kind, name, environ, start_response)
         return respond(start_response, '405 Method Not Allowed', {})
 
+    def _add_era(self, start_response: StartResponse) -> StartResponse:
+        """Add the era at the start of a response to its headers."""
+
+        def start(status: str, headers: list[tuple[str, str]]) -> object:
+            era = ('Store-Era', str(self.store.era))
+            return start_response(status, [*headers, era])
+
+        return start
+
     def _administer(
         self, path: str, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
--- a/standins/virtual/platform.py
+++ b/standins/virtual/platform.py
@@ -18,6 +18,7 @@
     Missing,
     Unreachable,
 )
+from egretdale.protocol.eras import EraTracker
 from standins.models.store import ObjectStore, Snapshot, StoreEntry
 from standins.virtual.network import HostFaults
 
@@ -61,7 +62,7 @@
 class VirtualPlatform:
     """Client of one host for calls to the platform."""
 
-    __slots__ = ('_eras', '_faults', '_host', '_state')
+    __slots__ = ('_eras', '_faults', '_host', '_listed_eras', '_state')
 
     def __init__(
         self, host: str, state: PlatformState, faults: HostFaults
@@ -75,8 +76,18 @@
         self._host = host
         self._state = state
         self._faults = faults
+        self._eras = EraTracker()
         # Era of the last listing of each kind.
-        self._eras: dict[str, int] = {}
+        self._listed_eras: dict[str, int] = {}
+
+    @property
+    def era(self) -> int:
+        """Highest era of the platform that is known, 0 if unknown."""
+        return self._eras.newest
+
+    def hear_era(self, era: int) -> None:
+        """Take note of an era that a peer knows."""
+        self._eras.hear(era)
 
     def read(
         self, kind: str, name: str
@@ -85,10 +96,12 @@
         failed = self._check_availability()
         if failed is not None:
             return failed
-        entry = self._state.store.read(kind, name)
+        store = self._state.store
+        entry = store.read(kind, name)
+        self._eras.accept(str(store.era))
         if entry is None:
             return Missing(name)
-        return _convert(entry)
+        return _convert(entry, store.era)
 
     def list_objects(self, kind: str) -> Listing | Unreachable:
         """List all objects of a kind."""
@@ -113,7 +126,7 @@
                 return failed
             silent = self._host in self._state.silent
             snapshot = self._state.store.snapshot(kind)
-            is_restored = snapshot.era != self._eras.get(kind)
+            is_restored = snapshot.era != self._listed_eras.get(kind)
             if (is_restored or snapshot.version > version) and not silent:
                 return self._convert_listing(kind, snapshot)
             eventlet.sleep(_WATCH_INTERVAL_S)
@@ -127,27 +140,35 @@
         if failed is not None:
             return failed
         snapshot = self._state.store.snapshot(kind)
+        self._eras.accept(str(snapshot.era))
         return (snapshot.era, snapshot.version) == position
 
     def write(
-        self, kind: str, name: str, body: bytes, expected: int
+        self, kind: str, name: str, body: bytes, expected: Position
     ) -> Written | Conflict | Unreachable | Ambiguous:
-        """Write an object if its version is the expected one."""
+        """Write an object if its position is the expected one."""
         failed = self._check_availability()
+        if failed is None:
+            failed = self._eras.check_expected(expected)
         if failed is not None:
             return failed
         store = self._state.store
-        entry = store.write(kind, name, body.decode(), expected)
+        entry = store.write(kind, name, body.decode(), expected[1])
         if self._state.lose_replies:
             eventlet.sleep(_TIMEOUT_S)
             return Ambiguous(Cause.SLOW)
         self._faults.pause_or_exit(self._host)
+        self._eras.accept(str(store.era))
+        crossing = self._eras.check_crossing(expected)
+        if crossing is not None:
+            return crossing
         if entry is None:
             return Conflict(0)
-        return Written(entry.version)
+        return Written(entry.version, store.era)
 
     def _convert_listing(self, kind: str, snapshot: Snapshot) -> Listing:
-        self._eras[kind] = snapshot.era
+        self._eras.accept(str(snapshot.era))
+        self._listed_eras[kind] = snapshot.era
         entries = tuple(_convert(entry) for entry in snapshot.entries)
         return Listing(snapshot.version, entries, snapshot.era)
 
@@ -161,5 +182,5 @@
         return None
 
 
-def _convert(entry: StoreEntry) -> StoredObject:
-    return StoredObject(entry.name, entry.version, entry.text.encode())
+def _convert(entry: StoreEntry, era: int = 0) -> StoredObject:
+    return StoredObject(entry.name, entry.version, entry.text.encode(), era)
--- a/tests/readers.py
+++ b/tests/readers.py
@@ -38,6 +38,9 @@
         self._platform = platform
         self._calls = calls
 
+    def hear_era(self, era: int) -> None:
+        self._platform.hear_era(era)
+
     def list_objects(self, kind: str) -> Listing | Unreachable:
         self._calls['list'] += 1
         return self._platform.list_objects(kind)
--- a/tests/test_coordination/test_gateway.py
+++ b/tests/test_coordination/test_gateway.py
@@ -12,7 +12,12 @@
 
 from egretdale.config import GatewaySettings
 from egretdale.coordination.gateway import Gateway, GatewayDependencies
-from egretdale.coordination.ports import Listing, StoredObject, Written
+from egretdale.coordination.ports import (
+    Listing,
+    Position,
+    StoredObject,
+    Written,
+)
 from egretdale.errors import Cause, Conflict, Invalid, Unreachable
 from egretdale.state.member_records import StoredMember
 from egretdale.state.members import MemberStatus
@@ -131,12 +136,14 @@
 class _ScriptedPlatform:
     """Answers writes with scripted outcomes and records the calls."""
 
+    era = 0
+
     def __init__(self, *writes: Written | Conflict | Unreachable) -> None:
         self.calls: list[str] = []
         self._writes = list(writes)
 
-    def write(self, kind: str, name: str, body: bytes, expected: int):
-        self.calls.append(f'write after {expected}')
+    def write(self, kind: str, name: str, body: bytes, expected: Position):
+        self.calls.append(f'write after {expected[1]}')
         return self._writes.pop(0)
 
     def list_objects(self, kind: str) -> Listing:
--- a/tests/test_coordination/test_version_record.py
+++ b/tests/test_coordination/test_version_record.py
@@ -158,7 +158,7 @@
         recorder = scene.recorders['h0']
         for body in (None, b'{', b'[{"service": 1}]', b'\xff'):
             scene.store.stored = (
-                None if body is None else StoredObject(RECORD_NAME, 1, body)
+                None if body is None else StoredObject(RECORD_NAME, 1, body, 1)
             )
             before = scene.store.calls
             threads = [eventlet.spawn(recorder.restore) for _ in range(20)]
@@ -170,7 +170,7 @@
 def test_a_malformed_record_is_replaced() -> None:
     """The next change of the versions does not wait for an operator."""
     with _open_scene() as scene:
-        scene.store.stored = StoredObject(RECORD_NAME, 3, b'{')
+        scene.store.stored = StoredObject(RECORD_NAME, 3, b'{', 1)
         scene.list_versions('v1')
         eventlet.sleep(10)
         assert scene.store.list_versions() == {'v1': True}
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -4,8 +4,13 @@
 
 import eventlet
 
-from egretdale.coordination.ports import WATCH_MARGIN_S, Listing, Written
-from egretdale.errors import Ambiguous, Conflict, Missing, Unreachable
+from egretdale.coordination.ports import (
+    ABSENT,
+    WATCH_MARGIN_S,
+    Listing,
+    Written,
+)
+from egretdale.errors import Ambiguous, Cause, Conflict, Missing, Unreachable
 from egretdale.util.clocks import read_hub_clock
 from tests.functions import create_loader
 from tests.object_store import open_store
@@ -116,21 +121,21 @@
         program.refusing = '503 Service Unavailable'
         assert isinstance(client.list_objects('instances'), Unreachable)
         assert isinstance(client.read('members', 'a'), Unreachable)
-        refused = client.write('members', 'a', b'{}', 0)
+        refused = client.write('members', 'a', b'{}', ABSENT)
         assert isinstance(refused, Unreachable)
         program.refusing = '500 Internal Server Error'
-        failed = client.write('members', 'a', b'{}', 0)
+        failed = client.write('members', 'a', b'{}', ABSENT)
         assert isinstance(failed, Ambiguous)
 
 
 def test_writes_depend_on_the_expected_revision() -> None:
     """A write with an outdated revision returns the stored revision."""
     with open_store() as (program, client):
-        created = client.write('members', 'a', b'{"n": 1}', 0)
+        created = client.write('members', 'a', b'{"n": 1}', ABSENT)
         assert isinstance(created, Written)
-        lost = client.write('members', 'a', b'{"n": 2}', 0)
+        lost = client.write('members', 'a', b'{"n": 2}', ABSENT)
         assert lost == Conflict(created.version)
-        replaced = client.write('members', 'a', b'{"n": 2}', created.version)
+        replaced = client.write('members', 'a', b'{"n": 2}', created.position)
         assert replaced.version == program.revision
         assert client.read('members', 'a').body == b'{"n": 2}'
         assert client.read('members', 'b') == Missing('b')
@@ -165,7 +170,7 @@
         program.put('servers', 'b', {})
         assert isinstance(client.list_objects('instances'), Unreachable)
         assert isinstance(client.read('instances', 'a'), Unreachable)
-        written = client.write('members', 'a', b'{}', 0)
+        written = client.write('members', 'a', b'{}', ABSENT)
         assert isinstance(written, Ambiguous)
         program.era = '2'
         after = client.watch('instances', known.version, 0.05)
@@ -173,6 +178,46 @@
         assert after.era == 2
 
 
+def test_a_write_that_expects_a_revision_of_an_earlier_era_is_not_sent() -> (
+    None
+):
+    """The store has given out the revision again, for another change."""
+    with open_store() as (program, client):
+        program.put('members', 'a', {'by': 'client'})
+        saved = program.copy()
+        program.put('members', 'a', {'by': 'client', 'n': 2})
+        known = client.read('members', 'a')
+        program.restore(saved)
+        program.put('members', 'a', {'by': 'another'})
+        assert client.list_objects('members').version == known.version
+        written = client.write('members', 'a', b'{}', known.position)
+        assert isinstance(written, Conflict)
+        assert program.read_spec('members', 'a') == {'by': 'another'}
+        current = client.read('members', 'a')
+        written = client.write('members', 'a', b'{}', current.position)
+        assert isinstance(written, Written)
+
+
+def test_a_write_across_a_restoration_counts_as_unknown() -> None:
+    """It may have replaced what another writer has written since."""
+    with open_store() as (program, client):
+        program.put('members', 'a', {})
+        known = client.read('members', 'a')
+        program.restore(program.copy())
+        written = client.write('members', 'a', b'{}', known.position)
+        assert written == Ambiguous(Cause.RESTORED)
+
+
+def test_an_object_is_created_in_any_era() -> None:
+    """Nothing that was known before is relied upon."""
+    with open_store() as (program, client):
+        client.list_objects('members')
+        program.restore(program.copy())
+        written = client.write('members', 'a', b'{}', ABSENT)
+        assert isinstance(written, Written)
+        assert written.era == client.era == 2
+
+
 def test_an_answer_that_names_no_era_belongs_to_the_known_one() -> None:
     """The header is missing or no number."""
     with open_store() as (program, client):
