Write member objects again after a restoration of the platform

Callers saw: a host that starts after a drill of the platform and reaches no seed does not find the hosts that had joined since the copy was made, for up to 30 s, and a host that leaves in that time leaves an object behind that says it is alive.

Cause: membership kept the version of its object as a fact for ever, and wrote again only after its period, with a version that the platform no longer had.

When a response, or the listing of a reader, names a later era, each host reads its object within two seconds and writes it if it is missing or older.

--- a/egretdale/coordination/membership.py
+++ b/egretdale/coordination/membership.py
@@ -7,36 +7,25 @@
 from dataclasses import replace
 
 import eventlet
-import msgspec
 
+from egretdale.coordination.member_store import MemberStore
 from egretdale.coordination.mesh import Mesh, MeshListener
-from egretdale.coordination.ports import (
-    ABSENT,
-    Listing,
-    Platform,
-    Position,
-    Written,
-)
-from egretdale.errors import Invalid, Unreachable
-from egretdale.state.member_records import PendingBroadcast, StoredMember
+from egretdale.coordination.ports import Written
+from egretdale.errors import Unreachable
+from egretdale.state.member_records import PendingBroadcast
 from egretdale.state.members import Member, MemberStatus, MemberTable
 from egretdale.state.messages import Batch, MemberUpdate
 from egretdale.util.clocks import Clock
-from egretdale.util.json_text import decode_json
 from egretdale.util.logs import get_logger
 
 logger = get_logger(__name__)
 
-MEMBER_KIND = 'members'
-
 _PROBE_FANOUT = 7
 _FULL_FANOUT_PEERS = 3
 _SPARSE_FANOUT = 2
 _UPDATES_PER_BATCH = 8
 _UPDATE_REPEATS = 6
 _GONE_RETENTION_S = 60.0
-_PUBLISH_S = 30.0
-_PUBLISH_RETRY_S = 2.0
 _JITTER_SHARE = 0.2
 
 
@@ -45,7 +34,6 @@
 
     :ivar table: newest update about every host.
     :ivar own: newest update about this host.
-    :ivar platform_seen_at: monotonic seconds of the last platform reply.
     """
 
     __slots__ = (
@@ -53,12 +41,10 @@
         '_mesh',
         '_pending',
         '_period_s',
-        '_platform',
         '_random',
-        '_stored_position',
+        '_store',
         '_suspicion_s',
         'own',
-        'platform_seen_at',
         'table',
     )
 
@@ -66,7 +52,7 @@
         self,
         own: MemberUpdate,
         mesh: Mesh,
-        platform: Platform,
+        store: MemberStore,
         *,
         clock: Clock,
         source: random.Random,
@@ -77,7 +63,7 @@
 
         :param own: first update about this host.
         :param mesh: links to peers.
-        :param platform: object API that stores the member objects.
+        :param store: member objects in the platform.
         :param clock: monotonic clock.
         :param source: random source.
         :param period_s: seconds between probes.
@@ -85,15 +71,13 @@
         """
         self.own = own
         self.table: MemberTable = mesh.table
-        self.platform_seen_at = clock()
         self._mesh = mesh
-        self._platform = platform
+        self._store = store
         self._clock = clock
         self._random = source
         self._period_s = period_s
         self._suspicion_s = suspicion_s
         self._pending: deque[PendingBroadcast] = deque()
-        self._stored_position: Position = ABSENT
         self.table.apply(own, clock())
         self._queue_update(own.host)
 
@@ -192,6 +176,11 @@
         if member is not None and member.status < MemberStatus.SUSPECT:
             self.learn(replace(member.update, status=MemberStatus.SUSPECT))
 
+    @property
+    def platform_seen_at(self) -> float:
+        """Monotonic seconds of the last reply of the platform."""
+        return self._store.answered_at
+
     # This host
 
     def publish_load(self, load: int) -> None:
@@ -246,27 +235,21 @@
 
     def run_publishing(self) -> None:
         """Store this host's member object and read those of other hosts."""
+        is_restored = False
         while True:
             stored = self.store_own()
-            if stored:
+            if stored and not is_restored:
+                # After a restoration peers tell more than its older objects.
                 self.read_stored()
-            period_s = _PUBLISH_S if stored else _PUBLISH_RETRY_S
-            jitter = self._random.uniform(1 - _JITTER_SHARE, 1 + _JITTER_SHARE)
-            eventlet.sleep(period_s * jitter)
+            is_restored = self._store.wait(is_written=stored)
 
     def store_own(self) -> bool:
         """Write this host's member object.
 
         :return: whether the platform has confirmed the write.
         """
-        body = msgspec.json.encode(StoredMember(self.own))
-        outcome = self._platform.write(
-            MEMBER_KIND, self.own.host, body, self._stored_position
-        )
-        match outcome:
+        match self._store.write(self.own):
             case Written():
-                self._stored_position = outcome.position
-                self.platform_seen_at = self._clock()
                 return True
             case Unreachable():
                 # Nothing was written, so the stored version is unchanged.
@@ -276,22 +259,9 @@
                 return False
 
     def read_stored(self) -> None:
-        """Read all member objects and the version of this host's own."""
-        listing = self._platform.list_objects(MEMBER_KIND)
-        if not isinstance(listing, Listing):
-            return
-        self.platform_seen_at = self._clock()
-        for entry in listing.entries:
-            if entry.name == self.own.host:
-                self._stored_position = (listing.era, entry.version)
-                continue
-            stored = decode_json(entry.body, StoredMember)
-            if isinstance(stored, Invalid):
-                logger.warning(
-                    'member-malformed', host=entry.name, error=stored.message
-                )
-                continue
-            self.learn(stored.update)
+        """Read the member objects of all other hosts."""
+        for update in self._store.read_all():
+            self.learn(update)
 
     def _publish(self, **changes: int) -> None:
         changes.setdefault('counter', self.own.counter + 1)
--- a/egretdale/coordination/membership_factory.py
+++ b/egretdale/coordination/membership_factory.py
@@ -5,6 +5,7 @@
 import random
 from typing import Protocol
 
+from egretdale.coordination.member_store import MemberStore
 from egretdale.coordination.membership import Membership
 from egretdale.coordination.mesh import Mesh
 from egretdale.coordination.ports import Platform
@@ -62,7 +63,12 @@
     return Membership(
         own,
         mesh,
-        dependencies.platform,
+        MemberStore(
+            settings.host,
+            dependencies.platform,
+            clock=dependencies.clock,
+            source=dependencies.source,
+        ),
         clock=dependencies.clock,
         source=dependencies.source,
         period_s=settings.probe_period_s,
--- a/tests/readers.py
+++ b/tests/readers.py
@@ -63,6 +63,7 @@
     :ivar hosts: names of the hosts.
     :ivar silent: hosts that do not answer other hosts.
     :ivar calls: number of calls to the platform by kind.
+    :ivar platforms: clients of the platform by host.
     :ivar eras: whether the daemons know the era of the platform.
     :ivar written_at: virtual time at which each version was written.
     """
@@ -75,6 +76,7 @@
     calls: Counter[str] = field(default_factory=Counter)
     eras: bool = True
     written_at: dict[int, float] = field(default_factory=dict)
+    platforms: dict[str, VirtualPlatform] = field(default_factory=dict)
 
     def follow(
         self, address: str, ask: ChangeAsk
@@ -130,6 +132,7 @@
         tasks = []
         for host in hosts:
             platform = VirtualPlatform(host, fleet.state, HostFaults())
+            fleet.platforms[host] = platform
             follower = ConfigurationFollower(
                 CountedPlatform(platform, fleet.calls),
                 PeerAccess(fleet, create_members(host, hosts)),
