Record software versions again after a restoration of the platform

Callers saw: after a drill of the platform and the loss of all hosts, streams of a version that the restored copy did not name were joined with events of another version (ORDER).

Cause: the recorder kept for ever that a set of versions is recorded. A platform that came back from a copy made before the record was written lacks them, and the host that starts next takes the only version of its list for the only one that served.

A recording now holds for one era of the platform. After a restoration those who keep the record read it, one after the other, and add the versions that are listed and those that have left within the life of a stream.

Evidence: with confirmations that are never outdated, as before, test_streams_of_a_version_that_the_store_forgot_are_refused (at 6 and 195 hosts, copies 6 and 10 s old, versions that leave before or after the restoration) and two tests of test_version_record fail; they pass now. A restoration costs three reads when the record stands there, and at most 14 calls when versions also change right after it.

--- a/egretdale/coordination/version_record.py
+++ b/egretdale/coordination/version_record.py
@@ -14,6 +14,7 @@
 import msgspec
 from eventlet.semaphore import Semaphore
 
+from egretdale.coordination.eras import EraConfirmation
 from egretdale.coordination.ports import (
     ABSENT,
     Platform,
@@ -25,6 +26,7 @@
 from egretdale.state.software_versions import (
     RecordedVersion,
     VersionHistory,
+    add_unrecorded,
     update_record,
 )
 from egretdale.util.clocks import Clock, WallClock, convert_to_ms
@@ -56,6 +58,7 @@
     __slots__ = (
         '_changed_at',
         '_clock',
+        '_confirmation',
         '_history',
         '_is_list_current',
         '_members',
@@ -91,13 +94,15 @@
         :param source: random source.
         """
         self._platform = platform
+        self._confirmation = EraConfirmation(platform)
         self._members = members
         self._history = history
         self._is_list_current = is_list_current
         self._clock = clock
         self._wall_clock = wall_clock
         self._random = source
-        self._seen: frozenset[tuple[str, str]] = frozenset()
+        # Versions and era that were seen last.
+        self._seen: tuple[frozenset[tuple[str, str]], int] = (frozenset(), 0)
         self._recorded: frozenset[tuple[str, str]] | None = None
         self._changed_at = clock()
         self._read_at = float('-inf')
@@ -117,16 +122,24 @@
     def record(self) -> bool:
         """Write the record unless it is up to date.
 
+        After a restoration of the platform it also gets the versions that this
+        host knows of and the restored record lacks.
+
         :return: whether the platform holds the versions that are listed.
         """
         current = self._history.list_current()
+        era = self._confirmation.read_era()
         stored = self._platform.read(RECORD_KIND, RECORD_NAME)
         if isinstance(stored, Unreachable):
             return False
         recorded = _decode(stored)
         expected = ABSENT if isinstance(stored, Missing) else stored.position
         now_ms = convert_to_ms(self._wall_clock())
-        updated = update_record(recorded or (), current, now_ms)
+        known = recorded or ()
+        if self._confirmation.is_outdated():
+            # The copy may lack versions that began streams and left since.
+            known = add_unrecorded(known, self._history.list_left(now_ms))
+        updated = update_record(known, current, now_ms)
         if recorded is None or updated != list(recorded):
             outcome = self._platform.write(
                 RECORD_KIND,
@@ -138,6 +151,7 @@
                 return False
             logger.info('versions-recorded', versions=_format(updated))
         self._recorded = current
+        self._confirmation.confirm(era)
         return True
 
     def restore(self) -> bool:
@@ -174,10 +188,14 @@
         """Tell whether this host has to look at the record."""
         now = self._clock()
         current = self._history.list_current()
-        if current != self._seen:
-            self._seen = current
+        seen = (current, self._confirmation.read_era())
+        if seen != self._seen:
+            self._seen = seen
             self._changed_at = now
-        if not current or current == self._recorded:
+        is_recorded = current == self._recorded
+        if is_recorded and not self._confirmation.is_outdated():
+            return False
+        if not current:
             return False
         own = self._members.own_host
         keepers = list_owners(self._members, RECORD_KIND, _KEEPERS)
--- a/egretdale/state/software_versions.py
+++ b/egretdale/state/software_versions.py
@@ -9,6 +9,7 @@
 from egretdale.util.clocks import (
     MILLISECONDS_PER_SECOND,
     Clock,
+    convert_to_ms,
     convert_to_seconds,
 )
 
@@ -138,6 +139,19 @@
             for version in versions
         )
 
+    def list_left(self, now_ms: int) -> list[RecordedVersion]:
+        """List the versions that have left recently.
+
+        :param now_ms: wall-clock time in milliseconds.
+        :return: the versions, with the times at which they left.
+        """
+        now = self._clock()
+        return [
+            RecordedVersion(*key, now_ms - convert_to_ms(now - left_at))
+            for key, left_at in self._left_at.items()
+            if left_at + ORIGIN_RETENTION_S > now
+        ]
+
     def restore(self, recorded: Iterable[RecordedVersion], now_ms: int) -> None:
         """Add what earlier processes of the hosts have recorded.
 
@@ -159,6 +173,23 @@
         self._is_restored = True
 
 
+def add_unrecorded(
+    recorded: Iterable[RecordedVersion], left: Iterable[RecordedVersion]
+) -> tuple[RecordedVersion, ...]:
+    """Add versions that have left to a record that lacks them.
+
+    :param recorded: the record.
+    :param left: versions that have left.
+    :return: the record, with the times of those that it has unchanged.
+    """
+    by_key = {
+        (entry.service, entry.software_version): entry for entry in recorded
+    }
+    for entry in left:
+        by_key.setdefault((entry.service, entry.software_version), entry)
+    return tuple(by_key.values())
+
+
 def update_record(
     recorded: Iterable[RecordedVersion],
     current: frozenset[tuple[str, str]],
--- a/tests/test_coordination/test_lost_hosts.py
+++ b/tests/test_coordination/test_lost_hosts.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from itertools import product
 
 import eventlet
 
@@ -165,3 +166,24 @@
             fleet.store.is_down = False
             eventlet.sleep(0.5)
             assert fleet.resume() == {'v1'}, size
+
+
+def test_streams_of_a_version_that_the_store_forgot_are_refused() -> None:
+    """Restored from an older copy, it says nothing of who began them.
+
+    The version leaves before or after the restoration, then all hosts are lost.
+    """
+    scenes = product(_SIZES, (6, 10), (('v1',), ('v1', 'v2')))
+    for size, served_s, versions in scenes:
+        with _open_fleet(size) as fleet:
+            saved = fleet.store.stored
+            fleet.list_versions('v1', 'v2')
+            eventlet.sleep(served_s)
+            fleet.list_versions(*versions)
+            fleet.store.restore(saved)
+            eventlet.sleep(3)
+            fleet.list_versions('v1')
+            eventlet.sleep(6)
+            fleet.start()
+            fleet.list_versions('v1')
+            assert fleet.resume() == {''}, (size, served_s)
--- a/tests/test_coordination/test_version_record.py
+++ b/tests/test_coordination/test_version_record.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 import eventlet
+from eventlet.greenthread import GreenThread
 
 from egretdale.coordination.ports import StoredObject
 from egretdale.coordination.version_record import (
@@ -36,6 +37,7 @@
     store: VersionStore = field(default_factory=VersionStore)
     histories: dict[str, VersionHistory] = field(default_factory=dict)
     recorders: dict[str, VersionRecorder] = field(default_factory=dict)
+    tasks: dict[str, GreenThread] = field(default_factory=dict)
 
     def start(self, name: str, members: MemberTable) -> None:
         """Start a host."""
@@ -51,7 +53,7 @@
             source=random.Random(name),
         )
         self.recorders[name] = recorder
-        eventlet.spawn(recorder.run)
+        self.tasks[name] = eventlet.spawn(recorder.run)
 
     def list_versions(self, *versions: str) -> None:
         """Give all hosts a list with an engine of each version."""
@@ -174,3 +176,59 @@
         scene.list_versions('v1')
         eventlet.sleep(10)
         assert scene.store.list_versions() == {'v1': True}
+
+
+def test_versions_are_recorded_again_after_a_restoration() -> None:
+    """Also those that have left before it, or right after it."""
+    for hosts in (6, 195):
+        with _open_scene(hosts) as scene:
+            scene.list_versions('v1')
+            eventlet.sleep(10)
+            saved = scene.store.stored
+            scene.list_versions('v1', 'v2')
+            eventlet.sleep(6)
+            scene.list_versions('v1', 'v3')
+            eventlet.sleep(6)
+            scene.store.restore(saved)
+            before = scene.store.calls
+            eventlet.sleep(1)
+            scene.list_versions('v1')
+            eventlet.sleep(8)
+            assert scene.store.calls - before <= 14, scene.store.calls
+            assert scene.store.list_versions() == {
+                'v1': True,
+                'v2': False,
+                'v3': False,
+            }
+            new = _restart(scene, 'v1')
+            assert new.list_recent(_SERVICE) == {'v1', 'v2', 'v3'}
+
+
+def test_a_record_that_the_restored_platform_holds_is_not_written() -> None:
+    """It costs one read for each host that keeps it."""
+    with _open_scene(195) as scene:
+        scene.list_versions('v1', 'v2')
+        eventlet.sleep(10)
+        scene.list_versions('v2')
+        eventlet.sleep(10)
+        for _ in range(2):
+            writes, calls = scene.store.writes, scene.store.calls
+            scene.store.restore(scene.store.stored)
+            eventlet.sleep(10)
+            assert scene.store.writes == writes
+            assert scene.store.calls - calls <= 3
+
+
+def test_the_next_host_writes_a_lost_record_again() -> None:
+    """The first one is lost with the platform."""
+    with _open_scene() as scene:
+        scene.list_versions('v1')
+        eventlet.sleep(10)
+        saved = scene.store.stored
+        scene.list_versions('v1', 'v2')
+        eventlet.sleep(10)
+        first = scene.recorders['h0']._members.rank_live(RECORD_KIND)[0]
+        scene.tasks[first].kill()
+        scene.store.restore(saved)
+        eventlet.sleep(10)
+        assert scene.store.list_versions() == {'v1': True, 'v2': True}
