Hold leases for one era of the platform

Callers saw: after a drill of the platform two hosts could place models at the same time, and engines refused the orders of the new holder, whose fencing token was lower.

Cause: a lease was held until a time, whatever became of its object; the token was the version of the object, which a restored platform gives out again; and a restored copy without the lease, or with a released one, gave it to the next process that asked.

A lease is now not held until it has been written in the present era. Its last holder does so at once, if nobody else has; others wait for a lifetime from when they hear of the restoration. Tokens carry the era. A process that starts after the restoration and sees no lease still takes it at once; the holder's orders are then refused by its lower token, or by the read before each order that engines do not check.

--- a/egretdale/coordination/eras.py
+++ b/egretdale/coordination/eras.py
@@ -2,7 +2,20 @@
 
 from __future__ import annotations
 
-from egretdale.coordination.ports import Platform
+from egretdale.coordination.ports import Platform, Position
+
+#: Bits of a token below its era.
+_VERSION_BITS = 40
+
+
+def create_token(position: Position) -> int:
+    """Return a number that grows with each write, across eras too.
+
+    :param position: position of the written object.
+    :return: the version for a platform that names no era.
+    """
+    era, version = position
+    return (era << _VERSION_BITS) + version
 
 
 class EraConfirmation:
--- a/egretdale/coordination/leases.py
+++ b/egretdale/coordination/leases.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from egretdale.coordination.eras import EraConfirmation, create_token
 from egretdale.coordination.ports import (
     ABSENT,
     Platform,
@@ -11,7 +12,7 @@
     StoredObject,
     Written,
 )
-from egretdale.errors import Invalid, Missing
+from egretdale.errors import Invalid, Missing, Unreachable
 from egretdale.util.clocks import Clock
 from egretdale.util.json_text import decode_json
 from egretdale.util.logs import get_logger
@@ -46,18 +47,25 @@
     synchronized. This host relies on its own lease only for a part of the
     lifetime, counted from before its last write.
 
+    After a restoration of the platform no lease is held until it has been
+    written again. Only the last holder does so at once; others wait for a
+    lifetime, as the platform may have lost its lease.
+
     :ivar name: name of the lease.
     :ivar fencing: fencing token while held, 0 otherwise.
     """
 
     __slots__ = (
         '_clock',
+        '_confirmation',
+        '_free_at',
         '_held_until',
         '_lifetime_s',
         '_platform',
         '_position',
         '_process',
         '_renewals',
+        '_restored_era',
         '_seen_at',
         '_seen_position',
         'fencing',
@@ -88,6 +96,10 @@
         self._clock = clock
         self._lifetime_s = lifetime_s
         self._renewals = 0
+        self._confirmation = EraConfirmation(platform)
+        # When no lease can be held any more that the platform has lost.
+        self._free_at = float('-inf')
+        self._restored_era = 0
         self._position: Position = ABSENT
         self._held_until = float('-inf')
         self._seen_position: Position = ABSENT
@@ -95,6 +107,8 @@
 
     def is_held(self) -> bool:
         """Tell whether this process may act now."""
+        if self._confirmation.is_outdated():
+            return False
         return self.fencing > 0 and self._clock() < self._held_until
 
     def confirm(self) -> bool:
@@ -119,13 +133,13 @@
         if self.fencing and self._write(self._position):
             return True
         self.fencing = 0
+        era = self._confirmation.read_era()
         stored = self._platform.read(LEASE_KIND, self.name)
-        match stored:
-            case Missing():
-                return self._write(ABSENT)
-            case StoredObject() if self._has_expired(stored):
-                return self._write(stored.position)
-        return False
+        if isinstance(stored, Unreachable):
+            return False
+        self._note_restoration()
+        self._confirmation.confirm(era)
+        return self._take(stored)
 
     def release(self) -> None:
         """Release the lease, so that another process need not wait."""
@@ -133,9 +147,29 @@
             body = msgspec.json.encode(StoredLease('', self._renewals, 0))
             self._platform.write(LEASE_KIND, self.name, body, self._position)
         self.fencing = 0
+        self._held_until = float('-inf')
+
+    def _note_restoration(self) -> None:
+        era = self._confirmation.read_era()
+        if self._confirmation.is_outdated() and era != self._restored_era:
+            self._restored_era = era
+            self._free_at = self._clock() + self._lifetime_s
+
+    def _take(self, stored: StoredObject | Missing) -> bool:
+        expected = ABSENT
+        if isinstance(stored, StoredObject):
+            if not self._has_expired(stored):
+                return False
+            expected = stored.position
+        now = self._clock()
+        if self._held_until <= now < self._free_at:
+            # A restored platform may have lost the lease of another process.
+            return False
+        return self._write(expected)
 
     def _write(self, expected: Position) -> bool:
         before = self._clock()
+        era = self._confirmation.read_era()
         self._renewals += 1
         lease = StoredLease(self._process, self._renewals, self._lifetime_s)
         outcome = self._platform.write(
@@ -145,9 +179,10 @@
             # The write may have taken effect, but that is not relied upon.
             return False
         if not self.fencing:
-            logger.info('lease-taken', name=self.name, fencing=outcome.version)
-            self.fencing = outcome.version
+            self.fencing = create_token(outcome.position)
+            logger.info('lease-taken', name=self.name, fencing=self.fencing)
         self._position = outcome.position
+        self._confirmation.confirm(era)
         self._held_until = before + self._lifetime_s * _SAFETY_SHARE
         return True
 
--- a/tests/test_coordination/test_placement.py
+++ b/tests/test_coordination/test_placement.py
@@ -157,3 +157,89 @@
         for book in engines.books.values():
             numbers = [order['fencing'] for order in book.taken]
             assert numbers == sorted(numbers)
+
+
+def test_a_restored_platform_gives_a_lease_to_one_holder() -> None:
+    """The lost lease stays with its holder, with a higher fencing token.
+
+    The copy has no lease, a released one, or one of the holder before, which
+    must expire as it may be new.
+    """
+    for writes in range(3):
+        with open_world() as world:
+            leases = [
+                _create_lease(world, f'host-{number}') for number in range(3)
+            ]
+            first, second, other = leases
+            if writes:
+                assert other.renew()
+                assert not second.renew()
+            if writes == 1:
+                other.release()
+            saved = world.platform.store.copy()
+            if writes == 2:
+                assert not first.renew()
+                eventlet.sleep(11)
+            assert first.renew()
+            assert not second.renew()
+            assert not other.renew()
+            token = first.fencing
+            world.platform.store.restore(saved)
+            for step in range(10):
+                held = [lease for lease in reversed(leases) if lease.renew()]
+                must_wait = writes == 2 and step < 4
+                assert len(held) == int(not must_wait)
+                assert not held or held[0].fencing > token
+                assert writes == 2 or held == [first]
+                eventlet.sleep(3)
+
+
+def test_a_lease_is_not_held_after_a_restoration_until_it_is_written() -> None:
+    """Another process may have taken it from the restored platform."""
+    with open_world() as world:
+        lease = _create_lease(world, 'host-0')
+        world.platform.store.put('leases', 'other', '')
+        saved = world.platform.store.copy()
+        assert lease.renew()
+        world.platform.store.restore(saved)
+        assert not lease.confirm()
+        assert not lease.is_held()
+        assert lease.renew()
+        assert lease.confirm()
+
+
+def test_a_renewal_does_not_match_a_version_that_is_given_out_again() -> None:
+    """Another process has taken the lease from the restored platform."""
+    with open_world() as world:
+        old = _create_lease(world, 'host-0')
+        assert old.renew()
+        old.release()
+        saved = world.platform.store.copy()
+        assert old.renew()
+        eventlet.sleep(11)
+        world.platform.store.restore(saved)
+        new = _create_lease(world, 'host-1')
+        assert new.renew()
+        assert not old.renew()
+        assert not old.is_held()
+        eventlet.sleep(11)
+        assert [new.renew(), old.renew()].count(True) == 1
+
+
+def test_tokens_do_not_fall_when_the_platform_is_restored() -> None:
+    """Engines refuse orders with lower tokens than before."""
+    with open_world() as world:
+        lease = _create_lease(world, 'host-0')
+        saved = world.platform.store.copy()
+        token = 0
+        for _ in range(4):
+            world.platform.store.put('leases', 'other', str(token))
+            assert lease.renew()
+            assert lease.fencing > token
+            token = lease.fencing
+            lease.release()
+            world.platform.store.restore(saved)
+            eventlet.sleep(11)
+            lease.renew()
+            lease.release()
+            eventlet.sleep(11)
