Write claims again after a restoration of the platform

Callers saw: a request that must not run twice ran again when it was repeated with its key after a drill of the platform, and one whose claim was lost while it ran left no claim.

Cause: a claim was a conditional create that was taken to stand for ever. A restored platform has lost the claims of the last seconds, and the next create succeeds. At the end of a request a missing claim counted as settled.

Each process keeps its claims for a minute and writes those again that are missing, the newest first. For five seconds from when a host hears of the restoration it claims no key in the platform and refuses such requests as not run; a claim whose own response names the later era is given back. The end of a request writes a claim that is missing. Claims in the platform move from claims.py to claim_store.py. Nonces of requests that did not get their key are no longer kept for ever.

--- a/egretdale/coordination/claims.py
+++ b/egretdale/coordination/claims.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import hashlib
 from dataclasses import dataclass
 
 import eventlet
 import msgspec
 
+from egretdale.coordination.claim_store import ClaimStore, report_malformed
 from egretdale.coordination.keys import (
     ISSUED_PREFIX,
     ClaimVerdict,
@@ -20,25 +20,21 @@
     ABSENT,
     Network,
     Platform,
-    Position,
     StoredObject,
     Written,
 )
 from egretdale.errors import (
-    Ambiguous,
     Conflict,
     Invalid,
-    Missing,
-    Unreachable,
 )
 from egretdale.state.members import MemberStatus, MemberTable
 from egretdale.state.queries import ClaimAsk, ClaimReply
+from egretdale.util.clocks import Clock
 from egretdale.util.json_text import decode_json
 from egretdale.util.logs import get_logger
 
 logger = get_logger(__name__)
 
-CLAIM_KIND = 'claims'
 DECISION_KIND = 'decisions'
 
 _ATTEMPTS = 4
@@ -46,21 +42,6 @@
 _SETTLE_PERIOD_S = 2.0
 
 
-class StoredClaim(msgspec.Struct, frozen=True):
-    """A claim object in the platform.
-
-    :ivar nonce: attempt that holds the claim; empty when it was released.
-    :ivar host: entry host of the attempt.
-    :ivar fingerprint: hash of the request.
-    :ivar finished: whether the request has ended and may have run.
-    """
-
-    nonce: str
-    host: str
-    fingerprint: int
-    finished: bool = False
-
-
 @dataclass(slots=True, frozen=True)
 class _UnsettledClaim:
     question: ClaimAsk
@@ -78,6 +59,7 @@
         '_issuer',
         '_network',
         '_platform',
+        '_store',
         '_stored',
         '_table',
         '_unsettled',
@@ -89,6 +71,7 @@
         table: MemberTable,
         network: Network,
         platform: Platform,
+        clock: Clock,
     ) -> None:
         """Create a client without claims.
 
@@ -96,12 +79,14 @@
         :param table: view of the entry hosts.
         :param network: calls to peers.
         :param platform: object API that stores claims and decisions.
+        :param clock: monotonic clock.
         """
         self._issuer = issuer
         self._table = table
         self._network = network
         self._platform = platform
         self._unsettled: dict[str, _UnsettledClaim] = {}
+        self._store = ClaimStore(platform, clock)
         self._stored: set[str] = set()
 
     def claim(self, question: ClaimAsk) -> ClaimReply:
@@ -151,7 +136,7 @@
             return ClaimReply(ClaimVerdict.UNKNOWN)
         decisions = decode_json(stored.body, StoredDecisions)
         if isinstance(decisions, Invalid):
-            return _report_malformed(process, decisions)
+            return report_malformed(process, decisions)
         suffix = question.key.removeprefix(process)
         if suffix in decisions.finished:
             return ClaimReply(ClaimVerdict.RAN)
@@ -195,53 +180,23 @@
         return False
 
     def _claim_stored(self, question: ClaimAsk) -> ClaimReply:
-        claim = StoredClaim(question.nonce, question.host, question.fingerprint)
-        self._stored.add(question.nonce)
-        name = _name_claim(question.key)
-        expected = ABSENT
-        for _ in range(_ATTEMPTS):
-            outcome = self._platform.write(
-                CLAIM_KIND, name, msgspec.json.encode(claim), expected
-            )
-            if isinstance(outcome, Written):
-                return ClaimReply(ClaimVerdict.RUN, question.host)
-            if isinstance(outcome, Unreachable):
-                break
-            if isinstance(outcome, Ambiguous):
-                eventlet.sleep(_RETRY_DELAY_S)
-                continue
-            stored = self._platform.read(CLAIM_KIND, name)
-            reply = self._interpret_claim(question, stored)
-            if reply is not None:
-                return reply
-            expected = _read_position(stored)
-        # The claim may have been stored; settling it later releases it.
-        self._unsettled[question.nonce] = _UnsettledClaim(question, ran=False)
-        return ClaimReply(ClaimVerdict.UNAVAILABLE)
-
-    def _interpret_claim(
-        self,
-        question: ClaimAsk,
-        stored: StoredObject | Missing | Unreachable,
-    ) -> ClaimReply | None:
-        if not isinstance(stored, StoredObject):
-            return None
-        claim = decode_json(stored.body, StoredClaim)
-        if isinstance(claim, Invalid):
-            return _report_malformed(stored.name, claim)
-        if claim.nonce == question.nonce:
-            return ClaimReply(ClaimVerdict.RUN, question.host)
-        if claim.fingerprint != question.fingerprint:
-            return ClaimReply(ClaimVerdict.REUSED, claim.host)
-        if not claim.nonce:
-            return None
-        verdict = ClaimVerdict.RAN if claim.finished else ClaimVerdict.RUNNING
-        return ClaimReply(verdict, claim.host)
+        reply = self._store.claim(question)
+        if reply is None or reply.verdict == ClaimVerdict.RUN:
+            self._stored.add(question.nonce)
+        if reply is None:
+            # The claim may have been stored; settling it releases it.
+            self.settle(question, ran=False)
+            return ClaimReply(ClaimVerdict.UNAVAILABLE)
+        return reply
 
     def run_settling(self) -> None:
-        """Settle claims that could not be settled at once."""
+        """Settle claims that could not be settled at once.
+
+        Also writes those again that a restored platform has lost.
+        """
         while True:
             eventlet.sleep(_SETTLE_PERIOD_S)
+            self._store.restore()
             for nonce, entry in list(self._unsettled.items()):
                 if self._try_settle(entry.question, ran=entry.ran):
                     self._unsettled.pop(nonce, None)
@@ -249,41 +204,7 @@
     def _try_settle(self, question: ClaimAsk, *, ran: bool) -> bool:
         if question.nonce not in self._stored:
             return self._settle_issued(question.key, ran=ran)
-        settled = self._settle_stored(question, ran=ran)
+        settled = self._store.settle(question, ran=ran)
         if settled:
             self._stored.discard(question.nonce)
         return settled
-
-    def _settle_stored(self, question: ClaimAsk, *, ran: bool) -> bool:
-        name = _name_claim(question.key)
-        stored = self._platform.read(CLAIM_KIND, name)
-        match stored:
-            case Unreachable():
-                return False
-            case Missing():
-                return True
-            case StoredObject():
-                held = decode_json(stored.body, StoredClaim)
-        if isinstance(held, Invalid) or held.nonce != question.nonce:
-            return True
-        nonce = question.nonce if ran else ''
-        claim = StoredClaim(
-            nonce, question.host, question.fingerprint, finished=ran
-        )
-        outcome = self._platform.write(
-            CLAIM_KIND, name, msgspec.json.encode(claim), stored.position
-        )
-        return isinstance(outcome, Written)
-
-
-def _read_position(stored: StoredObject | Missing | Unreachable) -> Position:
-    return stored.position if isinstance(stored, StoredObject) else ABSENT
-
-
-def _name_claim(key: str) -> str:
-    return hashlib.sha256(key.encode()).hexdigest()
-
-
-def _report_malformed(name: str, malformed: Invalid) -> ClaimReply:
-    logger.warning('claim-malformed', name=name, detail=malformed.message)
-    return ClaimReply(ClaimVerdict.UNKNOWN)
--- a/egretdale/coordination/node.py
+++ b/egretdale/coordination/node.py
@@ -281,7 +281,11 @@
             self.settings.host, incarnation, dependencies.clock
         )
         self.claims = ClaimClient(
-            self.issuer, self.table, dependencies.network, dependencies.platform
+            self.issuer,
+            self.table,
+            dependencies.network,
+            dependencies.platform,
+            dependencies.clock,
         )
         attempts = AttemptManager(
             backends=self.backends,
--- a/tests/test_coordination/test_claims.py
+++ b/tests/test_coordination/test_claims.py
@@ -5,6 +5,7 @@
 import eventlet
 
 from egretdale.state.outcomes import Refused
+from standins.models.store import StoreCopy
 from standins.virtual.world import RequestResult, World
 from tests.fixtures import count_runs, create_reference, open_world
 from tests.functions import create_loader
@@ -161,3 +162,64 @@
         ended = world.send(create_reference('once', key), 'host-1')
         assert not ended.is_whole()
         assert count_runs(world, 'once') == 1
+
+
+def _restore(world: World, saved: StoreCopy) -> None:
+    world.platform.store.restore(saved)
+    # The documents of the copy are as old as its claims.
+    eventlet.sleep(0.2)
+
+
+def test_a_claim_that_the_platform_lost_is_written_again() -> None:
+    """A request that ran before a restoration does not run after it.
+
+    A later request with its key is refused as not run until all claims are
+    written again; the key of another request can be used after that.
+    """
+    with open_world() as world:
+        eventlet.sleep(3)
+        saved = world.platform.store.copy()
+        first, second = _send_twice(world, 'my-key')
+        assert first.is_whole()
+        _assert_refused(second, 'answer-not-kept', 'yes')
+        _restore(world, saved)
+        early = world.send(create_reference('once', 'my-key'), 'host-1')
+        _assert_refused(early, 'key-store-unavailable', 'no')
+        eventlet.sleep(8)
+        for host in ('host-0', 'host-1', 'host-2'):
+            late = world.send(create_reference('once', 'my-key'), host)
+            _assert_refused(late, 'answer-not-kept', 'yes')
+        assert count_runs(world, 'once') == 1
+        assert world.send(create_reference('other', 'other-key')).is_whole()
+
+
+def test_a_claim_across_a_restoration_is_given_back() -> None:
+    """Its response is the first one that names the later era."""
+    with open_world() as world:
+        eventlet.sleep(3)
+        saved = world.platform.store.copy()
+        first, _ = _send_twice(world, 'my-key')
+        assert first.is_whole()
+        world.platform.store.restore(saved)
+        racing = world.send(create_reference('once', 'my-key'), 'host-1')
+        _assert_refused(racing, 'key-store-unavailable', 'no')
+        eventlet.sleep(8)
+        late = world.send(create_reference('once', 'my-key'), 'host-2')
+        _assert_refused(late, 'answer-not-kept', 'yes')
+        assert count_runs(world, 'once') == 1
+
+
+def test_a_request_that_runs_in_a_restoration_keeps_its_key() -> None:
+    """Its claim is lost while a backend server works on it."""
+    with open_world() as world:
+        eventlet.sleep(3)
+        saved = world.platform.store.copy()
+        thread = eventlet.spawn(_send_twice, world, 'my-key')
+        while not count_runs(world, 'once'):
+            eventlet.sleep(0.001)
+        _restore(world, saved)
+        assert thread.wait()[0].is_whole()
+        eventlet.sleep(8)
+        late = world.send(create_reference('once', 'my-key'), 'host-2')
+        _assert_refused(late, 'answer-not-kept', 'yes')
+        assert count_runs(world, 'once') == 1
