Follow the list of servers of a restored platform in the own interface

Callers saw: after a drill of the platform, a server that had said that it leaves got new work from egretdaled, until the platform had counted past its old versions.

A list was applied only if its version was higher than the last one, and the client of the own object API waited at a version that was of the era before.

Lists are ordered by era and version, and a watch of an earlier era is a list call. The measurement of the directory no longer resets its state.

--- a/egretdale/coordination/backends.py
+++ b/egretdale/coordination/backends.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from egretdale.coordination.mesh import MeshListener
-from egretdale.coordination.ports import Listing, Platform
+from egretdale.coordination.ports import Listing, Platform, Position
 from egretdale.errors import Invalid
 from egretdale.state.backends import BackendAddress
 from egretdale.state.messages import BackendUpdate, Batch
@@ -56,7 +56,6 @@
     Once a backend server is known to be leaving, that holds for its whole
     incarnation, also when a stale list says otherwise.
 
-    :ivar listed_version: version of the newest list seen.
     :ivar platform_seen_at: monotonic seconds of the last list received.
     """
 
@@ -65,11 +64,11 @@
         '_groups',
         '_known',
         '_leaving',
+        '_listed',
         '_on_change',
         '_pending',
         '_platform',
         '_random',
-        'listed_version',
         'platform_seen_at',
     )
 
@@ -88,7 +87,7 @@
         :param source: random source.
         :param on_change: called after each change.
         """
-        self.listed_version = 0
+        self._listed: Position = (0, 0)
         self.platform_seen_at = float('-inf')
         self._platform = platform
         self._clock = clock
@@ -188,7 +187,7 @@
         """Watch the platform's list."""
         while True:
             outcome = self._platform.watch(
-                BACKEND_KIND, self.listed_version, _WATCH_S
+                BACKEND_KIND, self._listed[1], _WATCH_S
             )
             if isinstance(outcome, Listing):
                 self.apply_listing(outcome)
@@ -209,9 +208,9 @@
         :param listing: the list; one that is not newer is ignored.
         """
         self.platform_seen_at = self._clock()
-        if listing.version <= self.listed_version:
+        if listing.position <= self._listed:
             return
-        self.listed_version = listing.version
+        self._listed = listing.position
         known = {}
         for entry in listing.entries:
             address = _decode_entry(entry.name, entry.body)
--- a/egretdale/transport/platform.py
+++ b/egretdale/transport/platform.py
@@ -81,6 +81,7 @@
         '_count',
         '_eras',
         '_failures',
+        '_listed_eras',
         '_open_until',
         '_pool',
         '_timeout_s',
@@ -111,6 +112,7 @@
         self._clock = clock
         self._count = count
         self._eras = EraTracker()
+        self._listed_eras: dict[str, int] = {}
         self._failures = 0
         self._open_until = float('-inf')
         self._pool = StrictPoolManager(
@@ -154,7 +156,8 @@
         :param kind: kind of the objects.
         :return: the listing, or the reason for the failure.
         """
-        return self._list('list', kind, self._timeout_s)
+        listing = self._list('list', kind, self._timeout_s)
+        return self._note_listed(kind, listing)
 
     def watch(
         self, kind: str, version: int, timeout_s: float
@@ -166,8 +169,12 @@
         :param timeout_s: longest wait in seconds.
         :return: the listing, or the reason for the failure.
         """
+        if self._listed_eras.get(kind, self.era) != self.era:
+            # It may have given out the version again.
+            return self.list_objects(kind)
         path = f'{kind}?watch={version}&timeout_s={timeout_s}'
-        return self._list('watch', path, timeout_s + self._timeout_s)
+        listing = self._list('watch', path, timeout_s + self._timeout_s)
+        return self._note_listed(kind, listing)
 
     def is_newest(
         self, kind: str, position: Position, timeout_s: float
@@ -217,6 +224,13 @@
             return Ambiguous(decoded.cause, decoded.detail)
         return Written(decoded.version, self._eras.answered)
 
+    def _note_listed(
+        self, kind: str, listing: Listing | Unreachable
+    ) -> Listing | Unreachable:
+        if isinstance(listing, Listing):
+            self._listed_eras[kind] = listing.era
+        return listing
+
     def _list(
         self, call: str, path: str, timeout_s: float
     ) -> Listing | Unreachable:
--- a/standins/decision_cost.py
+++ b/standins/decision_cost.py
@@ -7,6 +7,7 @@
 import time
 import tracemalloc
 from collections.abc import Callable
+from dataclasses import replace
 from types import MappingProxyType
 from typing import Any
 
@@ -16,6 +17,7 @@
 from egretdale.coordination.allocation import GroupAllocator
 from egretdale.state.members import find_owner
 from egretdale.coordination.backends import BackendDirectory
+from egretdale.coordination.member_store import MemberStore
 from egretdale.coordination.membership import Membership
 from egretdale.coordination.mesh import Mesh
 from egretdale.coordination.ports import Listing, StoredObject
@@ -233,7 +235,9 @@
     membership = Membership(
         _create_update(0),
         mesh,
-        nothing,
+        MemberStore(
+            'host-0', nothing, clock=time.monotonic, source=random.Random(1)
+        ),
         clock=time.monotonic,
         source=random.Random(1),
         period_s=0.5,
@@ -295,8 +299,7 @@
     )
     _print_row('listing one of 39 groups of a model', figure, 'us')
     started_at = time.process_time()
-    directory.listed_version = 0
-    directory.apply_listing(listing)
+    directory.apply_listing(replace(listing, version=listing.version + 1))
     took_us = (time.process_time() - started_at) * _MICROSECONDS
     _print_row('reading a list of 6,200 engines', took_us, 'us')
 
--- a/tests/test_coordination/test_members.py
+++ b/tests/test_coordination/test_members.py
@@ -126,3 +126,18 @@
         eventlet.sleep(3)
         for node in world.nodes.values():
             assert node.backends.find('claims-0').leaving
+
+
+def test_a_restored_list_of_servers_is_followed() -> None:
+    """Its version is lower than that of the list before."""
+    with open_world() as world:
+        saved = world.platform.store.copy()
+        for _ in range(5):
+            world.list_backend('claims-0', incarnation=1)
+        eventlet.sleep(2)
+        world.platform.store.restore(saved)
+        eventlet.sleep(1)
+        world.list_backend('claims-0', state='leaving')
+        eventlet.sleep(2)
+        for node in world.nodes.values():
+            assert node.backends.find('claims-0').leaving
