Write documents again after a restoration of the platform

Operators saw: a document that had been accepted was gone from the platform after a drill, the next one, whose revision was lower, was never put in force, and a submission could replace another document whose revision was given out again.

Cause: revisions were versions of the platform, ordered as if they never fell, and what was accepted was taken to stand there for ever.

A revision carries the era, so later ones are higher and reused numbers do not match; in the first era it stays the version.

--- a/egretdale/coordination/attempts.py
+++ b/egretdale/coordination/attempts.py
@@ -14,13 +14,13 @@
     MaybeRun,
     NotRun,
 )
-from egretdale.coordination.replica import ActiveDocument
 from egretdale.coordination.requests import (
     CallerRequest,
     Continuation,
     StreamLog,
 )
 from egretdale.coordination.slot_clients import SlotClients
+from egretdale.coordination.stored_documents import ActiveDocument
 from egretdale.coordination.slot_client import ActiveSlot, SlotClient
 from egretdale.state.documents import RequestClass
 from egretdale.state.event_streams import continues_stream
--- a/egretdale/coordination/eras.py
+++ b/egretdale/coordination/eras.py
@@ -12,10 +12,18 @@
     """Return a number that grows with each write, across eras too.
 
     :param position: position of the written object.
-    :return: the version for a platform that names no era.
+    :return: the version in the first era and on a platform that names none.
     """
     era, version = position
-    return (era << _VERSION_BITS) + version
+    return (max(era - 1, 0) << _VERSION_BITS) + version
+
+
+def read_version(token: int) -> int:
+    """Return the version that a token was created from.
+
+    :param token: the token.
+    """
+    return token & ((1 << _VERSION_BITS) - 1)
 
 
 class EraConfirmation:
--- a/egretdale/coordination/node.py
+++ b/egretdale/coordination/node.py
@@ -134,6 +134,7 @@
         tasks.start(self.replica.run_watch)
         tasks.start(self.replica.run_resync)
         tasks.start(self.replica.run_fetch)
+        tasks.start(self.replica.lost.run)
         tasks.start(self.backends.run_watch)
         tasks.start(self.backends.run_resync)
         tasks.start(self.allocators.run_ticks)
--- a/egretdale/coordination/replica.py
+++ b/egretdale/coordination/replica.py
@@ -4,23 +4,27 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import eventlet
-import msgspec
 from eventlet.event import Event
 
+from egretdale.coordination.eras import create_token
 from egretdale.coordination.mesh import MeshListener
 from egretdale.coordination.ports import (
     Listing,
     Network,
     Platform,
+    Position,
     StoredObject,
 )
+from egretdale.coordination.stored_documents import (
+    DOCUMENT_KIND,
+    ActiveDocument,
+    LostDocuments,
+    StoredDocument,
+)
 from egretdale.errors import Invalid
 from egretdale.state.documents import (
-    HistoryEntry,
-    ServiceDocument,
     parse_document,
 )
 from egretdale.state.members import MemberStatus, MemberTable
@@ -32,8 +36,6 @@
 
 logger = get_logger(__name__)
 
-DOCUMENT_KIND = 'documents'
-
 _WATCH_S = 20.0
 _RESYNC_S = 10.0
 _RETRY_S = 0.5
@@ -42,47 +44,6 @@
 _RESYNC_SPREAD = (0.8, 1.2)
 
 
-class StoredDocument(msgspec.Struct, frozen=True):
-    """A document object in the platform.
-
-    :ivar source: text of the document.
-    :ivar nonce: unique identifier of the submission.
-    :ivar author: who submitted it.
-    :ivar at_s: time of the submission in seconds since the Unix epoch.
-    :ivar history: earlier revisions, the newest last.
-    """
-
-    source: str
-    nonce: str
-    author: str
-    at_s: int
-    history: tuple[HistoryEntry, ...] = ()
-
-
-@dataclass(slots=True, frozen=True)
-class ActiveDocument:
-    """A document in force on this host, with its revision.
-
-    :ivar document: parsed document.
-    :ivar revision: revision number.
-    :ivar source: text of the document.
-    :ivar weights: weights of the organisations by name.
-    """
-
-    document: ServiceDocument
-    revision: int
-    source: str
-    weights: dict[str, float]
-
-    def may_use(self, organisation: str) -> bool:
-        """Tell whether an organisation may use the service.
-
-        :param organisation: organisation name.
-        :return: whether it may.
-        """
-        return not self.weights or organisation in self.weights
-
-
 class DocumentReplica(MeshListener):
     """Holds the newest known revision of each document.
 
@@ -90,6 +51,7 @@
     revision by a watch, by a periodic resync and from peers, and fetches its
     text from the platform or from a peer.
 
+    :ivar lost: documents in force that a restored platform lacks.
     :ivar platform_seen_at: monotonic seconds of the last complete listing,
         ``None`` before the first one.
     """
@@ -98,7 +60,7 @@
         '_announcements',
         '_clock',
         '_held',
-        '_listed_version',
+        '_listed',
         '_network',
         '_on_change',
         '_peers_heard',
@@ -110,6 +72,7 @@
         '_table',
         '_wanted',
         '_wanted_event',
+        'lost',
         'platform_seen_at',
     )
 
@@ -140,7 +103,8 @@
         self._random = source
         self._on_change = on_change
         self._held: dict[str, ActiveDocument] = {}
-        self._listed_version = 0
+        self.lost = LostDocuments(platform, source)
+        self._listed: Position = (0, 0)
         self._announcements: dict[str, int] = {}
         self._rotation = 0
         self._wanted: dict[str, int] = {}
@@ -182,12 +146,19 @@
             self._ready = self._check_ready(confirmation_s)
         return self._ready
 
-    def accept(self, service: str, revision: int, source: str) -> bool:
+    def accept(
+        self,
+        service: str,
+        revision: int,
+        source: str,
+        stored: StoredDocument | None = None,
+    ) -> bool:
         """Put a revision in force if it is newer.
 
         :param service: service name.
         :param revision: revision number.
         :param source: text of the document.
+        :param stored: its object in the platform, if it comes from there.
         :return: whether it was newer and valid.
         """
         held = self._held.get(service)
@@ -204,8 +175,9 @@
             )
             return False
         self._held[service] = ActiveDocument(
-            document, revision, source, document.index_weights()
+            document, revision, source, document.index_weights(), stored
         )
+        self.lost.discard(service)
         self._announcements[service] = _ANNOUNCEMENT_REPEATS
         if self._wanted.get(service, 0) <= revision:
             self._wanted.pop(service, None)
@@ -277,7 +249,7 @@
         """Watch the documents in the platform."""
         while True:
             outcome = self._platform.watch(
-                DOCUMENT_KIND, self._listed_version, _WATCH_S
+                DOCUMENT_KIND, self._listed[1], _WATCH_S
             )
             if isinstance(outcome, Listing):
                 self.apply_listing(outcome)
@@ -310,9 +282,15 @@
         :param listing: the listing; revisions that are not newer are ignored.
         """
         self.platform_seen_at = self._clock()
-        self._listed_version = max(self._listed_version, listing.version)
+        is_restored = self._listed[0] and listing.era > self._listed[0]
+        self._listed = max(self._listed, listing.position)
         for entry in listing.entries:
-            self._apply_object(entry)
+            self._apply_object(entry, listing.era)
+        if is_restored:
+            listed = {known.name for known in listing.entries}
+            for service, held in self._held.items():
+                if service not in listed and held.stored is not None:
+                    self.lost.add(service, held.stored)
 
     def _check_ready(self, confirmation_s: float) -> bool:
         if self._wanted:
@@ -323,19 +301,31 @@
             return False
         return self._clock() - self._started_at >= confirmation_s
 
-    def _apply_object(self, entry: StoredObject) -> None:
+    def _apply_object(self, entry: StoredObject, era: int) -> None:
         stored = decode_json(entry.body, StoredDocument)
         if isinstance(stored, Invalid):
             logger.warning(
                 'document-malformed', service=entry.name, error=stored.message
             )
             return
-        self.accept(entry.name, entry.version, stored.source)
+        held = self._held.get(entry.name)
+        before = None if held is None else held.stored
+        if before is not None and before.is_later_than(stored, entry.version):
+            # It is of the copy from which the platform was restored, or of a
+            # stale listing, whose position is not the newest.
+            if held.revision < create_token((era, 0)):
+                self.lost.add(entry.name, before)
+            return
+        revision = create_token((era, entry.version))
+        self.accept(entry.name, revision, stored.source, stored)
 
     def _fetch(self, service: str, revision: int) -> None:
         outcome = self._platform.read(DOCUMENT_KIND, service)
         if isinstance(outcome, StoredObject):
-            self._apply_object(outcome)
+            self._apply_object(outcome, outcome.era)
+        if self.lost.is_lost(service):
+            # Peers may hold the older one of the restored platform.
+            return
         held = self._held.get(service)
         if held is not None and held.revision >= revision:
             return
--- a/egretdale/coordination/submission.py
+++ b/egretdale/coordination/submission.py
@@ -7,6 +7,7 @@
 import eventlet
 import msgspec
 
+from egretdale.coordination.eras import create_token
 from egretdale.coordination.ports import (
     ABSENT,
     Platform,
@@ -14,7 +15,7 @@
     StoredObject,
     Written,
 )
-from egretdale.coordination.replica import (
+from egretdale.coordination.stored_documents import (
     DOCUMENT_KIND,
     StoredDocument,
 )
@@ -130,12 +131,13 @@
                 if submission.base_revision:
                     return Outdated(0, '', '')
                 return self._write(submission, (), ABSENT)
-            case StoredObject(version=version):
-                if version != submission.base_revision:
+            case StoredObject():
+                revision = create_token(current.position)
+                if revision != submission.base_revision:
                     return self._match_stored(submission, current)
                 stored = _decode_document(current)
                 previous = HistoryEntry(
-                    version, stored.nonce, stored.author, stored.at_s
+                    revision, stored.nonce, stored.author, stored.at_s
                 )
                 history = (*stored.history, previous)
                 return self._write(
@@ -170,7 +172,10 @@
             return current
         stored = _decode_document(current)
         newest = HistoryEntry(
-            current.version, stored.nonce, stored.author, stored.at_s
+            create_token(current.position),
+            stored.nonce,
+            stored.author,
+            stored.at_s,
         )
         return (*stored.history, newest)
 
@@ -198,14 +203,15 @@
                 expected,
             )
             match outcome:
-                case Written(version=version):
+                case Written():
+                    revision = create_token(outcome.position)
                     logger.info(
                         'document-accepted',
                         service=submission.service,
-                        revision=version,
+                        revision=revision,
                         author=submission.author,
                     )
-                    return Accepted(version)
+                    return Accepted(revision)
                 case Conflict():
                     return self.settle(submission)
                 case Unreachable() if not was_ambiguous:
@@ -230,11 +236,12 @@
     ) -> SubmissionOutcome:
         stored = _decode_document(current)
         if stored.nonce == submission.nonce:
-            return Accepted(current.version)
+            return Accepted(create_token(current.position))
         for entry in stored.history:
             if entry.nonce == submission.nonce:
                 return Accepted(entry.revision, superseded=True)
-        return Outdated(current.version, stored.author, stored.source)
+        revision = create_token(current.position)
+        return Outdated(revision, stored.author, stored.source)
 
 
 def _decode_document(entry: StoredObject) -> StoredDocument:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -14,7 +14,8 @@
 from egretdale.coordination.claims import ClaimClient
 from egretdale.coordination.keys import ClaimVerdict
 from egretdale.coordination.stream_relay import StreamRelay
-from egretdale.coordination.replica import ActiveDocument, DocumentReplica
+from egretdale.coordination.replica import DocumentReplica
+from egretdale.coordination.stored_documents import ActiveDocument
 from egretdale.state import order
 from egretdale.state.documents import parse_document
 from egretdale.state.queries import ClaimAsk, ClaimReply
--- a/tests/test_coordination/test_documents.py
+++ b/tests/test_coordination/test_documents.py
@@ -11,6 +11,7 @@
     Undecided,
 )
 from egretdale.errors import Invalid, Unreachable
+from standins.models.store import StoreCopy
 from standins.virtual.world import World
 from tests.fixtures import DOCUMENT_SOURCE, open_world
 from tests.functions import create_loader
@@ -150,3 +151,75 @@
         eventlet.sleep(6)
         assert node.replica.find('claims') is not None
         assert node.find_obstacle('claims') is None
+
+
+def _restore(world: World, saved: StoreCopy, for_s: float) -> None:
+    world.platform.store.restore(saved)
+    eventlet.sleep(for_s)
+
+
+def _read_sources(world: World) -> set[str]:
+    return {node.replica.find('claims').source for node in world.nodes.values()}
+
+
+def test_an_accepted_document_returns_to_a_restored_platform() -> None:
+    """It stays in force meanwhile, and counts as a later revision.
+
+    The copy has the document before it, or none at all.
+    """
+    for has_copy in (True, False):
+        with open_world() as world:
+            base = _read_revision(world, 'host-0')
+            saved = world.platform.store.copy()
+            if not has_copy:
+                saved.kinds.pop('documents')
+            outcome = _submit(world, 'host-0', base, 'n1')
+            eventlet.sleep(2)
+            world.platform.store.restore(saved)
+            for _ in range(60):
+                eventlet.sleep(0.1)
+                assert _read_sources(world) == {_CHANGED}
+            settled = world.nodes['host-1'].documents.settle(
+                Submission('claims', '', base, 'n1', 'operator')
+            )
+            assert isinstance(settled, Accepted)
+            assert settled.revision > outcome.revision
+            eventlet.sleep(8)
+            for host in world.nodes:
+                assert _read_revision(world, host) == settled.revision
+
+
+def test_a_document_submitted_after_a_restoration_is_in_force() -> None:
+    """Its version is lower than that of the document before."""
+    with open_world() as world:
+        saved = world.platform.store.copy()
+        for number in range(9):
+            base = _read_revision(world, 'host-0')
+            assert isinstance(
+                _submit(world, 'host-0', base, f'n{number}'), Accepted
+            )
+            eventlet.sleep(0.5)
+        _restore(world, saved, 6)
+        submission = Submission(
+            'claims',
+            DOCUMENT_SOURCE.replace('headroom: 0.1', 'headroom: 0.05'),
+            _read_revision(world, 'host-0'),
+            'late',
+            'operator',
+        )
+        outcome = world.nodes['host-0'].documents.submit(submission)
+        assert isinstance(outcome, Accepted)
+        eventlet.sleep(2)
+        assert _read_sources(world) == {submission.source}
+
+
+def test_a_base_revision_of_an_earlier_era_is_outdated() -> None:
+    """Another submission was given the same version since."""
+    with open_world() as world:
+        base = _read_revision(world, 'host-0')
+        saved = world.platform.store.copy()
+        before = _submit(world, 'host-0', base, 'n1')
+        world.platform.store.restore(saved)
+        world.store_document('claims', DOCUMENT_SOURCE)
+        outcome = _submit(world, 'host-1', before.revision, 'n2')
+        assert isinstance(outcome, Outdated), outcome
