Test the loss of a version's record with real daemons

Guards against the same failure as test_streams_of_a_version_that_the_store_forgot_are_refused, through the client of the store: it comes back from a copy without the record of a version and without members, the version begins streams and leaves, and all daemons are started anew.

--- a/tests/test_platform/test_lost_daemons.py
+++ b/tests/test_platform/test_lost_daemons.py
@@ -5,6 +5,7 @@
 import eventlet
 
 from soak.servers import EVENTS
+from standins.objects import StoreCopy
 from tests.daemons import System, list_server, open_system, read_stream
 from tests.functions import create_loader
 
@@ -22,10 +23,20 @@
 _RETRY_S = 0.5
 
 
-def _begin(system: System) -> None:
+def _wait_until_recorded(system: System, versions: int = 1) -> None:
     with eventlet.Timeout(_RECORD_TIMEOUT_S):
-        while not system.store.list_names('software-versions'):
+        while _count_recorded(system) < versions:
             eventlet.sleep(0.1)
+
+
+def _count_recorded(system: System) -> int:
+    if not system.store.list_names('software-versions'):
+        return 0
+    return len(system.store.read_spec('software-versions', 'main'))
+
+
+def _begin(system: System) -> None:
+    _wait_until_recorded(system)
     addresses = system.list_caller_addresses()
     for number in range(_STREAMS):
         address = addresses[number % len(addresses)]
@@ -102,3 +113,41 @@
         _kill_all(system)
         _start_all(system)
         assert _count_resumed(system) == _STREAMS
+
+
+def _restore_store(system: System, saved: StoreCopy) -> None:
+    """Restore the store; the servers write their entries again."""
+    entries = {
+        name: system.store.read_spec('servers', name)
+        for name in system.store.list_names('servers')
+    }
+    system.store.refusing = '503 Service Unavailable'
+    eventlet.sleep(1)
+    system.store.restore(saved)
+    for name, entry in entries.items():
+        system.store.put('servers', name, entry)
+    system.store.refusing = ''
+
+
+def test_streams_of_a_version_that_the_store_forgot_are_not_joined() -> None:
+    """Guards against records and members that a restored store has lost.
+
+    It comes back from a copy that is older than the version that leaves.
+    """
+    with open_system('v1', 'v1') as system:
+        _wait_until_recorded(system)
+        saved = system.store.copy()
+        saved.objects.pop('members')
+        for number in (2, 3):
+            list_server(system, number, 'v2')
+        _wait_until_recorded(system, 2)
+        _restore_store(system, saved)
+        _begin(system)
+        eventlet.sleep(2 * _SETTLE_S)
+        for number in (2, 3):
+            system.store.remove('servers', f'i-{number}')
+        eventlet.sleep(3 * _SETTLE_S)
+        assert len(system.store.list_names('members')) == len(system.daemons)
+        _kill_all(system)
+        _start_all(system)
+        assert _count_resumed(system) == 0
