--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -15,7 +15,10 @@
 from egretdale.coordination.keys import ClaimVerdict
 from egretdale.coordination.stream_relay import StreamRelay
 from egretdale.coordination.replica import DocumentReplica
-from egretdale.coordination.stored_documents import ActiveDocument
+from egretdale.coordination.stored_documents import (
+    ActiveDocument,
+    StoredDocument,
+)
 from egretdale.state import order
 from egretdale.state.documents import parse_document
 from egretdale.state.queries import ClaimAsk, ClaimReply
@@ -70,10 +73,14 @@
 
 
 def _accept_any(
-    replica: DocumentReplica, service: str, revision: int, source: str
+    replica: DocumentReplica,
+    service: str,
+    revision: int,
+    source: str,
+    stored: StoredDocument | None = None,
 ) -> bool:
     document: Any = parse_document(source.encode())
-    active = ActiveDocument(document, revision, source, {})
+    active = ActiveDocument(document, revision, source, {}, stored)
     replica._held[service] = active  # noqa: SLF001
     return True
 
