--- a/egretdale/coordination/claim_store.py
+++ b/egretdale/coordination/claim_store.py
@@ -140,10 +140,11 @@
         """
         self._is_blocked()
         now = self._clock()
+        era = self._confirmation.read_era()
         for nonce, kept in reversed(list(self._kept.items())):
             if kept.claim.finished and kept.kept_until < now:
                 self._kept.pop(nonce)
-            else:
+            elif kept.era != era:
                 self._restore(nonce, kept)
 
     def _is_blocked(self) -> bool:
@@ -194,9 +195,8 @@
 
     def _restore(self, nonce: str, kept: _KeptClaim) -> None:
         era = self._confirmation.read_era()
-        is_restored = kept.era == era or self._find_or_write(kept)
         # The request may have ended meanwhile, which is written by itself.
-        if is_restored and self._kept.get(nonce) == kept:
+        if self._find_or_write(kept) and self._kept.get(nonce) == kept:
             self._kept[nonce] = replace(kept, era=era)
 
     def _find_or_write(self, kept: _KeptClaim) -> bool:
