--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -85,6 +85,12 @@
     return True
 
 
+def _never_is_later(
+    document: StoredDocument, other: StoredDocument, version: int
+) -> bool:
+    return False
+
+
 class Mutation:
     """A mutation that replaces one function.
 
@@ -132,6 +138,7 @@
         '7-stop-cuts': (Mutation(World, 'stop_host', _cut_streams),),
         '8-document-reverts': (
             Mutation(DocumentReplica, 'accept', _accept_any),
+            Mutation(StoredDocument, 'is_later_than', _never_is_later),
         ),
     }
 )
