--- a/egretdale/protocol/gen/ttypes.py
+++ b/egretdale/protocol/gen/ttypes.py
@@ -2264,6 +2264,238 @@
         return not (self == other)
 
 
+class UsageCount(object):
+    """
+    Attributes:
+     - window
+     - organisation
+     - count
+
+    """
+
+    __slots__ = (
+        'window',
+        'organisation',
+        'count',
+    )
+
+
+    def __init__(self, window=None, organisation=None, count=None,):
+        self.window = window
+        self.organisation = organisation
+        self.count = count
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.window = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('UsageCount')
+        if self.window is not None:
+            oprot.writeFieldBegin('window', TType.I64, 1)
+            oprot.writeI64(self.window)
+            oprot.writeFieldEnd()
+        if self.organisation is not None:
+            oprot.writeFieldBegin('organisation', TType.STRING, 2)
+            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
+            oprot.writeFieldEnd()
+        if self.count is not None:
+            oprot.writeFieldBegin('count', TType.I32, 3)
+            oprot.writeI32(self.count)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServiceLoad(object):
+    """
+    Attributes:
+     - service_name
+     - data_centre
+     - running
+     - waiting
+     - begun
+     - refused
+     - prompt_tokens
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'data_centre',
+        'running',
+        'waiting',
+        'begun',
+        'refused',
+        'prompt_tokens',
+    )
+
+
+    def __init__(self, service_name=None, data_centre=None, running=None, waiting=None, begun=None, refused=None, prompt_tokens=None,):
+        self.service_name = service_name
+        self.data_centre = data_centre
+        self.running = running
+        self.waiting = waiting
+        self.begun = begun
+        self.refused = refused
+        self.prompt_tokens = prompt_tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.data_centre = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.running = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.waiting = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.begun = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.refused = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.prompt_tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceLoad')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.data_centre is not None:
+            oprot.writeFieldBegin('data_centre', TType.STRING, 2)
+            oprot.writeString(self.data_centre.encode('utf-8') if sys.version_info[0] == 2 else self.data_centre)
+            oprot.writeFieldEnd()
+        if self.running is not None:
+            oprot.writeFieldBegin('running', TType.I32, 3)
+            oprot.writeI32(self.running)
+            oprot.writeFieldEnd()
+        if self.waiting is not None:
+            oprot.writeFieldBegin('waiting', TType.I32, 4)
+            oprot.writeI32(self.waiting)
+            oprot.writeFieldEnd()
+        if self.begun is not None:
+            oprot.writeFieldBegin('begun', TType.I32, 5)
+            oprot.writeI32(self.begun)
+            oprot.writeFieldEnd()
+        if self.refused is not None:
+            oprot.writeFieldBegin('refused', TType.I32, 6)
+            oprot.writeI32(self.refused)
+            oprot.writeFieldEnd()
+        if self.prompt_tokens is not None:
+            oprot.writeFieldBegin('prompt_tokens', TType.I64, 7)
+            oprot.writeI64(self.prompt_tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Batch(object):
     """
     Attributes:
@@ -2280,6 +2512,9 @@
      - crashes
      - runs
      - trials
+     - usage
+     - loads
+     - clock_ms
 
     """
 
@@ -2297,10 +2532,13 @@
         'crashes',
         'runs',
         'trials',
+        'usage',
+        'loads',
+        'clock_ms',
     )
 
 
-    def __init__(self, sender=None, incarnation=None, asks=None, replies=None, members=None, backends=None, revisions=None, complete=None, limits=None, origins=None, crashes=None, runs=None, trials=None,):
+    def __init__(self, sender=None, incarnation=None, asks=None, replies=None, members=None, backends=None, revisions=None, complete=None, limits=None, origins=None, crashes=None, runs=None, trials=None, usage=None, loads=None, clock_ms=None,):
         self.sender = sender
         self.incarnation = incarnation
         self.asks = asks
@@ -2314,6 +2552,9 @@
         self.crashes = crashes
         self.runs = runs
         self.trials = trials
+        self.usage = usage
+        self.loads = loads
+        self.clock_ms = clock_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2449,6 +2690,33 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.LIST:
+                    self.usage = []
+                    (_etype133, _size130) = iprot.readListBegin()
+                    for _i134 in range(_size130):
+                        _elem135 = UsageCount()
+                        _elem135.read(iprot)
+                        self.usage.append(_elem135)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.LIST:
+                    self.loads = []
+                    (_etype139, _size136) = iprot.readListBegin()
+                    for _i140 in range(_size136):
+                        _elem141 = ServiceLoad()
+                        _elem141.read(iprot)
+                        self.loads.append(_elem141)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.I64:
+                    self.clock_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2470,36 +2738,36 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter130 in self.asks:
-                iter130.write(oprot)
+            for iter142 in self.asks:
+                iter142.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.replies is not None:
             oprot.writeFieldBegin('replies', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.replies))
-            for iter131 in self.replies:
-                iter131.write(oprot)
+            for iter143 in self.replies:
+                iter143.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter132 in self.members:
-                iter132.write(oprot)
+            for iter144 in self.members:
+                iter144.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.backends is not None:
             oprot.writeFieldBegin('backends', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.backends))
-            for iter133 in self.backends:
-                iter133.write(oprot)
+            for iter145 in self.backends:
+                iter145.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.revisions is not None:
             oprot.writeFieldBegin('revisions', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.revisions))
-            for iter134 in self.revisions:
-                iter134.write(oprot)
+            for iter146 in self.revisions:
+                iter146.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.complete is not None:
@@ -2509,38 +2777,56 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter135 in self.limits:
-                iter135.write(oprot)
+            for iter147 in self.limits:
+                iter147.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.origins is not None:
             oprot.writeFieldBegin('origins', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.origins))
-            for iter136 in self.origins:
-                iter136.write(oprot)
+            for iter148 in self.origins:
+                iter148.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter137 in self.crashes:
-                iter137.write(oprot)
+            for iter149 in self.crashes:
+                iter149.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.runs is not None:
             oprot.writeFieldBegin('runs', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.runs))
-            for iter138 in self.runs:
-                iter138.write(oprot)
+            for iter150 in self.runs:
+                iter150.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.trials is not None:
             oprot.writeFieldBegin('trials', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.trials))
-            for iter139 in self.trials:
-                iter139.write(oprot)
+            for iter151 in self.trials:
+                iter151.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.usage is not None:
+            oprot.writeFieldBegin('usage', TType.LIST, 14)
+            oprot.writeListBegin(TType.STRUCT, len(self.usage))
+            for iter152 in self.usage:
+                iter152.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.loads is not None:
+            oprot.writeFieldBegin('loads', TType.LIST, 15)
+            oprot.writeListBegin(TType.STRUCT, len(self.loads))
+            for iter153 in self.loads:
+                iter153.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.clock_ms is not None:
+            oprot.writeFieldBegin('clock_ms', TType.I64, 16)
+            oprot.writeI64(self.clock_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3137,21 +3423,21 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype143, _size140) = iprot.readListBegin()
-                    for _i144 in range(_size140):
-                        _elem145 = ObjectCopy()
-                        _elem145.read(iprot)
-                        self.entries.append(_elem145)
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = ObjectCopy()
+                        _elem159.read(iprot)
+                        self.entries.append(_elem159)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype149, _size146) = iprot.readListBegin()
-                    for _i150 in range(_size146):
-                        _elem151 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.gone.append(_elem151)
+                    (_etype163, _size160) = iprot.readListBegin()
+                    for _i164 in range(_size160):
+                        _elem165 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gone.append(_elem165)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3207,15 +3493,15 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter152 in self.entries:
-                iter152.write(oprot)
+            for iter166 in self.entries:
+                iter166.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.gone))
-            for iter153 in self.gone:
-                oprot.writeString(iter153.encode('utf-8') if sys.version_info[0] == 2 else iter153)
+            for iter167 in self.gone:
+                oprot.writeString(iter167.encode('utf-8') if sys.version_info[0] == 2 else iter167)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.era is not None:
@@ -3421,6 +3707,24 @@
     (4, TType.BOOL, 'is_recorded', None, None, ),  # 4
     (5, TType.STRING, 'only_version', 'UTF8', None, ),  # 5
 )
+all_structs.append(UsageCount)
+UsageCount.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'window', None, None, ),  # 1
+    (2, TType.STRING, 'organisation', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'count', None, None, ),  # 3
+)
+all_structs.append(ServiceLoad)
+ServiceLoad.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'data_centre', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'running', None, None, ),  # 3
+    (4, TType.I32, 'waiting', None, None, ),  # 4
+    (5, TType.I32, 'begun', None, None, ),  # 5
+    (6, TType.I32, 'refused', None, None, ),  # 6
+    (7, TType.I64, 'prompt_tokens', None, None, ),  # 7
+)
 all_structs.append(Batch)
 Batch.thrift_spec = (
     None,  # 0
@@ -3437,6 +3741,9 @@
     (11, TType.LIST, 'crashes', (TType.STRUCT, [BackendCrash, None], False), None, ),  # 11
     (12, TType.LIST, 'runs', (TType.STRUCT, [FingerprintRun, None], False), None, ),  # 12
     (13, TType.LIST, 'trials', (TType.STRUCT, [FingerprintRun, None], False), None, ),  # 13
+    (14, TType.LIST, 'usage', (TType.STRUCT, [UsageCount, None], False), None, ),  # 14
+    (15, TType.LIST, 'loads', (TType.STRUCT, [ServiceLoad, None], False), None, ),  # 15
+    (16, TType.I64, 'clock_ms', None, None, ),  # 16
 )
 all_structs.append(ClaimAsk)
 ClaimAsk.thrift_spec = (
--- a/egretdale/protocol/peer.thrift
+++ b/egretdale/protocol/peer.thrift
@@ -150,6 +150,22 @@
   5: string only_version
 }
 
+struct UsageCount {
+  1: i64 window
+  2: string organisation
+  3: i32 count
+}
+
+struct ServiceLoad {
+  1: string service_name
+  2: string data_centre
+  3: i32 running
+  4: i32 waiting
+  5: i32 begun
+  6: i32 refused
+  7: i64 prompt_tokens
+}
+
 struct Batch {
   1: string sender
   2: i64 incarnation
@@ -164,6 +180,9 @@
   11: list<BackendCrash> crashes
   12: list<FingerprintRun> runs
   13: list<FingerprintRun> trials
+  14: list<UsageCount> usage
+  15: list<ServiceLoad> loads
+  16: i64 clock_ms
 }
 
 struct ClaimAsk {
--- a/egretdale/state/messages.py
+++ b/egretdale/state/messages.py
@@ -7,6 +7,8 @@
 
 from dataclasses import dataclass, field
 
+from egretdale.state.duty_messages import ServiceLoad, UsageCount
+
 
 @dataclass(slots=True)
 class Ask:
@@ -338,6 +340,9 @@
     :ivar crashes: requests that were in progress at crashes.
     :ivar runs: fingerprints with crashes that were served since.
     :ivar trials: quarantined fingerprints with which a request was sent.
+    :ivar usage: counts of windows, for the host that reports usage.
+    :ivar loads: loads of services, for the host that orders engines.
+    :ivar clock_ms: wall clock of the sender in milliseconds, 0 if not told.
     """
 
     sender: str
@@ -353,3 +358,6 @@
     crashes: list[BackendCrash] = field(default_factory=list)
     runs: list[FingerprintRun] = field(default_factory=list)
     trials: list[FingerprintRun] = field(default_factory=list)
+    usage: list[UsageCount] = field(default_factory=list)
+    loads: list[ServiceLoad] = field(default_factory=list)
+    clock_ms: int = 0
