One holder of duties, and usage reported by it

Change: a lease whose holder alone calls the platform's interface, counts of begun requests sent to it, and reports whose counts are stored first. Only hosts whose settings name duties do any of it.

--- a/egretdale/config.py
+++ b/egretdale/config.py
@@ -84,6 +84,32 @@
     maximum_connections: Annotated[int, msgspec.Meta(ge=8)] = 4096
 
 
+class DutySettings(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """Settings of the calls that one host makes on behalf of all.
+
+    :ivar address: ``address:port`` of the interface that takes the calls.
+    :ivar calls_per_s: calls per second of all hosts together.
+    :ivar reports_usage: whether usage is reported.
+    :ivar orders_engines: whether engines are ordered.
+    :ivar lease_s: lifetime of the lease in seconds. Calls of two hosts do not
+        alternate within it.
+    :ivar call_timeout_s: longest duration of a call in seconds.
+    :ivar window_s: length of a window of usage in seconds.
+    :ivar late_s: seconds after a window's end until which its usage is due.
+    """
+
+    address: _Address
+    calls_per_s: _Rate = 10.0
+    reports_usage: bool = False
+    orders_engines: bool = False
+    lease_s: _Seconds = 3.0
+    call_timeout_s: _Seconds = 0.6
+    window_s: _Seconds = 5.0
+    late_s: _Seconds = 10.0
+
+
 class GatewaySettings(
     msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
 ):
@@ -118,6 +144,8 @@
     :ivar capacity: processor share of this host in percent, 0 if unknown.
     :ivar maximum_connections: maximum number of connections of callers.
     :ivar log_lines_per_s: log lines per second above which lines are dropped.
+    :ivar duties: calls that one host makes on behalf of all, ``None`` if there
+        are none.
     """
 
     host: _Name
@@ -143,6 +171,7 @@
     capacity: int = 0
     maximum_connections: Annotated[int, msgspec.Meta(ge=8)] = 2048
     log_lines_per_s: _Rate = 200.0
+    duties: DutySettings | None = None
 
 
 def parse_settings(source: bytes) -> Settings | Invalid:
--- a/egretdale/coordination/attempt_sender.py
+++ b/egretdale/coordination/attempt_sender.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from egretdale.coordination.admission import Admission
+from collections.abc import Callable
+
+from egretdale.coordination.admission import Admission, AdmittedRequest
 from egretdale.coordination.attempt_recorder import AttemptRecorder
 from egretdale.coordination.backend_choice import BackendChoice
 from egretdale.coordination.exchanges import (
@@ -14,11 +16,14 @@
 from egretdale.coordination.progress import Progress
 from egretdale.coordination.selection import BackendSelection
 from egretdale.state.gateway_metrics import GatewayMetrics
-from egretdale.state.instances import Incarnation
+from egretdale.state.instances import Incarnation, Instance
 from egretdale.util.clocks import Clock, convert_to_ms
 
 _REDIRECTION = 300
 
+#: Called with a request and the backend server that has begun it.
+BeginListener = Callable[[AdmittedRequest, Instance], None]
+
 
 class AttemptSender:
     """Sends a request to the chosen backend server and notes what follows."""
@@ -29,6 +34,7 @@
         '_clock',
         '_links',
         '_loads',
+        '_on_begin',
         '_prefill_client',
         '_recorder',
         '_selection',
@@ -41,6 +47,7 @@
         metrics: GatewayMetrics,
         client: ForwardClient,
         clock: Clock,
+        on_begin: BeginListener | None = None,
     ) -> None:
         """Create a sender.
 
@@ -49,7 +56,10 @@
         :param metrics: metrics.
         :param client: client of backend servers.
         :param clock: monotonic clock.
+        :param on_begin: called for each request that a backend server has
+            begun.
         """
+        self._on_begin = on_begin
         self._admission = admission
         self._selection = selection
         self._links = selection.links
@@ -130,6 +140,8 @@
             outcome = self._client.open(attempt)
             if not isinstance(outcome, NotRun | MaybeRun):
                 opened = True
+                if self._on_begin is not None and not outcome.not_run:
+                    self._on_begin(progress.admitted, choice.instance)
                 self.note_heard(incarnation)
                 self._selection.note_statement(
                     choice.instance, outcome, attempt.request.request_id
--- a/egretdale/coordination/forwarding.py
+++ b/egretdale/coordination/forwarding.py
@@ -11,7 +11,7 @@
     AttemptRules,
     refuse_attempt,
 )
-from egretdale.coordination.attempt_sender import AttemptSender
+from egretdale.coordination.attempt_sender import AttemptSender, BeginListener
 from egretdale.coordination.backend_choice import BackendChoice
 from egretdale.coordination.budgets import RetryBudgets
 from egretdale.coordination.crash_detection import WRITING_S, CrashDetector
@@ -70,6 +70,7 @@
         client: ForwardClient,
         clock: Clock,
         source: random.Random,
+        on_begin: BeginListener | None = None,
     ) -> None:
         """Create a forwarder.
 
@@ -80,6 +81,8 @@
         :param client: client of backend servers.
         :param clock: monotonic clock.
         :param source: random source.
+        :param on_begin: called for each request that a backend server has
+            begun.
         """
         self._admission = admission
         self._loads = selection.loads
@@ -90,7 +93,7 @@
         self._metrics = metrics
         self._crashes = CrashDetector(selection.quarantine, client, clock)
         self._sender = AttemptSender(
-            admission, selection, metrics, client, clock
+            admission, selection, metrics, client, clock, on_begin
         )
         self._acceptance = ResponseAcceptance(
             self._rules, self._sender, selection
--- a/egretdale/coordination/gateway.py
+++ b/egretdale/coordination/gateway.py
@@ -16,8 +16,11 @@
 )
 from egretdale.coordination.copies import PeerAccess
 from egretdale.coordination.counted_platform import CountedPlatform
+from egretdale.coordination.duty_calls import DutySender
+from egretdale.coordination.duty_factory import create_duties
 from egretdale.coordination.exchanges import ForwardClient
 from egretdale.coordination.forwarding import Forwarder
+from egretdale.coordination.gateway_gauges import watch_gateway
 from egretdale.coordination.instances import (
     INSTANCE_KIND,
     LAPSE_S,
@@ -69,6 +72,8 @@
     :ivar source: random source.
     :ivar decode_routing: decodes the routing configuration.
     :ivar decode_instance: decodes the entry of a backend server.
+    :ivar duty_sender: sends the calls that one host makes on behalf of all,
+        ``None`` if there are none.
     """
 
     platform: Platform
@@ -79,6 +84,7 @@
     source: random.Random
     decode_routing: RoutingDecoder
     decode_instance: InstanceDecoder
+    duty_sender: DutySender | None = None
 
 
 class Gateway:
@@ -91,6 +97,8 @@
     :ivar instances: follower of the list of backend servers.
     :ivar forwarder: forwards requests.
     :ivar metrics: metrics.
+    :ivar duties: what one host does on behalf of all, ``None`` if the settings
+        name nothing.
     """
 
     __slots__ = (
@@ -100,6 +108,7 @@
         '_table',
         '_version_recorder',
         'configuration',
+        'duties',
         'forwarder',
         'instances',
         'membership',
@@ -144,11 +153,20 @@
             clock=dependencies.clock,
             source=dependencies.source,
         )
+        self.duties = create_duties(
+            settings.duties, dependencies, self.mesh, self.metrics
+        )
         self._build_forwarder()
         self.mesh.add_listener(self.membership)
         self.mesh.add_listener(self.configuration)
         self.mesh.add_listener(self.instances)
-        self._watch_metrics()
+        watch_gateway(
+            self.metrics,
+            self.configuration,
+            self.instances,
+            self._selection,
+            self.mesh,
+        )
 
     def start(self, tasks: TaskGroup) -> None:
         """Start the background tasks of the host.
@@ -163,6 +181,8 @@
         tasks.start(self.membership.run_probes)
         tasks.start(self._reachability.run)
         tasks.start(self._run_joining)
+        if self.duties is not None:
+            self.duties.start(tasks)
 
     def is_ready(self) -> bool:
         """Tell whether this host accepts new requests."""
@@ -220,56 +240,6 @@
         """
         return self._selection.origins.answer(ask)
 
-    def _watch_metrics(self) -> None:
-        self.metrics.add_gauge(
-            'configuration_age_seconds',
-            'Seconds since the configuration was known to be the newest',
-            self.configuration.confirmation.measure_age,
-        )
-        self.metrics.add_gauge(
-            'configuration_version',
-            'Version of the configuration in force',
-            lambda: self.configuration.version,
-        )
-        self.metrics.add_gauge(
-            'backend_servers',
-            'Backend servers in the list',
-            self.instances.table.count,
-        )
-        self.metrics.add_gauge(
-            'limited_backend_servers',
-            'Backend servers that accept a limited rate of requests',
-            self._selection.backpressure.table.count_limited,
-        )
-        self.metrics.add_gauge(
-            'brittle_backend_servers',
-            'Backend servers that fall over when they reject much',
-            self._selection.backpressure.table.count_brittle,
-        )
-        self.metrics.add_gauge(
-            'leaving_backend_servers',
-            'Listed backend servers that are known to leave',
-            self.instances.table.count_leaving,
-        )
-        self.metrics.add_gauge(
-            'backends_lost',
-            'Whether this host reaches no backend server',
-            self._selection.is_cut_off,
-        )
-        self.metrics.add_gauge(
-            'quarantined_fingerprints',
-            'Requests and parts of prompts that crash backend servers',
-            self._selection.quarantine.history.count_quarantines,
-        )
-        self.metrics.add_gauges(
-            'prefill_tokens_per_second',
-            'Speed that this host has learned as an allocator',
-            self._selection.speeds.list_known_rates,
-        )
-        self.metrics.add_gauge(
-            'peer_bytes', 'Bytes sent to peers', lambda: self.mesh.sent_bytes
-        )
-
     def _run_joining(self) -> None:
         while self.configuration.table is None:
             eventlet.sleep(_JOINING_CHECK_S)
@@ -346,4 +316,5 @@
             client=dependencies.client,
             clock=dependencies.clock,
             source=dependencies.source,
+            on_begin=None if self.duties is None else self.duties.note_begin,
         )
--- a/egretdale/state/gateway_metrics.py
+++ b/egretdale/state/gateway_metrics.py
@@ -58,12 +58,14 @@
         by service.
     :ivar silent_allocators: requests whose allocator did not reply.
     :ivar platform_calls: calls to the platform, by call and outcome.
+    :ivar duty_calls: calls on behalf of all hosts, by duty and outcome.
     """
 
     __slots__ = (
         'admission_wait',
         'attempts',
         'denied_repeats',
+        'duty_calls',
         'ended',
         'first_byte',
         'platform_calls',
@@ -98,6 +100,9 @@
         self.platform_calls = self._create_counter(
             'platform_calls', 'Calls to the platform', ('call', 'outcome')
         )
+        self.duty_calls = self._create_counter(
+            'duty_calls', 'Calls on behalf of all', ('duty', 'outcome')
+        )
         self.first_byte = self._create_histogram(
             'first_byte', 'Seconds from sending to the head of the answer'
         )
--- a/egretdale/transport/gateway.py
+++ b/egretdale/transport/gateway.py
@@ -13,6 +13,7 @@
 
 from egretdale.config import GatewaySettings
 from egretdale.coordination.configuration import RoutingDecoder
+from egretdale.coordination.duty_calls import DutySender
 from egretdale.coordination.gateway import Gateway, GatewayDependencies
 from egretdale.coordination.instances import InstanceDecoder
 from egretdale.coordination.ports import Platform
@@ -66,6 +67,7 @@
         host is ready.
     :ivar create_directory: creates the application that tells callers where
         to connect.
+    :ivar duty_sender: sends the calls that one host makes on behalf of all.
     """
 
     platform: Platform
@@ -74,6 +76,7 @@
     decode_instance: InstanceDecoder
     create_readiness: Callable[[Gateway], Application]
     create_directory: Callable[[Gateway], Application]
+    duty_sender: DutySender | None = None
 
 
 class GatewayDaemon:
@@ -117,6 +120,7 @@
                 random.Random(),
                 interface.decode_routing,
                 interface.decode_instance,
+                interface.duty_sender,
             ),
         )
         self._ingress = Ingress(
