--- a/egretdale/coordination/usage.py
+++ b/egretdale/coordination/usage.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass, field
+
 import eventlet
 
 from egretdale.coordination.duties import DUTIES
 from egretdale.coordination.mesh import Mesh, MeshListener
 from egretdale.coordination.true_time import TrueTime
-from egretdale.state.members import find_owner
+from egretdale.state.members import list_owners
 from egretdale.state.messages import Batch, UsageCount
 from egretdale.state.usage import KEPT_WINDOWS, WindowCounts
 from egretdale.util.clocks import Clock
@@ -16,13 +18,28 @@
 _SEND_PERIOD_S = 0.5
 #: Shortest time in seconds between two messages with counts.
 _LEAST_PERIOD_S = 0.4
+#: Hosts that get all counts: the preferred holder and the next one, so that
+#: the counts of a holder are not lost with it.
+_KEEPERS = 2
+
+
+@dataclass(slots=True)
+class SentCounts:
+    """What one host was sent.
+
+    :ivar counts: counts by window and organisation.
+    :ivar sent_at: monotonic time of the last message with counts.
+    """
+
+    counts: dict[tuple[int, str], int] = field(default_factory=dict)
+    sent_at: float = float('-inf')
 
 
 class UsageCollector(MeshListener):
     """Counts what this host began and collects the counts of other hosts.
 
     Counts are totals of a window and a process, so that messages may be lost,
-    repeated or late. All are sent again when another host holds the duties.
+    repeated or late. A host that newly holds the duties gets all again.
 
     :ivar late: requests that were told after their window was fixed.
     """
@@ -32,10 +49,8 @@
         '_collected',
         '_fixed',
         '_mesh',
-        '_owner',
         '_own',
         '_sent',
-        '_sent_at',
         '_table',
         '_true_time',
         '_window_s',
@@ -62,9 +77,8 @@
         # Counts of other hosts, by host and incarnation.
         self._collected: dict[tuple[str, int], WindowCounts] = {}
         self._fixed = -1
-        self._owner: tuple[str, int] = ('', 0)
-        self._sent: dict[tuple[int, str], int] = {}
-        self._sent_at = clock()
+        # What the present keepers were sent, by host and incarnation.
+        self._sent: dict[tuple[str, int], SentCounts] = {}
 
     def note_begin(self, organisation: str) -> None:
         """Count a request that a backend server has begun.
@@ -107,9 +121,9 @@
                 counts.forget(oldest)
                 if not counts.list_windows():
                     self._collected.pop(key)
-            owner = self._find_owner()
-            if owner != self._table.own_host and self._list_unsent():
-                self._mesh.probe(owner)
+            for (host, _), sent in self._find_keepers().items():
+                if self._list_unsent(sent):
+                    self._mesh.probe(host)
 
     # Batches
 
@@ -120,13 +134,14 @@
         :param batch: the batch.
         """
         now = self._clock()
-        if now < self._sent_at + _LEAST_PERIOD_S:
-            return
-        if host == self._find_owner():
-            batch.usage = self._list_unsent()
-            for entry in batch.usage:
-                self._sent[(entry.window, entry.organisation)] = entry.count
-                self._sent_at = now
+        for (keeper, _), sent in self._find_keepers().items():
+            if keeper == host and now >= sent.sent_at + _LEAST_PERIOD_S:
+                batch.usage = self._list_unsent(sent)
+                for entry in batch.usage:
+                    sent.counts[(entry.window, entry.organisation)] = (
+                        entry.count
+                    )
+                    sent.sent_at = now
 
     def receive(self, batch: Batch) -> None:
         """Take over the counts of another host.
@@ -151,22 +166,24 @@
 
         :param host: name of the host that could not be reached.
         """
-        if host == self._owner[0]:
-            self._sent.clear()
-
-    def _find_owner(self) -> str:
-        owner = find_owner(self._table, DUTIES)
-        member = self._table.find(owner)
-        identity = (owner, member.update.incarnation if member else 0)
-        if identity != self._owner:
-            self._owner = identity
-            self._sent.clear()
-        return owner
-
-    def _list_unsent(self) -> list[UsageCount]:
+        for (keeper, _), sent in self._sent.items():
+            if keeper == host:
+                sent.counts.clear()
+
+    def _find_keepers(self) -> dict[tuple[str, int], SentCounts]:
+        keepers = {}
+        for host in list_owners(self._table, DUTIES, _KEEPERS):
+            member = self._table.find(host)
+            if member is not None and host != self._table.own_host:
+                key = (host, member.update.incarnation)
+                keepers[key] = self._sent.get(key) or SentCounts()
+        self._sent = keepers
+        return keepers
+
+    def _list_unsent(self, sent: SentCounts) -> list[UsageCount]:
         return [
             UsageCount(window, organisation, count)
             for window in self._own.list_windows()
             for organisation, count in self._own.find(window).items()
-            if self._sent.get((window, organisation)) != count
+            if sent.counts.get((window, organisation)) != count
         ]
