--- a/egretdale/coordination/attempt_sender.py
+++ b/egretdale/coordination/attempt_sender.py
@@ -140,12 +140,7 @@
             outcome = self._client.open(attempt)
             if not isinstance(outcome, NotRun | MaybeRun):
                 opened = True
-                if self._on_begin is not None and not outcome.not_run:
-                    self._on_begin(progress.admitted, choice.instance)
-                self.note_heard(incarnation)
-                self._selection.note_statement(
-                    choice.instance, outcome, attempt.request.request_id
-                )
+                self._note_opened(progress, choice, outcome)
                 if outcome.status < _REDIRECTION:
                     first_token_ms = convert_to_ms(self._clock() - sent_at)
         finally:
@@ -155,3 +150,15 @@
             if not opened:
                 self.end(progress, choice)
         return outcome
+
+    def _note_opened(
+        self,
+        progress: Progress,
+        choice: BackendChoice,
+        response: ForwardResponse,
+    ) -> None:
+        self.note_heard(choice.instance.incarnation)
+        request_id = progress.admitted.request.request_id
+        self._selection.note_statement(choice.instance, response, request_id)
+        if self._on_begin is not None and not response.not_run:
+            self._on_begin(progress.admitted, choice.instance)
--- a/egretdale/coordination/duty_factory.py
+++ b/egretdale/coordination/duty_factory.py
@@ -13,7 +13,7 @@
 from egretdale.coordination.ports import Platform
 from egretdale.coordination.true_time import TrueTime
 from egretdale.coordination.usage import UsageCollector
-from egretdale.coordination.usage_reports import UsageReporter
+from egretdale.coordination.usage_reports import UsageReporter, WindowTimes
 from egretdale.state.gateway_metrics import GatewayMetrics
 from egretdale.state.instances import Instance
 from egretdale.util.clocks import Clock, WallClock, convert_to_ms
@@ -125,8 +125,7 @@
             dependencies.platform,
             true_time,
             clock=dependencies.clock,
-            window_s=settings.window_s,
-            late_s=settings.late_s,
+            windows=WindowTimes(settings.window_s, settings.late_s),
             count_call=self.count_call,
         )
         self.collector = collector
--- a/egretdale/coordination/gateway.py
+++ b/egretdale/coordination/gateway.py
@@ -2,34 +2,27 @@
 
 from __future__ import annotations
 
-import random
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 import eventlet
 
 from egretdale.config import GatewaySettings
 from egretdale.coordination.admission import Admission, FreshnessLimits
 from egretdale.coordination.budgets import RetryBudgetSettings, RetryBudgets
-from egretdale.coordination.configuration import (
-    ConfigurationFollower,
-    RoutingDecoder,
-)
+from egretdale.coordination.configuration import ConfigurationFollower
 from egretdale.coordination.copies import PeerAccess
 from egretdale.coordination.counted_platform import CountedPlatform
-from egretdale.coordination.duty_calls import DutySender
 from egretdale.coordination.duty_factory import create_duties
-from egretdale.coordination.exchanges import ForwardClient
 from egretdale.coordination.forwarding import Forwarder
+from egretdale.coordination.gateway_dependencies import GatewayDependencies
 from egretdale.coordination.gateway_gauges import watch_gateway
 from egretdale.coordination.instances import (
     INSTANCE_KIND,
     LAPSE_S,
-    InstanceDecoder,
     InstanceFollower,
 )
 from egretdale.coordination.membership_factory import create_membership
 from egretdale.coordination.mesh import Mesh
-from egretdale.coordination.ports import Network, Platform
 from egretdale.coordination.reachability import ReachabilityMonitor
 from egretdale.coordination.selection import BackendSelection
 from egretdale.coordination.stream_origins import ListKnowledge
@@ -45,7 +38,7 @@
     OriginReply,
 )
 from egretdale.state.routing import CallerLimits
-from egretdale.util.clocks import Clock, WallClock, convert_to_ms
+from egretdale.util.clocks import convert_to_ms
 from egretdale.util.tasks import TaskGroup
 
 _JOINING_CHECK_S = 0.05
@@ -60,33 +53,6 @@
 )
 
 
-@dataclass(slots=True, frozen=True)
-class GatewayDependencies:
-    """Injected objects through which a forwarding host reaches the outside.
-
-    :ivar platform: object API.
-    :ivar network: client of the peers.
-    :ivar client: client of the backend servers.
-    :ivar clock: monotonic clock that also runs while the host is suspended.
-    :ivar wall_clock: wall clock.
-    :ivar source: random source.
-    :ivar decode_routing: decodes the routing configuration.
-    :ivar decode_instance: decodes the entry of a backend server.
-    :ivar duty_sender: sends the calls that one host makes on behalf of all,
-        ``None`` if there are none.
-    """
-
-    platform: Platform
-    network: Network
-    client: ForwardClient
-    clock: Clock
-    wall_clock: WallClock
-    source: random.Random
-    decode_routing: RoutingDecoder
-    decode_instance: InstanceDecoder
-    duty_sender: DutySender | None = None
-
-
 class Gateway:
     """Coordination components of a host that forwards requests.
 
--- a/egretdale/coordination/usage_reports.py
+++ b/egretdale/coordination/usage_reports.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import msgspec
 
@@ -60,6 +61,19 @@
     era: int = 0
 
 
+@dataclass(slots=True, frozen=True)
+class WindowTimes:
+    """When usage is due.
+
+    :ivar window_s: length of a window in seconds.
+    :ivar late_s: seconds after a window's end until which its report is of
+        use.
+    """
+
+    window_s: float
+    late_s: float
+
+
 class UsageReporter:
     """Reports each window once, or exactly again.
 
@@ -105,8 +119,7 @@
         true_time: TrueTime,
         *,
         clock: Clock,
-        window_s: float,
-        late_s: float,
+        windows: WindowTimes,
         count_call: Callable[[str, str], None],
     ) -> None:
         """Create a reporter that has reported nothing.
@@ -116,9 +129,7 @@
         :param platform: object API that stores the last report.
         :param true_time: time of day.
         :param clock: monotonic clock.
-        :param window_s: length of a window in seconds.
-        :param late_s: seconds after a window's end until which its report is
-            of use.
+        :param windows: length of a window, and when its report is due.
         :param count_call: called with the duty and the outcome of each call.
         """
         self.name = 'usage'
@@ -130,8 +141,8 @@
         self._platform = platform
         self._true_time = true_time
         self._clock = clock
-        self._window_s = window_s
-        self._late_s = late_s
+        self._window_s = windows.window_s
+        self._late_s = windows.late_s
         self._count_call = count_call
         self._token = 0
         self._held_since = clock()
@@ -203,14 +214,19 @@
         if self._stored is not None:
             self._skip(self._stored.window + 1, first)
             first = max(first, self._stored.window + 1)
-        for window in range(first, last + 1):
-            if window <= self._done or self._may_be_lost(window):
-                continue
-            if self._stored is None and not self._collector.sum_window(window):
-                # There was no traffic yet.
-                continue
-            return window
-        return None
+        windows = range(first, last + 1)
+        return next(filter(self._is_open, windows), None)
+
+    def _is_open(self, window: int) -> bool:
+        """Tell whether the counts of a window that is over have to be fixed.
+
+        :param window: number of the window.
+        """
+        if window <= self._done or self._may_be_lost(window):
+            return False
+        # Before the first report there may have been no traffic yet.
+        has_begun = self._stored is not None
+        return has_begun or bool(self._collector.sum_window(window))
 
     def _may_be_lost(self, window: int) -> bool:
         """Tell whether a restoration may have lost the report of a window.
--- a/egretdale/state/usage.py
+++ b/egretdale/state/usage.py
@@ -56,5 +56,6 @@
 
         :param before: first window to keep.
         """
-        for window in [known for known in self._counts if known < before]:
-            self._counts.pop(window)
+        for window in self.list_windows():
+            if window < before:
+                self._counts.pop(window)
--- a/tests/duty_scenes.py
+++ b/tests/duty_scenes.py
@@ -21,9 +21,9 @@
 from egretdale.coordination.ports import Delivered
 from egretdale.coordination.true_time import TrueTime
 from egretdale.coordination.usage import UsageCollector
-from egretdale.coordination.usage_reports import UsageReporter
+from egretdale.coordination.usage_reports import UsageReporter, WindowTimes
 from egretdale.errors import Ambiguous, Cause, Unreachable
-from egretdale.state.members import MemberStatus
+from egretdale.state.members import MemberStatus, MemberTable
 from egretdale.state.messages import Batch, MemberUpdate
 from egretdale.util.tasks import TaskGroup
 from standins.virtual.hub import VirtualHub
@@ -188,10 +188,13 @@
             self.start_host(name)
         for name in self.names:
             for host in self.hosts.values():
-                self._tell(host, name, MemberStatus.ALIVE)
+                self._tell(host, self._create_update(name, MemberStatus.ALIVE))
 
     def start_host(self, name: str) -> None:
         """Start a process; the others learn so soon."""
+        if name in self.hosts:
+            # Another trouble has started it already.
+            return
         self.faults.dead.discard(name)
         self.offsets.setdefault(name, 0)
         clock = self.hub.read_now
@@ -202,13 +205,13 @@
         known = next(iter(self.hosts.values()), None)
         lease_clock = read_wall if self.by_wall_clock else clock
         table_source = Mesh(
-            _create_table(name), SceneNetwork(name, self), clock, 1e6
+            MemberTable(name), SceneNetwork(name, self), clock, 1e6
         )
         table = table_source.table
         if known is not None:
             for member in known.mesh.table.list_members():
                 table.apply(member.update, clock())
-        self._apply(table, name, MemberStatus.ALIVE)
+        table.apply(self._create_update(name, MemberStatus.ALIVE), clock())
         platform = VirtualPlatform(name, self.platform, self.faults)
         lease = self.create_lease(
             DUTIES,
@@ -234,8 +237,7 @@
             platform,
             true_time,
             clock=clock,
-            window_s=WINDOW_S,
-            late_s=_LATE_S,
+            windows=WindowTimes(WINDOW_S, _LATE_S),
             count_call=lambda duty, outcome: None,
         )
         table_source.add_listener(true_time)
@@ -266,7 +268,8 @@
         host = self.hosts.get(name)
         if host is None:
             return
-        self._apply(host.mesh.table, name, MemberStatus.LEAVING)
+        leaving = self._create_update(name, MemberStatus.LEAVING)
+        host.mesh.table.apply(leaving, self.hub.now)
         self.announce(name, MemberStatus.LEAVING)
         eventlet.sleep(1.5)
         self.kill_host(name)
@@ -277,7 +280,8 @@
         """Let all other hosts learn the status of a host, each in its time."""
         for host in list(self.hosts.values()):
             delay_s = self.source.uniform(0, 1.5)
-            eventlet.spawn_after(delay_s, self._tell, host, name, status)
+            update = self._create_update(name, status)
+            eventlet.spawn_after(delay_s, self._tell, host, update)
 
     def send_requests(self, rate: float, for_s: float) -> None:
         """Let hosts begin requests, and count them."""
@@ -311,16 +315,13 @@
             if peer != name and self.hosts[name].mesh.knows(peer):
                 self.hosts[name].mesh.probe(peer)
 
-    def _tell(self, host: SceneHost, name: str, status: MemberStatus) -> None:
-        if host.mesh.table.own_host != name:
-            self._apply(host.mesh.table, name, status)
+    def _tell(self, host: SceneHost, update: MemberUpdate) -> None:
+        if host.mesh.table.own_host != update.host:
+            host.mesh.table.apply(update, self.hub.now)
 
-    def _apply(self, table: object, name: str, status: MemberStatus) -> None:
+    def _create_update(self, name: str, status: MemberStatus) -> MemberUpdate:
         incarnation = round(self.hub.now * 1000)
-        update = MemberUpdate(
-            name, incarnation, 0, int(status), 'dc', name, name
-        )
-        table.apply(update, self.hub.now)
+        return MemberUpdate(name, incarnation, 0, int(status), 'dc', name, name)
 
 
 def find_breaches(arrivals: list[Arrival]) -> list[str]:
@@ -355,12 +356,6 @@
     return breaches
 
 
-def _create_table(name: str) -> object:
-    from egretdale.state.members import MemberTable
-
-    return MemberTable(name)
-
-
 def _raise(error: BaseException) -> None:
     if not isinstance(error, greenlet.GreenletExit):
         raise error
--- a/tests/test_coordination/test_duties.py
+++ b/tests/test_coordination/test_duties.py
@@ -105,7 +105,8 @@
     saved = scene.platform.store.copy()
     eventlet.sleep(scene.source.uniform(0, 8))
     if scene.source.random() < 0.5:
-        scene.kill_host(name := scene.find_holder())
+        name = scene.find_holder()
+        scene.kill_host(name)
         eventlet.spawn_after(0.2, scene.start_host, name)
     scene.platform.store.restore(saved)
 
@@ -204,7 +205,8 @@
 
 def test_usage_is_reported_as_it_was() -> None:
     """Most windows are exact, and nearly all within a twentieth."""
-    windows = right = 0
+    windows = 0
+    right = 0
     for seed in range(10):
         with use_virtual_time() as hub:
             scene = Scene(hub, seed, 3)
