--- a/egretdale/coordination/usage.py
+++ b/egretdale/coordination/usage.py
@@ -14,8 +14,11 @@
 from egretdale.state.usage import KEPT_WINDOWS, WindowCounts
 from egretdale.util.clocks import Clock
 
-#: Seconds between two messages with counts.
+#: Shortest and longest time in seconds between two messages that are sent for
+#: counts, and what each host adds, as all go to the same hosts.
 _SEND_PERIOD_S = 0.5
+_LONGEST_PERIOD_S = 1.5
+_PERIOD_PER_HOST_S = 0.015
 #: Shortest time in seconds between two messages with counts.
 _LEAST_PERIOD_S = 0.4
 #: Hosts that get all counts: the preferred holder and the next one, so that
@@ -114,7 +117,10 @@
     def run(self) -> None:
         """Send counts without end."""
         while True:
-            eventlet.sleep(_SEND_PERIOD_S)
+            period_s = _PERIOD_PER_HOST_S * self._table.count_reachable()
+            eventlet.sleep(
+                min(max(_SEND_PERIOD_S, period_s), _LONGEST_PERIOD_S)
+            )
             oldest = self.find_window() - KEPT_WINDOWS
             self._own.forget(oldest)
             for key, counts in list(self._collected.items()):
--- a/egretdale/coordination/usage_reports.py
+++ b/egretdale/coordination/usage_reports.py
@@ -38,7 +38,7 @@
 #: Seconds after a window's end at which its counts are fixed.
 _COUNTING_S = 2.0
 #: Seconds in which all hosts have sent their counts to a new holder.
-_COLLECTING_S = 1.2
+_COLLECTING_S = 1.7
 #: Shortest and longest pause in seconds after a failed call.
 _MINIMUM_PAUSE_S = 0.3
 _MAXIMUM_PAUSE_S = 2.0
