--- a/egretdale/coordination/gateway.py
+++ b/egretdale/coordination/gateway.py
@@ -2,31 +2,27 @@
 
 from __future__ import annotations
 
-import random
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 import eventlet
 
 from egretdale.config import GatewaySettings
 from egretdale.coordination.admission import Admission, FreshnessLimits
 from egretdale.coordination.budgets import RetryBudgetSettings, RetryBudgets
-from egretdale.coordination.configuration import (
-    ConfigurationFollower,
-    RoutingDecoder,
-)
+from egretdale.coordination.configuration import ConfigurationFollower
 from egretdale.coordination.copies import PeerAccess
 from egretdale.coordination.counted_platform import CountedPlatform
-from egretdale.coordination.exchanges import ForwardClient
+from egretdale.coordination.duty_factory import create_duties
 from egretdale.coordination.forwarding import Forwarder
+from egretdale.coordination.gateway_dependencies import GatewayDependencies
+from egretdale.coordination.gateway_gauges import watch_gateway
 from egretdale.coordination.instances import (
     INSTANCE_KIND,
     LAPSE_S,
-    InstanceDecoder,
     InstanceFollower,
 )
 from egretdale.coordination.membership_factory import create_membership
 from egretdale.coordination.mesh import Mesh
-from egretdale.coordination.ports import Network, Platform
 from egretdale.coordination.reachability import ReachabilityMonitor
 from egretdale.coordination.selection import BackendSelection
 from egretdale.coordination.stream_origins import ListKnowledge
@@ -42,7 +38,7 @@
     OriginReply,
 )
 from egretdale.state.routing import CallerLimits
-from egretdale.util.clocks import Clock, WallClock, convert_to_ms
+from egretdale.util.clocks import convert_to_ms
 from egretdale.util.tasks import TaskGroup
 
 _JOINING_CHECK_S = 0.05
@@ -57,30 +53,6 @@
 )
 
 
-@dataclass(slots=True, frozen=True)
-class GatewayDependencies:
-    """Injected objects through which a forwarding host reaches the outside.
-
-    :ivar platform: object API.
-    :ivar network: client of the peers.
-    :ivar client: client of the backend servers.
-    :ivar clock: monotonic clock that also runs while the host is suspended.
-    :ivar wall_clock: wall clock.
-    :ivar source: random source.
-    :ivar decode_routing: decodes the routing configuration.
-    :ivar decode_instance: decodes the entry of a backend server.
-    """
-
-    platform: Platform
-    network: Network
-    client: ForwardClient
-    clock: Clock
-    wall_clock: WallClock
-    source: random.Random
-    decode_routing: RoutingDecoder
-    decode_instance: InstanceDecoder
-
-
 class Gateway:
     """Coordination components of a host that forwards requests.
 
@@ -91,6 +63,8 @@
     :ivar instances: follower of the list of backend servers.
     :ivar forwarder: forwards requests.
     :ivar metrics: metrics.
+    :ivar duties: what one host does on behalf of all, ``None`` if the settings
+        name nothing.
     """
 
     __slots__ = (
@@ -100,6 +74,7 @@
         '_table',
         '_version_recorder',
         'configuration',
+        'duties',
         'forwarder',
         'instances',
         'membership',
@@ -144,11 +119,20 @@
             clock=dependencies.clock,
             source=dependencies.source,
         )
+        self.duties = create_duties(
+            settings.duties, dependencies, self.mesh, self.metrics
+        )
         self._build_forwarder()
         self.mesh.add_listener(self.membership)
         self.mesh.add_listener(self.configuration)
         self.mesh.add_listener(self.instances)
-        self._watch_metrics()
+        watch_gateway(
+            self.metrics,
+            self.configuration,
+            self.instances,
+            self._selection,
+            self.mesh,
+        )
 
     def start(self, tasks: TaskGroup) -> None:
         """Start the background tasks of the host.
@@ -163,6 +147,8 @@
         tasks.start(self.membership.run_probes)
         tasks.start(self._reachability.run)
         tasks.start(self._run_joining)
+        if self.duties is not None:
+            self.duties.start(tasks)
 
     def is_ready(self) -> bool:
         """Tell whether this host accepts new requests."""
@@ -220,56 +206,6 @@
         """
         return self._selection.origins.answer(ask)
 
-    def _watch_metrics(self) -> None:
-        self.metrics.add_gauge(
-            'configuration_age_seconds',
-            'Seconds since the configuration was known to be the newest',
-            self.configuration.confirmation.measure_age,
-        )
-        self.metrics.add_gauge(
-            'configuration_version',
-            'Version of the configuration in force',
-            lambda: self.configuration.version,
-        )
-        self.metrics.add_gauge(
-            'backend_servers',
-            'Backend servers in the list',
-            self.instances.table.count,
-        )
-        self.metrics.add_gauge(
-            'limited_backend_servers',
-            'Backend servers that accept a limited rate of requests',
-            self._selection.backpressure.table.count_limited,
-        )
-        self.metrics.add_gauge(
-            'brittle_backend_servers',
-            'Backend servers that fall over when they reject much',
-            self._selection.backpressure.table.count_brittle,
-        )
-        self.metrics.add_gauge(
-            'leaving_backend_servers',
-            'Listed backend servers that are known to leave',
-            self.instances.table.count_leaving,
-        )
-        self.metrics.add_gauge(
-            'backends_lost',
-            'Whether this host reaches no backend server',
-            self._selection.is_cut_off,
-        )
-        self.metrics.add_gauge(
-            'quarantined_fingerprints',
-            'Requests and parts of prompts that crash backend servers',
-            self._selection.quarantine.history.count_quarantines,
-        )
-        self.metrics.add_gauges(
-            'prefill_tokens_per_second',
-            'Speed that this host has learned as an allocator',
-            self._selection.speeds.list_known_rates,
-        )
-        self.metrics.add_gauge(
-            'peer_bytes', 'Bytes sent to peers', lambda: self.mesh.sent_bytes
-        )
-
     def _run_joining(self) -> None:
         while self.configuration.table is None:
             eventlet.sleep(_JOINING_CHECK_S)
@@ -346,4 +282,5 @@
             client=dependencies.client,
             clock=dependencies.clock,
             source=dependencies.source,
+            on_begin=None if self.duties is None else self.duties.note_begin,
         )
