--- /dev/null
+++ b/tests/test_crowds/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of daemons that misbehaving clients visit."""
