Bound the memory and the connections that callers and peers occupy

Bodies are read piece by piece by a reader of the project's own, which lets other tasks run and counts the framing of chunks. Requests sent ahead, bodies at the auxiliary addresses and slow heads there are bounded as well. Counted in four metrics, logged with the address.

--- a/egretdale/config.py
+++ b/egretdale/config.py
@@ -12,6 +12,11 @@
 _Address = Annotated[str, msgspec.Meta(pattern=r'^[0-9.]+:[0-9]{1,5}$')]
 _Name = Annotated[str, msgspec.Meta(pattern='^[a-z0-9][a-z0-9-]*$')]
 _Seconds = Annotated[float, msgspec.Meta(gt=0)]
+#: Memory for messages of callers and peers in bytes, of a daemon, of a gateway,
+#: and the least.
+_DAEMON_BYTES = 256000000
+_GATEWAY_BYTES = 64000000
+_LEAST_BYTES = 1000000
 _Rate = Annotated[float, msgspec.Meta(gt=0)]
 
 #: Type of the settings to decode.
@@ -59,6 +64,8 @@
     :ivar maximum_body_bytes: maximum size of a request body in bytes.
     :ivar body_timeout_s: longest wait for a request body in seconds.
     :ivar maximum_connections: maximum number of connections of callers.
+    :ivar caller_memory_bytes: memory for messages of callers and peers that
+        are being received or served, in bytes.
     """
 
     host: _Name
@@ -82,6 +89,9 @@
     maximum_body_bytes: Annotated[int, msgspec.Meta(ge=1024)] = 4 * 1024 * 1024
     body_timeout_s: _Seconds = 10.0
     maximum_connections: Annotated[int, msgspec.Meta(ge=8)] = 4096
+    caller_memory_bytes: Annotated[int, msgspec.Meta(ge=_LEAST_BYTES)] = (
+        _DAEMON_BYTES
+    )
 
 
 class GatewaySettings(
@@ -117,6 +127,11 @@
     :ivar expected_hosts: minimum number of hosts that share the allowance.
     :ivar capacity: processor share of this host in percent, 0 if unknown.
     :ivar maximum_connections: maximum number of connections of callers.
+    :ivar maximum_peer_connections: maximum number of connections of peers.
+    :ivar maximum_auxiliary_connections: maximum number of connections to each
+        of the readiness, directory and metrics addresses.
+    :ivar caller_memory_bytes: memory for messages of callers and peers that
+        are being received or served, in bytes.
     :ivar log_lines_per_s: log lines per second above which lines are dropped.
     """
 
@@ -142,6 +157,11 @@
     expected_hosts: int = 8
     capacity: int = 0
     maximum_connections: Annotated[int, msgspec.Meta(ge=8)] = 2048
+    maximum_peer_connections: Annotated[int, msgspec.Meta(ge=8)] = 1024
+    maximum_auxiliary_connections: Annotated[int, msgspec.Meta(ge=8)] = 256
+    caller_memory_bytes: Annotated[int, msgspec.Meta(ge=_LEAST_BYTES)] = (
+        _GATEWAY_BYTES
+    )
     log_lines_per_s: _Rate = 200.0
 
 
--- a/egretdale/protocol/problems.py
+++ b/egretdale/protocol/problems.py
@@ -42,6 +42,7 @@
         Reason.HOST_CUT_OFF: '421 Misdirected Request',
         Reason.PART_QUARANTINED: _UNAVAILABLE,
         Reason.REQUEST_QUARANTINED: _UNAVAILABLE,
+        Reason.HOST_FULL: _UNAVAILABLE,
     }
 )
 
--- a/egretdale/state/gateway_metrics.py
+++ b/egretdale/state/gateway_metrics.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
-from prometheus_client.core import GaugeMetricFamily
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 from prometheus_client.registry import Collector
 
+from egretdale.state.memory import MemoryAccount, Source
+
 _PREFIX = 'egretdale_gateway'
 _SECONDS_BUCKETS = (
     0.01,
@@ -42,6 +44,46 @@
         yield family
 
 
+class _MemoryCollector(Collector):
+    """Memory for messages, and what was refused or closed for limits."""
+
+    def __init__(
+        self, account: MemoryAccount, closed: Mapping[str, int]
+    ) -> None:
+        self._account = account
+        self._closed = closed
+
+    def collect(self) -> Iterator[GaugeMetricFamily | CounterMetricFamily]:
+        """Read the current values."""
+        held = GaugeMetricFamily(
+            f'{_PREFIX}_message_bytes',
+            'Memory held for messages',
+            labels=['source'],
+        )
+        refused = CounterMetricFamily(
+            f'{_PREFIX}_memory_refused',
+            'Messages refused for want of memory',
+            labels=['source'],
+        )
+        evicted = CounterMetricFamily(
+            f'{_PREFIX}_messages_evicted',
+            'Incomplete messages that gave way to others',
+            labels=['source'],
+        )
+        for source in Source:
+            held.add_metric([source], self._account.measure_source(source))
+            refused.add_metric([source], self._account.refused[source])
+            evicted.add_metric([source], self._account.evicted[source])
+        closed = CounterMetricFamily(
+            f'{_PREFIX}_connections_closed',
+            'Connections closed for a limit',
+            labels=['reason'],
+        )
+        for reason, count in self._closed.items():
+            closed.add_metric([reason], count)
+        yield from (held, refused, evicted, closed)
+
+
 class GatewayMetrics:
     """The metrics of a forwarding host.
 
@@ -117,6 +159,16 @@
         gauge = Gauge(f'{_PREFIX}_{name}', text, registry=self.registry)
         gauge.set_function(read)
 
+    def add_memory(
+        self, account: MemoryAccount, closed: Mapping[str, int]
+    ) -> None:
+        """Publish the memory for messages, and what was refused for it.
+
+        :param account: the memory for messages of callers and peers.
+        :param closed: connections that were closed for a limit, by reason.
+        """
+        self.registry.register(_MemoryCollector(account, closed))
+
     def add_gauges(
         self, name: str, text: str, read: Callable[[], dict[str, float]]
     ) -> None:
--- a/egretdale/state/outcomes.py
+++ b/egretdale/state/outcomes.py
@@ -46,6 +46,7 @@
     HOST_CUT_OFF = 'host-cut-off'
     PART_QUARANTINED = 'prompt-part-quarantined'
     REQUEST_QUARANTINED = 'request-quarantined'
+    HOST_FULL = 'host-full'
 
 
 @dataclass(slots=True, frozen=True)
--- a/egretdale/transport/caller_connections.py
+++ b/egretdale/transport/caller_connections.py
@@ -23,6 +23,10 @@
 #: Connections are kept open this much longer than announced, in seconds.
 _IDLE_GRACE_S = 1.0
 _OLD_VERSION = 'HTTP/1.0'
+#: Heads may be this many times longer than the limit for callers.
+_HEAD_FACTOR = 2
+#: Requests that were sent ahead after which other tasks run.
+_REQUESTS_PER_YIELD = 8
 
 
 class CallerConnections:
@@ -80,6 +84,8 @@
     """A connection of a caller, with limits that may change at runtime."""
 
     _head_timer: eventlet.Timeout | None = None
+    #: Requests in a row that had arrived before they were waited for.
+    _sent_ahead = 0
 
     def close_after_response(self) -> None:
         """Announce in the response that the connection closes, and close it."""
@@ -108,16 +114,19 @@
         self.server.keepalive = self.server.app.limits().idle_s
         environ = super().get_environ()
         environ['egretdale.target'] = self.read_target()
-        environ['egretdale.connection'] = self
         return environ
 
     def _read_request_line(self) -> bytes:
         self._end_head()
+        if self._sent_ahead >= _REQUESTS_PER_YIELD:
+            self._sent_ahead = 0
+            eventlet.sleep(0)
         # The server itself would shut down idle connections when the listener
         # is closed, also those that have just sent a request.
         self.conn_state[2] = wsgi.STATE_REQUEST
         ingress = self.server.app
         ingress.connections.note_idle(self.connection)
+        self.note_waiting()
         has_begun = self._wait_for_request()
         ingress.connections.note_read(self.connection, is_request=has_begun)
         if not has_begun:
@@ -145,7 +154,9 @@
         :return: whether it did, or the connection has ended, in time.
         """
         if self._has_buffered():
+            self._sent_ahead += 1
             return True
+        self._sent_ahead = 0
         ingress = self.server.app
         since = read_hub_clock()
         while not is_readable(self.connection):
@@ -165,6 +176,10 @@
             logger.info('caller-gone', detail=str(gone))
         return False
 
+    def _get_maximum_head(self) -> int:
+        # Hosts that relay requests add fields.
+        return self.server.app.limits().header_bytes * _HEAD_FACTOR
+
     def _end_head(self) -> None:
         if self._head_timer is not None:
             self._head_timer.cancel()
--- a/egretdale/transport/daemon.py
+++ b/egretdale/transport/daemon.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from collections.abc import Iterable
+from functools import partial
 from typing import Any
 
 import eventlet
@@ -12,11 +14,17 @@
 from egretdale.config import Settings
 from egretdale.coordination.node import Node, NodeDependencies
 from egretdale.protocol.completions import continue_body
+from egretdale.state.memory import MemoryAccount, Source
 from egretdale.transport.backends import HttpBackendClient
 from egretdale.transport.callers import CallerInterface, StartResponse
+from egretdale.transport.connection_limits import (
+    ConnectionLimits,
+    ConnectionPool,
+)
 from egretdale.transport.operators import OperatorInterface
 from egretdale.transport.peer_calls import PeerHandler
-from egretdale.transport.peers import PeerClient, PeerServer, listen
+from egretdale.transport.peer_server import PeerServer
+from egretdale.transport.peers import PeerClient, listen
 from egretdale.transport.platform import PlatformClient
 from egretdale.transport.process_exit import ProcessExit
 from egretdale.transport.refusals import RefusalRegistry
@@ -30,6 +38,7 @@
 _DRAIN_POLL_S = 0.05
 _FLUSH_S = 0.2
 _URL_LIMIT = 16384
+_MAXIMUM_PEERS = 1024
 
 
 class _DiscardedLog:
@@ -49,6 +58,7 @@
     """
 
     __slots__ = (
+        '_account',
         '_callers',
         '_end',
         '_listener',
@@ -66,6 +76,9 @@
         :param settings: settings of this host.
         """
         self._settings = settings
+        self._account = MemoryAccount(
+            settings.caller_memory_bytes, read_hub_clock
+        )
         self._listener = listen(settings.caller_address)
         self._peer_listener = listen(settings.peer_address)
         self._end = ProcessExit()
@@ -85,7 +98,12 @@
         """
         self.node.start(self._tasks)
         self._tasks.start(
-            PeerServer(self._peer_listener, self._create_handler()).run
+            PeerServer(
+                self._peer_listener,
+                self._create_handler(),
+                self._create_limits(Source.PEER),
+                _MAXIMUM_PEERS,
+            ).run
         )
         self._tasks.start(self._publish_load)
         server = eventlet.spawn(self._serve)
@@ -146,13 +164,21 @@
             logger.warning('decisions-not-stored')
         self._end.finish(1 if cut_off else 0)
 
+    def _create_limits(self, source: Source) -> ConnectionLimits:
+        return ConnectionLimits(
+            self._account, read_hub_clock, Counter(), source
+        )
+
     def _serve(self) -> None:
+        limits = self._create_limits(Source.CALLER)
         wsgi.server(
             self._listener,
             self._dispatch,
             log=_DiscardedLog(),
-            max_size=self._settings.maximum_connections,
-            protocol=StrictProtocol,
+            custom_pool=ConnectionPool(
+                self._settings.maximum_connections, limits
+            ),
+            protocol=partial(StrictProtocol, limits),
             url_length_limit=_URL_LIMIT,
             socket_timeout=None,
             debug=False,
@@ -163,6 +189,7 @@
     ) -> Iterable[bytes]:
         # Otherwise the server buffers small events until they fill a chunk.
         environ['eventlet.minimum_write_chunk_size'] = 1
+        environ['egretdale.connection'].note_serving()
         if self._callers.handles(environ['PATH_INFO']):
             return self._callers.serve(environ, start_response)
         return self._operators.serve(environ, start_response)
--- a/egretdale/transport/gateway.py
+++ b/egretdale/transport/gateway.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from typing import Any
 
 import eventlet
-from eventlet import wsgi
 from prometheus_client import make_wsgi_app
 
 from egretdale.config import GatewaySettings
@@ -17,13 +16,16 @@
 from egretdale.coordination.instances import InstanceDecoder
 from egretdale.coordination.ports import Platform
 from egretdale.protocol.forwarding import HeaderCodec
+from egretdale.state.memory import MemoryAccount, Source
+from egretdale.transport.connection_limits import ConnectionLimits
 from egretdale.transport.forwarding import HttpForwardClient
 from egretdale.transport.ingress import Ingress
 from egretdale.transport.peer_calls import GatewayHandler
-from egretdale.transport.peers import PeerClient, PeerServer, listen
+from egretdale.transport.peer_server import PeerServer
+from egretdale.transport.peers import PeerClient, listen
 from egretdale.transport.process_exit import ProcessExit
 from egretdale.transport.stopping import StopTimes
-from egretdale.transport.strict_server import StrictProtocol
+from egretdale.transport.strict_server import serve_auxiliary
 from egretdale.util.clocks import read_boot_clock, read_wall_clock
 from egretdale.util.logs import get_logger
 from egretdale.util.tasks import TaskGroup
@@ -45,10 +47,6 @@
 #: Those of requests that last longer than the shutdown are not turned away.
 _UNAWARE_S = 2.5
 _FLUSH_S = 0.1
-_AUXILIARY_CONNECTIONS = 256
-#: Idle timeout of connections to the readiness, directory and metrics
-#: servers, in seconds.
-_AUXILIARY_TIMEOUT_S = 20
 
 #: A WSGI application.
 Application = Callable[..., Iterable[bytes]]
@@ -84,6 +82,8 @@
 
     __slots__ = (
         '_end',
+        '_account',
+        '_closed',
         '_ingress',
         '_listeners',
         '_settings',
@@ -106,6 +106,8 @@
         self._tasks = TaskGroup(self._end.crash)
         clock = read_boot_clock
         client = HttpForwardClient(interface.codec, clock)
+        self._account = MemoryAccount(settings.caller_memory_bytes, clock)
+        self._closed: Counter[str] = Counter()
         self.gateway = Gateway(
             settings,
             GatewayDependencies(
@@ -126,7 +128,9 @@
             clock,
             settings.maximum_connections,
             self.gateway.metrics,
+            self._create_limits(Source.CALLER),
         )
+        self.gateway.metrics.add_memory(self._account, self._closed)
         self.gateway.metrics.add_gauge(
             'requests_in_progress',
             'Requests in progress',
@@ -190,7 +194,12 @@
             self.gateway.follow,
             self.gateway.find_origin,
         )
-        peers = PeerServer(self._listeners[settings.peer_address], handler)
+        peers = PeerServer(
+            self._listeners[settings.peer_address],
+            handler,
+            self._create_limits(Source.PEER),
+            settings.maximum_peer_connections,
+        )
         self._tasks.start(peers.run)
         self._tasks.start(
             self._ingress.run, self._listeners[settings.caller_address]
@@ -207,7 +216,18 @@
             ),
         }
         for address, application in applications.items():
-            self._tasks.start(_serve, self._listeners[address], application)
+            self._tasks.start(
+                serve_auxiliary,
+                self._listeners[address],
+                application,
+                self._create_limits(Source.CALLER),
+                settings.maximum_auxiliary_connections,
+            )
+
+    def _create_limits(self, source: Source) -> ConnectionLimits:
+        return ConnectionLimits(
+            self._account, read_boot_clock, self._closed, source
+        )
 
     def _drain(self) -> None:
         clock = read_boot_clock
@@ -256,15 +276,3 @@
         started_at + min(accepting_s, _UNAWARE_S),
         started_at + limit_s - _ANSWER_MARGIN_S,
     )
-
-
-def _serve(listener: Any, application: Application) -> None:
-    wsgi.server(
-        listener,
-        application,
-        log_output=False,
-        protocol=StrictProtocol,
-        max_size=_AUXILIARY_CONNECTIONS,
-        socket_timeout=_AUXILIARY_TIMEOUT_S,
-        debug=False,
-    )
--- a/egretdale/transport/ingress.py
+++ b/egretdale/transport/ingress.py
@@ -8,14 +8,12 @@
 
 import eventlet
 from eventlet import wsgi
-from eventlet.greenpool import GreenPool
 
 from egretdale.coordination.admission import AdmittedRequest
 from egretdale.coordination.exchanges import (
     BackendIdentity,
     ForwardOutcome,
     ForwardRequest,
-    HostStopped,
 )
 from egretdale.errors import Invalid
 from egretdale.protocol.forwarding import HeaderCodec, RequestHead
@@ -27,8 +25,12 @@
     CallerConnections,
     CallerProtocol,
 )
+from egretdale.transport.connection_limits import (
+    ConnectionLimits,
+    ConnectionPool,
+)
 from egretdale.transport.exchanges import Exchange
-from egretdale.transport.message_reader import MalformedMessageError
+from egretdale.transport.request_bodies import BodyReader, receive_body
 from egretdale.transport.sockets import is_readable
 from egretdale.transport.stopping import StoppingRequests, StopTimes
 from egretdale.util.clocks import Clock, convert_to_ms
@@ -37,12 +39,6 @@
 logger = get_logger(__name__)
 
 _URL_LIMIT = 16384
-_BODY_ERRORS = (
-    MalformedMessageError,
-    OSError,
-    ValueError,
-    wsgi.ChunkReadError,
-)
 #: A caller that receives or sends no bytes for this many seconds is
 #: disconnected.
 _WRITE_TIMEOUT_S = 20.0
@@ -78,6 +74,7 @@
     __slots__ = (
         '_clock',
         '_codec',
+        '_connection_limits',
         '_draining',
         '_forwarder',
         '_limits',
@@ -97,6 +94,7 @@
         clock: Clock,
         maximum_connections: int,
         metrics: GatewayMetrics,
+        connection_limits: ConnectionLimits,
     ) -> None:
         """Create an ingress without connections.
 
@@ -106,6 +104,7 @@
         :param clock: monotonic clock.
         :param maximum_connections: maximum number of open connections.
         :param metrics: metrics of the gateway.
+        :param connection_limits: limits of the connections of callers.
         """
         self.active = 0
         self.connections = CallerConnections()
@@ -117,7 +116,8 @@
         self._metrics = metrics
         self._draining = False
         self._listener: Any = None
-        self._pool = GreenPool(maximum_connections)
+        self._connection_limits = connection_limits
+        self._pool = ConnectionPool(maximum_connections, connection_limits)
 
     def run(self, listener: Any) -> None:
         """Accept connections until the listener is closed.
@@ -130,7 +130,7 @@
             self,
             log_output=False,
             custom_pool=self._pool,
-            protocol=CallerProtocol,
+            protocol=partial(CallerProtocol, self._connection_limits),
             url_length_limit=_URL_LIMIT,
             capitalize_response_headers=False,
             debug=False,
@@ -222,7 +222,14 @@
         if isinstance(request, Invalid):
             detail = f'{request.path} {request.message}'
             return Refused(Reason.BAD_REQUEST, Ran.NO, detail=detail)
-        return self._read_body(environ, request) or request
+        connection = environ['egretdale.connection']
+        reader = BodyReader(
+            connection.reader, environ['eventlet.input'], connection.holding
+        )
+        refused = receive_body(reader, request, self.limits(), self.stopping)
+        # A request that is being served is not interrupted for others.
+        connection.note_serving()
+        return refused or request
 
     def forward(self, admitted: AdmittedRequest) -> ForwardOutcome:
         """Forward a request.
@@ -308,42 +315,3 @@
             choose_status(refused.reason, may_retry=may_retry), headers
         )
         return [body]
-
-    def _read_body(
-        self, environ: dict[str, Any], request: ForwardRequest
-    ) -> Refused | None:
-        limits = self.limits()
-        limit = limits.body_bytes
-        limit_s = request.patience_s or max(limits.idle_s, limits.header_s)
-        reader = environ['eventlet.input']
-        length = None if reader.chunked_input else reader.content_length or 0
-        if length is not None and length > limit:
-            return _refuse_large(limit)
-        timer = eventlet.Timeout(limit_s, TimeoutError())
-        try:
-            with self.stopping.interrupt(), timer:
-                request.body = reader.read(
-                    limit + 1 if length is None else length
-                )
-        except HostStopped:
-            return self.stopping.refuse(is_relayed=request.is_relayed)
-        except TimeoutError:
-            detail = 'timeout while reading the body'
-            return Refused(Reason.TOO_SLOW, Ran.NO, detail=detail)
-        except _BODY_ERRORS as error:
-            return Refused(Reason.BAD_REQUEST, Ran.NO, detail=str(error))
-        if length is not None and len(request.body) < length:
-            return Refused(
-                Reason.BAD_REQUEST, Ran.NO, detail='the body is incomplete'
-            )
-        if len(request.body) > limit:
-            return _refuse_large(limit)
-        return None
-
-
-def _refuse_large(limit: int) -> Refused:
-    return Refused(
-        Reason.TOO_LARGE,
-        Ran.NO,
-        detail=f'the body is longer than {limit} bytes',
-    )
--- a/egretdale/transport/message_reader.py
+++ b/egretdale/transport/message_reader.py
@@ -27,12 +27,20 @@
 _MAXIMUM_LINE = 65536
 _MAXIMUM_HEAD = 131072
 _SHOWN_BYTES = 60
+#: Memory in bytes that a field occupies beyond its text, once it is parsed.
+_FIELD_COST = 512
+#: Memory in bytes that is drawn at once for a head.
+_DRAWN_BYTES = 32768
 
 
 class MalformedMessageError(HTTPException):
     """A message that violates HTTP, or ends before it is complete."""
 
 
+class NoMemoryError(HTTPException):
+    """There is no memory for the rest of a head."""
+
+
 class ReadAheadSocket(Protocol):
     """A socket that counts the bytes that were received and not read.
 
@@ -74,9 +82,12 @@
     """
 
     __slots__ = (
+        '_cost',
+        '_draw',
         '_is_reading',
         '_left',
         '_lines',
+        '_maximum_head',
         '_part',
         '_section',
         '_socket',
@@ -101,12 +112,37 @@
         # Bytes left of a chunk, and bytes of a section of lines so far.
         self._left = 0
         self._section = 0
+        self._maximum_head = _MAXIMUM_HEAD
+        self._draw: Callable[[int], bool] | None = None
+        # Memory in bytes that the section occupies beyond what was drawn.
+        self._cost = 0
 
     @property
     def closed(self) -> bool:
         """Whether the file is closed."""
         return self._source.closed
 
+    @property
+    def chunk_left(self) -> int:
+        """Bytes that are left of a chunk whose size has been read."""
+        return self._left if self._part is _Part.CONTENT else 0
+
+    @property
+    def is_ended(self) -> bool:
+        """Whether a body in chunks has been read to its end."""
+        return self._part is _Part.NOTHING
+
+    def limit_heads(
+        self, maximum: int, draw: Callable[[int], bool] | None
+    ) -> None:
+        """Limit the heads and the trailer sections that are read.
+
+        :param maximum: maximum size in bytes.
+        :param draw: draws memory for the fields of long ones.
+        """
+        self._maximum_head = min(maximum, _MAXIMUM_HEAD)
+        self._draw = draw
+
     def start_message(self) -> None:
         """Expect the first line of a message."""
         self._part = None
@@ -126,6 +162,7 @@
         if pattern.fullmatch(start_line) is None:
             raise _report('the first line is malformed', start_line)
         self._section = 0
+        self._cost = 0
         lines: list[bytes] = []
         while not lines or lines[-1] != LINE_END:
             lines.append(self._read_section_line())
@@ -257,8 +294,13 @@
     def _read_section_line(self) -> bytes:
         line = self._read_line()
         self._section += len(line)
-        if self._section > _MAXIMUM_HEAD:
+        if self._section > self._maximum_head:
             raise MalformedMessageError('the head is too long')
+        self._cost += len(line) + _FIELD_COST
+        if self._cost > _DRAWN_BYTES and self._draw is not None:
+            if not self._draw(self._cost):
+                raise NoMemoryError('no memory for the head')
+            self._cost = 0
         return line
 
     def _read_line(self) -> bytes:
--- a/egretdale/transport/peers.py
+++ b/egretdale/transport/peers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import struct
 from collections import defaultdict
 from collections.abc import Callable
@@ -10,7 +9,6 @@
 
 import eventlet
 from eventlet.green import socket
-from eventlet.greenpool import GreenPool
 from thrift.protocol.TProtocol import TProtocolException
 from thrift.Thrift import TApplicationException, TException
 from thrift.transport.TTransport import TMemoryBuffer, TTransportException
@@ -38,7 +36,6 @@
     receive_frame,
     send_frame,
 )
-from egretdale.transport.peer_calls import BasePeerHandler
 from egretdale.util.addresses import split_address
 from egretdale.util.clocks import convert_to_seconds
 from egretdale.util.logs import get_logger
@@ -46,10 +43,10 @@
 logger = get_logger(__name__)
 
 _BACKLOG = 512
-_MAXIMUM_PEERS = 1024
 _MAXIMUM_IDLE_PER_ADDRESS = 4
 
-_DECODING_ERRORS = (
+#: Errors that a malformed call or answer may raise.
+DECODING_ERRORS = (
     TException,
     TProtocolException,
     TTransportException,
@@ -63,7 +60,6 @@
     struct.error,
     TApplicationException,
 )
-_CONNECTION_ERRORS = (OSError, FrameError, *_DECODING_ERRORS)
 
 
 class _BufferedCall:
@@ -233,7 +229,7 @@
         call.set_response(payload)
         try:
             return receive()
-        except _DECODING_ERRORS as error:
+        except DECODING_ERRORS as error:
             return Ambiguous(Cause.MALFORMED, str(error))
 
     def _connect(self, address: str) -> socket.socket | Unreachable:
@@ -281,54 +277,6 @@
             connection.close()
 
 
-class PeerServer:
-    """Serves connections of other daemons, each in its own task."""
-
-    __slots__ = ('_listener', '_pool', '_processor')
-
-    def __init__(
-        self, listener: socket.socket, handler: BasePeerHandler
-    ) -> None:
-        """Create a server.
-
-        :param listener: listening socket.
-        :param handler: handles the calls.
-        """
-        self._listener = listener
-        self._processor = Peer.Processor(handler)
-        self._pool = GreenPool(_MAXIMUM_PEERS)
-
-    def run(self) -> None:
-        """Accept connections until the listener is closed."""
-        while True:
-            try:
-                connection, _ = self._listener.accept()
-            except OSError as error:
-                logger.info('peer-listener-closed', detail=str(error))
-                return
-            self._pool.spawn_n(self._serve, connection)
-
-    def _serve(self, connection: socket.socket) -> None:
-        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        with contextlib.closing(connection):
-            try:
-                self._serve_calls(connection)
-            except _CONNECTION_ERRORS as error:
-                logger.info('peer-connection-ended', detail=repr(error))
-
-    def _serve_calls(self, connection: socket.socket) -> None:
-        while True:
-            payload = receive_frame(connection)
-            if payload is None:
-                return
-            response = TMemoryBuffer()
-            self._processor.process(
-                create_protocol(TMemoryBuffer(payload)),
-                create_protocol(response),
-            )
-            send_frame(connection, response.getvalue())
-
-
 def listen(address: str) -> socket.socket:
     """Open a listening socket that sends small packets without delay.
 
--- a/egretdale/transport/request_reader.py
+++ b/egretdale/transport/request_reader.py
@@ -17,8 +17,12 @@
 )
 from egretdale.protocol.tokens import decode_stream_token
 from egretdale.state.outcomes import Reason
-from egretdale.transport.message_reader import MalformedMessageError
 from egretdale.transport.refusals import RefusalRegistry
+from egretdale.transport.request_bodies import (
+    BODY_ERRORS,
+    BodyFault,
+    BodyReader,
+)
 from egretdale.util.hashing import hash_text
 
 SERVICE_PREFIX = '/services/'
@@ -141,26 +145,29 @@
 
     def _read_body(self, environ: dict[str, Any]) -> bytes | BadRequest:
         limit = self._settings.maximum_body_bytes
-        length_text = environ.get('CONTENT_LENGTH') or ''
-        length = int(length_text) if length_text.isdigit() else None
-        if length is not None and length > limit:
-            return _refuse_large(limit)
-        reader = environ['wsgi.input']
+        connection = environ['egretdale.connection']
+        reader = BodyReader(
+            connection.reader, environ['eventlet.input'], connection.holding
+        )
         try:
             with eventlet.Timeout(self._settings.body_timeout_s):
-                body = reader.read(limit + 1 if length is None else length)
+                body = reader.read(limit)
         except eventlet.Timeout:
             return BadRequest(
                 Reason.BAD_REQUEST, 'timeout while reading the body'
             )
-        except (MalformedMessageError, OSError, ValueError) as error:
+        except BODY_ERRORS as error:
             return BadRequest(
                 Reason.BAD_REQUEST, f'cannot read the body: {error}'
             )
-        if length is not None and len(body) < length:
-            return BadRequest(Reason.BAD_REQUEST, 'the body is incomplete')
-        if len(body) > limit:
-            return _refuse_large(limit)
+        match body:
+            case BodyFault.TOO_LARGE:
+                detail = f'the body is longer than {limit} bytes'
+                return BadRequest(Reason.TOO_LARGE, detail)
+            case BodyFault.NO_MEMORY:
+                return BadRequest(Reason.HOST_FULL, 'no memory for the body')
+            case BodyFault.INCOMPLETE:
+                return BadRequest(Reason.BAD_REQUEST, 'the body is incomplete')
         return body
 
 
@@ -172,9 +179,3 @@
             header = name.removeprefix('HTTP_').replace('_', '-').title()
             forwarded.append((header, text))
     return forwarded
-
-
-def _refuse_large(limit: int) -> BadRequest:
-    return BadRequest(
-        Reason.TOO_LARGE, f'the body is longer than {limit} bytes'
-    )
--- a/egretdale/transport/sockets.py
+++ b/egretdale/transport/sockets.py
@@ -120,11 +120,13 @@
     return bool(poll.poll(0))
 
 
-def wait_until_readable(connection: socket.socket, limit_s: float) -> None:
+def wait_until_readable(
+    connection: socket.socket, limit_s: float | None
+) -> None:
     """Wait until a socket has data or its end.
 
     :param connection: an open socket.
-    :param limit_s: longest wait in seconds.
+    :param limit_s: longest wait in seconds, ``None`` for no limit.
     """
     with suppress(TimeoutError, hubs.IOClosed):
         hubs.trampoline(
--- a/tests/ingress.py
+++ b/tests/ingress.py
@@ -19,6 +19,7 @@
 from egretdale.transport.ingress import Ingress
 from egretdale.util.clocks import read_boot_clock
 from tests.forwarding import create_route
+from tests.limited import create_limits
 
 # The cooperative version would let the server accept the connection.
 _system = patcher.original('socket')
@@ -86,6 +87,7 @@
         read_boot_clock,
         maximum_connections=50,
         metrics=GatewayMetrics(),
+        connection_limits=create_limits(),
     )
     listener = eventlet.listen(('127.0.0.1', 0))
     server = eventlet.spawn(ingress.run, listener)
--- a/tests/test_transport/test_peers.py
+++ b/tests/test_transport/test_peers.py
@@ -23,12 +23,15 @@
 )
 from egretdale.transport.frames import receive_frame, send_frame
 from egretdale.transport.peer_calls import GatewayHandler
-from egretdale.transport.peers import PeerClient, PeerServer, listen
+from egretdale.transport.peer_server import PeerServer
+from egretdale.transport.peers import PeerClient, listen
 from tests.functions import create_loader
+from tests.limited import create_limits
 
 load_tests = create_loader(__name__)
 
 _TIMEOUT_S = 0.2
+_PEERS = 8
 
 
 @contextmanager
@@ -38,7 +41,7 @@
 ) -> Iterator[tuple[PeerClient, str]]:
     listener = listen('127.0.0.1:0')
     handler = GatewayHandler(None, None, follow, find_origin)
-    server = PeerServer(listener, handler)
+    server = PeerServer(listener, handler, create_limits(), _PEERS)
     task = eventlet.spawn(server.run)
     address = f'127.0.0.1:{listener.getsockname()[1]}'
     yield PeerClient(_TIMEOUT_S, lambda size: None), address
@@ -90,7 +93,8 @@
         find_origin=lambda ask: ttypes.OriginReply(),
     )
     listener = listen('127.0.0.1:0')
-    task = eventlet.spawn(PeerServer(listener, handler).run)
+    server = PeerServer(listener, handler, create_limits(), _PEERS)
+    task = eventlet.spawn(server.run)
     address = f'127.0.0.1:{listener.getsockname()[1]}'
     client = PeerClient(_TIMEOUT_S, lambda size: None)
     asked = ChangeAsk('kind', 5, 100)
