--- a/egretdale/state/memory.py
+++ b/egretdale/state/memory.py
@@ -18,10 +18,12 @@
 
 #: Messages up to this size in bytes may also use the memory that larger ones
 #: may not.
-ORDINARY_BYTES = 65536
+_ORDINARY_BYTES = 65536
 #: Shares of the memory that may be in use when a message grows.
 _LARGE_SHARE = 0.6
 _ORDINARY_SHARE = 0.85
+_LARGE_PEER_SHARE = 0.75
+_PEER_SHARE = 1.0
 #: Share that may be in use by others when a message of any size may grow.
 _CALM_SHARE = 0.1
 
@@ -247,7 +249,7 @@
 
 
 def _choose_share(holding: Holding, size: int) -> float:
+    is_large = holding.size + size > _ORDINARY_BYTES
     if holding.source is Source.PEER:
-        return 1.0
-    is_large = holding.size + size > ORDINARY_BYTES
+        return _LARGE_PEER_SHARE if is_large else _PEER_SHARE
     return _LARGE_SHARE if is_large else _ORDINARY_SHARE
--- a/tests/test_state/test_memory.py
+++ b/tests/test_state/test_memory.py
@@ -44,7 +44,8 @@
     assert not account.open(Source.CALLER, '127.0.0.2').grow(_LARGE)
     _fill(account, _LARGE // 2, 5)
     assert not account.open(Source.CALLER, '127.0.0.2').grow(1)
-    assert account.open(Source.PEER, '127.0.0.3').grow(_LARGE)
+    assert not account.open(Source.PEER, '127.0.0.3').grow(_LARGE)
+    assert account.open(Source.PEER, '127.0.0.3').grow(_LARGE // 2)
 
 
 def test_the_message_that_cost_most_gives_way() -> None:
