Weigh what engines have cached against the wait

Cause: an allocator believed that an engine keeps 2,048 parts, whatever its memory, and weighed each copy three times, whatever the load. Requests with a part that was being prefilled were sent after it, or read it again elsewhere.

Change: a model of the memory of each engine, sized by the operator's configuration; the cost of a copy follows from the load, that of evictions from their last use; others wait for who reads a part. `prompt-placed` says what was saved and waited. Emulated engines may differ by data centre and state their memory.

Tests: those of the touched modules and the emulation pass.

--- a/egretdale/coordination/engine_choice.py
+++ b/egretdale/coordination/engine_choice.py
@@ -1,101 +1,46 @@
 """Choice of the engine for a prompt by cached parts and outstanding prefill.
 
-This serves traffic in which most of each prompt is a shared part. A shared
-part stays on few engines, and a prompt goes elsewhere only when waiting there
-takes longer than prefilling the part again.
+This serves traffic in which most of each prompt is a shared part, and engines
+whose memory does not hold all parts. For each request, the prefill that a
+cached part saves is weighed against the wait at the engine that has it, the
+prefill of others that another copy delays, and the parts that it evicts.
 """
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-from dataclasses import dataclass
-
-from egretdale.state.backlogs import BacklogTable
-from egretdale.state.engine_slots import (
-    EngineSlots,
-    SlotTable,
-    StreamTime,
+from egretdale.coordination.engine_costs import (
+    EngineCosts,
+    EngineState,
+    Placement,
+    PromptCost,
+    Weighing,
+    weigh_interference,
 )
+from egretdale.state.backlogs import BacklogTable
+from egretdale.state.cache_models import CacheTable
+from egretdale.state.engine_slots import SlotTable, StreamTime
 from egretdale.state.instances import Instance
 from egretdale.state.messages import Ask
+from egretdale.state.prompts import GrantedPrompt
 from egretdale.state.recent_work import (
-    RecentWork,
     RecentWorkTable,
     compute_gap_sensitivity,
 )
-from egretdale.state.prefixes import PrefixIndex
-from egretdale.state.prompts import GrantedPrompt
 from egretdale.state.request_gates import RequestGates
+from egretdale.state.routing import CapacityLookup, find_no_capacity
 from egretdale.state.speeds import SpeedTable, measure_work
 from egretdale.util.clocks import Clock, convert_to_seconds
 from egretdale.util.hashing import rank_by_rendezvous
 
-#: Weight of shared tokens that an engine does not hold: another copy also
-#: evicts parts that other requests need.
-_COPY_WEIGHT = 3.0
-#: The same weight on the engine that all hosts prefer for a part.
-_PREFERRED_WEIGHT = 1.0
-#: Weight of the gaps that a prompt causes in concurrent streams, in s² for
-#: each second of prefill and unit of sensitivity.
-_INTERFERENCE_WEIGHT = 0.02
-#: Seconds until the waiting requests are served at which that weight is halved.
-_HALF_WEIGHT_QUEUE_S = 0.5
-
-
-@dataclass(slots=True)
-class EngineState:
-    """Snapshot of an engine's load and cache.
-
-    :ivar instance: its entry in the list of backend servers.
-    :ivar name: name of its incarnation.
-    :ivar wait_s: seconds of prefill that are outstanding.
-    :ivar delay_s: seconds by which its first tokens were late recently.
-    :ivar held: prefixes that it probably has in its cache.
-    :ivar recent: prefill and streams that it was sent recently.
-    :ivar factor: time that a prefill takes there, as a multiple of the usual
-        time.
-    :ivar slots: its slots.
-    :ivar limit_wait_s: seconds until its request limit allows another request.
-    :ivar rejections_per_s: requests that it can reject in a second without
-        falling over, ``None`` for any number.
-    """
-
-    instance: Instance
-    name: str
-    wait_s: float
-    delay_s: float
-    held: Mapping[int, float]
-    recent: RecentWork
-    factor: float
-    slots: EngineSlots
-    limit_wait_s: float = 0
-    rejections_per_s: float | None = None
-
-
-@dataclass(slots=True, frozen=True)
-class PromptCost:
-    """A request and what it takes at an engine of usual speed.
-
-    :ivar ask: the request.
-    :ivar own_s: seconds of prefill if the shared part is cached.
-    :ivar full_s: seconds of prefill if nothing is cached.
-    :ivar concurrency: number of requests beside which it may run.
-    :ivar immediate: whether it may preempt others.
-    """
-
-    ask: Ask
-    own_s: float
-    full_s: float
-    concurrency: float
-    immediate: bool
-
 
 class EngineChooser:
     """Tracks what engines have cached and have to prefill, and chooses one."""
 
     __slots__ = (
+        '_caches',
         '_clock',
-        '_prefixes',
+        '_costs',
+        '_find_capacity',
         '_recent_work',
         'backlogs',
         'gates',
@@ -103,20 +48,27 @@
     )
 
     def __init__(
-        self, clock: Clock, speeds: SpeedTable, gates: RequestGates
+        self,
+        clock: Clock,
+        speeds: SpeedTable,
+        gates: RequestGates,
+        find_capacity: CapacityLookup = find_no_capacity,
     ) -> None:
         """Create a chooser that assumes all engines to be idle and empty.
 
         :param clock: monotonic clock.
         :param speeds: prefill speeds of the engines.
         :param gates: pace of the requests to limited engines.
+        :param find_capacity: finds the capacity of the engines of a service.
         """
         self.gates = gates
         self.backlogs = BacklogTable(clock, speeds)
         self.slots = SlotTable(clock)
         self._clock = clock
         self._recent_work = RecentWorkTable(clock)
-        self._prefixes = PrefixIndex()
+        self._caches = CacheTable()
+        self._find_capacity = find_capacity
+        self._costs = EngineCosts(self.slots, speeds, clock)
 
     def measure(self, ready: list[Instance]) -> list[EngineState]:
         """Take snapshots of engines for a series of decisions.
@@ -129,7 +81,8 @@
             name = instance.incarnation_name
             wait_s = self.backlogs.measure_wait(name)
             delay_s = self.backlogs.measure_delay(name)
-            held = self._prefixes.list_held(name)
+            capacity = self._find_capacity(instance.service)
+            cache = self._caches.find(name, capacity.cache_tokens)
             recent = self._recent_work.find(name)
             states.append(
                 EngineState(
@@ -137,7 +90,7 @@
                     name,
                     wait_s,
                     delay_s,
-                    held,
+                    cache,
                     recent,
                     self.backlogs.speeds.find(instance).factor,
                     self.slots.find(instance),
@@ -156,55 +109,34 @@
     ) -> tuple[EngineState, float]:
         """Choose the engine with the earliest expected first token.
 
-        The expected time is increased by penalties for another copy of the
-        shared part and for the gaps that are caused in streams.
+        The expected time is increased by what others lose: by prefill of a
+        part that is cached elsewhere, by parts that are evicted and by gaps in
+        streams.
 
         :param prompt: the request and its prefill.
         :param usable: engines that it may go to.
         :param preferred: name of the engine that all hosts prefer.
         :param ahead_s: seconds until the waiting requests are served.
         :return: the engine, which may have outstanding prefill, and the
-            seconds after which it has a slot for the request.
+            seconds after which it has a slot for the request and its part.
         """
-        ask = prompt.ask
-        shared_s = prompt.full_s - prompt.own_s
-        # Avoiding gaps counts less the more prompts wait, so that no engine
-        # is left idle for the sake of its streams.
-        interference_weight = _INTERFERENCE_WEIGHT / (
-            1 + ahead_s / _HALF_WEIGHT_QUEUE_S
+        weighing = Weighing(
+            prompt,
+            preferred,
+            any(state.cache.find(prompt.ask.prefix) for state in usable),
+            compute_gap_sensitivity(convert_to_seconds(prompt.ask.pause_ms)),
+            weigh_interference(ahead_s),
+            self._clock(),
         )
-        sensitivity = compute_gap_sensitivity(convert_to_seconds(ask.pause_ms))
-
-        def predict(state: EngineState) -> float:
-            prefill_s = prompt.own_s
-            copy_penalty_s = float(0)
-            if ask.prefix not in state.held:
-                is_preferred = state.instance.name == preferred
-                weight = _PREFERRED_WEIGHT if is_preferred else _COPY_WEIGHT
-                prefill_s += shared_s
-                copy_penalty_s = shared_s * (weight - 1)
-            prefill_s *= state.factor
-            recent = state.recent
-            interference = (
-                prefill_s * recent.gap_sensitivity
-                + recent.prefill_s * sensitivity
-            )
-            slot_wait_s = self._predict_slot_wait(prompt, state)
-            return (
-                max(state.wait_s, slot_wait_s)
-                + state.delay_s
-                + prefill_s
-                + copy_penalty_s
-                + interference * interference_weight
-            )
-
-        def rank(state: EngineState) -> tuple[float, int, bool]:
+        best, best_rank, hold_s = usable[0], None, float(0)
+        for state in usable:
+            cost = self._costs.weigh(weighing, state)
             # Requests without a prompt cost the same at each engine.
             is_other = state.instance.name != preferred
-            return predict(state), len(state.slots.held), is_other
-
-        chosen = min(usable, key=rank)
-        return chosen, self._predict_slot_wait(prompt, chosen)
+            rank = (cost.total_s, len(state.slots.held), is_other)
+            if best_rank is None or rank < best_rank:
+                best, best_rank, hold_s = state, rank, cost.hold_s
+        return best, hold_s
 
     def may_send(self, ask: Ask, state: EngineState) -> bool:
         """Tell whether an engine takes a request now.
@@ -230,7 +162,7 @@
         """Record that a request is sent to an engine.
 
         :param ask: the request.
-        :param state: the engine; its outstanding prefill and its prefixes are
+        :param state: the engine; its outstanding prefill and its cache are
             updated.
         :return: prompt tokens that it probably has to prefill.
         """
@@ -242,13 +174,31 @@
         self._recent_work.note(
             state.name, prefill_s, convert_to_seconds(ask.pause_ms)
         )
-        self._prefixes.note(state.name, ask.prefix, self._clock())
+        state.cache.begin(ask, self._clock())
         self.gates.take(state.instance)
         state.limit_wait_s = self.gates.measure_wait(state.instance)
         state.wait_s = self.backlogs.measure_wait(state.name)
-        state.held = self._prefixes.list_held(state.name)
         return tokens
 
+    def explain(self, ask: Ask, state: EngineState) -> Placement:
+        """Explain a choice, before it is recorded.
+
+        :param ask: the request.
+        :param state: the chosen engine.
+        :return: what is saved there and what is waited for.
+        """
+        speed = self.backlogs.speeds.find(state.instance)
+        tokens = self.count_uncached_tokens(ask, state.name)
+        full = measure_work(ask.prompt_tokens, ask.prompt_tokens)
+        prefill_s = speed.predict(measure_work(tokens, ask.prompt_tokens))
+        evicted = state.cache.predict_displacement(ask, self._clock())
+        return Placement(
+            state.wait_s,
+            prefill_s,
+            speed.predict(full) - prefill_s,
+            round(evicted),
+        )
+
     def hold_slot(self, ask: Ask, state: EngineState) -> None:
         """Record that a request holds a slot until it is released.
 
@@ -257,6 +207,28 @@
         """
         self.slots.begin(state.instance, ask.request_id, ask.urgency)
 
+    def note_first_token(self, granted: GrantedPrompt, request_id: str) -> None:
+        """Record that an engine has prefilled the prompt of a request.
+
+        :param granted: the request.
+        :param request_id: ID of the request.
+        """
+        cache = self._caches.find_known(granted.engine)
+        if cache is not None:
+            cache.note_first_token(request_id)
+
+    def release(self, granted: GrantedPrompt, request_id: str) -> None:
+        """Record that a request no longer runs.
+
+        :param granted: the request.
+        :param request_id: ID of the request.
+        """
+        self.backlogs.finish(granted.engine, request_id)
+        self.slots.end(granted.engine, request_id)
+        cache = self._caches.find_known(granted.engine)
+        if cache is not None:
+            cache.end(request_id)
+
     def note_stream(self, granted: GrantedPrompt, held_s: float) -> None:
         """Record that a request with a first token has ended.
 
@@ -282,7 +254,8 @@
         :param engine: name of the incarnation.
         :return: tokens.
         """
-        held = ask.prefix in self._prefixes.list_held(engine)
+        cache = self._caches.find_known(engine)
+        held = cache is not None and cache.find(ask.prefix) is not None
         return ask.prompt_tokens - ask.shared_tokens * held
 
     def forget(self, instance: Instance) -> None:
@@ -292,20 +265,11 @@
         """
         engine = instance.incarnation_name
         self.gates.forget(instance.incarnation)
-        self._prefixes.clear(engine)
+        self._caches.forget(engine)
         self.backlogs.forget(engine)
         self.slots.forget(engine)
         self._recent_work.forget(engine)
 
-    def _predict_slot_wait(
-        self, prompt: PromptCost, state: EngineState
-    ) -> float:
-        if prompt.immediate:
-            return self.slots.predict_urgent_wait(
-                state.slots, prompt.ask.urgency
-            )
-        return self.slots.predict_wait(state.slots, prompt.concurrency)
-
 
 def find_preferred_engine(ask: Ask, ready: list[Instance]) -> str:
     """Find the engine that all hosts prefer for the shared part of a prompt.
--- a/egretdale/coordination/gateway.py
+++ b/egretdale/coordination/gateway.py
@@ -28,7 +28,7 @@
 from egretdale.coordination.mesh import Mesh
 from egretdale.coordination.ports import Network, Platform
 from egretdale.coordination.reachability import ReachabilityMonitor
-from egretdale.coordination.selection import BackendSelection
+from egretdale.coordination.selection import BackendSelection, EngineKnowledge
 from egretdale.coordination.stream_origins import ListKnowledge
 from egretdale.coordination.version_record import VersionRecorder
 from egretdale.state.gateway_metrics import GatewayMetrics
@@ -41,7 +41,11 @@
     OriginAsk,
     OriginReply,
 )
-from egretdale.state.routing import CallerLimits
+from egretdale.state.routing import (
+    UNKNOWN_CAPACITY,
+    CallerLimits,
+    ServiceCapacity,
+)
 from egretdale.util.clocks import Clock, WallClock, convert_to_ms
 from egretdale.util.tasks import TaskGroup
 
@@ -284,6 +288,12 @@
     def _measure_list_age(self) -> float:
         return self.instances.confirmation.measure_age()
 
+    def _find_capacity(self, service: str) -> ServiceCapacity:
+        table = self.configuration.table
+        return (
+            UNKNOWN_CAPACITY if table is None else table.find_capacity(service)
+        )
+
     def _build_forwarder(self) -> None:
         settings = self.settings
         dependencies = self._dependencies
@@ -309,6 +319,7 @@
                 self._version_recorder.restore,
                 self._measure_list_age,
             ),
+            engine_knowledge=EngineKnowledge(find_capacity=self._find_capacity),
         )
         self._reachability = ReachabilityMonitor(
             self._selection,
--- a/egretdale/coordination/prefill.py
+++ b/egretdale/coordination/prefill.py
@@ -11,6 +11,7 @@
 import eventlet
 
 from egretdale.coordination.engine_choice import EngineChooser
+from egretdale.coordination.engine_costs import EngineState
 from egretdale.coordination.mesh import Mesh, MeshListener
 from egretdale.coordination.prefill_policy import ChosenEngine, PrefillPolicy
 from egretdale.state.groups import GroupMap
@@ -27,8 +28,12 @@
 from egretdale.state.groups import is_group_key
 from egretdale.state.prompts import GrantedPrompt, GroupQueue, WaitingPrompt
 from egretdale.state.request_gates import RequestGates
+from egretdale.state.routing import CapacityLookup, find_no_capacity
 from egretdale.state.speeds import SpeedTable
-from egretdale.util.clocks import Clock, convert_to_seconds
+from egretdale.util.clocks import Clock, convert_to_ms, convert_to_seconds
+from egretdale.util.logs import get_logger
+
+logger = get_logger(__name__)
 
 #: Reason of a denial that only confirms that the request is queued.
 QUEUED = 'held'
@@ -67,6 +72,7 @@
         clock: Clock,
         speeds: SpeedTable,
         gates: RequestGates,
+        find_capacity: CapacityLookup = find_no_capacity,
     ) -> None:
         """Create an allocator without requests.
 
@@ -75,11 +81,12 @@
         :param clock: monotonic clock.
         :param speeds: prefill speeds of the engines.
         :param gates: pace of the requests to limited engines.
+        :param find_capacity: finds the capacity of the engines of a service.
         """
         self._mesh = mesh
         self._groups = GroupMap(instances)
         self._clock = clock
-        self._chooser = EngineChooser(clock, speeds, gates)
+        self._chooser = EngineChooser(clock, speeds, gates, find_capacity)
         self._policy = PrefillPolicy(self._chooser, clock)
         self._queues: dict[str, GroupQueue] = {}
         self._expired_at = float('-inf')
@@ -222,6 +229,7 @@
     ) -> Grant:
         ask = waiting.ask
         state = chosen.state
+        self._log_placement(waiting, state)
         tokens = self._chooser.reserve(ask, state)
         if waiting.reports_end:
             self._chooser.hold_slot(ask, state)
@@ -234,6 +242,25 @@
         )
         return Grant(ask.request_id, state.instance.name, tokens)
 
+    def _log_placement(
+        self, waiting: WaitingPrompt, state: EngineState
+    ) -> None:
+        ask = waiting.ask
+        if not ask.shared_tokens:
+            return
+        placement = self._chooser.explain(ask, state)
+        logger.info(
+            'prompt-placed',
+            request_id=ask.request_id,
+            backend=state.instance.name,
+            urgency=ask.urgency,
+            waited_ms=convert_to_ms(self._clock() - waiting.arrived_at),
+            wait_ms=convert_to_ms(placement.wait_s),
+            prefill_ms=convert_to_ms(placement.prefill_s),
+            saved_ms=convert_to_ms(placement.saved_s),
+            evicted_tokens=placement.evicted_tokens,
+        )
+
     def _note_first_token(self, queue: GroupQueue, done: Done) -> None:
         granted = queue.granted.get(done.request_id)
         if granted is None:
@@ -242,6 +269,7 @@
         if done.first_token_ms < 0:
             backlogs.finish(granted.engine, done.request_id)
             return
+        self._chooser.note_first_token(granted, done.request_id)
         first_token_s = convert_to_seconds(done.first_token_ms)
         work = backlogs.finish(granted.engine, done.request_id, first_token_s)
         granted.first_token_s = first_token_s
@@ -254,8 +282,7 @@
         if granted is None:
             return
         chooser = self._chooser
-        chooser.backlogs.finish(granted.engine, release.request_id)
-        chooser.slots.end(granted.engine, release.request_id)
+        chooser.release(granted, release.request_id)
         if release.rejected:
             chooser.slots.note_rejection(granted.engine)
         elif granted.first_token_s is not None and release.held_ms:
--- a/egretdale/coordination/selection.py
+++ b/egretdale/coordination/selection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from prometheus_client import Counter
 
@@ -32,6 +33,7 @@
     RequestGates,
     choose_whole_rate,
 )
+from egretdale.state.routing import CapacityLookup, find_no_capacity
 from egretdale.state.speeds import SpeedTable
 from egretdale.util.clocks import Clock
 
@@ -41,6 +43,21 @@
 ]
 
 
+@dataclass(slots=True, frozen=True)
+class EngineKnowledge:
+    """What is known about engines from the start.
+
+    :ivar speeds: speeds of engines, ``None`` to learn them.
+    :ivar find_capacity: finds the capacity of the engines of a service.
+    """
+
+    speeds: SpeedTable | None = None
+    find_capacity: CapacityLookup = find_no_capacity
+
+
+_NOTHING_KNOWN = EngineKnowledge()
+
+
 class BackendSelection:
     """Selects backend servers, with the allocators of prompts or alone.
 
@@ -83,7 +100,7 @@
         silent: Counter,
         *,
         list_knowledge: ListKnowledge,
-        speeds: SpeedTable | None = None,
+        engine_knowledge: EngineKnowledge = _NOTHING_KNOWN,
         create_chooser: ChooserFactory = BackendChooser,
     ) -> None:
         """Create the components and attach them to the mesh.
@@ -94,7 +111,7 @@
         :param silent: counts requests whose allocator did not reply.
         :param list_knowledge: what can be known about the list of backend
             servers.
-        :param speeds: speeds of engines, ``None`` to learn them.
+        :param engine_knowledge: what is known about engines.
         :param create_chooser: creates the chooser.
         """
         self.mesh = mesh
@@ -118,13 +135,14 @@
             ),
             clock,
         )
-        self.speeds = speeds or SpeedTable(clock)
+        self.speeds = engine_knowledge.speeds or SpeedTable(clock)
         self.allocator = PrefillAllocator(
             mesh,
             instances,
             clock,
             self.speeds,
             RequestGates(limits, clock, choose_whole_rate),
+            engine_knowledge.find_capacity,
         )
         self.prefill_client = PrefillClient(
             mesh, self.allocator, instances, clock, silent
--- a/egretdale/state/recent_work.py
+++ b/egretdale/state/recent_work.py
@@ -30,6 +30,11 @@
     gap_sensitivity: float = 0
     noted_at: float = 0
 
+    @property
+    def load(self) -> float:
+        """Part of the recent time that the prefill took."""
+        return self.prefill_s / _MEMORY_S
+
 
 class RecentWorkTable:
     """Recent work by name of the engine's incarnation."""
--- a/egretdale/state/routing.py
+++ b/egretdale/state/routing.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
 
@@ -113,6 +113,23 @@
     idle_s: float = 60.0
 
 
+@dataclass(slots=True, frozen=True)
+class ServiceCapacity:
+    """What an engine of a service can hold.
+
+    :ivar cache_tokens: tokens that fit into its memory, running requests and
+        cached parts together; 0 if that is not known.
+    """
+
+    cache_tokens: int = 0
+
+
+UNKNOWN_CAPACITY = ServiceCapacity()
+
+#: Finds what an engine of a service can hold, by the name of the service.
+CapacityLookup = Callable[[str], ServiceCapacity]
+
+
 @dataclass(slots=True)
 class RoutingTable:
     """One version of the configuration.
@@ -123,6 +140,7 @@
     :ivar limits: limits for the requests and connections of callers.
     :ivar holders: organisations with API keys.
     :ivar requires_keys: whether routes that are not public require a key.
+    :ivar services: what engines can hold, by the name of their service.
     """
 
     version: int
@@ -131,6 +149,7 @@
     limits: CallerLimits
     holders: tuple[KeyHolder, ...]
     requires_keys: bool
+    services: Mapping[str, ServiceCapacity] = field(default_factory=dict)
     _by_host: dict[str, dict[str, Route]] = field(
         init=False, default_factory=dict
     )
@@ -173,6 +192,21 @@
         """
         return self._by_key.get(key)
 
+    def find_capacity(self, service: str) -> ServiceCapacity:
+        """Return what an engine of a service can hold.
+
+        :param service: service name.
+        """
+        return self.services.get(service, UNKNOWN_CAPACITY)
+
+
+def find_no_capacity(service: str) -> ServiceCapacity:
+    """Return the capacity of engines of which nothing is known.
+
+    :param service: service name.
+    """
+    return UNKNOWN_CAPACITY
+
 
 def choose_service(
     services: Iterable[WeightedService], point: float
--- a/standins/emulation/engines.py
+++ b/standins/emulation/engines.py
@@ -98,6 +98,7 @@
     """An engine that can crash and restart.
 
     :ivar profile: its speed and limits.
+    :ivar slowness: time that it takes, as a multiple of that of the profile.
     :ivar prefilled_before: prompt tokens prefilled before its last crash.
     :ivar model: simulation of its batches.
     :ivar running: whether it accepts requests.
@@ -105,6 +106,7 @@
     """
 
     profile: BatchProfile
+    slowness: float = 1
     prefilled_before: int = 0
     model: BatchEngine = field(init=False)
     running: bool = True
@@ -126,7 +128,7 @@
                 self._work_submitted.wait()
                 continue
             model = self.model
-            eventlet.sleep(model.begin_step())
+            eventlet.sleep(model.begin_step() * self.slowness)
             if model is self.model:
                 model.end_step()
 
@@ -234,15 +236,19 @@
 
 
 def create_engines(
-    count: int, profile: BatchProfile
+    count: int, profile: BatchProfile, slowness: Sequence[float] = (1,)
 ) -> dict[str, EmulatedEngine]:
     """Create engines and start their tasks.
 
     :param count: number of engines.
     :param profile: their speed and limits.
+    :param slowness: multiples of the time that they take, by data centre.
     :return: engines by name.
     """
-    engines = {f'e{index}': EmulatedEngine(profile) for index in range(count)}
+    engines = {
+        f'e{index}': EmulatedEngine(profile, slowness[index % len(slowness)])
+        for index in range(count)
+    }
     for engine in engines.values():
         eventlet.spawn(engine.run)
     return engines
@@ -262,6 +268,7 @@
             name,
             service,
             '',
+            data_centre=f'dc{engine.slowness:g}',
             born_ms=engine.born_ms,
             slots=engine.profile.slots,
         )
--- a/standins/emulation/hosts.py
+++ b/standins/emulation/hosts.py
@@ -18,7 +18,10 @@
     Delivered,
 )
 from egretdale.coordination.reachability import ReachabilityMonitor
-from egretdale.coordination.selection import BackendSelection
+from egretdale.coordination.selection import (
+    BackendSelection,
+    EngineKnowledge,
+)
 from egretdale.coordination.stream_origins import ListKnowledge
 from egretdale.errors import Cause, Unreachable
 from egretdale.state.freshness import Confirmation
@@ -32,6 +35,7 @@
     RequestKind,
     Route,
     RoutingTable,
+    ServiceCapacity,
     WeightedService,
 )
 from egretdale.util.clocks import Clock
@@ -156,7 +160,9 @@
             list_knowledge=ListKnowledge(
                 _confirm_list, _restore_nothing, float
             ),
-            speeds=speeds,
+            engine_knowledge=EngineKnowledge(
+                speeds, lambda service: _measure_capacity(workload)
+            ),
             create_chooser=policy.create_chooser,
         )
         if not policy.uses_allocator:
@@ -214,6 +220,11 @@
             self._selection.forget(instance)
 
 
+def _measure_capacity(workload: Workload) -> ServiceCapacity:
+    tokens = workload.profile.kv_tokens if workload.tells_memory else 0
+    return ServiceCapacity(tokens)
+
+
 def _confirm_list() -> bool:
     return True
 
--- a/standins/emulation/loads.py
+++ b/standins/emulation/loads.py
@@ -109,6 +109,9 @@
     :ivar crash: whether an engine crashes during the burst.
     :ivar bursting: name of the only class that bursts, empty for all.
     :ivar profile: speed and limits of the engines.
+    :ivar slowness: time that engines take, as multiples of that time, for one
+        data centre after the other.
+    :ivar tells_memory: whether the configuration states their memory.
     """
 
     name: str
@@ -120,6 +123,8 @@
     crash: bool = False
     bursting: str = ''
     profile: BatchProfile = BatchProfile()
+    slowness: tuple[float, ...] = (1,)
+    tells_memory: bool = True
 
     @property
     def duration_s(self) -> float:
--- a/standins/emulation/replay.py
+++ b/standins/emulation/replay.py
@@ -214,7 +214,9 @@
     """
     workload = WORKLOADS[name]
     with use_virtual_time() as hub:
-        engines = create_engines(workload.engines, workload.profile)
+        engines = create_engines(
+            workload.engines, workload.profile, workload.slowness
+        )
         client = EmulatedClient(engines)
         chosen = PROMPT_POLICIES[policy]
         hosts = create_hosts(workload, chosen, client, hub.read_now)
--- a/standins/emulation/workloads.py
+++ b/standins/emulation/workloads.py
@@ -120,6 +120,17 @@
     stride=8,
     queue=25,
 )
+_LENS_PROFILE = BatchProfile(
+    slots=64,
+    kv_tokens=614750,
+    step_s=0.00337,
+    prefill_rate=61200,
+    attention_s=0.000294,
+    stride=6,
+    queue=64,
+)
+#: Time that the engines of three data centres take, as multiples of the usual.
+_SLOWNESS = (0.7, 0.7, 1.7)
 
 
 def _list_workloads() -> Iterator[Workload]:
@@ -147,6 +158,7 @@
         )
     yield from _list_shelter_workloads()
     yield from _list_speed_workloads()
+    yield from _list_uneven_workloads()
 
 
 def _list_speed_workloads() -> Iterator[Workload]:
@@ -177,6 +189,36 @@
         )
 
 
+def _list_uneven_workloads() -> Iterator[Workload]:
+    """List workloads of engines that differ, or hold few parts."""
+    uneven = Workload(
+        'uneven',
+        (
+            replace(_DRAFTS, rate=16, target_s=2.06),
+            replace(_SUMMARIES, rate=9, target_s=0.65, pause_s=0.6),
+            replace(_QUESTIONS, rate=22, target_s=0.43, pause_s=0.4),
+        ),
+        engines=12,
+        hosts=6,
+        burst=2,
+        profile=_LENS_PROFILE,
+        slowness=_SLOWNESS,
+    )
+    yield uneven
+    yield replace(uneven, name='uneven-cold', burst_at_s=0)
+    yield replace(uneven, name='uneven-crash', crash=True)
+    crowded = Workload(
+        'crowded',
+        (_DRAFTS, _SUMMARIES, _QUESTIONS),
+        engines=5,
+        hosts=6,
+        burst=1.5,
+        profile=BatchProfile(kv_tokens=450000),
+    )
+    yield crowded
+    yield replace(crowded, name='crowded-untold', tells_memory=False)
+
+
 def _list_shelter_workloads() -> Iterator[Workload]:
     grown = Workload(
         'shelter-grown',
@@ -226,7 +268,9 @@
 #: worth little there; ``cold`` begins with the burst, while all caches are
 #: empty. In ``shelter`` only the longest prompts burst, on slower engines and
 #: with long responses; ``shelter-grown`` has more engines with few slots. The
-#: engines of ``speed`` prefill 20 to 300 tokens a millisecond.
+#: engines of ``speed`` prefill 20 to 300 tokens a millisecond, those of
+#: ``uneven`` differ by data centre, and those of ``crowded`` hold only some of
+#: the prompt parts.
 WORKLOADS = MappingProxyType(
     {workload.name: workload for workload in _list_workloads()}
 )
--- a/tests/test_platform/test_translation.py
+++ b/tests/test_platform/test_translation.py
@@ -106,6 +106,24 @@
     assert isinstance(decode_configuration(b'\xff{'), Invalid)
 
 
+def test_the_memory_of_engines_is_only_a_hint() -> None:
+    """Services that state none, or that are invalid, leave the rest valid."""
+    engine = {'slots': 64, 'kv_capacity_tokens': 480470, 'models': []}
+    stated = {'name': 's1', 'engine': engine}
+    for services, known in (
+        ([stated, {'name': 's2'}, {'name': 7}, None], 480470),
+        ([{**stated, 'engine': {**engine, 'kv_capacity_tokens': -1}}], 0),
+        ([{**stated, 'engine': {**engine, 'kv_capacity_tokens': 'all'}}], 0),
+        ([{**stated, 'engine': None}], 0),
+        ({'s1': stated}, 0),
+        (None, 0),
+    ):
+        table = _decode(services=services)
+        assert table.find_capacity('s1').cache_tokens == known, services
+        assert not table.find_capacity('s2').cache_tokens
+        assert table.routes
+
+
 def test_entries_identify_an_incarnation_of_an_engine() -> None:
     """An engine that restarts under the same ID is another incarnation."""
     entry = _decode_entry()
