Keep engines busy and short targets in time while hundreds of prompts wait

An allocator looked at its queue every 0.2 ms for each waiting request, so every 0.1 s and more beside the time of the scan, and gives an engine at most 0.08 s of prefill: engines ran out of work the longer the queue was. Tags of an organisation of lower priority were not among the urgent ones, so they waited for these looks.

Change: the first requests are looked at every 10 to 30 ms, however many wait; all of them as often as before. Whether an engine may be used is asked of engines one by one, not of all for each waiting request. Prompts with a short target that are not of the highest tier go to an engine on arrival while what is ahead there leaves them a fifth of their time. Such asks still obey the engines' own order by urgency.

--- a/egretdale/coordination/prefill.py
+++ b/egretdale/coordination/prefill.py
@@ -8,11 +8,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import eventlet
 
 from egretdale.coordination.engine_choice import EngineChooser
 from egretdale.coordination.mesh import Mesh, MeshListener
 from egretdale.coordination.prefill_policy import ChosenEngine, PrefillPolicy
+from egretdale.coordination.prefill_scans import GroupScan
 from egretdale.state.groups import GroupMap
 from egretdale.state.instances import Instance, InstanceTable
 from egretdale.state.messages import (
@@ -33,11 +36,15 @@
 #: Reason of a denial that only confirms that the request is queued.
 QUEUED = 'held'
 
-#: Minimum time in seconds between two scans of the waiting requests.
-_TICK_S = 0.01
-#: Seconds by which each waiting request lengthens that time, so that scans take
+#: Bounds on the time in seconds between two looks at the first waiting
+#: requests, far below the outstanding prefill that keeps an engine busy.
+_MINIMUM_TICK_S = 0.01
+_MAXIMUM_TICK_S = 0.03
+#: Seconds for each waiting request between two scans of all, so that scans take
 #: a bounded part of the processor.
-_TICK_PER_REQUEST_S = 0.0002
+_SCAN_PER_REQUEST_S = 0.0002
+#: Requests that have to wait after which a look at the first ones ends.
+_MAXIMUM_MISSES = 32
 #: Seconds between two searches for requests that have certainly ended.
 _EXPIRY_INTERVAL_S = 0.2
 
@@ -144,7 +151,8 @@
 
     def _run_ticks(self) -> None:
         while waiting := self._count_waiting():
-            eventlet.sleep(max(_TICK_S, waiting * _TICK_PER_REQUEST_S))
+            tick_s = max(_MINIMUM_TICK_S, waiting * _SCAN_PER_REQUEST_S)
+            eventlet.sleep(min(tick_s, _MAXIMUM_TICK_S))
             self._expire()
             for group, queue in list(self._queues.items()):
                 if queue.waiting:
@@ -163,23 +171,27 @@
     ) -> GroupReply:
         """Decide on requests that have just arrived.
 
-        When earlier requests wait, only urgent ones are decided on; the others
-        follow with the next tick.
+        When earlier requests wait, only those with a short target are decided
+        on; the others follow with the next tick.
 
         :param message: the new requests.
         :param queue: all requests of the group.
         :param host: the host that sent them.
         :return: the reply to that host.
         """
+        replies: dict[str, GroupReply] = {}
+        if not queue.waiting:
+            return GroupReply(message.group)
         if len(queue.waiting) <= len(message.asks):
             replies = self._decide_waiting(message.group, queue)
         else:
             urgent = [
                 queue.waiting[ask.request_id]
                 for ask in message.asks
-                if queue.is_urgent(ask)
+                if queue.is_short(ask)
             ]
-            replies = self._decide_all(message.group, queue, urgent)
+            if urgent:
+                replies = self._decide_all(message.group, queue, urgent)
         reply = replies.pop(host, GroupReply(message.group))
         self._post(replies)
         return reply
@@ -189,32 +201,47 @@
     ) -> dict[str, GroupReply]:
         """Decide on the waiting requests of a group.
 
+        Between two scans of all requests only the first ones are looked at, so
+        that engines do not run out of work when many wait.
+
         :param group: group key.
         :param queue: its requests.
         :return: replies by host.
         """
-        return self._decide_all(group, queue, _order(queue))
+        now = self._clock()
+        interval_s = len(queue.waiting) * _SCAN_PER_REQUEST_S
+        looks_at_all = now >= queue.sorted_at + interval_s
+        if looks_at_all:
+            queue.sort(now)
+        return self._decide_all(
+            group, queue, queue.list_ordered(), looks_at_all=looks_at_all
+        )
 
     def _decide_all(
-        self, group: str, queue: GroupQueue, ordered: list[WaitingPrompt]
+        self,
+        group: str,
+        queue: GroupQueue,
+        ordered: Iterable[WaitingPrompt],
+        *,
+        looks_at_all: bool = True,
     ) -> dict[str, GroupReply]:
         replies: dict[str, GroupReply] = {}
-        if not ordered:
-            return replies
         states = self._chooser.measure(self._groups.list_engines(group))
         service = group.rsplit('/', 2)[0]
         scan = self._policy.begin_scan(service, queue, states)
         for waiting in ordered:
+            if not looks_at_all and _is_over(scan):
+                break
             decision = self._policy.decide(scan, waiting)
             if decision is None:
                 continue
+            queue.waiting.pop(waiting.ask.request_id)
             reply = replies.setdefault(waiting.host, GroupReply(group))
             if isinstance(decision, ChosenEngine):
                 reply.grants.append(self._grant(queue, waiting, decision))
                 self._policy.note_grant(scan)
             else:
                 reply.denials.append(decision)
-            queue.waiting.pop(waiting.ask.request_id)
         return replies
 
     def _grant(
@@ -277,26 +304,7 @@
                 self._release(queue, Release(request_id))
 
 
-def _order(queue: GroupQueue) -> list[WaitingPrompt]:
-    """Order the waiting requests of a group.
-
-    Higher tiers always go first. Within a tier, the prompt with the fewest
-    tokens outside its shared part goes first: in a burst most requests are
-    then served in time, and the late ones are the few that need the most
-    prefill. Shared parts do not count, as an allocator that has just started
-    does not know where they are cached. Requests of a length that
-    is refused far more often than others go first instead.
-
-    :param queue: the requests.
-    :return: the requests, the next one first.
-    """
-
-    def rank(waiting: WaitingPrompt) -> tuple[int, bool, int]:
-        ask = waiting.ask
-        return (
-            ask.urgency,
-            not waiting.entitled,
-            waiting.own_tokens,
-        )
-
-    return sorted(queue.waiting.values(), key=rank)
+def _is_over(scan: GroupScan) -> bool:
+    if scan.is_full and scan.passed:
+        return True
+    return scan.passed >= _MAXIMUM_MISSES
--- a/egretdale/coordination/prefill_policy.py
+++ b/egretdale/coordination/prefill_policy.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from egretdale.coordination.engine_choice import (
     EngineChooser,
@@ -16,11 +16,15 @@
     PromptCost,
     find_preferred_engine,
 )
-from egretdale.state.engine_slots import PREEMPTION_PENALTY_S, ServiceUse
+from egretdale.coordination.prefill_scans import (
+    GroupCapacity,
+    GroupScan,
+    Precedence,
+)
+from egretdale.state.engine_slots import PREEMPTION_PENALTY_S
 from egretdale.state.messages import Ask, Denial
 from egretdale.state.prompts import GroupQueue, WaitingPrompt
-from egretdale.state.speeds import ServiceSpeed
-from egretdale.util.clocks import Clock, convert_to_ms, convert_to_seconds
+from egretdale.util.clocks import Clock, convert_to_ms
 from egretdale.util.logs import get_logger
 
 logger = get_logger(__name__)
@@ -35,134 +39,15 @@
 #: prompt: enough to keep it busy, little for an urgent prompt to wait for.
 _MINIMUM_BACKLOG_S = 0.03
 _MAXIMUM_BACKLOG_S = 0.08
-#: Part of the time until its deadline that a request may spend waiting.
-_WAIT_SHARE = 0.4
+#: Part of the same time that a prompt with a short target may spend on it, if
+#: its tier is not the highest with such a target.
+_SHORT_BACKLOG_SHARE = 0.8
 #: Factor on the speed of the engines, while it is only assumed, for refusals.
 _ASSUMED_SPEED_FACTOR = 2
-#: Lower bound on each rate of a group, so that waits are finite.
-_MINIMUM_RATE = 0.01
 #: Minimum retry time in seconds of a denied request.
 _DENIED_RETRY_S = 0.3
 
 
-@dataclass(slots=True)
-class GroupCapacity:
-    """What the engines of a group can do together.
-
-    :ivar prefill_rate: seconds of prefill that the engines do in a second,
-        more while their speed is only assumed, as they may be faster.
-    :ivar hold_rate: seconds that slots can be held in a second.
-    :ivar request_rate: requests per second that the engines accept.
-    """
-
-    prefill_rate: float = 0
-    hold_rate: float = 0
-    request_rate: float = 0
-
-    def add(self, state: EngineState, request_rate: float) -> None:
-        """Add an engine.
-
-        :param state: the engine.
-        :param request_rate: requests per second that it accepts.
-        """
-        use = state.slots.use
-        busy_share = float(1)
-        held_slots = state.slots.limit
-        if math.isfinite(request_rate):
-            # A limited engine is busy only with the requests that it accepts.
-            held_slots = min(held_slots, request_rate * use.hold_s)
-            if use.prefill_s:
-                busy_share = min(1, request_rate * use.prefill_s)
-        self.prefill_rate += busy_share
-        self.hold_rate += held_slots
-        self.request_rate += request_rate
-
-    def predict_wait(
-        self, requests: int, prefill_s: float, hold_s: float
-    ) -> float:
-        """Predict how long the engines take to serve waiting requests.
-
-        :param requests: number of requests.
-        :param prefill_s: their prefill in seconds.
-        :param hold_s: seconds for which they will hold slots.
-        :return: seconds.
-        """
-        return max(
-            prefill_s / max(_MINIMUM_RATE, self.prefill_rate),
-            hold_s / max(_MINIMUM_RATE, self.hold_rate),
-            requests / max(_MINIMUM_RATE, self.request_rate),
-        )
-
-
-@dataclass(slots=True)
-class GroupScan:
-    """State of one pass over the waiting requests of a group.
-
-    :ivar queue: the requests.
-    :ivar states: engines of the group.
-    :ivar speed: prefill speed of the service.
-    :ivar use: what the requests of the service take.
-    :ivar maximum_backlog_s: outstanding prefill in seconds of an engine that
-        gets another prompt.
-    :ivar capacity: what the engines can do together.
-    :ivar passed: number of requests that stay waiting.
-    :ivar prefill_s: prefill in seconds of the requests that stay waiting.
-    :ivar hold_s: seconds for which these will hold slots.
-    :ivar ahead_s: seconds until the engines have served them.
-    :ivar is_full: whether no engine takes a prompt that is not urgent.
-    :ivar is_crowded: whether none takes a long one.
-    :ivar urgent_kinds: whether requests of a kind are urgent.
-    """
-
-    queue: GroupQueue
-    states: list[EngineState]
-    speed: ServiceSpeed
-    use: ServiceUse
-    maximum_backlog_s: float
-    capacity: GroupCapacity
-    passed: int = 0
-    prefill_s: float = 0
-    hold_s: float = 0
-    ahead_s: float = 0
-    is_full: bool = False
-    is_crowded: bool = False
-    urgent_kinds: dict[tuple[int, int], bool] = field(default_factory=dict)
-
-    def is_urgent(self, ask: Ask) -> bool:
-        """Tell whether a request goes before all others.
-
-        :param ask: the request.
-        """
-        kind = (ask.urgency, ask.target_ms)
-        if kind not in self.urgent_kinds:
-            self.urgent_kinds[kind] = self.queue.is_urgent(ask)
-        return self.urgent_kinds[kind]
-
-    def is_acceptable(self, waiting: WaitingPrompt, waited_s: float) -> bool:
-        """Tell whether a request need not be refused.
-
-        :param waiting: the request.
-        :param waited_s: seconds that it has waited.
-        """
-        patience_s = convert_to_seconds(waiting.ask.left_ms) * _WAIT_SHARE
-        if waited_s + self.ahead_s <= patience_s:
-            return True
-        return self.queue.entitle(waiting)
-
-    def pass_over(self, waiting: WaitingPrompt, own_s: float) -> None:
-        """Count a request that stays waiting.
-
-        :param waiting: the request.
-        :param own_s: seconds of prefill outside its shared part.
-        """
-        self.prefill_s += own_s
-        self.hold_s += self.use.predict_hold(waiting.ask.class_name)
-        self.passed += 1
-        self.ahead_s = self.capacity.predict_wait(
-            self.passed, self.prefill_s, self.hold_s
-        )
-
-
 @dataclass(slots=True, frozen=True)
 class ChosenEngine:
     """Decision to send a request to an engine.
@@ -211,6 +96,7 @@
             speed,
             self._chooser.slots.find_use(service),
             min(maximum_s, _MAXIMUM_BACKLOG_S),
+            max(_MINIMUM_BACKLOG_S, spare_s * _SHORT_BACKLOG_SHARE),
             capacity,
         )
         self._update_capacity(scan)
@@ -230,21 +116,21 @@
         if not scan.is_acceptable(waiting, waited_s):
             scan.queue.note_refusal(waiting)
             return _deny(ask, waited_s, scan.ahead_s)
-        usable = _list_usable(ask, scan.states)
-        if not usable:
+        if not any(_may_use(ask, state) for state in scan.states):
             return Denial(ask.request_id, OVERLOADED)
         own_s = scan.speed.predict(waiting.own_work)
         is_long = own_s >= scan.use.prefill_s
         must_wait = scan.is_crowded if is_long else scan.is_full
-        if not must_wait or scan.is_urgent(ask):
+        precedence = scan.find_precedence(ask)
+        if not must_wait or precedence != Precedence.NONE:
             prompt = PromptCost(
                 ask,
                 own_s,
                 scan.speed.predict(waiting.full_work),
                 scan.use.limit_concurrency() if is_long else math.inf,
-                scan.is_urgent(ask),
+                precedence != Precedence.NONE,
             )
-            chosen = self._choose(scan, waiting, usable, prompt)
+            chosen = self._choose(scan, waiting, prompt)
             if chosen is not None:
                 return chosen
         scan.pass_over(waiting, own_s)
@@ -261,13 +147,13 @@
         self,
         scan: GroupScan,
         waiting: WaitingPrompt,
-        usable: list[EngineState],
         prompt: PromptCost,
     ) -> ChosenEngine | None:
         usable = [
             state
-            for state in usable
-            if self._chooser.may_send(waiting.ask, state)
+            for state in scan.states
+            if _may_use(waiting.ask, state)
+            and self._chooser.may_send(waiting.ask, state)
         ]
         if not usable:
             return None
@@ -277,12 +163,19 @@
         state, slot_wait_s = self._chooser.choose(
             prompt, usable, waiting.preferred, scan.ahead_s
         )
-        if prompt.immediate:
-            must_wait = slot_wait_s > PREEMPTION_PENALTY_S
-        else:
-            is_busy = state.wait_s > scan.maximum_backlog_s
-            must_wait = is_busy or slot_wait_s > 0
-        return None if must_wait else ChosenEngine(state, prompt.immediate)
+        match scan.find_precedence(waiting.ask):
+            case Precedence.ALL:
+                must_wait = slot_wait_s > PREEMPTION_PENALTY_S
+            case Precedence.BACKLOG:
+                is_busy = state.wait_s > scan.short_backlog_s
+                must_wait = is_busy or slot_wait_s > PREEMPTION_PENALTY_S
+            case Precedence.NONE:
+                is_busy = state.wait_s > scan.maximum_backlog_s
+                must_wait = is_busy or slot_wait_s > 0
+        if must_wait:
+            return None
+        is_first = scan.find_precedence(waiting.ask) == Precedence.ALL
+        return ChosenEngine(state, is_first)
 
     def _measure_capacity(self, states: list[EngineState]) -> GroupCapacity:
         capacity = GroupCapacity()
@@ -320,12 +213,10 @@
     )
 
 
-def _list_usable(ask: Ask, states: list[EngineState]) -> list[EngineState]:
+def _may_use(ask: Ask, state: EngineState) -> bool:
     if not ask.avoided and not ask.software_version:
-        return states
-    return [
-        state
-        for state in states
-        if state.instance.name not in ask.avoided
-        and state.instance.runs_version(ask.software_version)
-    ]
+        return True
+    instance = state.instance
+    return instance.name not in ask.avoided and instance.runs_version(
+        ask.software_version
+    )
--- a/egretdale/state/prompts.py
+++ b/egretdale/state/prompts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import bisect
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from egretdale.state.messages import Ask
@@ -59,6 +61,19 @@
         """Prompt tokens outside shared parts, which are never cached."""
         return self.ask.prompt_tokens - self.ask.shared_tokens
 
+    @property
+    def rank(self) -> tuple[int, bool, int]:
+        """Sort key among the waiting requests; the lowest goes first.
+
+        Higher tiers always go first. Within a tier, the prompt with the fewest
+        tokens outside its shared part goes first: in a burst most requests are
+        then served in time, and the late ones are the few that need the most
+        prefill. Shared parts do not count, as an allocator that has just
+        started does not know where they are cached. Requests of a length that
+        is refused far more often than others go first instead.
+        """
+        return self.ask.urgency, not self.entitled, self.own_tokens
+
 
 @dataclass(slots=True)
 class GrantedPrompt:
@@ -129,12 +144,15 @@
     :ivar granted: granted requests that have not ended, by ID.
     :ivar counts: recent requests and refusals by size band.
     :ivar seen_at: clock time of the last request of each kind.
+    :ivar sorted_at: clock time at which the waiting requests were sorted.
     """
 
     waiting: dict[str, WaitingPrompt] = field(default_factory=dict)
     granted: dict[str, GrantedPrompt] = field(default_factory=dict)
     counts: dict[SizeBand, SizeCounts] = field(default_factory=dict)
     seen_at: dict[PromptKind, float] = field(default_factory=dict)
+    sorted_at: float = float('-inf')
+    _ordered: list[WaitingPrompt] = field(default_factory=list)
 
     def note_arrival(self, waiting: WaitingPrompt) -> None:
         """Queue a request.
@@ -143,6 +161,7 @@
         """
         ask = waiting.ask
         self.waiting[ask.request_id] = waiting
+        bisect.insort(self._ordered, waiting, key=_read_rank)
         self._note_size(waiting)
         self.seen_at[PromptKind(ask.urgency, ask.target_ms)] = (
             waiting.arrived_at
@@ -152,6 +171,23 @@
         for kind in expired:
             self.seen_at.pop(kind)
 
+    def sort(self, now: float) -> None:
+        """Put the waiting requests in order.
+
+        :param now: clock time.
+        """
+        self._ordered = sorted(self.waiting.values(), key=_read_rank)
+        self.sorted_at = now
+
+    def list_ordered(self) -> Iterator[WaitingPrompt]:
+        """Iterate over the waiting requests, the next one first.
+
+        Requests that were entitled since they were sorted keep their place.
+        """
+        for waiting in self._ordered:
+            if self.waiting.get(waiting.ask.request_id) is waiting:
+                yield waiting
+
     def find_shortest_target(self) -> float:
         """Return the shortest target of recent requests in seconds."""
         return convert_to_seconds(
@@ -166,15 +202,18 @@
 
         :param ask: the request.
         """
-        short_ms = _SHORT_TARGET_FACTOR * min(
-            kind.target_ms for kind in self.seen_at
-        )
-        urgencies = [
+        short_ms = self._find_short_target()
+        return self.is_short(ask) and ask.urgency <= min(
             kind.urgency for kind in self.seen_at if kind.target_ms <= short_ms
-        ]
-        if ask.target_ms > short_ms or ask.urgency > min(urgencies):
-            return False
-        return any(
+        )
+
+    def is_short(self, ask: Ask) -> bool:
+        """Tell whether a request has a short target and others have not.
+
+        :param ask: the request.
+        """
+        short_ms = self._find_short_target()
+        return ask.target_ms <= short_ms and any(
             kind.urgency > ask.urgency or kind.target_ms > short_ms
             for kind in self.seen_at
         )
@@ -216,6 +255,11 @@
         for band in (waiting.size_band, SizeBand(waiting.ask.urgency)):
             self._find_counts(band).refused += 1
 
+    def _find_short_target(self) -> float:
+        return _SHORT_TARGET_FACTOR * min(
+            kind.target_ms for kind in self.seen_at
+        )
+
     def _note_size(self, waiting: WaitingPrompt) -> None:
         for band in (waiting.size_band, SizeBand(waiting.ask.urgency)):
             counts = self._find_counts(band)
@@ -226,3 +270,7 @@
 
     def _find_counts(self, band: SizeBand) -> SizeCounts:
         return self.counts.setdefault(band, SizeCounts())
+
+
+def _read_rank(waiting: WaitingPrompt) -> tuple[int, bool, int]:
+    return waiting.rank
--- a/tests/test_coordination/test_prefill.py
+++ b/tests/test_coordination/test_prefill.py
@@ -47,6 +47,28 @@
         assert max(short) < 0.3, short
 
 
+def test_short_targets_of_lower_tiers_do_not_wait_for_a_queue() -> None:
+    """Long prompts of a higher tier do not make a short one late."""
+    with open_engines(4) as engines:
+        engines.send(*(create_ask(f'long{index}', LONG) for index in range(40)))
+        engines.send(create_short_ask('top'))
+        for index in range(20):
+            eventlet.sleep(0.05)
+            engines.send(
+                create_ask(f'short{index}', SHORT, urgency=3, target_ms=250)
+            )
+        eventlet.sleep(8)
+        short = [
+            took_s
+            for name, took_s in engines.first_tokens.items()
+            if name.startswith('short')
+        ]
+        assert len(short) == 20
+        # At most 0.8 of the time that the target leaves, 0.16 s, and one long
+        # prompt before it, as the engines here serve in order of arrival.
+        assert max(short) < 0.16 + predict_prefill(LONG) + 0.01, short
+
+
 def test_engines_stay_busy_while_prompts_wait() -> None:
     """Queuing prompts costs no throughput, and all are served."""
     with open_engines(2) as engines:
@@ -57,6 +79,19 @@
         assert max(engines.first_tokens.values()) < ideal_s * 1.1
 
 
+def test_engines_stay_busy_while_hundreds_wait() -> None:
+    """The number of waiting prompts does not slow down the grants."""
+    with open_engines(4) as engines:
+        asks = [
+            create_ask(f'r{index}', 3000, left_ms=60000) for index in range(800)
+        ]
+        engines.send(*asks)
+        eventlet.sleep(30)
+        assert len(engines.first_tokens) == 800
+        ideal_s = predict_prefill(3000) * 200
+        assert max(engines.first_tokens.values()) < ideal_s * 1.1
+
+
 def test_tiers_go_strictly_first_once_a_target_is_missed() -> None:
     """In overload a higher tier is served before a lower one."""
     with open_engines(1) as engines:
