Keep the pace of scans for groups without prompts

Change: the pace is capped only while prompts wait. Result: test_brittle_plain_servers_do_not_fall failed before and passes.

--- a/egretdale/coordination/prefill.py
+++ b/egretdale/coordination/prefill.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Iterable
 
 import eventlet
@@ -159,13 +160,23 @@
     def _run_ticks(self) -> None:
         while waiting := self._count_waiting():
             tick_s = max(_MINIMUM_TICK_S, waiting * _SCAN_PER_REQUEST_S)
-            eventlet.sleep(min(tick_s, _MAXIMUM_TICK_S))
+            if self._has_prompts():
+                tick_s = min(tick_s, _MAXIMUM_TICK_S)
+            eventlet.sleep(tick_s)
             self._expire()
             for group, queue in list(self._queues.items()):
                 if queue.waiting:
                     self._post(self._decide_waiting(group, queue))
         self._ticking = False
 
+    def _has_prompts(self) -> bool:
+        """Tell whether engines may run out of prompts to prefill."""
+        return any(
+            waiting.ask.prompt_tokens
+            for queue in self._queues.values()
+            for waiting in itertools.islice(queue.waiting.values(), 1)
+        )
+
     def _count_waiting(self) -> int:
         return sum(len(queue.waiting) for queue in self._queues.values())
 
