--- a/egretdale/coordination/attempt_sender.py
+++ b/egretdale/coordination/attempt_sender.py
@@ -24,6 +24,7 @@
     """Sends a request to the chosen backend server and notes what follows."""
 
     __slots__ = (
+        '_activity',
         '_admission',
         '_client',
         '_clock',
@@ -54,6 +55,7 @@
         self._selection = selection
         self._links = selection.links
         self._loads = selection.loads
+        self._activity = selection.activity
         self._prefill_client = selection.prefill_client
         self._recorder = AttemptRecorder(
             metrics,
@@ -112,6 +114,7 @@
         :param rejected: whether it rejected the request without running it.
         """
         self._loads.end(choice.instance.incarnation)
+        self._activity.note_end(choice.instance)
         request_id = progress.admitted.request.request_id
         self._prefill_client.note_end(request_id, rejected=rejected)
 
@@ -124,6 +127,7 @@
     ) -> ForwardResponse | NotRun | MaybeRun:
         incarnation = choice.instance.incarnation
         self._loads.begin(incarnation, choice.prefill_tokens)
+        self._activity.note_sent(choice.instance, choice.prefill_tokens)
         opened = False
         first_token_ms = -1
         try:
@@ -138,6 +142,7 @@
                     first_token_ms = convert_to_ms(self._clock() - sent_at)
         finally:
             self._loads.note_first_byte(incarnation, choice.prefill_tokens)
+            self._activity.note_head(choice.instance, choice.prefill_tokens)
             request_id = attempt.request.request_id
             self._prefill_client.note_first_token(request_id, first_token_ms)
             if not opened:
--- a/egretdale/coordination/selection.py
+++ b/egretdale/coordination/selection.py
@@ -32,6 +32,7 @@
     RequestGates,
     choose_whole_rate,
 )
+from egretdale.state.service_activity import ServiceActivity
 from egretdale.state.speeds import SpeedTable
 from egretdale.util.clocks import Clock
 
@@ -47,6 +48,7 @@
     :ivar mesh: links to peers.
     :ivar instances: backend servers.
     :ivar loads: loads of backend servers.
+    :ivar activity: requests of this host by service.
     :ivar links: whether this host reaches the backend servers.
     :ivar origins: software versions at which streams began.
     :ivar backpressure: what backend servers ask for.
@@ -60,6 +62,7 @@
     """
 
     __slots__ = (
+        'activity',
         'allocator',
         'backpressure',
         'chooser',
@@ -101,6 +104,7 @@
         self.instances = instances
         self.list_knowledge = list_knowledge
         self.loads = LoadTable(clock)
+        self.activity = ServiceActivity()
         self.links = BackendLinks(clock)
         self.backpressure = BackpressureTracker(mesh.table, instances, clock)
         self.departures = DepartureTracker(mesh, instances, clock)
@@ -151,7 +155,10 @@
         # Only the allocator knows how much of a limit all hosts have used.
         if request.prompt.tokens or self.backpressure.is_any_limited(service):
             ask = create_ask(progress, self._list_avoided(service), left_s)
-            choice = self.prefill_client.request_engine(service, ask)
+            with self.activity.wait(service):
+                choice = self.prefill_client.request_engine(service, ask)
+            if isinstance(choice, Refused):
+                self.activity.note_refused(service)
             if choice is not None:
                 return choice
         return self.chooser.choose(
--- a/egretdale/state/gateway_metrics.py
+++ b/egretdale/state/gateway_metrics.py
@@ -58,18 +58,25 @@
         by service.
     :ivar silent_allocators: requests whose allocator did not reply.
     :ivar platform_calls: calls to the platform, by call and outcome.
+    :ivar scale_orders: orders of engines, by service and outcome.
+    :ivar desired_engines: engines that should run, by service, data centre and
+        kind; only on the host that orders them.
+    :ivar listed_engines: engines that run, by the same.
     """
 
     __slots__ = (
         'admission_wait',
         'attempts',
         'denied_repeats',
+        'desired_engines',
         'ended',
         'first_byte',
+        'listed_engines',
         'platform_calls',
         'refused',
         'registry',
         'repeats',
+        'scale_orders',
         'silent_allocators',
     )
 
@@ -98,6 +105,22 @@
         self.platform_calls = self._create_counter(
             'platform_calls', 'Calls to the platform', ('call', 'outcome')
         )
+        self.scale_orders = self._create_counter(
+            'scale_orders', 'Orders of engines', ('service', 'outcome')
+        )
+        by_kind = ('service', 'data_centre', 'kind')
+        self.desired_engines = Gauge(
+            f'{_PREFIX}_desired_engines',
+            'Engines that should run',
+            by_kind,
+            registry=self.registry,
+        )
+        self.listed_engines = Gauge(
+            f'{_PREFIX}_listed_engines',
+            'Engines that take requests',
+            by_kind,
+            registry=self.registry,
+        )
         self.first_byte = self._create_histogram(
             'first_byte', 'Seconds from sending to the head of the answer'
         )
--- a/egretdale/state/instances.py
+++ b/egretdale/state/instances.py
@@ -39,6 +39,7 @@
     :ivar slots: number of requests that it processes concurrently.
     :ivar leaving: whether the list says that it no longer accepts new work.
     :ivar software_version: version of its software.
+    :ivar is_spot: whether it may be reclaimed with little notice.
     """
 
     name: str
@@ -49,6 +50,7 @@
     slots: int = 0
     leaving: bool = False
     software_version: str = UNKNOWN_VERSION
+    is_spot: bool = False
 
     @property
     def incarnation(self) -> Incarnation:
--- a/egretdale/state/routing.py
+++ b/egretdale/state/routing.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from types import MappingProxyType
 
 
 class RequestKind(enum.Enum):
@@ -113,6 +114,59 @@
     idle_s: float = 60.0
 
 
+@dataclass(slots=True, frozen=True)
+class EngineBounds:
+    """Bounds on the number of engines of a service in a data centre.
+
+    :ivar minimum: least number of engines, of both kinds together.
+    :ivar maximum: greatest number; the same as ``minimum`` pins the number.
+    """
+
+    minimum: int = 0
+    maximum: int = 0
+
+    def clamp(self, count: int) -> int:
+        """Return the nearest number within the bounds.
+
+        :param count: number of engines.
+        """
+        return max(self.minimum, min(self.maximum, count))
+
+
+@dataclass(slots=True, frozen=True)
+class Scaling:
+    """How the engines of a service may be scaled.
+
+    :ivar bounds: bounds that apply to each data centre.
+    :ivar boot_s: seconds from an order until a new engine serves.
+    :ivar spot_price: price of a spot engine as a share of the price of an
+        ordinary one, 1 if there are none.
+    :ivar prices: price of an engine per second by data centre.
+    :ivar own_bounds: bounds of single data centres, within ``bounds``.
+    """
+
+    bounds: EngineBounds
+    boot_s: float = 0
+    spot_price: float = 1
+    prices: Mapping[str, float] = field(
+        default_factory=lambda: MappingProxyType({})
+    )
+    own_bounds: Mapping[str, EngineBounds] = field(
+        default_factory=lambda: MappingProxyType({})
+    )
+
+    def find_bounds(self, data_centre: str) -> EngineBounds:
+        """Return the bounds of a data centre.
+
+        :param data_centre: the data centre.
+        """
+        return self.own_bounds.get(data_centre, self.bounds)
+
+    def has_spot(self) -> bool:
+        """Tell whether spot engines are cheaper than ordinary ones."""
+        return self.spot_price < 1
+
+
 @dataclass(slots=True)
 class RoutingTable:
     """One version of the configuration.
@@ -123,6 +177,7 @@
     :ivar limits: limits for the requests and connections of callers.
     :ivar holders: organisations with API keys.
     :ivar requires_keys: whether routes that are not public require a key.
+    :ivar scaling: how services are scaled, by service; others are not.
     """
 
     version: int
@@ -131,6 +186,9 @@
     limits: CallerLimits
     holders: tuple[KeyHolder, ...]
     requires_keys: bool
+    scaling: Mapping[str, Scaling] = field(
+        default_factory=lambda: MappingProxyType({})
+    )
     _by_host: dict[str, dict[str, Route]] = field(
         init=False, default_factory=dict
     )
