--- a/egretdale/coordination/scaling.py
+++ b/egretdale/coordination/scaling.py
@@ -11,7 +11,9 @@
     Fence,
     ScaleOrder,
 )
-from egretdale.coordination.service_loads import ServiceLoadTable
+from egretdale.coordination.duty_factory import HostDuties
+from egretdale.coordination.selection import BackendSelection
+from egretdale.coordination.service_loads import LoadReporter, ServiceLoadTable
 from egretdale.state.gateway_metrics import GatewayMetrics
 from egretdale.state.instances import Instance, InstanceTable
 from egretdale.state.routing import RoutingTable, Scaling
@@ -200,3 +202,44 @@
             )
             for centre in centres
         }
+
+
+def create_scaling(
+    duties: HostDuties,
+    selection: BackendSelection,
+    metrics: GatewayMetrics,
+    clock: Clock,
+    *,
+    find_routing: Callable[[], RoutingTable | None],
+    is_list_current: Callable[[], bool],
+) -> LoadReporter:
+    """Create the duty of ordering engines and the reports it is based on.
+
+    :param duties: duties of this host.
+    :param selection: requests and backend servers of this host.
+    :param metrics: metrics.
+    :param clock: monotonic clock.
+    :param find_routing: returns the configuration in force.
+    :param is_list_current: tells whether the list of backend servers is.
+    :return: the reporter, whose task is to be started.
+    """
+    mesh = selection.mesh
+
+    def list_scaled() -> list[str]:
+        routing = find_routing()
+        return [] if routing is None else list(routing.scaling)
+
+    def list_hosts() -> list[str]:
+        return [member.update.host for member in mesh.table.list_serving()]
+
+    reporter = LoadReporter(mesh, selection.activity, list_scaled, clock)
+    mesh.add_listener(reporter)
+    sources = ScalingSources(
+        reporter.table,
+        selection.instances,
+        find_routing,
+        list_hosts,
+        is_list_current,
+    )
+    duties.holder.add(ScalingDuty(duties.sender, sources, metrics, clock))
+    return reporter
--- a/egretdale/state/gateway_metrics.py
+++ b/egretdale/state/gateway_metrics.py
@@ -62,6 +62,7 @@
     :ivar desired_engines: engines that should run, by service, data centre and
         kind; only on the host that orders them.
     :ivar listed_engines: engines that run, by the same.
+    :ivar duty_calls: calls on behalf of all hosts, by duty and outcome.
     """
 
     __slots__ = (
@@ -69,6 +70,7 @@
         'attempts',
         'denied_repeats',
         'desired_engines',
+        'duty_calls',
         'ended',
         'first_byte',
         'listed_engines',
@@ -121,6 +123,9 @@
             by_kind,
             registry=self.registry,
         )
+        self.duty_calls = self._create_counter(
+            'duty_calls', 'Calls on behalf of all', ('duty', 'outcome')
+        )
         self.first_byte = self._create_histogram(
             'first_byte', 'Seconds from sending to the head of the answer'
         )
--- a/tests/engine_fleet.py
+++ b/tests/engine_fleet.py
@@ -117,8 +117,8 @@
         for (name, is_spot), engines in self.engines.items():
             price = SCALING.prices[name]
             price *= SCALING.spot_price if is_spot else 1
-            if name not in self.lost:
-                self.cost += price * len(engines)
+            billed = 0 if name in self.lost else len(engines)
+            self.cost += price * billed
 
     def step(self, load: float) -> None:
         for order in self.policy.decide(SCALING, self.observe(load)):
