--- a/egretdale/coordination/duty_factory.py
+++ b/egretdale/coordination/duty_factory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
 
 from egretdale.config import DutySettings
@@ -11,11 +12,15 @@
 from egretdale.coordination.duty_lease import DutyLease
 from egretdale.coordination.mesh import Mesh
 from egretdale.coordination.ports import Platform
+from egretdale.coordination.scaling import create_scaling
+from egretdale.coordination.selection import BackendSelection
+from egretdale.coordination.service_loads import LoadReporter
 from egretdale.coordination.true_time import TrueTime
 from egretdale.coordination.usage import UsageCollector
 from egretdale.coordination.usage_reports import UsageReporter
 from egretdale.state.gateway_metrics import GatewayMetrics
 from egretdale.state.instances import Instance
+from egretdale.state.routing import RoutingTable
 from egretdale.util.clocks import Clock, WallClock, convert_to_ms
 from egretdale.util.tasks import TaskGroup
 
@@ -37,7 +42,15 @@
     :ivar collector: counts begun requests, ``None`` if nobody reports usage.
     """
 
-    __slots__ = ('_metrics', 'collector', 'holder', 'sender')
+    __slots__ = (
+        '_clock',
+        '_metrics',
+        '_orders_engines',
+        '_reporter',
+        'collector',
+        'holder',
+        'sender',
+    )
 
     def __init__(
         self,
@@ -57,6 +70,9 @@
         """
         self.sender = sender
         self.collector: UsageCollector | None = None
+        self._reporter: LoadReporter | None = None
+        self._orders_engines = settings.orders_engines
+        self._clock = dependencies.clock
         self._metrics = metrics
         started_ms = convert_to_ms(dependencies.wall_clock())
         host = mesh.table.own_host
@@ -91,6 +107,8 @@
         self.holder.start(tasks)
         if self.collector is not None:
             tasks.start(self.collector.run)
+        if self._reporter is not None:
+            tasks.start(self._reporter.run)
 
     def note_begin(self, admitted: AdmittedRequest, instance: Instance) -> None:
         """Count a request that a backend server has begun.
@@ -101,6 +119,31 @@
         if self.collector is not None:
             self.collector.note_begin(admitted.organisation)
 
+    def order_engines(
+        self,
+        selection: BackendSelection,
+        find_routing: Callable[[], RoutingTable | None],
+        is_list_current: Callable[[], bool],
+    ) -> None:
+        """Order engines, if the settings say so.
+
+        :param selection: requests and backend servers of this host.
+        :param find_routing: returns the configuration in force.
+        :param is_list_current: tells whether the list of backend servers is.
+        """
+        if not self._orders_engines:
+            return
+        duty, reporter = create_scaling(
+            self.sender,
+            selection,
+            self._metrics,
+            self._clock,
+            find_routing=find_routing,
+            is_list_current=is_list_current,
+        )
+        self._reporter = reporter
+        self.holder.add(duty)
+
     def count_call(self, duty: str, outcome: str) -> None:
         """Count a call.
 
--- a/egretdale/coordination/gateway.py
+++ b/egretdale/coordination/gateway.py
@@ -31,9 +31,7 @@
 from egretdale.coordination.mesh import Mesh
 from egretdale.coordination.ports import Network, Platform
 from egretdale.coordination.reachability import ReachabilityMonitor
-from egretdale.coordination.scaling import create_scaling
 from egretdale.coordination.selection import BackendSelection
-from egretdale.coordination.service_loads import LoadReporter
 from egretdale.coordination.stream_origins import ListKnowledge
 from egretdale.coordination.version_record import VersionRecorder
 from egretdale.state.gateway_metrics import GatewayMetrics
@@ -105,7 +103,6 @@
 
     __slots__ = (
         '_dependencies',
-        '_load_reporter',
         '_reachability',
         '_selection',
         '_table',
@@ -160,7 +157,12 @@
             settings.duties, dependencies, self.mesh, self.metrics
         )
         self._build_forwarder()
-        self._load_reporter = self._create_scaling()
+        if self.duties is not None:
+            self.duties.order_engines(
+                self._selection,
+                lambda: self.configuration.table,
+                self._is_list_current,
+            )
         self.mesh.add_listener(self.membership)
         self.mesh.add_listener(self.configuration)
         self.mesh.add_listener(self.instances)
@@ -187,8 +189,6 @@
         tasks.start(self._run_joining)
         if self.duties is not None:
             self.duties.start(tasks)
-        if self._load_reporter is not None:
-            tasks.start(self._load_reporter.run)
 
     def is_ready(self) -> bool:
         """Tell whether this host accepts new requests."""
@@ -260,20 +260,6 @@
     def _measure_list_age(self) -> float:
         return self.instances.confirmation.measure_age()
 
-    def _create_scaling(self) -> LoadReporter | None:
-        duties = self.duties
-        settings = self.settings.duties
-        if duties is None or settings is None or not settings.orders_engines:
-            return None
-        return create_scaling(
-            duties,
-            self._selection,
-            self.metrics,
-            self._dependencies.clock,
-            find_routing=lambda: self.configuration.table,
-            is_list_current=self._is_list_current,
-        )
-
     def _build_forwarder(self) -> None:
         settings = self.settings
         dependencies = self._dependencies
--- a/egretdale/coordination/scaling.py
+++ b/egretdale/coordination/scaling.py
@@ -11,7 +11,6 @@
     Fence,
     ScaleOrder,
 )
-from egretdale.coordination.duty_factory import HostDuties
 from egretdale.coordination.selection import BackendSelection
 from egretdale.coordination.service_loads import LoadReporter, ServiceLoadTable
 from egretdale.state.gateway_metrics import GatewayMetrics
@@ -205,23 +204,23 @@
 
 
 def create_scaling(
-    duties: HostDuties,
+    sender: DutySender,
     selection: BackendSelection,
     metrics: GatewayMetrics,
     clock: Clock,
     *,
     find_routing: Callable[[], RoutingTable | None],
     is_list_current: Callable[[], bool],
-) -> LoadReporter:
+) -> tuple[ScalingDuty, LoadReporter]:
     """Create the duty of ordering engines and the reports it is based on.
 
-    :param duties: duties of this host.
+    :param sender: sends orders.
     :param selection: requests and backend servers of this host.
     :param metrics: metrics.
     :param clock: monotonic clock.
     :param find_routing: returns the configuration in force.
     :param is_list_current: tells whether the list of backend servers is.
-    :return: the reporter, whose task is to be started.
+    :return: the duty, and the reporter, which listens to the mesh.
     """
     mesh = selection.mesh
 
@@ -241,5 +240,4 @@
         list_hosts,
         is_list_current,
     )
-    duties.holder.add(ScalingDuty(duties.sender, sources, metrics, clock))
-    return reporter
+    return ScalingDuty(sender, sources, metrics, clock), reporter
--- a/egretdale/state/scaling.py
+++ b/egretdale/state/scaling.py
@@ -33,6 +33,10 @@
 _REDUCTION_SHARE = 0.1
 #: Growth of the prefill per request after which nothing is reduced.
 _PREFILL_GROWTH = 1.2
+#: Seconds for which such a growth is ascribed to the last reduction.
+_PREFILL_MEMORY_S = 60.0
+#: Seconds after which a new holder acts on incomplete reports.
+_PATIENCE_S = 10.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -60,11 +64,12 @@
     """
 
     __slots__ = (
+        '_began_at',
         '_clock',
+        '_complete_at',
         '_estimate',
         '_prefill_tokens',
         '_reduced_at',
-        '_since',
         '_targets',
         'orders',
     )
@@ -75,7 +80,8 @@
         :param clock: monotonic clock.
         """
         self._clock = clock
-        self._since: float | None = None
+        self._began_at = clock()
+        self._complete_at: float | None = None
         self._estimate = DemandEstimate(clock)
         self._reduced_at = float('-inf')
         self._prefill_tokens = float(0)
@@ -114,11 +120,12 @@
 
     def _is_settled(self, scaling: Scaling, picture: ScalingPicture) -> bool:
         """Tell whether orders of an earlier holder show in the list."""
-        if self._since is None and picture.demand.is_complete:
-            self._since = self._clock()
-        if self._since is None:
-            return False
-        return self._clock() - self._since >= scaling.boot_s
+        now = self._clock()
+        if self._complete_at is None and picture.demand.is_complete:
+            self._complete_at = now
+        if self._complete_at is None:
+            return now >= self._began_at + max(_PATIENCE_S, scaling.boot_s)
+        return now >= self._complete_at + scaling.boot_s
 
     def _count_desired(self, picture: ScalingPicture) -> dict[str, int]:
         return {
@@ -182,10 +189,13 @@
 
     def _may_reduce(self, picture: ScalingPicture) -> bool:
         demand = picture.demand
-        if not demand.is_complete or demand.waiting or demand.refused_per_s:
+        if not demand.is_complete or demand.lacks_engines():
             return False
-        if self._clock() < self._reduced_at + _REDUCTION_INTERVAL_S:
+        passed_s = self._clock() - self._reduced_at
+        if passed_s < _REDUCTION_INTERVAL_S:
             return False
+        if passed_s > _PREFILL_MEMORY_S:
+            return True
         grown = self._prefill_tokens * _PREFILL_GROWTH
         return not (grown and demand.prefill_tokens > grown)
 
@@ -249,7 +259,10 @@
             counts = picture.engines.get(name, EngineCounts())
             most = min(most, counts.spot)
         spot = self.orders.find_desired(name, is_spot=True)
-        missing = total - self.orders.count_desired(name)
+        ordinary = self.orders.find_desired(name, is_spot=False)
+        room = scaling.find_bounds(name).maximum - ordinary
+        most = min(most, max(spot, room))
+        missing = total - ordinary - spot
         exchanged = 0
         if not self.orders.is_changing(name):
             exchanged = self._limit_exchange(picture, total)
--- a/egretdale/state/scaling_orders.py
+++ b/egretdale/state/scaling_orders.py
@@ -14,6 +14,8 @@
 _RETRY_S = 1.0
 _UNAVAILABLE_S = 8.0
 _MAXIMUM_DELAY_S = 60.0
+#: Reason of orders that replace reclaimed engines.
+_RECLAIM = 'reclaim'
 
 
 @dataclass(slots=True, frozen=True)
@@ -123,6 +125,7 @@
                 late_at = self._clock() - boot_s - _LISTING_S
                 if spot.was_reclaimed != counts.reclaimed:
                     spot.settled_at = late_at
+                    spot.reason = _RECLAIM
             spot.was_reclaimed = counts.reclaimed
 
     def find_desired(self, data_centre: str, *, is_spot: bool) -> int:
@@ -236,6 +239,7 @@
         state.accepted = order.desired
         state.pending = None
         state.settled_at = self._clock()
+        state.reason = ''
         state.delay_s = 0
 
     def note_unavailable(self, order: PlannedOrder) -> None:
@@ -294,7 +298,8 @@
         is_changed = state.desired != known
         if not is_changed and not self._is_overdue(state, boot_s):
             return None
-        reason = state.reason if is_changed else 'restated'
+        is_reclaim = state.reason == _RECLAIM
+        reason = state.reason if is_changed or is_reclaim else 'restated'
         return PlannedOrder(name, is_spot, state.desired, state.listed, reason)
 
     def _is_overdue(self, state: OrderState, boot_s: float) -> bool:
--- a/egretdale/state/service_demand.py
+++ b/egretdale/state/service_demand.py
@@ -21,6 +21,8 @@
 #: reduction needs at least.
 _PEAK_WINDOW_S = 120.0
 _LEAST_WINDOW_S = 30.0
+#: Part of the requests that wait while they are assigned to engines.
+_PASSING_SHARE = 0.1
 #: Greatest rise that is predicted, as a part of the present demand.
 _MAXIMUM_RISE = 0.5
 #: Part of the slots of an engine beyond which streams slow each other down.
@@ -49,7 +51,12 @@
 
     def is_idle(self) -> bool:
         """Tell whether the engines have nothing to do."""
-        return not (self.running or self.waiting or self.refused_per_s)
+        return not (self.running or self.waiting)
+
+    def lacks_engines(self) -> bool:
+        """Tell whether more requests wait or are refused than in passing."""
+        queued = self.waiting + self.refused_per_s
+        return queued > max(1, self.running * _PASSING_SHARE)
 
 
 class DemandEstimate:
--- a/tests/engine_fleet.py
+++ b/tests/engine_fleet.py
@@ -122,12 +122,13 @@
 
     def step(self, load: float) -> None:
         for order in self.policy.decide(SCALING, self.observe(load)):
-            if not self.order(order):
-                self.policy.orders.note_unavailable(order)
-            elif self.answers_lost:
+            is_taken = self.order(order)
+            if is_taken and self.answers_lost:
                 self.policy.orders.note_failure(order, is_unknown=True)
-            else:
+            elif is_taken:
                 self.policy.orders.note_accepted(order)
+            else:
+                self.policy.orders.note_unavailable(order)
         self.serve(load)
         self.now += _PERIOD_S
 
--- a/tests/test_platform/test_translation.py
+++ b/tests/test_platform/test_translation.py
@@ -11,7 +11,7 @@
 from egretdale.config import GatewaySettings, parse_gateway_settings
 from egretdale.errors import Invalid
 from egretdale.state.instances import Instance
-from egretdale.state.routing import RequestKind, RoutingTable
+from egretdale.state.routing import EngineBounds, RequestKind, RoutingTable
 from standins import platform_path  # noqa: F401
 from tests.functions import create_loader
 
@@ -178,3 +178,45 @@
         json.dumps({**SETTINGS, 'limits': limits}).encode()
     )
     assert translate_settings(given).capacity == 215
+
+
+def test_scaling_is_translated() -> None:
+    scaled = {
+        'name': 'm',
+        'autoscaling': {
+            'min': 1,
+            'max': 20,
+            'boot_time_s': 4.0,
+            'spot_price': 0.22,
+            'zone_prices': {'a': 1.0},
+            'zone_limits': {'a': {'min': 4, 'max': 4}, 'b': {'max': 30}},
+        },
+    }
+    # Services that are not scaled or malformed do not stop requests.
+    services = [scaled, {'name': 'plain'}, {'name': 3}, 'odd']
+    table = decode_configuration(
+        json.dumps({'version': 1, 'services': services}).encode()
+    )
+    assert isinstance(table, RoutingTable)
+    assert list(table.scaling) == ['m']
+    scaling = table.scaling['m']
+    assert scaling.boot_s == 4
+    assert scaling.has_spot()
+    assert scaling.find_bounds('a') == EngineBounds(4, 4)
+    assert scaling.find_bounds('b') == EngineBounds(1, 20)
+    odd = decode_configuration(b'{"version":1,"services":5}')
+    assert isinstance(odd, RoutingTable)
+    assert not odd.scaling
+
+
+def test_spot_engines_are_marked() -> None:
+    entry = {
+        'backend': 'm',
+        'address': '10.0.0.1:80',
+        'zone': 'a',
+        'state': 'ready',
+        'use_spot': True,
+    }
+    engine = decode_engine('e', json.dumps(entry).encode())
+    assert isinstance(engine, Instance)
+    assert engine.is_spot
