--- a/tests/test_coordination/test_scaling.py
+++ b/tests/test_coordination/test_scaling.py
@@ -4,12 +4,15 @@
 
 from dataclasses import dataclass, field
 
+from egretdale.coordination.duties import DUTIES
 from egretdale.coordination.duty_calls import DutyOutcome
 from egretdale.coordination.scaling import ScalingDuty, ScalingSources
-from egretdale.coordination.service_loads import ServiceLoadTable
+from egretdale.coordination.service_loads import LoadReporter, ServiceLoadTable
 from egretdale.state.duty_messages import ServiceLoad
 from egretdale.state.gateway_metrics import GatewayMetrics
 from egretdale.state.instances import Instance, InstanceTable
+from egretdale.state.members import MemberStatus, MemberTable, find_owner
+from egretdale.state.messages import Batch, MemberUpdate
 from egretdale.state.routing import CallerLimits, RoutingTable
 from egretdale.state.service_activity import ServiceActivity
 from tests.engine_fleet import CENTRES, SCALING
@@ -162,3 +165,57 @@
     assert (load.running, load.waiting, load.begun) == (1, 0, 2)
     assert load.prompt_tokens == 500
     assert not activity.list_loads(['other'])
+
+
+class Links:
+    """Links to the peers of a host, without a network."""
+
+    def __init__(self, own_host: str) -> None:
+        self.table = MemberTable(own_host)
+        for host in _HOSTS:
+            update = MemberUpdate(host, 1, 1, MemberStatus.ALIVE, '', '', '')
+            self.table.apply(update, 0)
+        self.probed: list[str] = []
+
+    def probe(self, host: str) -> None:
+        self.probed.append(host)
+
+
+def test_hosts_report_to_the_holder_once_a_second():
+    world = World()
+    owner = find_owner(Links('h1').table, DUTIES)
+    other = min(set(_HOSTS) - {owner})
+    scaled = ['model']
+    links = Links(other)
+    reporter = LoadReporter(
+        links, ServiceActivity(), lambda: scaled, world.read
+    )
+    reporter.step()
+    assert links.probed == [owner]
+    batches = [Batch(other, 1) for _ in range(3)]
+    reporter.fill(other, batches[0])
+    reporter.fill(owner, batches[1])
+    reporter.fill(owner, batches[2])
+    assert [len(batch.loads) for batch in batches] == [0, 1, 0]
+    reporter.step()
+    assert len(links.probed) == 1
+    holder = LoadReporter(
+        Links(owner), ServiceActivity(), lambda: scaled, world.read
+    )
+    holder.receive(batches[1])
+    assert not holder.table.sum_demand('model', _HOSTS).is_complete
+    holder.step()
+    assert holder.table.sum_demand('model', _HOSTS).is_complete
+
+
+def test_hosts_report_nothing_where_nothing_is_scaled():
+    world = World()
+    links = Links('h1')
+    reporter = LoadReporter(links, ServiceActivity(), list, world.read)
+    world.now = float(5)
+    reporter.step()
+    for host in _HOSTS:
+        batch = Batch('h1', 1)
+        reporter.fill(host, batch)
+        assert not batch.loads
+    assert not links.probed
