--- a/egretdale/coordination/duty_factory.py
+++ b/egretdale/coordination/duty_factory.py
@@ -17,7 +17,7 @@
 from egretdale.coordination.service_loads import LoadReporter
 from egretdale.coordination.true_time import TrueTime
 from egretdale.coordination.usage import UsageCollector
-from egretdale.coordination.usage_reports import UsageReporter
+from egretdale.coordination.usage_reports import UsageReporter, WindowTimes
 from egretdale.state.gateway_metrics import GatewayMetrics
 from egretdale.state.instances import Instance
 from egretdale.state.routing import RoutingTable
@@ -168,8 +168,7 @@
             dependencies.platform,
             true_time,
             clock=dependencies.clock,
-            window_s=settings.window_s,
-            late_s=settings.late_s,
+            windows=WindowTimes(settings.window_s, settings.late_s),
             count_call=self.count_call,
         )
         self.collector = collector
