Keep half of the engines ordinary; aim lower after a burst

Change: at most half of the engines are spot engines, a third before the demand is known, and the ordinary ones serve the mean demand at 0.7; a trend triggers an order, whose size is that of the present demand; peaks count at 0.85.

--- a/egretdale/coordination/scaling.py
+++ b/egretdale/coordination/scaling.py
@@ -24,7 +24,7 @@
 logger = get_logger(__name__)
 
 #: Orders that are made in one round at most.
-_MAXIMUM_ORDERS = 4
+_MAXIMUM_ORDERS = 8
 
 
 @dataclass(slots=True, frozen=True)
--- a/egretdale/state/scaling.py
+++ b/egretdale/state/scaling.py
@@ -24,8 +24,12 @@
 _BURST = 2.5
 #: Utilisation that is acceptable in a burst and after a loss.
 _STRAINED_USE = 0.85
-#: Part of the engines in each data centre that are no spot engines.
-_ORDINARY_SHARE = 1 / 3
+#: Part of the engines in each data centre that may be spot engines, and before
+#: the demand is known. They may be reclaimed everywhere at once.
+_SPOT_SHARE = 0.5
+_SPOT_SHARE_AT_START = 1 / 3
+#: Utilisation of the ordinary engines without any spot engine.
+_ORDINARY_USE = 0.7
 #: Seconds between two reductions, in which parts of prompts that were cached
 #: on the engines are prefilled elsewhere.
 _REDUCTION_INTERVAL_S = 10.0
@@ -141,11 +145,13 @@
         expected = min(total, self._count_expected(scaling.boot_s))
         predicted = self._estimate.predict(scaling.boot_s)
         if predicted > expected * _SCALE_OUT_USE:
-            wanted = math.ceil(predicted / _TARGET_USE)
-            self._grow(scaling, wanted - expected)
+            wanted = max(
+                self._estimate.recent / _TARGET_USE, predicted / _STRAINED_USE
+            )
+            self._grow(scaling, math.ceil(wanted) - expected)
             self._reduced_at = self._clock()
             return 'demand'
-        if self._may_reduce(picture) and self._estimate.covers_window():
+        if self._may_reduce(picture) and self._estimate.covers_demand():
             surplus = total - self._count_needed()
             step = max(1, int(total * _REDUCTION_SHARE))
             if surplus > step:
@@ -181,7 +187,7 @@
         left_share = 1 - most / total or 1
         return math.ceil(
             max(
-                estimate.find_peak() / _TARGET_USE,
+                estimate.find_peak() / _STRAINED_USE,
                 estimate.mean * _BURST / _STRAINED_USE,
                 estimate.mean / _STRAINED_USE / left_share,
             )
@@ -252,7 +258,7 @@
         self, scaling: Scaling, picture: ScalingPicture, name: str
     ) -> int:
         total = self._targets[name]
-        most = total - math.ceil(total * _ORDINARY_SHARE)
+        most = int(total * _SPOT_SHARE)
         if not scaling.has_spot():
             most = 0
         if not self.orders.is_available(name, is_spot=True):
@@ -264,8 +270,8 @@
         most = min(most, max(spot, room))
         missing = total - ordinary - spot
         exchanged = 0
-        if not self.orders.is_changing(name):
-            exchanged = self._limit_exchange(picture, total)
+        if missing >= 0 and not self.orders.is_changing(name):
+            exchanged = self._limit_exchange(picture, total, spot)
         raised = spot + max(0, missing, exchanged)
         # Spot engines that run stay when the demand varies.
         return min(most, max(spot, min(raised, self._limit_spot(total))))
@@ -273,17 +279,21 @@
     def _limit_spot(self, total: int) -> int:
         """Limit new spot engines, so that the others can serve the demand."""
         everywhere = max(1, sum(self._targets.values()))
-        needed = self._estimate.mean / _STRAINED_USE * total / everywhere
+        needed = self._estimate.mean / _ORDINARY_USE * total / everywhere
         return total - min(total, math.ceil(needed))
 
-    def _limit_exchange(self, picture: ScalingPicture, total: int) -> int:
+    def _limit_exchange(
+        self, picture: ScalingPicture, total: int, spot: int
+    ) -> int:
         """Limit the engines whose kind may change now."""
         if not self._may_reduce(picture):
             return 0
-        # Engines that have served nothing have nothing in their caches.
+        if self._estimate.covers_demand():
+            return max(1, int(total * _REDUCTION_SHARE))
         if picture.demand.is_idle() and not self._estimate.find_peak():
-            return total
-        return max(1, int(total * _REDUCTION_SHARE))
+            # Engines that have served nothing have nothing in their caches.
+            return max(0, int(total * _SPOT_SHARE_AT_START) - spot)
+        return 0
 
 
 def _weigh(scaling: Scaling, data_centre: str, count: int) -> float:
--- a/egretdale/state/service_demand.py
+++ b/egretdale/state/service_demand.py
@@ -91,7 +91,7 @@
         busy = count_busy(demand, engines, slots)
         elapsed_s = now - self._at
         self._at = now
-        if self._since is None:
+        if self._since is None and busy:
             self._since = now
             self.mean = busy
             self.recent = busy
@@ -121,8 +121,8 @@
         rise = min(self.recent - earlier, self.recent * _MAXIMUM_RISE)
         return self.recent + max(float(0), rise)
 
-    def covers_window(self) -> bool:
-        """Tell whether there are samples of some time."""
+    def covers_demand(self) -> bool:
+        """Tell whether there has been demand for long enough to know it."""
         if self._since is None:
             return False
         return self._at - self._since >= _LEAST_WINDOW_S
