Order ordinary engines for the mean demand, spot engines for bursts

Change: a base of each data centre, raised only to what the mean needs, limits ordinary engines. Run: test_state.test_scaling, test_coordination.test_scaling: 23 passed.

--- a/egretdale/state/scaling.py
+++ b/egretdale/state/scaling.py
@@ -68,6 +68,7 @@
     """
 
     __slots__ = (
+        '_base',
         '_began_at',
         '_clock',
         '_complete_at',
@@ -91,6 +92,8 @@
         self._prefill_tokens = float(0)
         # Engines of both kinds by data centre.
         self._targets: dict[str, int] = {}
+        # Those of them that are ordinary ones if there are no spot engines.
+        self._base: dict[str, int] = {}
         self.orders = OrderBook(clock)
 
     def decide(
@@ -108,8 +111,10 @@
         )
         if not self._is_settled(scaling, picture):
             self._targets = self._count_desired(picture)
+            self._base = dict(self._targets)
             return []
         reason = self._plan_totals(scaling, picture)
+        self._update_base(scaling)
         for data_centre in self._targets:
             self._plan_kinds(scaling, picture, data_centre, reason)
         return self.orders.list_due(scaling.boot_s)
@@ -173,6 +178,19 @@
             bounds = scaling.find_bounds(data_centre)
             self._targets[data_centre] = bounds.clamp(known)
 
+    def _update_base(self, scaling: Scaling) -> None:
+        """Raise the base only to what the mean demand needs.
+
+        A burst is over before ordinary engines are worth their price.
+        """
+        total = max(1, sum(self._targets.values()))
+        needed = self._estimate.mean / _ORDINARY_USE / total
+        for name, target in self._targets.items():
+            least = scaling.find_bounds(name).minimum
+            known = self._base.get(name, 0)
+            base = max(known, least, math.ceil(needed * target))
+            self._base[name] = min(base, target)
+
     def _count_expected(self, boot_s: float) -> int:
         return sum(
             self.orders.count_expected(data_centre, boot_s)
@@ -249,6 +267,8 @@
         if spot > counts.spot:
             # Spot engines that boot are not replaced by ordinary ones.
             ordinary_left = min(ordinary_left, max(ordinary, total - spot))
+        if scaling.has_spot():
+            ordinary_left = min(ordinary_left, max(ordinary, self._base[name]))
         if ordinary_left < ordinary:
             self._note_reduction(picture.demand)
         self.orders.plan(name, spot, reason, is_spot=True)
