Forget what a burst would have needed; report loads less often in large fleets

Change: without spot engines a data centre keeps what serves or its base; each host lengthens the period, up to two seconds.

--- a/egretdale/coordination/service_loads.py
+++ b/egretdale/coordination/service_loads.py
@@ -16,10 +16,13 @@
 from egretdale.state.service_demand import ServiceDemand
 from egretdale.util.clocks import Clock
 
-#: Seconds between two reports of a host.
+#: Seconds between two reports of a host, longest such time, and what each host
+#: adds, as all report to the same one.
 _REPORT_PERIOD_S = 1.0
-#: Shortest time in seconds between two reports.
-_LEAST_PERIOD_S = 0.9
+_LONGEST_PERIOD_S = 2.0
+_PERIOD_PER_HOST_S = 0.005
+#: Part of the period after which another message may carry the report.
+_EARLY = 0.9
 #: Age in seconds up to which the report of a host counts.
 _MAXIMUM_AGE_S = 4.0
 #: Weight of the latest report in the averages of a host.
@@ -146,7 +149,7 @@
     def run(self) -> None:
         """Report without end."""
         while True:
-            eventlet.sleep(_REPORT_PERIOD_S)
+            eventlet.sleep(self._find_period())
             self.step()
 
     def step(self) -> None:
@@ -179,9 +182,12 @@
         if batch.loads:
             self.table.note(batch.sender, batch.loads)
 
+    def _find_period(self) -> float:
+        hosts_s = _PERIOD_PER_HOST_S * self._mesh.table.count_reachable()
+        return min(max(_REPORT_PERIOD_S, hosts_s), _LONGEST_PERIOD_S)
+
     def _is_due(self) -> bool:
-        # A task may run a little early.
-        return self._clock() >= self._sent_at + _LEAST_PERIOD_S
+        return self._clock() >= self._sent_at + self._find_period() * _EARLY
 
     def _list_loads(self) -> list[ServiceLoad]:
         services = self._list_scaled()
--- a/egretdale/state/scaling.py
+++ b/egretdale/state/scaling.py
@@ -173,8 +173,13 @@
             known = self._targets.get(data_centre)
             if known is None or not self.orders.has_orders(data_centre):
                 known = desired
+            serving = picture.engines[data_centre].serving
             if not self.orders.is_available(data_centre):
-                known = min(known, picture.engines[data_centre].serving)
+                known = min(known, serving)
+            elif not self.orders.is_available(data_centre, is_spot=True):
+                # What a burst would have needed isn't ordered after it.
+                base = self._base.get(data_centre, 0)
+                known = min(known, max(base, serving))
             bounds = scaling.find_bounds(data_centre)
             self._targets[data_centre] = bounds.clamp(known)
 
--- a/tests/test_state/test_scaling.py
+++ b/tests/test_state/test_scaling.py
@@ -104,6 +104,21 @@
         assert fleet.share > 0.99
 
 
+def test_a_burst_without_spot_engines_orders_none_after_it():
+    fleet = _play(_steady, 10)
+    fleet.closed = {(name, True) for name in CENTRES}
+    fleet.play(lambda _: _LOAD * 2.8, 16)
+    fleet.play(_steady, 20)
+    fleet.closed = set()
+    before = len(fleet.calls)
+    fleet.play(_steady, 60)
+    assert fleet.count_all() <= 33
+    assert all(
+        order.desired <= 5 or not order.is_spot
+        for order in fleet.calls[before:]
+    )
+
+
 def test_without_spot_engines_ordinary_ones_stay():
     fleet = EngineFleet()
     fleet.closed = {(name, True) for name in CENTRES}
