Keep ordinary engines until the demand is known

Change: kinds are exchanged only after half a minute of demand. The tests that stated the exchange of idle engines now state that nothing is ordered then, and that a busy service gets more of both kinds. Run: test_state.test_scaling, test_coordination.test_scaling, test_gateway, test_translation, test_duties pass.

--- a/egretdale/state/scaling.py
+++ b/egretdale/state/scaling.py
@@ -24,10 +24,9 @@
 _BURST = 2.5
 #: Utilisation that is acceptable in a burst and after a loss.
 _STRAINED_USE = 0.85
-#: Part of the engines in each data centre that may be spot engines, and before
-#: the demand is known. They may be reclaimed everywhere at once.
+#: Part of the engines in each data centre that may be spot engines, as they may
+#: be reclaimed everywhere at once.
 _SPOT_SHARE = 0.5
-_SPOT_SHARE_AT_START = 1 / 3
 #: Utilisation of the ordinary engines without any spot engine.
 _ORDINARY_USE = 0.7
 #: Seconds between two reductions, in which parts of prompts that were cached
@@ -296,7 +295,7 @@
         missing = total - ordinary - spot
         exchanged = 0
         if missing >= 0 and not self.orders.is_changing(name):
-            exchanged = self._limit_exchange(picture, total, spot)
+            exchanged = self._limit_exchange(picture, total)
         raised = spot + max(0, missing, exchanged)
         # Spot engines that run stay when the demand varies.
         return min(most, max(spot, min(raised, self._limit_spot(total))))
@@ -307,18 +306,12 @@
         needed = self._estimate.mean / _ORDINARY_USE * total / everywhere
         return total - min(total, math.ceil(needed))
 
-    def _limit_exchange(
-        self, picture: ScalingPicture, total: int, spot: int
-    ) -> int:
+    def _limit_exchange(self, picture: ScalingPicture, total: int) -> int:
         """Limit the engines whose kind may change now."""
-        if not self._may_reduce(picture):
+        is_known = self._estimate.covers_demand()
+        if not is_known or not self._may_reduce(picture):
             return 0
-        if self._estimate.covers_demand():
-            return max(1, int(total * _REDUCTION_SHARE))
-        if picture.demand.is_idle() and not self._estimate.find_peak():
-            # Engines that have served nothing have nothing in their caches.
-            return max(0, int(total * _SPOT_SHARE_AT_START) - spot)
-        return 0
+        return max(1, int(total * _REDUCTION_SHARE))
 
 
 def _weigh(scaling: Scaling, data_centre: str, count: int) -> float:
--- a/egretdale/state/service_demand.py
+++ b/egretdale/state/service_demand.py
@@ -49,10 +49,6 @@
     prefill_tokens: float = 0
     is_complete: bool = False
 
-    def is_idle(self) -> bool:
-        """Tell whether the engines have nothing to do."""
-        return not (self.running or self.waiting)
-
     def lacks_engines(self) -> bool:
         """Tell whether more requests wait or are refused than in passing."""
         queued = self.waiting + self.refused_per_s
