--- a/egretdale/coordination/gateway.py
+++ b/egretdale/coordination/gateway.py
@@ -127,6 +127,12 @@
             settings.duties, dependencies, self.mesh, self.metrics
         )
         self._build_forwarder()
+        if self.duties is not None:
+            self.duties.order_engines(
+                self._selection,
+                lambda: self.configuration.table,
+                self._is_list_current,
+            )
         self.mesh.add_listener(self.membership)
         self.mesh.add_listener(self.configuration)
         self.mesh.add_listener(self.instances)
