--- a/tests/test_coordination/test_scaling.py
+++ b/tests/test_coordination/test_scaling.py
@@ -57,7 +57,13 @@
         self.loads = ServiceLoadTable(self.read)
         self.metrics = GatewayMetrics()
         routing = RoutingTable(
-            1, b'', (), CallerLimits(), scaling={'model': SCALING}
+            1,
+            b'',
+            (),
+            CallerLimits(),
+            (),
+            requires_keys=False,
+            scaling={'model': SCALING},
         )
         sources = ScalingSources(
             self.loads,
