--- a/egretdale/transport/connection_limits.py
+++ b/egretdale/transport/connection_limits.py
@@ -20,8 +20,9 @@
 logger = get_logger(__name__)
 
 #: Seconds for which a connection may wait for a request before it is closed in
-#: favour of a new one.
+#: favour of a new one; the same where requests are short.
 _GRACE_S = 5.0
+SHORT_GRACE_S = 1.0
 _ROOM_POLL_S = 0.1
 
 
@@ -37,7 +38,14 @@
     :ivar closed: connections that were closed for a limit, by reason.
     """
 
-    __slots__ = ('_clock', '_waiting', 'account', 'closed', 'source')
+    __slots__ = (
+        '_clock',
+        '_grace_s',
+        '_waiting',
+        'account',
+        'closed',
+        'source',
+    )
 
     def __init__(
         self,
@@ -45,6 +53,7 @@
         clock: Clock,
         closed: Counter[str],
         source: Source = Source.CALLER,
+        grace_s: float = _GRACE_S,
     ) -> None:
         """Create limits of a server without connections.
 
@@ -52,7 +61,10 @@
         :param clock: monotonic clock.
         :param closed: counts the connections that are closed, by reason.
         :param source: kind of the senders.
+        :param grace_s: seconds for which a connection may wait for a request
+            while there is no room.
         """
+        self._grace_s = grace_s
         self.account = account
         self.closed = closed
         self.source = source
@@ -100,7 +112,7 @@
         late = [
             (connection, address, since)
             for connection, (address, since) in self._waiting.items()
-            if now - since >= _GRACE_S
+            if now - since >= self._grace_s
         ]
         if not late:
             return
--- a/egretdale/transport/gateway.py
+++ b/egretdale/transport/gateway.py
@@ -17,7 +17,10 @@
 from egretdale.coordination.ports import Platform
 from egretdale.protocol.forwarding import HeaderCodec
 from egretdale.state.memory import MemoryAccount, Source
-from egretdale.transport.connection_limits import ConnectionLimits
+from egretdale.transport.connection_limits import (
+    SHORT_GRACE_S,
+    ConnectionLimits,
+)
 from egretdale.transport.forwarding import HttpForwardClient
 from egretdale.transport.ingress import Ingress
 from egretdale.transport.peer_calls import GatewayHandler
@@ -220,13 +223,15 @@
                 serve_auxiliary,
                 self._listeners[address],
                 application,
-                self._create_limits(Source.CALLER),
+                self._create_limits(Source.CALLER, grace_s=SHORT_GRACE_S),
                 settings.maximum_auxiliary_connections,
             )
 
-    def _create_limits(self, source: Source) -> ConnectionLimits:
+    def _create_limits(
+        self, source: Source, **grace: float
+    ) -> ConnectionLimits:
         return ConnectionLimits(
-            self._account, read_boot_clock, self._closed, source
+            self._account, read_boot_clock, self._closed, source, **grace
         )
 
     def _drain(self) -> None:
--- a/tests/ingress.py
+++ b/tests/ingress.py
@@ -16,6 +16,7 @@
 from egretdale.state.gateway_metrics import GatewayMetrics
 from egretdale.state.outcomes import Refused
 from egretdale.state.routing import CallerLimits, RequestKind
+from egretdale.transport.connection_limits import ConnectionLimits
 from egretdale.transport.ingress import Ingress
 from egretdale.util.clocks import read_boot_clock
 from tests.forwarding import create_route
@@ -78,6 +79,7 @@
 @contextmanager
 def open_ingress(
     read_limits: Callable[[], CallerLimits] = read_fixed_limits,
+    connection_limits: ConnectionLimits | None = None,
 ) -> Iterator[tuple[ScriptedForwarder, Ingress, str]]:
     forwarder = ScriptedForwarder()
     ingress = Ingress(
@@ -87,7 +89,7 @@
         read_boot_clock,
         maximum_connections=50,
         metrics=GatewayMetrics(),
-        connection_limits=create_limits(),
+        connection_limits=connection_limits or create_limits(),
     )
     listener = eventlet.listen(('127.0.0.1', 0))
     server = eventlet.spawn(ingress.run, listener)
