Count held slots as load when a copy of a part is weighed

Slots bind there, not prefill, so copies looked cheap.

Change: the load by which a copy is weighed is that of prefill or of held slots.

--- a/egretdale/coordination/engine_costs.py
+++ b/egretdale/coordination/engine_costs.py
@@ -204,7 +204,8 @@
         """Weigh what others lose by the prefill of a shared part.
 
         A second of prefill lengthens the time in which an engine is busy by
-        more than a second, the more so the higher its load is.
+        more than a second, the more so the higher its load is: that of its
+        prefill or of its slots, which are held for longer.
 
         :param weighing: the request.
         :param state: the engine.
@@ -215,7 +216,7 @@
             return 0 if is_preferred else _STRAY_WEIGHT
         age_s = weighing.now - self._started_at
         assumed = _ASSUMED_LOAD * math.exp(-age_s / _ASSUMED_LOAD_S)
-        free = 1 - max(state.recent.load, assumed)
+        free = 1 - max(state.recent.load, state.slots.load, assumed)
         return 1 / max(free, 1 / _MAXIMUM_COPY_WEIGHT) - 1
 
     def _measure_evictions(
--- a/egretdale/state/engine_slots.py
+++ b/egretdale/state/engine_slots.py
@@ -26,8 +26,7 @@
 #: Factor from the requests that a brittle engine runs when it rejects another
 #: one to the number that it gets then.
 _BRITTLE_SHARE = 0.8
-#: Part of the slots of an engine that is kept free for urgent requests, rounded
-#: up.
+#: Part of an engine's slots that is kept free for urgent requests, rounded up.
 _RESERVED_SHARE = 0.05
 #: Penalty in seconds for preempting a request, whose prompt has to be
 #: prefilled again.
@@ -84,6 +83,11 @@
             return self.limit
         return self.limit - math.ceil(self.limit * _RESERVED_SHARE)
 
+    @property
+    def load(self) -> float:
+        """Part of the slots without the reserve that are held."""
+        return len(self.held) / max(1, self.spare_limit)
+
     def count(self, urgency: int) -> int:
         """Count the requests that a new one cannot preempt.
 
--- a/tests/test_coordination/test_engine_choice.py
+++ b/tests/test_coordination/test_engine_choice.py
@@ -90,6 +90,29 @@
     assert scene.choose(_ask('next', 1))[0] == 'e0'
 
 
+def test_a_copy_is_dear_where_slots_are_scarce() -> None:
+    """Reading a part again also holds a slot for longer."""
+    costs = []
+    for held in (0, 9):
+        scene = _Scene(1, parts=8)
+        scene.ready = [Instance('e1', SERVICE, '', slots=10)]
+        scene.run(_ask('first', 1), 'e1')
+        scene.clock.now += 30
+        scene.ready.append(Instance('e0', SERVICE, '', slots=10))
+        for number in range(held):
+            ask = create_ask(f'held{number}', 10)
+            state = scene.chooser.measure(scene.ready)[1]
+            scene.chooser.hold_slot(ask, state)
+        waiting = 0
+        while scene.choose(_ask('next', 1))[0] == 'e1':
+            waiting += 1
+            scene.ready.pop()
+            scene.start(_ask(f'busy{waiting}', 1, 1000), 'e1')
+            scene.ready.append(Instance('e0', SERVICE, '', slots=10))
+        costs.append(waiting)
+    assert costs[1] > costs[0], costs
+
+
 def test_a_part_that_no_longer_fits_is_not_believed() -> None:
     """An engine that has read other parts since is no better than another."""
     for parts, expected in ((3, 'e0'), (8, 'e1')):
