Take back the factors of engines

What callers would see: requests were refused although all servers only stood still for a second. Cause: first tokens over a second late, which a silence brings about too, taught that the engine or its service is slow, so predicted waits were too long. Without late first tokens one of the two still failed, and so did a test of the factors, so the whole change is taken back. Result: test_silent_backends, test_speeds, test_prefill 33 passed, test_emulation 9 passed.

--- a/egretdale/state/backlogs.py
+++ b/egretdale/state/backlogs.py
@@ -20,8 +20,6 @@
 #: Seconds past the due time after which the report of a first token is
 #: assumed to be lost.
 _REPORT_LOST_S = 1.0
-#: Prompts of an engine that are remembered after that: they may only be late.
-_MAXIMUM_LATE = 64
 #: Time constant in seconds with which a measured delay decays.
 _DELAY_MEMORY_S = 3.0
 _DELAY_SMOOTHING = 0.4
@@ -48,8 +46,7 @@
     :ivar speed: prefill speed of the engine.
     :ivar busy_until: clock time at which all of them should be prefilled.
     :ivar prompts: prompts without a first token by request ID, oldest first.
-    :ivar late: those whose reports were assumed to be lost.
-    :ivar work: sum of the work of the prompts.
+    :ivar work: sum of their work.
     :ivar first_token_at: clock time of the latest first token.
     :ivar prefilled_s: seconds of prefill of all prompts with first tokens.
     :ivar delay_s: smoothed delay of first tokens in seconds, as of the last
@@ -60,7 +57,6 @@
     speed: EngineSpeed
     busy_until: float = 0
     prompts: dict[str, OutstandingPrompt] = field(default_factory=dict)
-    late: dict[str, OutstandingPrompt] = field(default_factory=dict)
     work: PrefillWork = field(default_factory=PrefillWork)
     first_token_at: float = float('-inf')
     prefilled_s: float = 0
@@ -203,12 +199,7 @@
         :return: its work, none if the prompt is unknown.
         """
         backlog = self._backlogs.get(engine)
-        if backlog is None:
-            return PrefillWork()
-        late = backlog.late.pop(request_id, None)
-        if late is not None and first_token_s is not None:
-            _learn_late(backlog, late, first_token_s)
-        if request_id not in backlog.prompts:
+        if backlog is None or request_id not in backlog.prompts:
             return PrefillWork()
         if first_token_s is not None:
             _learn_speed(backlog, request_id, first_token_s)
@@ -224,30 +215,7 @@
             if now <= oldest.due_at + _REPORT_LOST_S:
                 break
             backlog.work -= oldest.work
-            backlog.late[request_id] = backlog.prompts.pop(request_id)
-            if len(backlog.late) > _MAXIMUM_LATE:
-                backlog.late.pop(next(iter(backlog.late)))
-
-
-def _learn_late(
-    backlog: Backlog, prompt: OutstandingPrompt, first_token_s: float
-) -> None:
-    """Update the speed from a first token that was not expected any more.
-
-    Without it, an engine that is far slower than expected would stay unknown.
-
-    :param backlog: backlog of the engine.
-    :param prompt: the prompt.
-    :param first_token_s: seconds from sending it to the first token.
-    """
-    first_token_at = prompt.sent_at + first_token_s
-    started_at = max(prompt.sent_at, backlog.first_token_at)
-    queued = backlog.first_token_at > prompt.sent_at
-    backlog.first_token_at = max(backlog.first_token_at, first_token_at)
-    if first_token_at > started_at:
-        took_s = first_token_at - started_at
-        sample = PrefillSample(prompt.work, took_s, queued=queued)
-        backlog.speed.learn(sample, is_alone=False)
+            backlog.prompts.pop(request_id)
 
 
 def _learn_speed(
--- a/egretdale/state/speeds.py
+++ b/egretdale/state/speeds.py
@@ -1,8 +1,8 @@
 """Prefill speed of model engines, learned from their first tokens.
 
 This serves engines of unknown hardware. The engines of a service share one
-estimate, which follows from few samples of any of them. Engines that differ
-from it get factors of their own.
+estimate, which follows from few samples of any of them. An engine whose own
+samples differ from it gets a factor of its own.
 """
 
 from __future__ import annotations
@@ -13,7 +13,6 @@
 from dataclasses import dataclass
 
 from egretdale.state.instances import Instance
-from egretdale.state.speed_factors import EngineFactors
 from egretdale.util.clocks import Clock
 
 #: Assumed speed before the first samples, in tokens per second.
@@ -33,11 +32,17 @@
 #: Prefill in seconds from which a sum of measured times is used: a prompt and
 #: the next one share a step of the engine, so single times are inexact.
 _SAMPLE_S = 0.1
-#: Mean prefill in seconds of the prompts of such a sum from which it tells how
-#: fast an engine is: with short ones, most of it is the fixed time of steps.
-_DISTINCT_PROMPT_S = 0.015
 _SAMPLES = 48
 _MINIMUM_SAMPLES = 3
+_ENGINE_SAMPLES = 8
+_MINIMUM_ENGINE_SAMPLES = 6
+#: Time in seconds after which samples of an engine no longer distinguish it.
+_ENGINE_MEMORY_S = 10.0
+#: Factors within this range are taken for chance: parts that an engine has
+#: evicted make it look slow.
+_USUAL_FACTORS = (0.33, 3.0)
+#: Bounds on the factor of an engine.
+_FACTOR_BOUNDS = (0.2, 20.0)
 
 
 @dataclass(slots=True, frozen=True)
@@ -49,20 +54,13 @@
         cached or not, to which it attends.
     """
 
-    tokens: float = 0
+    tokens: int = 0
     pairs: float = 0
 
     def __add__(self, other: PrefillWork) -> PrefillWork:
         """Add the work of another prompt."""
         return PrefillWork(self.tokens + other.tokens, self.pairs + other.pairs)
 
-    def scale(self, factor: float) -> PrefillWork:
-        """Return work that takes a multiple of the time.
-
-        :param factor: the multiple.
-        """
-        return PrefillWork(self.tokens * factor, self.pairs * factor)
-
     def __sub__(self, other: PrefillWork) -> PrefillWork:
         """Subtract the work of another prompt."""
         return PrefillWork(self.tokens - other.tokens, self.pairs - other.pairs)
@@ -76,13 +74,11 @@
     :ivar took_s: seconds from the start of the prefill to the last first token.
     :ivar queued: whether the prefill began when that of another prompt ended,
         so that the time does not include the floor.
-    :ivar prompts: number of prompts.
     """
 
     work: PrefillWork
     took_s: float
     queued: bool
-    prompts: int = 1
 
     def extend(self, following: PrefillSample) -> PrefillSample:
         """Add the prefill that followed without a pause.
@@ -90,12 +86,7 @@
         :param following: its measured time.
         """
         work = self.work + following.work
-        return PrefillSample(
-            work,
-            self.took_s + following.took_s,
-            self.queued,
-            self.prompts + following.prompts,
-        )
+        return PrefillSample(work, self.took_s + following.took_s, self.queued)
 
 
 class ServiceSpeed:
@@ -187,26 +178,32 @@
     :ivar shared: speed of the engines of its service.
     """
 
-    __slots__ = ('_factors', '_instance', '_pending', 'shared')
+    __slots__ = (
+        '_clock',
+        '_factor',
+        '_pending',
+        '_ratios',
+        '_valid_until',
+        'shared',
+    )
 
-    def __init__(
-        self, shared: ServiceSpeed, factors: EngineFactors, instance: Instance
-    ) -> None:
+    def __init__(self, shared: ServiceSpeed, clock: Clock) -> None:
         """Start from the speed of the service.
 
         :param shared: speed of the engines of the service.
-        :param factors: how the engines of the service differ.
-        :param instance: the engine.
+        :param clock: monotonic clock.
         """
         self.shared = shared
-        self._factors = factors
-        self._instance = instance
+        self._clock = clock
+        self._ratios: deque[float] = deque(maxlen=_ENGINE_SAMPLES)
+        self._factor = float(1)
         self._pending: PrefillSample | None = None
+        self._valid_until = float('-inf')
 
     @property
     def factor(self) -> float:
         """Time that a prefill takes, as a multiple of the usual time."""
-        return self._factors.find(self._instance)
+        return self._factor if self._clock() < self._valid_until else 1
 
     def predict(self, work: PrefillWork) -> float:
         """Predict the time of a prefill.
@@ -233,22 +230,19 @@
             self._learn_sum(sample)
 
     def _learn_sum(self, sample: PrefillSample) -> None:
-        weight = _weigh(sample.work)
-        # The service learns what an engine without a factor would take.
-        usual = sample.work.scale(self.factor)
-        self.shared.learn(PrefillSample(usual, sample.took_s, sample.queued))
-        net_s = self.shared.measure_net(sample)
-        mean_s = self.shared.predict(sample.work) / sample.prompts
-        is_distinct = net_s > 0 and mean_s >= _DISTINCT_PROMPT_S
-        if is_distinct and self.shared.is_known():
-            usual_s = 1 / self.shared.tokens_per_s
-            self._factors.note(self._instance, net_s / weight, usual_s)
+        usual_s = self.shared.predict(sample.work)
+        self.shared.learn(sample)
+        if self._clock() >= self._valid_until:
+            self._ratios.clear()
+        self._valid_until = self._clock() + _ENGINE_MEMORY_S
+        self._ratios.append(self.shared.measure_net(sample) / usual_s)
+        self._factor = _estimate_factor(self._ratios)
 
 
 class SpeedTable:
     """Prefill speeds of engines, by the name of their incarnation."""
 
-    __slots__ = ('_by_engine', '_by_service', '_clock', '_factors')
+    __slots__ = ('_by_engine', '_by_service', '_clock')
 
     def __init__(self, clock: Clock) -> None:
         """Create an empty table.
@@ -258,7 +252,6 @@
         self._clock = clock
         self._by_service: dict[str, ServiceSpeed] = {}
         self._by_engine: dict[str, EngineSpeed] = {}
-        self._factors: dict[str, EngineFactors] = {}
 
     def find(self, instance: Instance) -> EngineSpeed:
         """Return the speed of an engine.
@@ -269,9 +262,7 @@
         speed = self._by_engine.get(instance.incarnation_name)
         if speed is None:
             speed = EngineSpeed(
-                self.find_service(instance.service),
-                self.find_factors(instance.service),
-                instance,
+                self.find_service(instance.service), self._clock
             )
             self._by_engine[instance.incarnation_name] = speed
         return speed
@@ -283,17 +274,6 @@
         """
         return self._by_service.setdefault(service, ServiceSpeed())
 
-    def find_factors(self, service: str) -> EngineFactors:
-        """Return how the engines of a service differ.
-
-        :param service: service name.
-        """
-        factors = self._factors.get(service)
-        if factors is None:
-            factors = EngineFactors(self._clock)
-            self._factors[service] = factors
-        return factors
-
     def list_known_rates(self) -> dict[str, float]:
         """Return the learned speeds in tokens per second by service name."""
         return {
@@ -308,8 +288,6 @@
         :param engine: name of its incarnation.
         """
         self._by_engine.pop(engine, None)
-        for factors in self._factors.values():
-            factors.forget(engine)
 
 
 def measure_work(tokens: int, prompt_tokens: int) -> PrefillWork:
@@ -323,6 +301,17 @@
     return PrefillWork(tokens, tokens * (cached + tokens / 2))
 
 
+def _estimate_factor(ratios: deque[float]) -> float:
+    if len(ratios) < _MINIMUM_ENGINE_SAMPLES:
+        return 1
+    factor = statistics.median(ratios)
+    least, most = _USUAL_FACTORS
+    if least <= factor <= most:
+        return 1
+    least, most = _FACTOR_BOUNDS
+    return min(max(factor, least), most)
+
+
 def _weigh(work: PrefillWork) -> float:
     """Return the number of tokens without context that take the same time."""
     return work.tokens + work.pairs / _DOUBLING_TOKENS
--- a/standins/emulation/hosts.py
+++ b/standins/emulation/hosts.py
@@ -150,7 +150,7 @@
         self._instances = InstanceTable(clock, 2)
         speeds = None
         if policy.knows_speed:
-            speeds = KnownSpeedTable(clock, workload.profile, workload.slowness)
+            speeds = KnownSpeedTable(clock, workload.profile)
         metrics = GatewayMetrics()
         self._selection = BackendSelection(
             self.mesh,
