--- a/review/standins2/rig.py
+++ b/review/standins2/rig.py
@@ -10,6 +10,7 @@
 import json
 import os
 import random
+import resource
 import select
 import signal
 import socket
@@ -28,6 +29,8 @@
 HOST = 'claims.example'
 HEARTBEAT_S = 1.2
 HISTORY_S = 20
+#: Descriptors of a process, which the settings name and the machine grants.
+MAX_FDS = 4100
 #: Bounds of a small deployment.
 BOUNDS = {
     'seed_lag_s': 3,
@@ -586,7 +589,7 @@
                         'cpu_share': 0.537,
                         'cores': 2,
                         'memory_mb': 300,
-                        'max_fds': 4100,
+                        'max_fds': MAX_FDS,
                         'link_mbps': 1000.0,
                         'disk_mb': 0,
                     },
@@ -619,7 +622,12 @@
         environment['PYTHONPATH'] = str(ROOT / 'target/deps')
         with self.log.open('ab') as log:
             self.process = subprocess.Popen(
-                command, cwd=ROOT, env=environment, stdout=log, stderr=log
+                command,
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+                preexec_fn=self.rig.limit_descriptors,
             )
         self.rig.record.note(f'daemon {self.name} started')
 
@@ -754,6 +762,9 @@
 
     def __init__(self, folder, daemons=3, **bounds):
         self.case = Path(folder)
+        _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if most != resource.RLIM_INFINITY and most < MAX_FDS:
+            raise RuntimeError(f'fewer than {MAX_FDS} descriptors')
         self.record = Record(self.case / 'record.txt')
         self.trouble = os.environ.get('TROUBLE', '1') != '0'
         self._temporary = tempfile.TemporaryDirectory()
@@ -763,6 +774,11 @@
         self.store_address = self.store.address
         self.daemons = [Daemon(self, index + 1) for index in range(daemons)]
 
+    @staticmethod
+    def limit_descriptors():
+        """Give a daemon the descriptors that its settings name."""
+        resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_FDS, MAX_FDS))
+
     def start(self, settle_s=2.0):
         seeds = [daemon.addresses['control'] for daemon in self.daemons[:3]]
         for daemon in self.daemons:
