--- a/review/standins2/rig.py
+++ b/review/standins2/rig.py
@@ -402,6 +402,11 @@
     def leave(self):
         self.alive = False
         self.store.remove('servers', self.name)
+        self.stop_listening()
+
+    def stop_listening(self):
+        # Wakes the thread that waits in accept, which keeps the socket open.
+        self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
 
     def _accept(self, listener):
