--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,5 +1,5 @@
 # flake8: noqa
-"""A server starts again under its id while the platform's store is silent."""
+"""A server answers with bytes that are no answer, in a body, without end."""
 
 import sys
 from pathlib import Path
@@ -9,172 +9,99 @@
 
 from rig import *  # noqa: E402, F403
 
-STREAMS = 48
-EVENTS = 40
-EVENT_S = 0.2
-TIMEOUT_MS = 10000
-#: Seconds for which the server is down, and the store silent.
-CRASH_S = 1.5
-SILENCE_S = 6.0
-TRIES = 6
-
-
-class Caller:
-    """A caller that takes its stream up again when its connection is lost."""
-
-    def __init__(self, rig):
-        self.rig = rig
-        self.daemon = random.choice(rig.daemons)
-        self.first = ''
-        #: Version of the server that made each event, in order.
-        self.events = []
-        self.tries = []
-        self.connection = None
-        self.is_complete = False
-        self.deadline = time.monotonic() + TIMEOUT_MS / 1000
-
-    def run(self):
-        while len(self.tries) < TRIES and not self.is_complete:
-            left_ms = round((self.deadline - time.monotonic()) * 1000)
-            if left_ms < 200:
-                return
-            identity = new_id()
-            wait_s = 0.2
-            try:
-                wait_s = self.read(identity, left_ms)
-            except (OSError, ValueError) as error:
-                self.rig.record.note(f'caller {identity} lost it: {error!r}')
-            time.sleep(min(wait_s, 1.0))
-            self.daemon = random.choice(self.rig.daemons)
-
-    def read(self, identity, left_ms):
-        headers = {'Deadline_Ms': left_ms}
-        if self.events:
-            headers['Resumes'] = self.first
-            headers['Last_Event_Id'] = len(self.events)
-        ip, _, port = self.daemon.addresses['front'].rpartition(':')
-        self.connection = socket.create_connection((ip, int(port)), 1)
-        self.connection.settimeout(left_ms / 1000)
-        self.connection.sendall(build_request('/stream/x', identity, **headers))
-        self.rig.record.note(
-            f'caller sends {identity} to {self.daemon.name}, resumes'
-            f' {self.first if self.events else "nothing"} after'
-            f' {len(self.events)}'
-        )
-        stream = self.connection.makefile('rb')
-        head = read_head(stream)
-        if head is None:
-            raise ConnectionError('closed without an answer')
-        self.tries.append(head.status)
-        if head.status != 200:
-            return float(head.get('Retry-After') or 0.5)
-        while True:
-            line = stream.readline()
-            if not line.endswith(b'\n'):
-                raise ConnectionError('closed within the answer')
-            if line.startswith(b'id: '):
-                number = int(line.split()[1])
-                if number != len(self.events) + 1:
-                    raise ValueError(f'event {number} is out of order')
-            if line.startswith(b'data: '):
-                self.first = self.first or identity
-                self.events.append(line.decode().split()[2])
-                if len(self.events) == EVENTS:
-                    self.is_complete = True
-                    return 0
-
-    def lose(self):
-        """Lose the connection, as handsets do."""
-        if self.connection is not None:
-            try:
-                self.connection.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass
+#: Timeout of the route whose requests are judged, in ms.
+TIMEOUT_MS = 1500
+GRACE_S = 0.5
+PERIOD_S = 0.1
+TROUBLE_AT_S = 3.0
+LENGTH_S = 20.0
+#: Chunks of one byte that never end an event.
+NO_ANSWER = b'1\r\n.\r\n' * 10000
+STREAMS = 3
 
 
 def main(rig):
     put_config(
         rig.store,
         1,
-        [route('/stream/', 'streaming', 'llm', timeout_ms=TIMEOUT_MS)],
+        [
+            route('/status/', 'non_idempotent', 'web', timeout_ms=TIMEOUT_MS),
+            route('/stream/', 'streaming', 'llm', timeout_ms=8000),
+        ],
     )
-    servers = [
-        Server(
-            rig.store,
-            f'llm-{number}',
-            'llm',
-            rig.record,
-            version='v1' if not number else 'v2',
-            events=EVENTS,
-            event_s=EVENT_S,
+    for index in range(2):
+        Server(rig.store, f'web-{index}', 'web', rig.record)
+
+    def answer_badly(server, connection, request, run):
+        if not rig.trouble:
+            return None
+        run()
+        lines = ['HTTP/1.1 200 OK', 'Content-Type: text/event-stream']
+        identity = request.get('Attempt-Id')
+        lines += [f'{name}: {text}' for name, text in server.seal(identity)]
+        lines.append('Transfer-Encoding: chunked')
+        connection.sendall('\r\n'.join(lines).encode() + b'\r\n\r\n')
+        server.note('sends bytes that are no answer, without end')
+        sent = 0
+        try:
+            while True:
+                connection.sendall(NO_ANSWER)
+                sent += len(NO_ANSWER)
+        finally:
+            server.note(f'was closed by the caller after {sent} bytes')
+
+    Server(rig.store, 'llm-0', 'llm', rig.record, behave=answer_badly)
+    rig.start()
+    daemon = rig.daemons[0]
+    answers = []
+    threads = []
+
+    def ask_status():
+        sent_at = rig.record.now()
+        answer = rig.ask(
+            daemon,
+            '/status/x',
+            TIMEOUT_MS / 1000 + GRACE_S + 8,
+            Deadline_Ms=TIMEOUT_MS + 1500,
         )
-        for number in range(4)
-    ]
-    silent_until = 0.0
+        answers.append((sent_at, answer))
 
-    def stay_silent(request, connection):
-        left_s = silent_until - time.monotonic()
-        if left_s <= 0:
-            return False
-        time.sleep(left_s)
-        return True
+    def ask_stream():
+        rig.ask(daemon, '/stream/x', 8.5, Deadline_Ms=8000)
 
-    rig.store.filter = stay_silent
-    rig.start(settle_s=3.0)
-    callers = [Caller(rig) for _ in range(STREAMS)]
-    threads = [start(caller.run) for caller in callers]
-    time.sleep(1.5)
-    crashed = servers[0]
-    if rig.trouble:
-        rig.record.note('the store is silent')
-        silent_until = time.monotonic() + SILENCE_S
-        crashed.alive = False
-        crashed.stop_listening()
-        for connection in list(crashed.connections):
-            connection.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
-            )
-            connection.shutdown(socket.SHUT_RDWR)
-        rig.record.note(f'server {crashed.name} has crashed')
-    time.sleep(CRASH_S)
-    if rig.trouble:
-        ip, _, port = crashed.address.rpartition(':')
-        crashed.version = 'v2'
-        crashed.born = int(time.time() * 1000)
-        crashed.sequence = 0
-        crashed.listener = listen(ip, int(port))
-        start(crashed._accept, crashed.listener)
+    def check_ready():
+        began = rig.record.now()
+        ready = daemon.is_ready(15)
         rig.record.note(
-            f'server {crashed.name} starts again under its id as version v2;'
-            ' its entry can not be written yet'
+            f'readiness check: {ready} after {rig.record.now() - began:.3f} s'
         )
-    time.sleep(0.5)
-    rig.record.note('callers lose their connections')
-    for caller in callers:
-        caller.lose()
-    if rig.trouble:
-        time.sleep(max(0.0, silent_until - time.monotonic()))
-        crashed.alive = True
-        crashed.beat()
-        start(crashed._beats)
-        rig.record.note('the store answers again, and the entry is written')
+
+    began = time.monotonic()
+    sent = 0
+    streamed = False
+    while time.monotonic() - began < LENGTH_S:
+        threads.append(start(ask_status))
+        sent += 1
+        if not sent % 10:
+            threads.append(start(check_ready))
+        if not streamed and time.monotonic() - began > TROUBLE_AT_S:
+            streamed = True
+            for _ in range(STREAMS):
+                threads.append(start(ask_stream))
+        time.sleep(PERIOD_S)
     for thread in threads:
-        thread.join(15)
-    joined = [caller for caller in callers if len(set(caller.events)) > 1]
-    for caller in callers:
-        versions = ','.join(dict.fromkeys(caller.events))
-        rig.record.note(
-            f'stream {caller.first}: {len(caller.events)} events of {versions},'
-            f' tries {caller.tries}'
-        )
-    rig.record.say(
-        f'{len(joined)} of {len(callers)} streams hold events from servers of'
-        f' two software versions'
-    )
+        thread.join(20)
+    late = [a for _, a in answers if a.took_s > TIMEOUT_MS / 1000]
+    very_late = [a for a in late if a.took_s > TIMEOUT_MS / 1000 + GRACE_S]
     rig.record.say(
-        f'{sum(caller.is_complete for caller in callers)} streams are complete'
+        f'{len(answers)} requests at the daemon, {len(late)} unanswered at'
+        f' timeout_ms, {len(very_late)} of them half a second later'
     )
-    return len(joined) > 2
+    longest = max(a.took_s for _, a in answers)
+    rig.record.say(f'longest wait of a caller: {longest:.1f} s')
+    running = daemon.process.poll() is None
+    rig.record.say(f'daemon is running: {running}')
+    return len(very_late) >= 8 and len(very_late) * 2 > len(late)
 
 
 main.options = {'daemons': 3}
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,6 +1,7 @@
 # flake8: noqa
-"""The servers of a service are replaced again and again."""
+"""Three of six daemons are killed at once; callers take up their streams."""
 
+import hashlib
 import sys
 from pathlib import Path
 
@@ -9,190 +10,140 @@
 
 from rig import *  # noqa: E402, F403
 
-SERVERS = 9
-#: Servers that one release replaces, at most 0.45 of them and 7 at a time.
-REPLACED = 4
-RELEASES = 16
-DRAIN_S = 3.0
-#: Requests at a time of a burst between two releases.
-CROWD = 560
-WORK_S = 0.6
-TIMEOUT_MS = 3245
-#: Callers that keep their connections, and their pauses between requests.
-KEPT = 24
-PAUSE_S = 1.0
-CONTACT_S = 4.0
-#: Clients that try to connect, for `contact_ms`.
-CLIENTS = 20
-#: Disruptions and bursts end after so many seconds.
-LIMIT_S = 75
-
-
-class KeptCaller:
-    """A caller with a kept connection."""
+DAEMONS = 6
+#: Part of the daemons that are killed, at most that of the site file (0.55).
+KILLED = 3
+STREAMS = 24
+EVENTS = 30
+EVENT_S = 0.2
+RECEIVED = 5
+TIMEOUT_MS = 10000
+#: A caller's tries to take a stream up again.
+TRIES = 4
+CONTACT_S = 3.0
+
+
+def choose_killed(daemons):
+    """Choose the daemons that keep where the streams of each other began."""
+
+    def rank(daemon):
+        text = f'streams/0|{daemon.name}'.encode()
+        return hashlib.blake2b(text, digest_size=8).digest()
+
+    return sorted(daemons, key=rank, reverse=True)[:KILLED]
+
+
+class Caller:
+    """A caller that reads a stream, loses its connection and takes it up."""
 
     def __init__(self, rig, daemon):
         self.rig = rig
         self.daemon = daemon
-        self.answered_at = []
-        self.stopping = False
-
-    def run(self):
+        self.identity = new_id()
+        self.events = []
+        self.tries = []
+        self.goes_on = False
+        self.connection = None
+        self.deadline = time.monotonic() + TIMEOUT_MS / 1000
+
+    def begin(self):
         ip, _, port = self.daemon.addresses['front'].rpartition(':')
-        connection = socket.create_connection((ip, int(port)), 2)
-        stream = connection.makefile('rb')
-        while not self.stopping:
-            answer = Answer()
-            try:
-                connection.sendall(
-                    build_request(
-                        '/status/kept', new_id(), Deadline_Ms=TIMEOUT_MS
-                    )
-                )
-                read_answer(connection, stream, answer, time.monotonic() + 5)
-            except (OSError, ValueError) as error:
-                self.rig.record.note(f'kept connection has ended: {error!r}')
-                return
-            self.answered_at.append(time.monotonic())
-            if answer.get('Connection').lower() == 'close':
-                return
-            time.sleep(PAUSE_S)
-
-
-def count_descriptors(daemon):
-    try:
-        return len(os.listdir(f'/proc/{daemon.process.pid}/fd'))
-    except OSError:
-        return 0
+        self.connection = socket.create_connection((ip, int(port)), 2)
+        self.connection.sendall(
+            build_request('/stream/x', self.identity, Deadline_Ms=TIMEOUT_MS)
+        )
+        self.connection.settimeout(5)
+        stream = self.connection.makefile('rb')
+        read_head(stream)
+        while len(self.events) < RECEIVED:
+            line = stream.readline()
+            if not line:
+                break
+            if line.startswith(b'data: '):
+                self.events.append(line.decode().split()[2])
+        self.rig.record.note(
+            f'caller began {self.identity} at {self.daemon.name}: '
+            f'{len(self.events)} events of version {self.events[:1]}'
+        )
 
+    def lose(self):
+        self.connection.close()
 
-def work_briefly(server, connection, request, run):
-    if request.target != '/status/kept':
-        return None
-    run()
-    identity = request.get('Attempt-Id')
-    write_response(
-        connection, 200, server.seal(identity), server.body(identity)
-    )
-    return True
+    def take_up(self, daemons):
+        for _ in range(TRIES):
+            left_ms = round((self.deadline - time.monotonic()) * 1000)
+            if left_ms < 500:
+                return
+            answer = self.rig.ask(
+                random.choice(daemons),
+                '/stream/x',
+                left_ms / 1000 + 0.5,
+                Deadline_Ms=left_ms,
+                Resumes=self.identity,
+                Last_Event_Id=RECEIVED,
+            )
+            self.tries.append(answer.status)
+            if answer.status == 200:
+                self.goes_on = answer.is_complete
+                return
+            time.sleep(min(float(answer.get('Retry-After') or 0.5), 1.0))
 
 
 def main(rig):
-    threading.stack_size(256 * 1024)
     put_config(
         rig.store,
         1,
-        [route('/status/', 'non_idempotent', 'web', timeout_ms=TIMEOUT_MS)],
+        [route('/stream/', 'streaming', 'llm', timeout_ms=TIMEOUT_MS)],
     )
-    daemon = rig.daemons[0]
-    started = 0
-
-    def start_servers(count):
-        nonlocal started
-        servers = []
-        for _ in range(count):
-            servers.append(
-                Server(
-                    rig.store,
-                    f'web-{started}',
-                    'web',
-                    rig.record,
-                    work_s=WORK_S,
-                    slots=64,
-                    behave=work_briefly,
-                )
-            )
-            started += 1
-        return servers
-
-    def leave(servers):
-        """Serve for a while after the store knows, then end."""
-        time.sleep(DRAIN_S + 1)
-        for server in servers:
-            server.leave()
-            for connection in list(server.connections):
-                try:
-                    connection.shutdown(socket.SHUT_RDWR)
-                except OSError:
-                    pass
-
-    answers = []
-
-    def ask():
-        answer = rig.ask(daemon, '/status/x', 4.5, Deadline_Ms=TIMEOUT_MS)
-        answers.append(answer.status)
-
-    servers = start_servers(SERVERS)
-    rig.start()
-    kept = [KeptCaller(rig, daemon) for _ in range(KEPT)]
-    kept_threads = [start(caller.run) for caller in kept]
-    began = time.monotonic()
-    for release in range(1, RELEASES + 1):
-        before = len(answers)
-        crowd = [start(ask) for _ in range(CROWD)]
-        for thread in crowd:
-            thread.join(6)
-        served = answers[before:].count(200)
-        rig.record.say(
-            f'{count_descriptors(daemon)} open descriptors before release'
-            f' {release}; {served} of {CROWD} requests served'
+    for number in range(4):
+        Server(
+            rig.store,
+            f'llm-{number}',
+            'llm',
+            rig.record,
+            version=f'v{1 + number % 2}',
+            events=EVENTS,
+            event_s=EVENT_S,
         )
-        if not served or time.monotonic() - began > LIMIT_S:
-            break
+    rig.start(settle_s=4.0)
+    killed = choose_killed(rig.daemons)
+    calm = [daemon for daemon in rig.daemons if daemon not in killed]
+    callers = [
+        Caller(rig, killed[number % KILLED]) for number in range(STREAMS)
+    ]
+    for thread in [start(caller.begin) for caller in callers]:
+        thread.join()
+    for daemon in killed:
         if rig.trouble:
-            # The new ones start first, the old ones drain.
-            following = start_servers(REPLACED)
-            time.sleep(0.3)
-            leaving, servers = servers[:REPLACED], servers[REPLACED:]
-            servers += following
-            for server in leaving:
-                server.drain()
-            start(leave, leaving)
-        time.sleep(1.0)
-    # No disruption any more; the last servers have left after this.
-    time.sleep(DRAIN_S + 1 + CONTACT_S)
-    rig.record.say('clients try to connect')
-    since = time.monotonic()
-    ready = []
-    tries = []
-
-    def check_ready():
-        ready.append(daemon.is_ready(2))
-
-    def connect():
-        tries.append(
-            rig.ask(daemon, '/status/x', 3.0, Deadline_Ms=TIMEOUT_MS).status
+            daemon.send(signal.SIGKILL)
+    for caller in callers:
+        caller.lose()
+    threads = [start(caller.take_up, calm) for caller in callers]
+    begun = []
+
+    def begin_new(daemon):
+        answer = rig.ask(
+            daemon, '/stream/x', TIMEOUT_MS / 1000, Deadline_Ms=TIMEOUT_MS
         )
+        begun.append(answer.status == 200)
 
-    threads = []
-    for number in range(CLIENTS):
-        threads.append(start(connect))
-        if not number % 5:
-            threads.append(start(check_ready))
-        time.sleep(CONTACT_S * 1.1 / CLIENTS)
+    for number in range(STREAMS):
+        threads.append(start(begin_new, calm[number % len(calm)]))
+        time.sleep(0.1)
     for thread in threads:
-        thread.join(6)
-    resolved = call(
-        daemon.addresses['directory'],
-        b'GET /api/resolve?name=claims.example HTTP/1.1\r\nHost: x\r\n\r\n',
-        2.0,
-    )
-    rig.record.note(f'directory: {resolved.status} {resolved.body!r}')
-    ended = daemon.process.poll()
-    still = sum(any(at > since for at in caller.answered_at) for caller in kept)
-    for caller in kept:
-        caller.stopping = True
-    taken = sum(status != 0 for status in tries)
+        thread.join(20)
+    taken_up = sum(caller.goes_on for caller in callers)
     rig.record.say(
-        f'{taken} of {len(tries)} new connections were taken in'
-        f' {CONTACT_S * 1.1:.1f} s; {sum(ready)} of {len(ready)} readiness'
-        f' checks say ready; {still} of {KEPT} kept connections are served;'
-        f' exit status of the daemon: {ended}'
+        f'{taken_up} of {len(callers)} streams go on that callers took up'
+        f' again; {sum(begun)} of {len(begun)} new streams begin'
     )
-    return not taken and len(tries) >= 7 and all(ready)
+    for caller in callers:
+        rig.record.note(f'{caller.identity}: {caller.tries}')
+    share = taken_up / len(callers)
+    return share < sum(begun) / len(begun) / 2
 
 
-main.options = {'daemons': 1}
+main.options = {'daemons': DAEMONS}
 
 if __name__ == '__main__':
     run(main, HERE)
