Search each byte of a stream once for the end of an event

Cause: EventSplitter copied and searched the whole incomplete event for each chunk, so the time grew with the square of its length, up to 262,144 bytes. StreamLog of the project's own interface did the same. To find the last ID, the events were split off one by one, with a copy of the rest each time; a stream of comments took the square of their number.

Both search only what has arrived since, and drop comments in one pass.

--- a/egretdale/coordination/requests.py
+++ b/egretdale/coordination/requests.py
@@ -167,7 +167,7 @@
 
     chunks: list[bytes] = field(default_factory=list)
     events: int = 0
-    tail: bytes = b''
+    tail: bytearray = field(default_factory=bytearray)
 
     def accept(self, chunk: bytes) -> bytes:
         """Add a chunk and return the events that it completes.
@@ -175,13 +175,14 @@
         :param chunk: received bytes.
         :return: bytes up to the end of the last complete event.
         """
-        pending = self.tail + chunk if self.tail else chunk
-        end = pending.rfind(_EVENT_END)
+        # What came before holds no end of an event.
+        searched = max(0, len(self.tail) - 1)
+        self.tail += chunk
+        end = self.tail.rfind(_EVENT_END, searched)
         if end < 0:
-            self.tail = pending
             return b''
-        complete = pending[: end + len(_EVENT_END)]
-        self.tail = pending[end + len(_EVENT_END) :]
+        complete = bytes(self.tail[: end + len(_EVENT_END)])
+        self.tail = self.tail[len(complete) :]
         self.chunks.append(complete)
         self.events += complete.count(_EVENT_END)
         return complete
--- a/egretdale/coordination/stream_relay.py
+++ b/egretdale/coordination/stream_relay.py
@@ -131,7 +131,7 @@
         active.tokens += events.count(b'\n\n')
 
     def _recover(self, detail: str) -> Refused | None:
-        self._log.tail = b''
+        self._log.tail.clear()
         if self._reconnect():
             return None
         self._reconnects = 0
--- a/egretdale/state/event_streams.py
+++ b/egretdale/state/event_streams.py
@@ -7,11 +7,12 @@
 from typing import Protocol
 
 _EVENT_END = b'\n\n'
-#: Two line ends in a row. A lone CR is a line end, too.
-_ANY_EVENT_END = re.compile(rb'(?:\r\n|\r(?!\n)|\n){2}')
-_OTHER_LINE_END = re.compile(rb'\r\n|\r')
+#: Bytes in which two line ends meet. CR LF is one line end, and so is CR.
+_MEETING_LINE_ENDS = (_EVENT_END, b'\r\r', b'\n\r')
 _LINE_END = b'\n'
 _LINE_ENDS = b'\r\n'
+_CR = b'\r'
+_COMMENT_LINE = re.compile(rb'^:[^\n]*\n?', re.MULTILINE)
 _BYTE_ORDER_MARK = b'\xef\xbb\xbf'
 _COMMENT = b':'
 _ID_FIELD = b'id'
@@ -68,7 +69,7 @@
         self.has_events = False
         self.is_misplaced = False
         self.last_event_id = ''
-        self._buffer = b''
+        self._buffer = bytearray()
         self._resumed_after = ''
         self._was_passed = False
 
@@ -83,18 +84,22 @@
         :param chunk: next chunk of the stream.
         :return: complete events, none if they are misplaced.
         """
-        buffered = self._buffer + chunk
-        end = _find_end(buffered)
-        complete = buffered[:end]
-        self._buffer = buffered[end:]
-        if not complete or not self._note_events(_normalise(complete)):
+        # What was buffered before holds no end of an event.
+        searched = max(0, len(self._buffer) - 1)
+        self._buffer += chunk
+        end = _find_end(self._buffer, searched)
+        if not end:
+            return b''
+        complete = bytes(self._buffer[:end])
+        self._buffer = self._buffer[end:]
+        if not self._note_events(_normalise(complete)):
             return b''
         return complete
 
     def finish(self) -> bytes:
         """Return what follows the last event at the end of the stream."""
-        rest = self._buffer
-        self._buffer = b''
+        rest = bytes(self._buffer)
+        self._buffer.clear()
         return rest
 
     def has_incomplete_event(self) -> bool:
@@ -107,7 +112,7 @@
 
     def resume(self) -> None:
         """Drop an incomplete event; the next chunk is of another response."""
-        self._buffer = b''
+        self._buffer.clear()
         self._resumed_after = self.last_event_id
         self.has_events = False
         self.is_misplaced = False
@@ -126,36 +131,43 @@
         return True
 
 
-def _find_end(received: bytes) -> int:
-    """Find the end of the last complete event."""
-    if b'\r' not in received:
-        at = received.rfind(_EVENT_END)
-        return 0 if at < 0 else at + len(_EVENT_END)
-    end = 0
-    for found in _ANY_EVENT_END.finditer(received):
-        end = found.end()
-    return end
+def _find_end(received: bytearray, start: int) -> int:
+    """Find the end of the last complete event.
+
+    :param received: bytes that were received.
+    :param start: offset from which there may be an end of an event.
+    :return: its offset, 0 if there is none.
+    """
+    at = max(received.rfind(pair, start) for pair in _MEETING_LINE_ENDS)
+    if at < 0:
+        return 0
+    end = at + len(_EVENT_END)
+    is_cr_lf = received[end - 1 : end + 1] == _LINE_ENDS
+    return end + 1 if is_cr_lf else end
 
 
 def _normalise(text: bytes) -> bytes:
     """Replace all line ends by LF, and drop a byte order mark."""
-    if b'\r' in text:
-        text = _OTHER_LINE_END.sub(_LINE_END, text)
+    if _CR in text:
+        text = text.replace(_LINE_ENDS, _LINE_END).replace(_CR, _LINE_END)
     return text.removeprefix(_BYTE_ORDER_MARK)
 
 
+def _drop_comments(text: bytes) -> bytes:
+    """Drop the comments, and with them the events that hold nothing else."""
+    if text.startswith(_COMMENT) or _LINE_END + _COMMENT in text:
+        text = _COMMENT_LINE.sub(b'', text)
+    return text.strip(_LINE_END)
+
+
 def _find_first_id(text: bytes) -> str:
     """Find the ID of the first event.
 
     :param text: complete events.
     :return: the ID, empty if the event has none.
     """
-    while text:
-        event, _, text = text.lstrip(_LINE_END).partition(_EVENT_END)
-        identity = _parse_id(event)
-        if identity is not None:
-            return identity
-    return ''
+    event = _drop_comments(text).partition(_EVENT_END)[0]
+    return _parse_id(event)
 
 
 def _find_last_id(text: bytes) -> str | None:
@@ -164,27 +176,21 @@
     :param text: complete events.
     :return: the ID, empty if the event has none; ``None`` if there is no event.
     """
-    while text:
-        text, _, event = text.rstrip(_LINE_END).rpartition(_EVENT_END)
-        identity = _parse_id(event)
-        if identity is not None:
-            return identity
-    return None
+    events = _drop_comments(text)
+    if not events:
+        return None
+    return _parse_id(events.rpartition(_EVENT_END)[-1])
 
 
-def _parse_id(event: bytes) -> str | None:
+def _parse_id(event: bytes) -> str:
     """Parse the ID of an event.
 
-    :param event: lines of the event without the end of the last one.
-    :return: the ID; empty if there is none that a header can hold, ``None`` if
-        the lines are no event but comments.
+    :param event: lines of the event without comments.
+    :return: the ID, empty if there is none that a header can hold.
     """
-    identity: str | None = None
+    identity = ''
     for line in event.split(_LINE_END):
         name, _, text = line.partition(_COMMENT)
-        if not name:
-            continue
-        identity = identity or ''
         text = text.removeprefix(b' ')
         if name == _ID_FIELD and b'\x00' not in text:
             is_usable = _HEADER_VALUE.fullmatch(text)
--- a/tests/test_coordination/test_stream_relay.py
+++ b/tests/test_coordination/test_stream_relay.py
@@ -7,10 +7,12 @@
 
 from egretdale.coordination.attempts import Attempt
 from egretdale.coordination.ports import EndOfStream, MaybeRun
+from egretdale.coordination.requests import StreamLog
 from egretdale.coordination.stream_relay import StreamRelay
 from egretdale.state.outcomes import Ran, Reason, Refused
 from tests.forwarding import ScriptedResponse
 from tests.functions import create_loader
+from tests.growth import MAXIMUM_GROWTH, measure_growth
 
 load_tests = create_loader(__name__)
 
@@ -95,3 +97,14 @@
     sound = ScriptedResponse([_EVENTS[1] + _EVENTS[2]], headers=[_TYPE])
     sound.finish = EndOfStream
     assert _read(_Manager([error, sound])) == b''.join(_EVENTS)
+
+
+def test_an_event_without_end_is_not_searched_again_for_each_chunk() -> None:
+    """An engine that sends one byte a chunk must not hold up a host."""
+
+    def accept(size: int) -> None:
+        log = StreamLog()
+        for _ in range(size):
+            log.accept(b'.')
+
+    assert measure_growth(accept, 8192) < MAXIMUM_GROWTH
--- a/tests/test_state/test_event_streams.py
+++ b/tests/test_state/test_event_streams.py
@@ -6,6 +6,7 @@
 
 from egretdale.state.event_streams import EventSplitter
 from tests.functions import create_loader
+from tests.growth import MAXIMUM_GROWTH, measure_growth
 
 load_tests = create_loader(__name__)
 
@@ -156,3 +157,45 @@
         assert bool(passed) == follows, first
         assert splitter.is_misplaced != follows, first
         assert splitter.last_event_id == '5' or follows
+
+
+def test_an_event_without_end_is_not_searched_again_for_each_chunk() -> None:
+    """An engine that sends one byte a chunk must not hold up a host."""
+
+    def split(size: int) -> None:
+        splitter = EventSplitter()
+        for _ in range(size):
+            splitter.split(b'.')
+
+    assert measure_growth(split, 8192) < MAXIMUM_GROWTH
+
+
+def test_comments_between_events_take_time_for_their_length_only() -> None:
+    """An engine that sends comments only must not hold up a host."""
+
+    def split(size: int) -> None:
+        EventSplitter().split(b':\n\n' * size)
+
+    def resume(size: int) -> None:
+        splitter = EventSplitter()
+        splitter.split(b'id: 1\n\n')
+        splitter.resume()
+        splitter.split(b':\n\n' * size + b'id: 2\n\n')
+
+    assert measure_growth(split, 4096) < MAXIMUM_GROWTH
+    assert measure_growth(resume, 4096) < MAXIMUM_GROWTH
+
+
+@settings(max_examples=300, derandomize=True, database=None, deadline=None)
+@given(strategies.text('\r\na:', max_size=12))
+def test_events_end_where_two_line_ends_meet(received: str) -> None:
+    """Whatever precedes them, and wherever the chunks are cut."""
+    lines = received.replace('\r\n', '\n').replace('\r', '\n')
+    passed, splitter = _split(received.encode(), list(range(13)))
+    if '\n\n' not in lines:
+        assert not passed
+        return
+    rest = splitter.finish().decode().replace('\r\n', '\n')
+    assert rest.replace('\r', '\n').strip('\n') == (
+        lines.rpartition('\n\n')[-1].strip('\n')
+    )
