Give other tasks a turn while tiny chunks and short lines arrive

Cause: other tasks ran after 16 reads of a socket only, which are up to 21,000 chunks of a byte, and each chunk made its way through the relay to the caller on its own.

MessageReader counts its steps and bytes, and lets others run after 64 steps or 64 KiB; chunks that have been received together are read as one. Nothing waits for a chunk that is not whole.

--- a/egretdale/transport/message_reader.py
+++ b/egretdale/transport/message_reader.py
@@ -11,8 +11,9 @@
 from collections.abc import Callable
 from http.client import HTTPException
 from re import Pattern
-from typing import BinaryIO, Protocol
+from typing import BinaryIO
 
+from egretdale.protocol.chunks import join_chunks, parse_chunk_size
 from egretdale.protocol.framing import (
     CHUNK_SIZE_LINE,
     FIELD_LINE,
@@ -21,8 +22,9 @@
     is_framing_unambiguous,
     parse_fields,
 )
+from egretdale.transport.read_ahead import ReadAheadSocket
+from egretdale.util.turns import Turn
 
-_HEXADECIMAL = 16
 #: Longest line and longest head or trailer section in bytes.
 _MAXIMUM_LINE = 65536
 _MAXIMUM_HEAD = 131072
@@ -41,27 +43,6 @@
     """There is no memory for the rest of a head."""
 
 
-class ReadAheadSocket(Protocol):
-    """A socket that counts the bytes that were received and not read.
-
-    :ivar unread: number of these bytes.
-    """
-
-    unread: int
-
-    def note_read(self, size: int) -> None:
-        """Record that bytes were read.
-
-        :param size: number of bytes.
-        """
-
-    def push_back(self, received: bytes) -> None:
-        """Return bytes that were received and not read.
-
-        :param received: the bytes.
-        """
-
-
 class _Part(enum.Enum):
     """The part of a body in chunks that is read next."""
 
@@ -85,6 +66,7 @@
         '_cost',
         '_draw',
         '_is_reading',
+        '_joined',
         '_left',
         '_lines',
         '_maximum_head',
@@ -92,6 +74,7 @@
         '_section',
         '_socket',
         '_source',
+        '_turn',
         'head',
     )
 
@@ -107,6 +90,9 @@
         self._source = received
         self._socket = socket
         self._is_reading = False
+        self._turn = Turn()
+        # Content of chunks that were received together.
+        self._joined = b''
         self._lines: deque[bytes] = deque()
         self._part: _Part | None = None
         # Bytes left of a chunk, and bytes of a section of lines so far.
@@ -146,6 +132,7 @@
     def start_message(self) -> None:
         """Expect the first line of a message."""
         self._part = None
+        self._joined = b''
         self._lines.clear()
 
     def read_head(
@@ -261,7 +248,11 @@
         if self._part is not _Part.CONTENT:
             return self._receive(read, size)
         wanted = self._left if size < 0 else min(size, self._left)
-        content = self._receive(read, wanted)
+        if self._joined:
+            content = self._joined[:wanted]
+            self._joined = self._joined[wanted:]
+        else:
+            content = self._receive(read, wanted)
         self._left -= len(content)
         if not self._left:
             self._part = _Part.CONTENT_END
@@ -272,10 +263,29 @@
         parsed = CHUNK_SIZE_LINE.fullmatch(line)
         if parsed is None:
             raise _report('the size of a chunk is malformed', line)
-        self._left = int(parsed['size'], _HEXADECIMAL)
+        self._left = parse_chunk_size(parsed['size'])
         self._section = 0
         self._part = _Part.CONTENT if self._left else _Part.TRAILERS
-        return line
+        return self._join_chunks() or line
+
+    def _join_chunks(self) -> bytes:
+        """Join the chunks that have been received as a whole.
+
+        Each piece that is passed on costs far more than the framing of a chunk.
+
+        :return: size line of a chunk with their content, empty if there is
+            only one.
+        """
+        unread = 0 if self._socket is None else self._socket.unread
+        if not 0 < self._left < unread:
+            return b''
+        joined, end = join_chunks(self._source.peek(), self._left)
+        if end == self._left:
+            return b''
+        self._receive(self._source.read, end)
+        self._joined = joined
+        self._left = len(joined)
+        return b'%x%b' % (self._left, LINE_END)
 
     def _read_trailer(self) -> bytes:
         line = self._read_section_line()
@@ -310,9 +320,11 @@
         return line
 
     def _receive(self, read: Callable[[int], bytes], size: int) -> bytes:
+        self._turn.begin_step()
         self._is_reading = True
         received = read(size)
         self._is_reading = False
+        self._turn.note(len(received))
         if self._socket is not None:
             self._socket.note_read(len(received))
         return received
