Keep the origins of streams at enough hosts, and tell new keepers

Cause: while two software versions serve, a stream goes on only if a host knows where it began. Two hosts were told, the same two for all streams of a fleet of fewer than 48, and only once: three kills at once, or restarts in turn, left nobody who knew. The hosts that answered had ORIGIN_UNKNOWN for each request.

In a fleet of up to 13 hosts all live ones keep the origins; in a larger one each of 16 groups of streams has three keepers of its own. Hosts that become keepers or start anew are told by the host that began a stream, or by the other keepers if that one is lost. The version of the member table changes with the incarnation of a host, as a quick restart changes nothing else.

Three tests counted two keepers in a fleet of 60 and count three now, as strictly.

Cost while two versions serve: a half more entries in a large fleet, 3.8 instead of 2.6 KB/s at 32 streams a second and host (by calculation).

--- a/egretdale/coordination/origin_peers.py
+++ b/egretdale/coordination/origin_peers.py
@@ -1,4 +1,4 @@
-"""Asks peers where a stream began."""
+"""Peers that are told and asked where streams began."""
 
 from __future__ import annotations
 
@@ -15,14 +15,14 @@
 from egretdale.util.clocks import Clock
 from egretdale.util.hashing import hash_text
 
-#: Hosts that are told where a stream began.
-_KEEPERS = 2
-#: Hosts for each pair of keepers.
-_HOSTS_PER_SHARD = 24
+#: Number of peers up to which all of them are keepers of all streams.
+_SMALL_FLEET = 12
+#: Keepers of a stream in a larger fleet, and groups of streams with keepers of
+#: their own.
+_KEEPERS = 3
+_SHARDS = 16
 #: Longest wait in seconds for the replies of peers.
 _REPLY_TIMEOUT_S = 0.3
-#: Number of peers up to which all of them are asked, and not only keepers.
-_MAXIMUM_ASKED = 12
 
 
 class OriginPeers:
@@ -78,22 +78,36 @@
         :param request_id: ID of the request that began it.
         """
         reachable = self._mesh.table.list_reachable()
-        if len(reachable) <= _MAXIMUM_ASKED:
+        if len(reachable) <= _SMALL_FLEET:
             return reachable
-        keepers = self.list_keepers(request_id)
+        keepers = self.list_keepers(self.find_shard(request_id))
         return [member for member in reachable if member.update.host in keepers]
 
-    def list_keepers(self, request_id: str) -> list[str]:
-        """List the peers that are told the origin of a stream.
+    def find_shard(self, request_id: str) -> int:
+        """Find the group of streams that have the same keepers.
 
-        :param request_id: ID of the request that began it.
+        :param request_id: ID of the request that began a stream.
+        """
+        return hash_text(request_id) % _SHARDS
+
+    def list_shards(self) -> range:
+        """List the groups of streams."""
+        return range(_SHARDS)
+
+    def list_keepers(self, shard: int) -> dict[str, int]:
+        """List the peers that are told the origins of a group of streams.
+
+        :param shard: the group.
+        :return: names of the hosts with their incarnations.
         """
         members = self._mesh.table
-        shards = max(1, members.count_live() // _HOSTS_PER_SHARD)
-        key = f'streams/{hash_text(request_id) % shards}'
-        owners = list_owners(members, key, _KEEPERS + 1)
+        live = members.list_live()
+        live.pop(members.own_host, 0)
+        if len(live) <= _SMALL_FLEET:
+            return live
+        owners = list_owners(members, f'streams/{shard}', _KEEPERS + 1)
         others = [host for host in owners if host != members.own_host]
-        return others[:_KEEPERS]
+        return {host: live[host] for host in others[:_KEEPERS]}
 
     def has_heard_all(
         self, asked: list[Member], replies: list[OriginReply]
--- a/egretdale/coordination/stream_origins.py
+++ b/egretdale/coordination/stream_origins.py
@@ -10,14 +10,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import eventlet
-
 from egretdale.coordination.admission import AdmittedRequest
 from egretdale.coordination.mesh import Mesh, MeshListener
+from egretdale.coordination.origin_keepers import OriginKeepers
 from egretdale.coordination.origin_peers import OriginPeers
 from egretdale.coordination.progress import Progress
 from egretdale.state.instances import Instance, InstanceTable
-from egretdale.state.messages import Batch, StreamOrigin
+from egretdale.state.messages import Batch
 from egretdale.state.outcomes import Ran, Reason, Refused
 from egretdale.state.queries import OriginAsk, OriginReply
 from egretdale.state.stream_origins import Origin, OriginTable
@@ -26,10 +25,6 @@
 
 logger = get_logger(__name__)
 
-#: Delay in seconds within which origins are sent together.
-_FLUSH_S = 0.1
-#: Origins in one batch.
-_ORIGINS_PER_BATCH = 200
 #: Retry time in seconds if nobody knows where a stream began: hosts that have
 #: just started learn it from others.
 _UNKNOWN_RETRY_S = 0.5
@@ -64,10 +59,10 @@
     __slots__ = (
         '_announced',
         '_instances',
+        '_keepers',
         '_knowledge',
         '_mesh',
         '_peers',
-        '_pending',
         '_table',
     )
 
@@ -90,9 +85,9 @@
         self._peers = OriginPeers(mesh, clock)
         self._instances = instances
         self._table = OriginTable(clock)
+        self._keepers = OriginKeepers(mesh, self._peers, self._table, clock)
         # Services whose streams are sent to keepers.
         self._announced: set[str] = set()
-        self._pending: dict[str, list[StreamOrigin]] = {}
 
     def note_start(
         self, instance: Instance, request_id: str, *, is_split: bool
@@ -105,9 +100,9 @@
         """
         origin = Origin(instance.service, instance.software_version)
         self._announce_earlier()
-        self._table.note(request_id, origin)
+        record = self._table.note(request_id, origin)
         if is_split or instance.service in self._announced:
-            self._announce(request_id, origin)
+            self._keepers.announce(request_id, record)
 
     def resume(self, admitted: AdmittedRequest) -> Progress | Refused:
         """Bind a request that resumes a stream to where it began.
@@ -182,20 +177,19 @@
         :param batch: the batch.
         """
         self._announce_earlier()
-        pending = self._pending.pop(host, [])
-        batch.origins.extend(pending[:_ORIGINS_PER_BATCH])
-        if len(pending) > _ORIGINS_PER_BATCH:
-            self._pending[host] = pending[_ORIGINS_PER_BATCH:]
-            eventlet.spawn_after(_FLUSH_S, self._flush, host)
+        self._keepers.fill(host, batch)
 
     def receive(self, batch: Batch) -> None:
         """Record the origins that a peer tells.
 
         :param batch: a batch from a peer.
         """
+        if batch.origins:
+            self._keepers.need()
+        source = (batch.sender, batch.incarnation)
         for entry in batch.origins:
             origin = Origin(entry.service_name, entry.software_version)
-            self._table.note(entry.request_id, origin)
+            self._table.note(entry.request_id, origin, source)
 
     def _search(self, ask: OriginAsk) -> tuple[Origin | None, str]:
         """Find where a stream began, at this host or at its peers.
@@ -274,26 +268,16 @@
 
     def _announce_earlier(self) -> None:
         """Announce the streams that began before a second version served."""
+        self._keepers.update()
         for service in self._table.list_services():
             versions = self._instances.versions.list_recent(service)
             if len(versions) < 2:
                 self._announced.discard(service)
             elif service not in self._announced:
                 self._announced.add(service)
-                for request_id, origin in self._table.list_streams(service):
-                    self._announce(request_id, origin)
+                self._announce_streams(service)
 
-    def _announce(self, request_id: str, origin: Origin) -> None:
-        entry = StreamOrigin(
-            request_id, origin.service, origin.software_version
-        )
-        for host in self._peers.list_keepers(request_id):
-            if host not in self._pending:
-                self._pending[host] = []
-                eventlet.spawn_after(_FLUSH_S, self._flush, host)
-            self._pending[host].append(entry)
-
-    def _flush(self, host: str) -> None:
-        # A batch sent in the meantime has already carried the origins.
-        if host in self._pending:
-            self._mesh.probe(host)
+    def _announce_streams(self, service: str) -> None:
+        for request_id, record in self._table.list_records():
+            if record.origin.service == service and not record.is_shared:
+                self._keepers.announce(request_id, record)
--- a/egretdale/state/members.py
+++ b/egretdale/state/members.py
@@ -73,8 +73,8 @@
     the higher counter, then the one with the more severe status.
 
     :ivar own_host: name of this host.
-    :ivar version: number that increases when a host is added or removed or
-        its status changes.
+    :ivar version: number that increases when a host is added or removed,
+        starts anew or changes its status.
     """
 
     __slots__ = (
@@ -121,6 +121,7 @@
             self.version += 1
         if update.incarnation > known.update.incarnation:
             known.heard_at = now
+            self.version += 1
         known.update = update
         return True
 
@@ -145,6 +146,12 @@
             and member.update.host != self.own_host
         ]
 
+    def list_live(self) -> dict[str, int]:
+        """List the hosts that are alive with their incarnations."""
+        return {
+            update.host: update.incarnation for update in self._read_view().live
+        }
+
     def count_live(self) -> int:
         """Count the hosts that are alive."""
         return len(self._read_view().live)
--- a/egretdale/state/stream_origins.py
+++ b/egretdale/state/stream_origins.py
@@ -22,16 +22,21 @@
     software_version: str
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class OriginRecord:
     """A recorded origin.
 
     :ivar origin: where the stream began.
     :ivar expires_at: clock time until which it is kept.
+    :ivar source: name and incarnation of the host that told it, ``None`` if
+        the stream began at this host.
+    :ivar is_shared: whether other hosts know it.
     """
 
     origin: Origin
     expires_at: float
+    source: tuple[str, int] | None = None
+    is_shared: bool = False
 
 
 class OriginTable:
@@ -49,18 +54,30 @@
         # Times until which the services have streams.
         self._services: dict[str, float] = {}
 
-    def note(self, request_id: str, origin: Origin) -> None:
+    def note(
+        self,
+        request_id: str,
+        origin: Origin,
+        source: tuple[str, int] | None = None,
+    ) -> OriginRecord:
         """Record where a stream began.
 
         :param request_id: ID of the request.
         :param origin: where it began.
+        :param source: name and incarnation of the host that told it, ``None``
+            if the stream began at this host.
+        :return: the record.
         """
         self._expire()
         # Records are in the order in which they expire.
         self._records.pop(request_id, None)
         expires_at = self._clock() + ORIGIN_RETENTION_S
-        self._records[request_id] = OriginRecord(origin, expires_at)
+        record = OriginRecord(
+            origin, expires_at, source, is_shared=source is not None
+        )
+        self._records[request_id] = record
         self._services[origin.service] = expires_at
+        return record
 
     def find(self, request_id: str) -> Origin | None:
         """Find where a stream began.
@@ -80,17 +97,10 @@
             if expires_at > now
         ]
 
-    def list_streams(self, service: str) -> list[tuple[str, Origin]]:
-        """List the streams of a service with their request IDs.
-
-        :param service: service name.
-        """
+    def list_records(self) -> list[tuple[str, OriginRecord]]:
+        """List the request IDs of the streams with their records."""
         self._expire()
-        return [
-            (request_id, record.origin)
-            for request_id, record in self._records.items()
-            if record.origin.service == service
-        ]
+        return list(self._records.items())
 
     def _expire(self) -> None:
         now = self._clock()
--- a/tests/test_coordination/test_stream_origins.py
+++ b/tests/test_coordination/test_stream_origins.py
@@ -241,7 +241,7 @@
 
 
 def test_keepers_learn_earlier_streams_once_versions_differ() -> None:
-    """Two hosts know them although they began beside one version only."""
+    """Three hosts know them although they began beside one version only."""
     with _open_scene('v1', peers=60) as scene:
         instance = Instance('v1', _SERVICE, '', software_version='v1')
         scene.origins.note_start(instance, 'r1', is_split=False)
@@ -253,7 +253,7 @@
             for entries in scene.peers.told.values()
             for entry in entries
         ]
-        assert sorted(told) == ['r1', 'r1', 'r2', 'r2']
+        assert sorted(told) == ['r1', 'r1', 'r1', 'r2', 'r2', 'r2']
 
 
 def test_keepers_learn_streams_of_split_routes() -> None:
@@ -263,14 +263,14 @@
         scene.origins.note_start(instance, 'r1', is_split=True)
         eventlet.sleep(0.5)
         entry = StreamOrigin('r1', _SERVICE, 'v1')
-        assert list(scene.peers.told.values()) == [[entry], [entry]]
+        assert list(scene.peers.told.values()) == [[entry], [entry], [entry]]
 
 
 def test_few_of_many_hosts_are_asked() -> None:
     """Only keepers are asked in a large fleet."""
     with _open_scene('v1', 'v2', peers=60) as scene:
         scene.find()
-        assert len(scene.peers.asked) == 2
+        assert len(scene.peers.asked) == 3
 
 
 def test_keepers_answer_what_they_were_told() -> None:
--- a/tests/test_state/test_software_versions.py
+++ b/tests/test_state/test_software_versions.py
@@ -32,7 +32,7 @@
 
 
 def test_origins_are_kept_while_streams_may_be_resumed() -> None:
-    """Those of other services are listed apart."""
+    """The one that is recorded last is listed last."""
     clock = ManualClock()
     table = OriginTable(clock)
     table.note('r1', Origin('a', 'v1'))
@@ -40,8 +40,9 @@
     table.note('r2', Origin('b', 'v1'))
     table.note('r1', Origin('a', 'v2'))
     assert table.find('r1') == Origin('a', 'v2')
-    assert table.list_streams('a') == [('r1', Origin('a', 'v2'))]
+    listed = [(name, record.origin) for name, record in table.list_records()]
+    assert listed == [('r2', Origin('b', 'v1')), ('r1', Origin('a', 'v2'))]
     assert sorted(table.list_services()) == ['a', 'b']
     clock.now += ORIGIN_RETENTION_S + 1
-    assert table.list_streams('a') == []
+    assert table.list_records() == []
     assert table.list_services() == []
