Take a status beyond 599 for no answer

A backend server in trouble may send any digits for a status. 000, 099, 1000 and words were refused as malformed (502) already; 600 to 999 reached the caller as an answer (from the users' report on MIXED).

Cause: the form of a status line allows 100 to 999. It stays, as heads within bodies are found by it, but a response with such a status is malformed now.

Evidence: the new test fails before with 600 in each framing, from a server and through another host.

--- a/egretdale/transport/strict_client.py
+++ b/egretdale/transport/strict_client.py
@@ -23,6 +23,7 @@
 
 _SWITCHING_PROTOCOLS = 101
 _OK = 200
+_LAST_STATUS = 599
 MAXIMUM_STATUS_LINE = 8192
 #: Longest time in seconds for reading a response that is skipped.
 _SKIP_TIMEOUT_S = 2.0
@@ -118,6 +119,8 @@
     """
     fields = reader.read_head(line, STATUS_LINE)
     status = int(STATUS_LINE.fullmatch(line)['status'])
+    if status > _LAST_STATUS:
+        raise MalformedMessageError(f'status {status} is not defined')
     if status == _SWITCHING_PROTOCOLS:
         raise MalformedMessageError('the protocol is switched')
     if status < _OK:
--- a/tests/test_transport/test_cut_responses.py
+++ b/tests/test_transport/test_cut_responses.py
@@ -172,6 +172,18 @@
             assert _read(received) == (b'', False), (odd, place)
 
 
+def test_statuses_without_a_class_make_a_response_invalid() -> None:
+    """An engine in trouble may send any digits, which are no answer."""
+    for status in (b'000', b'099', b'1000', b'20', b'abc', b'101'):
+        assert not _read(_UNFRAMED.replace(b'200', status))[1], status
+    for status in (b'600', b'666', b'999'):
+        for received in (_UNFRAMED, *_RESPONSES.values()):
+            answer = received.replace(b'200', status)
+            for send in (open_response, _relay):
+                assert not _read(answer, send=send)[1], answer
+    assert _read(_UNFRAMED.replace(b'200', b'599'))[1]
+
+
 def test_chunks_are_read_as_they_are_framed() -> None:
     """Sizes and ends of chunks that parsers read differently are refused."""
     head = HEAD + _CHUNKED + b'\r\n'
