Report a reset in all strict clients, also while a request is sent

An engine that answered a long upload at once without a length, sent a part of its body and reset the connection seemed to have answered in full: callers of the project's own interface got the part as the whole answer (from the users' report on MIXED).

Cause: eventlet's sockets report a reset as the end of the stream, and pools of urllib3 ignore a reset while a request is being sent, and read the response. The reset is reported once, so its body then ends in order. The connections for forwarded requests have had a socket that reports resets; those of the project's own interface and of the platform's client had not.

All strict connections have that socket now, and an end of the connection while a request is sent is an error that pools do not ignore: the request may have run.

Evidence: two new tests fail before, with uploads of 100 kB and with no upload.

--- a/egretdale/transport/strict_client.py
+++ b/egretdale/transport/strict_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 from collections.abc import Callable, Sequence
 from http.client import HTTPResponse
 from typing import Any
@@ -20,6 +21,7 @@
     MalformedMessageError,
     MessageReader,
 )
+from egretdale.transport.sockets import ResetAwareSocket
 
 _SWITCHING_PROTOCOLS = 101
 _OK = 200
@@ -81,6 +83,31 @@
 
     response_class = StrictResponse
 
+    def request(self, *arguments: Any, **options: Any) -> None:
+        """Send a request.
+
+        :param arguments: arguments of the library.
+        :param options: options of the library.
+        :raises ConnectionAbortedError: the peer ended the connection.
+        """
+        try:
+            super().request(*arguments, **options)
+        except (BrokenPipeError, ConnectionResetError) as ended:
+            # Pools ignore these two and read the response. A reset is reported
+            # once, so that its body would seem to end in order.
+            raise ConnectionAbortedError(
+                errno.ECONNABORTED, 'ended while a request was being sent'
+            ) from ended
+
+    def _new_conn(self) -> ResetAwareSocket:
+        created = super()._new_conn()
+        timeout_s = created.gettimeout()
+        opened = ResetAwareSocket(
+            created.family, created.type, created.proto, created.detach()
+        )
+        opened.settimeout(timeout_s)
+        return opened
+
 
 class StrictConnectionPool(HTTPConnectionPool):
     """A pool of strict connections to one address."""
--- a/tests/test_transport/test_backends.py
+++ b/tests/test_transport/test_backends.py
@@ -6,18 +6,23 @@
 
 import eventlet
 
-from egretdale.coordination.ports import BackendCall, MaybeRun
+from egretdale.coordination.ports import BackendCall, EndOfStream, MaybeRun
 from egretdale.errors import Unreachable
 from egretdale.transport.backends import HttpBackendClient, HttpBackendStream
-from tests.backend_sockets import open_server, read_head
+from tests.backend_sockets import open_server, read_all, read_head
+from tests.endings import end_by_reset
 from tests.functions import create_loader
 
 load_tests = create_loader(__name__)
 
 
-def _create_call(stream_id: str) -> BackendCall:
+_UNFRAMED_HEAD = b'HTTP/1.1 200 OK\r\nEgret-Stream-Id: s1\r\n\r\n'
+
+
+def _create_call(stream_id: str, body: bytes = b'') -> BackendCall:
+    method = 'POST' if body else 'GET'
     return BackendCall(
-        stream_id, 'GET', '/x', (), b'', 0, fresh=False, first_byte_s=2
+        stream_id, method, '/x', (), body, 0, fresh=False, first_byte_s=2
     )
 
 
@@ -72,3 +77,39 @@
         assert stream.read() == b's1'
         stream.finish()
         assert not isinstance(client.read_load(address), Unreachable)
+
+
+def test_a_reset_does_not_end_a_response_without_length() -> None:
+    """The part that has arrived must not look like the whole answer."""
+
+    def script(connection: socket.socket) -> None:
+        read_head(connection)
+        connection.sendall(_UNFRAMED_HEAD + b'part')
+        eventlet.sleep(0.05)
+        end_by_reset(connection)
+
+    with open_server(script) as (_, address), eventlet.Timeout(5):
+        response = HttpBackendClient(2).open(address, _create_call('s1'))
+        assert read_all(response)[1] != EndOfStream()
+
+
+def test_an_early_answer_to_an_upload_that_is_reset_is_not_complete() -> None:
+    """A server answers a long upload at once, and resets its connection."""
+    for delay_s in (0, 0.05):
+        for size in (100_000, 30_000_000):
+            assert not _is_complete_after_reset(delay_s, size), (delay_s, size)
+
+
+def _is_complete_after_reset(delay_s: float, size: int) -> bool:
+    def script(connection: socket.socket) -> None:
+        connection.recv(64)
+        connection.sendall(_UNFRAMED_HEAD + b'part')
+        eventlet.sleep(delay_s)
+        end_by_reset(connection)
+
+    with open_server(script) as (_, address), eventlet.Timeout(5):
+        call = _create_call('s1', bytes(size))
+        response = HttpBackendClient(2).open(address, call)
+        if isinstance(response, MaybeRun):
+            return False
+        return read_all(response)[1] == EndOfStream()
