Give up a response before which interim ones do not end

A faulty engine that sent interim responses without end kept a request, its connection and a share of the processor until the request's deadline.

Cause: interim responses were skipped without limit. Their heads may have 131,072 bytes in all now, as long as one head may be.

Evidence: the new test fails before (it runs into its timeout).

--- a/egretdale/transport/strict_client.py
+++ b/egretdale/transport/strict_client.py
@@ -27,6 +27,8 @@
 _OK = 200
 _LAST_STATUS = 599
 MAXIMUM_STATUS_LINE = 8192
+#: Bytes of the heads of interim and late responses before a response.
+_MAXIMUM_SKIPPED_BYTES = 131072
 #: Longest time in seconds for reading a response that is skipped.
 _SKIP_TIMEOUT_S = 2.0
 
@@ -66,7 +68,10 @@
     def _read_head(self, reader: MessageReader) -> None:
         line = b''
         is_expected = False
+        skipped = 0
         while not is_expected:
+            if skipped > _MAXIMUM_SKIPPED_BYTES:
+                raise MalformedMessageError('interim responses do not end')
             reader.start_message()
             line = reader.readline(MAXIMUM_STATUS_LINE)
             if not line:
@@ -75,6 +80,7 @@
             is_expected = not skip_response(
                 line, reader, self.find_earlier_method
             )
+            skipped += len(reader.head)
         reader.push_back(line)
 
 
--- a/tests/test_transport/test_endless_bytes.py
+++ b/tests/test_transport/test_endless_bytes.py
@@ -5,11 +5,11 @@
 import io
 import socket
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 
 import eventlet
 
-from egretdale.coordination.ports import EndOfStream
+from egretdale.coordination.ports import EndOfStream, MaybeRun
 from egretdale.protocol.framing import STATUS_LINE
 from egretdale.transport.message_reader import MessageReader
 from tests.backend_sockets import (
@@ -24,6 +24,7 @@
 load_tests = create_loader(__name__)
 
 _CHUNKED_HEAD = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+_INTERIM = b'HTTP/1.1 102 Processing\r\n\r\n'
 _TINY_CHUNKS = 4096
 #: Reads after which other tasks must have had a turn.
 _READS_PER_TURN = 128
@@ -121,3 +122,20 @@
     assert begun + rest == b'abc'
     assert begun in {b'a', b'abc'}
     assert end == EndOfStream()
+
+
+def test_interim_responses_without_end_are_given_up() -> None:
+    """They are no answer, however many arrive."""
+    sent: list[bytes] = []
+
+    def answer(connection: socket.socket) -> None:
+        read_head(connection)
+        with suppress(OSError):
+            while len(sent) < 1000:
+                connection.sendall(_INTERIM * 1000)
+                sent.append(_INTERIM)
+
+    with open_server(answer) as (client, address):
+        assert isinstance(open_response(client, address), MaybeRun)
+        eventlet.sleep(0.1)
+    assert len(sent) < 1000
