Limit what is kept of an engine's bytes in the project's own interface

A faulty engine that sends bytes without end could use up the memory of a host and end it with the requests of all callers (from the users' reports).

Cause: four places kept all that arrived. The incomplete event of a stream and the events that another engine would continue from had no limit; load reports and the answers to orders, cancels and pauses were read as a whole before they were looked at, with a timeout for each read only.

An incomplete event may have 262,144 bytes, as for forwarded streams. A stream beyond 4 MiB is passed on and no longer kept, so that no other engine can go on with it. Short answers may have 65,536 bytes and take no longer than the timeout of the call. Buffered answers, which had a limit, are kept as bytes and not as a list of chunks, which may be tiny.

Evidence: the three new tests fail before.

--- a/egretdale/coordination/attempts.py
+++ b/egretdale/coordination/attempts.py
@@ -175,7 +175,11 @@
         refused = self.check_retry(state, started=True)
         if refused is not None:
             return refused
-        body = self._continue_body(state.request.body, log.chunks, log.events)
+        body = None
+        if not log.is_too_long():
+            body = self._continue_body(
+                state.request.body, log.chunks, log.events
+            )
         if body is None:
             return self._refuse_failed(state, 'the stream cannot be continued')
         return self._acquire(state, self.clock(), body)
--- a/egretdale/coordination/requests.py
+++ b/egretdale/coordination/requests.py
@@ -160,14 +160,19 @@
 class StreamLog:
     """Events relayed so far, from which another engine can continue.
 
-    :ivar chunks: chunks of complete events.
+    A stream that is too long to be continued is not kept.
+
+    :ivar chunks: chunks of complete events, the last one if the stream is too
+        long.
     :ivar events: number of events relayed.
     :ivar tail: bytes received after the last complete event.
+    :ivar size: length of all events in bytes.
     """
 
     chunks: list[bytes] = field(default_factory=list)
     events: int = 0
     tail: bytearray = field(default_factory=bytearray)
+    size: int = 0
 
     def accept(self, chunk: bytes) -> bytes:
         """Add a chunk and return the events that it completes.
@@ -183,10 +188,21 @@
             return b''
         complete = bytes(self.tail[: end + len(_EVENT_END)])
         self.tail = self.tail[len(complete) :]
+        self.size += len(complete)
+        if self.is_too_long():
+            self.chunks.clear()
         self.chunks.append(complete)
         self.events += complete.count(_EVENT_END)
         return complete
 
+    def is_too_long(self) -> bool:
+        """Tell whether the stream is too long to be continued elsewhere."""
+        return self.size > _MAXIMUM_STREAM_BYTES
+
+    def is_event_too_long(self) -> bool:
+        """Tell whether the event that is being received is too long."""
+        return len(self.tail) > _MAXIMUM_EVENT_BYTES
+
     def is_complete(self) -> bool:
         """Tell whether the terminal event has been relayed."""
         if self.tail or not self.chunks:
@@ -194,5 +210,8 @@
         return self.chunks[-1].endswith(_TERMINAL_EVENT)
 
 
+#: Longest stream that is kept, and longest incomplete event, in bytes.
+_MAXIMUM_STREAM_BYTES = 4194304
+_MAXIMUM_EVENT_BYTES = 262144
 _EVENT_END = b'\n\n'
 _TERMINAL_EVENT = b'data: [DONE]\n\n'
--- a/egretdale/coordination/routing.py
+++ b/egretdale/coordination/routing.py
@@ -235,30 +235,28 @@
     def _read_buffered(
         self, state: RequestState, attempt: Attempt
     ) -> BufferedReply | None:
-        chunks: list[bytes] = []
-        size = 0
-        while size <= _MAXIMUM_BUFFERED_BYTES:
+        body = bytearray()
+        while len(body) <= _MAXIMUM_BUFFERED_BYTES:
             chunk = attempt.stream.read()
             match chunk:
                 case EndOfStream():
-                    return self._finish_buffered(state, attempt, chunks)
+                    return self._finish_buffered(state, attempt, bytes(body))
                 case MaybeRun(detail=detail):
                     self.attempts.count_wasted_tokens(state, 'engine-failed', 1)
                     self.attempts.fail(state, attempt, detail)
                     return None
             if attempt.active.first_token_at is None:
                 attempt.active.first_token_at = self.attempts.clock()
-            chunks.append(chunk)
-            size += len(chunk)
+            body += chunk
         self.attempts.fail(state, attempt, 'the response is too large')
         return None
 
     def _finish_buffered(
-        self, state: RequestState, attempt: Attempt, chunks: list[bytes]
+        self, state: RequestState, attempt: Attempt, body: bytes
     ) -> BufferedReply:
         self.attempts.finish(state, attempt, 1)
         stream = attempt.stream
-        return BufferedReply(stream.status, stream.headers, b''.join(chunks))
+        return BufferedReply(stream.status, stream.headers, body)
 
     def _refuse(
         self,
--- a/egretdale/coordination/stream_relay.py
+++ b/egretdale/coordination/stream_relay.py
@@ -122,6 +122,8 @@
             if events:
                 self._record_progress(events)
                 return events
+            if self._log.is_event_too_long():
+                return MaybeRun('an event is too long')
 
     def _record_progress(self, events: bytes) -> None:
         active = self._attempt.active
--- a/egretdale/transport/backends.py
+++ b/egretdale/transport/backends.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 import eventlet
 import msgspec
@@ -34,6 +35,8 @@
 _CONTROL_TIMEOUT_S = 1.0
 _RESUME_TIMEOUT_S = 3.0
 _CHUNK_BYTES = 65536
+#: Longest answer to a call other than a request, in bytes.
+_MAXIMUM_ANSWER_BYTES = 65536
 _OK = 200
 _STREAM_ID_HEADER = 'Egret-Stream-Id'
 _HOP_HEADERS = frozenset(
@@ -109,6 +112,18 @@
         self._response.close()
 
 
+@dataclass(slots=True, frozen=True)
+class _Answer:
+    """The answer to a call other than a request.
+
+    :ivar status: HTTP status.
+    :ivar content: its body.
+    """
+
+    status: int
+    content: bytes
+
+
 class HttpBackendClient:
     """Calls to backend servers over HTTP."""
 
@@ -209,13 +224,10 @@
         :param address: ``address:port`` of the backend server.
         :return: the report, or the reason for the failure.
         """
-        try:
-            response = self._control_pool.request(
-                'GET', f'http://{address}/load', timeout=_LOAD_TIMEOUT_S
-            )
-        except HTTPError as failed:
-            return Unreachable(Cause.BROKEN, str(failed))
-        report = decode_json(response.data, LoadReport)
+        answer = self._call('GET', f'http://{address}/load', _LOAD_TIMEOUT_S)
+        if isinstance(answer, Unreachable):
+            return answer
+        report = decode_json(answer.content, LoadReport)
         if isinstance(report, Invalid):
             return Unreachable(Cause.MALFORMED, report.message)
         return report
@@ -227,16 +239,13 @@
         :param order: the order.
         :return: whether the engine accepted it.
         """
-        try:
-            response = self._control_pool.request(
-                'POST',
-                f'http://{address}/orders',
-                body=msgspec.json.encode(order),
-                timeout=_CONTROL_TIMEOUT_S,
-            )
-        except HTTPError:
-            return False
-        return response.status == _OK
+        answer = self._call(
+            'POST',
+            f'http://{address}/orders',
+            _CONTROL_TIMEOUT_S,
+            msgspec.json.encode(order),
+        )
+        return not isinstance(answer, Unreachable) and answer.status == _OK
 
     def _send(
         self,
@@ -273,10 +282,40 @@
 
     def _send_control(self, address: str, stream_id: str, action: str) -> bool:
         url = f'http://{address}/v1/streams/{stream_id}/{action}'
+        answer = self._call('POST', url, _CONTROL_TIMEOUT_S)
+        return not isinstance(answer, Unreachable) and answer.status == _OK
+
+    def _call(
+        self, method: str, url: str, timeout_s: float, body: bytes | None = None
+    ) -> _Answer | Unreachable:
+        """Make a call whose answer is short.
+
+        The server may send bytes without end, so the whole call is limited.
+        """
+        with eventlet.Timeout(timeout_s, False):
+            try:
+                return self._receive(method, url, timeout_s, body)
+            except HTTPError as failed:
+                return Unreachable(Cause.BROKEN, str(failed))
+        return Unreachable(Cause.SILENT, f'no answer within {timeout_s} s')
+
+    def _receive(
+        self, method: str, url: str, timeout_s: float, body: bytes | None
+    ) -> _Answer | Unreachable:
+        response = self._control_pool.request(
+            method,
+            url,
+            body=body,
+            timeout=timeout_s,
+            preload_content=False,
+        )
         try:
-            response = self._control_pool.request(
-                'POST', url, timeout=_CONTROL_TIMEOUT_S
-            )
-        except HTTPError:
-            return False
-        return response.status == _OK
+            content = response.read(_MAXIMUM_ANSWER_BYTES + 1)
+        except BaseException:
+            response.close()
+            raise
+        if len(content) > _MAXIMUM_ANSWER_BYTES:
+            response.close()
+            return Unreachable(Cause.MALFORMED, 'the answer is too long')
+        response.release_conn()
+        return _Answer(response.status, content)
--- a/tests/test_coordination/test_stream_relay.py
+++ b/tests/test_coordination/test_stream_relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from itertools import repeat
 from types import SimpleNamespace
 
 from egretdale.coordination.attempts import Attempt
@@ -108,3 +109,27 @@
             log.accept(b'.')
 
     assert measure_growth(accept, 8192) < MAXIMUM_GROWTH
+
+
+def test_an_event_without_end_is_given_up() -> None:
+    """A faulty engine must not use up the memory of a host."""
+    endless = ScriptedResponse([_EVENTS[0], *repeat(b'.' * 65536, 64)])
+    manager = _Manager([])
+    relay = StreamRelay(manager, SimpleNamespace(), _create_attempt(endless))
+    relay.start()
+    relay.read()
+    assert relay.read() is None
+    assert manager.failed == [endless]
+    assert len(endless.steps) > 32
+
+
+def test_a_stream_without_end_is_not_kept() -> None:
+    """It is passed on, and can not be continued by another engine."""
+    log = StreamLog()
+    event = b'data: ' + b'x' * 65536 + b'\n\n'
+    for _ in range(256):
+        assert log.accept(event) == event
+    assert sum(map(len, log.chunks)) < 2 * 4194304
+    assert log.is_too_long()
+    assert log.accept(_EVENTS[2])
+    assert log.is_complete()
--- a/tests/test_transport/test_backends.py
+++ b/tests/test_transport/test_backends.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from contextlib import suppress
 
 import eventlet
 
@@ -113,3 +114,25 @@
         if isinstance(response, MaybeRun):
             return False
         return read_all(response)[1] == EndOfStream()
+
+
+def test_a_report_without_end_is_not_kept() -> None:
+    """A faulty engine must not use up the memory of a host."""
+    piece = b'1\r\n{\r\n' * 10000
+    sent: list[int] = []
+
+    def script(connection: socket.socket) -> None:
+        read_head(connection)
+        connection.sendall(
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+        )
+        with suppress(OSError):
+            while len(sent) < 1000:
+                connection.sendall(piece)
+                sent.append(len(piece))
+
+    with open_server(script) as (_, address), eventlet.Timeout(5):
+        report = HttpBackendClient(2).read_load(address)
+        assert isinstance(report, Unreachable)
+        eventlet.sleep(0.1)
+    assert sum(sent) < 10_000_000
