Close idle connections that have expired, also to servers that have left

Cause: an idle connection was closed only when one to the same address was taken or failed. Nobody takes one to a server that has left, so up to 64 stayed for each address that a server ever had.

The pool now closes all that have expired, once a second while connections are returned.

Not mended: at the limit of descriptors an error of accept still ends the loop that takes callers' connections.

--- a/egretdale/transport/connection_pool.py
+++ b/egretdale/transport/connection_pool.py
@@ -43,6 +43,8 @@
 #: Data unacknowledged for this many milliseconds aborts a connection.
 _USER_TIMEOUT_MS = 4000
 _MAXIMUM_IDLE_PER_ADDRESS = 64
+#: Seconds after which the connections that have expired are closed.
+_EXPIRY_PERIOD_S = 1.0
 _SOCKET_OPTIONS = (
     (sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1),
     (sockets.IPPROTO_TCP, sockets.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
@@ -84,6 +86,7 @@
 
     __slots__ = (
         '_clock',
+        '_expired_at',
         '_idle',
         '_idle_timeouts',
         'embedded',
@@ -100,6 +103,8 @@
         self.skipped = 0
         self.embedded = 0
         self._clock = clock
+        # Clock time at which expired connections were closed.
+        self._expired_at = clock()
         self._idle: dict[str, deque[IdleConnection]] = {}
         self._idle_timeouts: dict[str, float] = {}
 
@@ -208,6 +213,7 @@
         :param connection: the connection.
         :param timeout_s: seconds after which the backend server may close it.
         """
+        self._close_expired()
         idle = self._idle.setdefault(address, deque())
         if len(idle) >= _MAXIMUM_IDLE_PER_ADDRESS:
             connection.close()
@@ -240,6 +246,21 @@
             address=address,
         )
 
+    def _close_expired(self) -> None:
+        """Close the connections on which no request may be sent any more.
+
+        Those to servers that have left would never be taken again.
+        """
+        now = self._clock()
+        if now < self._expired_at + _EXPIRY_PERIOD_S:
+            return
+        self._expired_at = now
+        for address, idle in list(self._idle.items()):
+            while idle and not idle[0].is_usable(now, is_repeatable=True):
+                idle.popleft().connection.close()
+            if not idle:
+                self._idle.pop(address)
+
     def _note_skipped(
         self, address: str, current: str, earlier: str, status: int
     ) -> None:
