--- a/egretdale/coordination/origin_keepers.py
+++ b/egretdale/coordination/origin_keepers.py
@@ -1,4 +1,4 @@
-"""Tells peers where streams began, so that the loss of hosts is borne."""
+"""Tells peers where streams began, so that streams survive lost hosts."""
 
 from __future__ import annotations
 
@@ -33,10 +33,10 @@
         '_clock',
         '_known',
         '_mesh',
-        '_needed_until',
+        '_tracked_until',
         '_peers',
         '_pending',
-        '_seen',
+        '_seen_version',
         '_table',
     )
 
@@ -55,11 +55,11 @@
         self._peers = peers
         self._table = table
         self._pending: dict[str, list[StreamOrigin]] = {}
-        # Time until which there may be streams that keepers know.
-        self._needed_until = float('-inf')
-        # Version of the member table that was seen, and the keepers by then,
-        # by group of streams, with their incarnations.
-        self._seen = -1
+        # Time until which a shared stream may be resumed.
+        self._tracked_until = float('-inf')
+        # Keepers by group of streams, with their incarnations, as of a version
+        # of the member table.
+        self._seen_version = -1
         self._known: dict[int, dict[str, int]] = {}
 
     def announce(self, request_id: str, record: OriginRecord) -> None:
@@ -68,23 +68,23 @@
         :param request_id: ID of the request that began it.
         :param record: its record.
         """
-        self.need()
+        self.note_shared()
         self.update()
         record.is_shared = True
         shard = self._peers.find_shard(request_id)
         for host in self._known.get(shard, ()):
             self._queue(host, request_id, record.origin)
 
-    def need(self) -> None:
-        """Record that keepers know one of the streams of the last seconds."""
-        self._needed_until = self._clock() + ORIGIN_RETENTION_S
+    def note_shared(self) -> None:
+        """Record that a stream is shared now; keepers are tracked for it."""
+        self._tracked_until = self._clock() + ORIGIN_RETENTION_S
 
     def update(self) -> None:
         """Tell new keepers about the streams that began before."""
-        is_needed = self._clock() < self._needed_until
-        if not is_needed or self._seen == self._mesh.table.version:
+        is_tracking = self._clock() < self._tracked_until
+        if not is_tracking or self._seen_version == self._mesh.table.version:
             return
-        self._seen = self._mesh.table.version
+        self._seen_version = self._mesh.table.version
         joined = {}
         for shard in self._peers.list_shards():
             keepers = self._peers.list_keepers(shard)
--- a/egretdale/coordination/requests.py
+++ b/egretdale/coordination/requests.py
@@ -160,10 +160,8 @@
 class StreamLog:
     """Events relayed so far, from which another engine can continue.
 
-    A stream that is too long to be continued is not kept.
-
-    :ivar chunks: chunks of complete events, the last one if the stream is too
-        long.
+    :ivar chunks: chunks of complete events; only the last one if the stream is
+        too long to be continued.
     :ivar events: number of events relayed.
     :ivar tail: bytes received after the last complete event.
     :ivar size: length of all events in bytes.
--- a/egretdale/coordination/stream_origins.py
+++ b/egretdale/coordination/stream_origins.py
@@ -185,7 +185,7 @@
         :param batch: a batch from a peer.
         """
         if batch.origins:
-            self._keepers.need()
+            self._keepers.note_shared()
         source = (batch.sender, batch.incarnation)
         for entry in batch.origins:
             origin = Origin(entry.service_name, entry.software_version)
--- a/egretdale/protocol/chunks.py
+++ b/egretdale/protocol/chunks.py
@@ -15,6 +15,7 @@
     """Parse the size of a chunk in bytes.
 
     :param digits: hexadecimal digits.
+    :return: number of bytes.
     """
     return int(digits, _HEXADECIMAL)
 
--- a/tests/test_transport/test_endless_bytes.py
+++ b/tests/test_transport/test_endless_bytes.py
@@ -1,4 +1,4 @@
-"""Tests of backend servers that send without end what is hardly an answer."""
+"""Tests of bytes without end from backend servers."""
 
 from __future__ import annotations
 
