--- a/review/11/case.py
+++ b/review/11/case.py
@@ -11,70 +11,16 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from standins3.engine import Engine  # noqa: E402
-from standins3.system import (  # noqa: E402
-    TROUBLE,
-    Client,
-    System,
-    create_route,
-    run,
-)
+from standins3.streams import Stream, read_stream  # noqa: E402
+from standins3.system import TROUBLE, System, create_route, run  # noqa: E402
 
 STREAMS = 24
 #: Seconds between two steps, and for which an engine is down.
 GAP_S = 1.0
 DOWN_S = 0.3
-
-
-def read_events(client: Client, events: list[str]) -> bool:
-    """Read events until the answer ends; tell whether it is whole."""
-    status, _ = client.read_head()
-    if status != 200:
-        return False
-    while chunk := client.read_chunk():
-        events += [
-            line.decode().removeprefix('data: ')
-            for line in chunk.split(b'\n')
-            if line.startswith(b'data: ')
-        ]
-    return True
-
-
-def read_stream(system: System, number: int, seen: dict) -> None:
-    """Read a stream, and take it up again after a broken connection."""
-    events: list[str] = []
-    first = ''
-    began = time.monotonic()
-    for attempt in range(3):
-        daemon = system.daemons[(number + attempt) % len(system.daemons)]
-        identity = f'{number * 16 + attempt + 256:016x}'
-        left_ms = 8000 - round((time.monotonic() - began) * 1000)
-        headers = {
-            'Attempt-Id': identity,
-            'Deadline-Ms': left_ms,
-            'Model': 'm',
-            'Token-Counts': '1460,200',
-            'Prompt-Prefix': f'{number + 1:x}:1460',
-        }
-        if events:
-            last = events[-1].split(' ')[1]
-            headers |= {'Last-Event-Id': last, 'Resumes': first}
-        system.note('sent', id=identity, daemon=daemon.name, after=len(events))
-        had = len(events)
-        whole = False
-        client = Client(daemon.bind['front'])
-        try:
-            client.write('POST', '/stream/x', headers, b'{}')
-            whole = read_events(client, events)
-        except (OSError, ValueError) as failed:
-            system.note('answer-broken', id=identity, detail=failed)
-        client.close()
-        if events and not had:
-            first = identity
-        system.note('answered', id=identity, events=','.join(events[had:]))
-        if whole:
-            break
-        time.sleep(0.1)
-    seen[number] = events
+#: Pauses of a client before its tries, and its deadline, in seconds.
+PAUSES_S = (0, 0.1, 0.1)
+DEADLINE_S = 8
 
 
 def play() -> bool:
@@ -93,14 +39,17 @@
         for engine in engines:
             engine.start()
         system.start()
-        seen: dict[int, list[str]] = {}
-        tasks = []
-        for number in range(STREAMS):
-            task = threading.Thread(
-                target=read_stream, args=(system, number, seen), daemon=True
+        streams = [Stream(number) for number in range(STREAMS)]
+        tasks = [
+            threading.Thread(
+                target=read_stream,
+                args=(system, stream, PAUSES_S, DEADLINE_S),
+                daemon=True,
             )
+            for stream in streams
+        ]
+        for task in tasks:
             task.start()
-            tasks.append(task)
         time.sleep(1.0)
         if TROUBLE:
             for engine in engines:
@@ -111,14 +60,10 @@
                 time.sleep(began + GAP_S - time.monotonic())
         for task in tasks:
             task.join(12)
-    mixed = [
-        number
-        for number, events in seen.items()
-        if len({event.split(' ')[0] for event in events}) > 1
-    ]
-    whole = sum(len(events) == 40 for events in seen.values())
-    print(f'{STREAMS} streams, {whole} whole, {len(mixed)} of two versions')
-    return len(mixed) > 2
+    mixed = sum(len(stream.list_versions()) > 1 for stream in streams)
+    whole = sum(len(stream.events) == 40 for stream in streams)
+    print(f'{STREAMS} streams, {whole} whole, {mixed} of two versions')
+    return mixed > 2
 
 
 run(play)
--- a/review/standins3/engine.py
+++ b/review/standins3/engine.py
@@ -53,6 +53,19 @@
         self.runs: list[tuple[float, str]] = []
         #: Returns true if the request crashes the engine.
         self.crashes: Callable[[Call], bool] = lambda call: False
+        #: Seconds of prefill between the head of an answer that crashes the
+        #: engine and its first bytes; ``None`` to crash without a head.
+        self.prefill_s: float | None = None
+        #: Seconds of work of a plain request.
+        self.work_s = 0.0
+        #: Requests that may wait for a slot.
+        self.room = 4
+        #: ``Server-Brittle`` that all answers state, and the falls.
+        self.brittle: int | None = None
+        self.falls: list[float] = []
+        self._held = 0
+        self._rejected_at: list[float] = []
+        self._slots = threading.Semaphore(slots)
         #: Replaces the answer of a plain request.
         self.answer: Callable[[Call], bytes] | None = None
         #: Seconds after a start until the first entry is written.
@@ -72,6 +85,9 @@
             self.life += 1
             life = self.life
             self.sequence = 0
+            self._held = 0
+            self._rejected_at = []
+            self._slots = threading.Semaphore(self.slots)
             self.born = int(time.time() * 1000)
             listener = socket.socket()
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -195,19 +211,77 @@
                 b'Content-Length: 0\r\n\r\n' % self.name.encode()
             )
             return True
+        if not self._take_room():
+            self.note('rejected', engine=self.name, id=call.identity)
+            connection.sendall(
+                b'HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n'
+                b'Attempt-Id: %b\r\n%bContent-Length: 0\r\n\r\n'
+                % (call.identity.encode(), self._state_brittle())
+            )
+            return self._count_rejection(life)
+        slots = self._slots
+        with slots:
+            try:
+                return self.life == life and self._run(connection, call, life)
+            finally:
+                with self._lock:
+                    if self.life == life:
+                        self._held -= 1
+
+    def _take_room(self) -> bool:
+        with self._lock:
+            if self._held >= self.slots + self.room:
+                return False
+            self._held += 1
+            return True
+
+    def _state_brittle(self) -> bytes:
+        if self.brittle is None:
+            return b''
+        return b'Server-Brittle: %d\r\n' % self.brittle
+
+    def _count_rejection(self, life: int) -> bool:
+        """Fall over if more than N requests were rejected in a second."""
+        now = time.monotonic()
+        with self._lock:
+            if self.life != life:
+                return False
+            recent = [at for at in self._rejected_at if at > now - 1]
+            self._rejected_at = [*recent, now]
+            if self.brittle is None or len(recent) < self.brittle:
+                return True
+            self.falls.append(now)
+        self.note('fell-over', name=self.name)
+        self.stop()
+        timer = threading.Timer(self.back_s, self.start)
+        timer.daemon = True
+        timer.start()
+        return False
+
+    def _run(self, connection: socket.socket, call: Call, life: int) -> bool:
         self.runs.append((time.monotonic(), call.identity))
         self.note(
             'run', engine=self.name, version=self.version, id=call.identity
         )
-        if self.crashes(call):
-            self.crash(call)
-            return False
         head = (
             f'HTTP/1.1 200 OK\r\nAttempt-Id: {call.identity}\r\n'
             f'Server-Seal: seal-{call.identity}\r\n'
-        ).encode()
+        ).encode() + self._state_brittle()
+        if self.crashes(call):
+            if self.prefill_s is not None:
+                self._begin_stream(connection, head)
+                time.sleep(self.prefill_s)
+                if self.life == life:
+                    connection.sendall(b'1a\r\nid: 1\ndata: ')
+            if self.life == life:
+                self.crash(call)
+            return False
         if call.target.startswith('/stream/'):
             return self._stream(connection, call, head, life)
+        if self.work_s:
+            time.sleep(self.work_s)
+            if self.life != life:
+                return False
         if self.answer is not None:
             connection.sendall(self.answer(call))
             return True
@@ -216,13 +290,16 @@
         connection.sendall(head if call.method == 'HEAD' else head + body)
         return True
 
-    def _stream(
-        self, connection: socket.socket, call: Call, head: bytes, life: int
-    ) -> bool:
+    def _begin_stream(self, connection: socket.socket, head: bytes) -> None:
         connection.sendall(
             head + b'Content-Type: text/event-stream\r\n'
             b'Transfer-Encoding: chunked\r\n\r\n'
         )
+
+    def _stream(
+        self, connection: socket.socket, call: Call, head: bytes, life: int
+    ) -> bool:
+        self._begin_stream(connection, head)
         after = int(call.headers.get('last-event-id') or 0)
         for number in range(after + 1, self.events + 1):
             time.sleep(self.event_s)
