--- a/review/standins3/store.py
+++ b/review/standins3/store.py
@@ -21,6 +21,7 @@
         self.kinds: dict[str, dict[str, dict]] = {}
         self.events: list[tuple[int, str, dict, bool]] = []
         self.dropped = 0
+        self.era = 1
         #: While set, every connection is reset without an answer.
         self.is_down = False
         store = self
@@ -46,7 +47,7 @@
                 self.send_response(status)
                 self.send_header('Content-Type', 'application/json')
                 self.send_header('Content-Length', str(len(payload)))
-                self.send_header('Store-Era', '1')
+                self.send_header('Store-Era', str(store.era))
                 self.end_headers()
                 self.wfile.write(payload)
 
@@ -77,6 +78,20 @@
                 self.events.append((self.revision, kind, entry, True))
                 self.changed.notify_all()
 
+    def copy(self) -> tuple:
+        with self.changed:
+            kinds = {kind: dict(known) for kind, known in self.kinds.items()}
+            return self.revision, kinds, list(self.events)
+
+    def restore(self, saved: tuple) -> None:
+        """Come back from a copy, in the next era."""
+        with self.changed:
+            self.revision, kinds, events = saved
+            self.kinds = {kind: dict(known) for kind, known in kinds.items()}
+            self.events = list(events)
+            self.era += 1
+            self.changed.notify_all()
+
     def serve(self, method: str, path: str, body: bytes) -> tuple[int, dict]:
         parts = urlsplit(path)
         names = [unquote(part) for part in parts.path.split('/')[3:]]
