--- a/review/standins3/engine.py
+++ b/review/standins3/engine.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import os
 import socket
 import struct
 import threading
@@ -76,9 +77,13 @@
         self._lock = threading.Lock()
         self._open: set[socket.socket] = set()
         self._listener: socket.socket | None = None
-        with socket.create_server(('127.0.0.1', 0)) as probe:
+        # No local connection uses a port of this address, so that it is free
+        # whenever the engine starts again.
+        pid = os.getpid() % 60000
+        self.ip = f'127.90.{pid // 250}.{1 + pid % 250}'
+        with socket.create_server((self.ip, 0)) as probe:
             self.port = probe.getsockname()[1]
-        self.address = f'127.0.0.1:{self.port}'
+        self.address = f'{self.ip}:{self.port}'
 
     def start(self) -> None:
         with self._lock:
@@ -91,7 +96,7 @@
             self.born = int(time.time() * 1000)
             listener = socket.socket()
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            listener.bind(('127.0.0.1', self.port))
+            listener.bind((self.ip, self.port))
             listener.listen(256)
             self._listener = listener
         self.note('engine-started', name=self.name, version=self.version)
