Review: a script that fails or is stopped exits with 2 and ends its daemons

An error of a script's own (an address in use, once in a trial) left it with status 1, which reads as a broken rule, and SIGTERM left daemons running.

Tried: each case once with and once without its disruption after the change; case 12 stopped with SIGTERM after 6 s, twice.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,2 +1,6 @@
 #!/bin/sh
-cd "$(dirname "$0")" && exec timeout -k 2 110 python3 case.py
+cd "$(dirname "$0")" && timeout -k 5 110 python3 case.py
+code=$?
+# A run that was stopped for its time could not run.
+test $code -le 2 || code=2
+exit $code
--- a/review/standins3/system.py
+++ b/review/standins3/system.py
@@ -5,6 +5,7 @@
 
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -277,10 +278,16 @@
 
 def run(case) -> None:
     """Run a case; exit with 1 if the rule was broken, 2 if it couldn't run."""
+
+    def stop(*_: object) -> None:
+        raise Unusable('stopped from outside')
+
+    # The context of the system ends its daemons on the way out.
+    signal.signal(signal.SIGTERM, stop)
     try:
         broken = case()
-    except (Unusable, FileNotFoundError) as failed:
-        print(f'could not run: {failed}')
+    except BaseException as failed:
+        print(f'could not run: {failed!r}')
         sys.stdout.flush()
         os._exit(2)
     print('BROKEN' if broken else 'held')
